Begin: package layout, the interfaces between the parts, the test runner

The parts of a node meet at abstract base classes (store, directory, settings view, selector, admission, control channel, clock), so that they can be built and tested side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV := .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test lint behave bench bench-hop bench-control clean
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip --disable-pip-version-check -q install -e '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(PY) -m standins.demo
+
+lint: $(STAMP)
+	$(VENV)/bin/black --check -q src standins bench features
+	$(VENV)/bin/ruff check -q src standins bench features
+	$(VENV)/bin/mypy --no-error-summary
+
+behave: $(STAMP)
+	$(PY) -m features.run
+
+test: lint behave
+
+bench: $(STAMP)
+	$(PY) -m bench.replay
+
+bench-hop: $(STAMP)
+	$(PY) -m bench.hop
+
+bench-control: $(STAMP)
+	$(PY) -m bench.control
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/features/run.py
@@ -0,0 +1,133 @@
+"""Runs every behave feature, several side by side, and prints one closing line.
+
+Each feature file is a behave process of its own with its own loopback addresses, so that the
+verdict does not depend on which files run beside it. Scenarios named in ``KNOWN-RED.txt`` may
+fail; they are printed. Anything else that did not pass fails the run.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import attrs
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+FEATURE_TIMEOUT_S = 300
+
+
+@attrs.frozen(slots=True)
+class ScenarioResult:
+    """What behave says of one scenario."""
+
+    feature: str
+    name: str
+    status: str
+
+    @property
+    def label(self) -> str:
+        return f"{self.feature}: {self.name}"
+
+
+def known_red() -> dict[str, str]:
+    """Return the scenarios that may fail, with the cause given for each."""
+    if not KNOWN_RED.exists():
+        return {}
+    lines = [line.split("|", 1) for line in KNOWN_RED.read_text().splitlines() if line.strip()]
+    return {line[0].strip(): line[-1].strip() for line in lines}
+
+
+def read_results(feature: str, report: Path) -> list[ScenarioResult]:
+    """Read behave's JSON report; a missing or empty one counts as a failure of the file."""
+    try:
+        features = json.loads(report.read_text() or "[]")
+    except (OSError, json.JSONDecodeError):
+        features = []
+    results = [
+        ScenarioResult(feature, element["name"], element.get("status", "failed"))
+        for entry in features
+        for element in entry.get("elements", [])
+        if element["type"] != "background"
+    ]
+    return results or [ScenarioResult(feature, "(no report)", "failed")]
+
+
+async def run_feature(path: Path, slot: asyncio.Queue[int], folder: Path) -> list[ScenarioResult]:
+    """Run one feature file and return its scenarios."""
+    number = await slot.get()
+    name = str(path.relative_to(ROOT / "features"))
+    report = folder / (name.replace("/", "__") + ".json")
+    command = [sys.executable, "-m", "behave", "--no-color", "-f", "json", "-o", str(report)]
+    command += ["-f", "progress", "--no-skipped", "--no-timings", str(path)]
+    started = time.monotonic()
+    try:
+        process = await asyncio.create_subprocess_exec(
+            *command,
+            cwd=ROOT,
+            env={**os.environ, "MARJORAMTIDE_TEST_SLOT": str(number)},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        try:
+            output, _ = await asyncio.wait_for(process.communicate(), FEATURE_TIMEOUT_S)
+        except TimeoutError:
+            process.terminate()
+            output, _ = await process.communicate()
+            output += f"\nended after {FEATURE_TIMEOUT_S} s\n".encode()
+    finally:
+        slot.put_nowait(number)
+    results = read_results(name, report)
+    bad = [result for result in results if result.status != "passed"]
+    took = time.monotonic() - started
+    print(
+        f"{'FAIL' if bad else 'ok  '} {name}: {len(results)} scenarios in {took:.0f} s", flush=True
+    )
+    if bad:
+        print(output.decode(errors="replace"), flush=True)
+    return results
+
+
+async def run_all(paths: list[Path], jobs: int) -> list[ScenarioResult]:
+    """Run all feature files, ``jobs`` at a time."""
+    slots: asyncio.Queue[int] = asyncio.Queue()
+    for number in range(jobs):
+        slots.put_nowait(number)
+    with tempfile.TemporaryDirectory() as folder:
+        runs = [run_feature(path, slots, Path(folder)) for path in paths]
+        return [result for results in await asyncio.gather(*runs) for result in results]
+
+
+def summarise(results: list[ScenarioResult]) -> int:
+    """Print what failed and the closing line; return the exit status."""
+    allowed = known_red()
+    passed = [result for result in results if result.status == "passed"]
+    skipped = [result for result in results if result.status == "skipped"]
+    failed = [result for result in results if result not in passed and result not in skipped]
+    red = [result for result in failed if result.label in allowed]
+    for result in red:
+        print(f"KNOWN-RED {result.label}: {allowed[result.label]}")
+    for result in failed:
+        if result not in red:
+            print(f"FAILED {result.label} ({result.status})")
+    tail = f", {len(skipped)} skipped" if skipped else ""
+    print(f"{len(passed)} passed, {len(failed)} failed{tail}")
+    return 0 if passed and len(failed) == len(red) else 1
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("features", nargs="*", help="feature files; all of them by default")
+    parser.add_argument("--jobs", type=int, default=4)
+    options = parser.parse_args()
+    chosen = [Path(name).resolve() for name in options.features]
+    paths = chosen or sorted((ROOT / "features").rglob("*.feature"))
+    return summarise(asyncio.run(run_all(paths, options.jobs)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/marjoramtide/clock/__init__.py
@@ -0,0 +1,7 @@
+"""Time, handed in wherever a decision depends on it."""
+
+from marjoramtide.clock._clock import Clock
+from marjoramtide.clock._manual import ManualClock
+from marjoramtide.clock._system import SystemClock
+
+__all__ = ["Clock", "ManualClock", "SystemClock"]
--- /dev/null
+++ b/src/marjoramtide/errors/_codes.py
@@ -0,0 +1,41 @@
+"""The codes by which operators and programs tell errors apart."""
+
+from enum import StrEnum
+
+
+class ErrorCode(StrEnum):
+    """What went wrong, as a stable word for logs, headers and exit codes.
+
+    The incident guide under ``docs/operators`` explains each one, so a code is never renamed.
+    """
+
+    BAD_SETTINGS = "bad-settings"
+    BAD_REQUEST = "bad-request"
+    UNKNOWN_SERVICE = "unknown-service"
+    DEPTH_EXCEEDED = "depth-exceeded"
+    BODY_TOO_LARGE = "body-too-large"
+    HEAD_TOO_LARGE = "head-too-large"
+    DEADLINE = "deadline"
+    OVERLOADED = "overloaded"
+    DRAINING = "draining"
+    STALE_SETTINGS = "stale-settings"
+    NO_CANDIDATE = "no-candidate"
+    RETRY_BUDGET = "retry-budget"
+    CONNECT_FAILED = "connect-failed"
+    PEER_LOST = "peer-lost"
+    PEER_REFUSED = "peer-refused"
+    BAD_FRAME = "bad-frame"
+    BAD_KEY = "bad-key"
+    BACKEND_FAILED = "backend-failed"
+    TRUNCATED = "truncated"
+    CANCELLED = "cancelled"
+    DUPLICATE_KEY = "duplicate-key"
+    STORE_UNAVAILABLE = "store-unavailable"
+    STORE_THROTTLED = "store-throttled"
+    STORE_AMBIGUOUS = "store-ambiguous"
+    VERSION_CONFLICT = "version-conflict"
+    NOT_FOUND = "not-found"
+    BRANCH_CONFLICT = "branch-conflict"
+    MEMBER_UNREACHABLE = "member-unreachable"
+    NOT_IN_FORCE = "not-in-force"
+    INTERNAL = "internal"
--- /dev/null
+++ b/src/marjoramtide/peers/_control_channel.py
@@ -0,0 +1,25 @@
+"""Small questions between nodes, beside the requests of callers."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+
+class ControlChannel(ABC):
+    """Asks another node one question and gets one answer, over an authenticated connection.
+
+    It has a connection of its own, so that a large settings tree never delays a caller's request.
+    Bodies are plain values that CBOR carries (maps, lists, strings, bytes, numbers).
+    """
+
+    @abstractmethod
+    async def ask(
+        self, address: str, subject: str, body: dict[str, Any], *, timeout: float = 2.0
+    ) -> dict[str, Any]:
+        """Ask the node at the peer address ``IP:PORT``; raises ``peer-lost`` or ``peer-refused``."""
+
+    @abstractmethod
+    def answer(
+        self, subject: str, handler: Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]
+    ) -> None:
+        """Register the coroutine that answers questions on ``subject``."""
--- /dev/null
+++ b/src/marjoramtide/platform/_object_store.py
@@ -0,0 +1,52 @@
+"""The interface to the platform's store."""
+
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator
+
+from marjoramtide.platform._stored_object import StoredObject
+from marjoramtide.platform._watch_event import WatchEvent
+
+
+class ObjectStore(ABC):
+    """Objects with versions, conditional updates and watches.
+
+    Every method raises ``MarjoramtideError``: ``store-unavailable`` where the call certainly had no
+    effect, ``store-throttled`` where the store or the caller's own budget refused it (no effect
+    either), ``store-ambiguous`` where a write may or may not have taken effect,
+    ``version-conflict`` where the condition of a write did not hold, ``not-found`` where there is
+    no such object. ``timeout`` is in seconds.
+    """
+
+    @abstractmethod
+    async def get(self, key: str, *, timeout: float = 2.0) -> StoredObject:
+        """Return the object under ``key``."""
+
+    @abstractmethod
+    async def list(self, prefix: str, *, timeout: float = 2.0) -> list[StoredObject]:
+        """Return all objects whose keys begin with ``prefix``, in the order of their keys."""
+
+    @abstractmethod
+    async def create(self, key: str, value: bytes, *, timeout: float = 2.0) -> StoredObject:
+        """Write a new object, or raise ``version-conflict`` where the key is taken."""
+
+    @abstractmethod
+    async def update(
+        self, key: str, value: bytes, version: int, *, timeout: float = 2.0
+    ) -> StoredObject:
+        """Replace the object if it still has ``version``."""
+
+    @abstractmethod
+    async def delete(self, key: str, version: int, *, timeout: float = 2.0) -> None:
+        """Delete the object if it still has ``version``."""
+
+    @abstractmethod
+    def watch(self, prefix: str, since: int, *, wait: float = 30.0) -> AsyncIterator[WatchEvent]:
+        """Yield changes under ``prefix`` after version ``since``; ends when ``wait`` seconds pass.
+
+        The iterator raises ``not-found`` where the store no longer has the history after ``since``
+        (a gap): the reader lists anew.
+        """
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close the connections to the store."""
--- /dev/null
+++ b/src/marjoramtide/platform/_watch_event.py
@@ -0,0 +1,14 @@
+"""What a watch reports."""
+
+import attrs
+
+from marjoramtide.platform._stored_object import StoredObject
+
+
+@attrs.frozen(slots=True)
+class WatchEvent:
+    """A change under a watched prefix; ``stored`` is ``None`` where the object was deleted."""
+
+    key: str
+    version: int
+    stored: StoredObject | None
--- /dev/null
+++ b/src/marjoramtide/policy/_admission.py
@@ -0,0 +1,59 @@
+"""The interface of admission at the serving node."""
+
+from abc import ABC, abstractmethod
+from enum import Enum
+
+import attrs
+
+from marjoramtide.policy._call_profile import CallProfile
+from marjoramtide.policy._load_report import LoadReport
+
+
+class Verdict(Enum):
+    """What becomes of a request on arrival."""
+
+    START = "start"
+    QUEUE = "queue"
+    REJECT = "reject"
+
+
+@attrs.frozen(slots=True)
+class Decision:
+    """A verdict, and for a rejection the reason (an error code) and when to come back."""
+
+    verdict: Verdict
+    reason: str = ""
+    retry_after_ms: int = 0
+
+
+class Admission(ABC):
+    """Admits, queues or rejects requests for one backend server.
+
+    A request is known by an integer ticket that the caller of these methods makes up. The object
+    holds no timer: whoever owns it calls ``expire`` at ``next_expiry``. Times are in seconds of the
+    monotonic clock, durations in milliseconds.
+    """
+
+    @abstractmethod
+    def offer(self, ticket: int, profile: CallProfile, now: float) -> Decision:
+        """Decide on a new request."""
+
+    @abstractmethod
+    def finished(self, ticket: int, now: float, duration_ms: float, succeeded: bool) -> list[int]:
+        """Free the ticket's slot and return the queued tickets that start now."""
+
+    @abstractmethod
+    def withdraw(self, ticket: int, now: float) -> list[int]:
+        """Forget a ticket that was cancelled, queued or started; return those that start now."""
+
+    @abstractmethod
+    def expire(self, now: float) -> list[int]:
+        """Drop and return the queued tickets that can no longer finish in time."""
+
+    @abstractmethod
+    def next_expiry(self) -> float | None:
+        """Return when ``expire`` next has something to do."""
+
+    @abstractmethod
+    def report(self, now: float) -> LoadReport:
+        """Return the load at this moment."""
--- /dev/null
+++ b/src/marjoramtide/policy/_load_report.py
@@ -0,0 +1,23 @@
+"""What a serving node knows of its own backend server."""
+
+import attrs
+
+
+@attrs.frozen(slots=True)
+class LoadReport:
+    """Exact local knowledge at one moment, carried on every answer and rejection between nodes.
+
+    ``service_time_ms`` is the smoothed time of executions, 0 while unknown; ``success_rate`` is the
+    share of recent executions that succeeded. ``sequence`` grows with each report of a node, so
+    that a late one never replaces a newer one. ``accepts`` is false while starting or draining.
+    """
+
+    in_use: int
+    limit: int
+    queued_urgent: int = 0
+    queued_routine: int = 0
+    service_time_ms: float = 0.0
+    success_rate: float = 1.0
+    accepts: bool = True
+    uptime_s: float = 1e9
+    sequence: int = 0
--- /dev/null
+++ b/src/marjoramtide/policy/_selector.py
@@ -0,0 +1,58 @@
+"""The interface of every policy that chooses a backend server."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Collection
+
+from marjoramtide.membership import Member
+from marjoramtide.policy._call_profile import CallProfile
+from marjoramtide.policy._load_report import LoadReport
+
+
+class Selector(ABC):
+    """Chooses among the members of one service, and learns from what became of each request.
+
+    One instance serves one service on one ingress node. ``now`` is in seconds of the monotonic
+    clock; times are in milliseconds. Members are told by ``update_members`` whenever they change.
+    """
+
+    @abstractmethod
+    def update_members(self, members: Collection[Member], now: float) -> None:
+        """Take the members that may take work, in place of the earlier ones."""
+
+    @abstractmethod
+    def choose(
+        self, profile: CallProfile, now: float, excluded: Collection[str] = ()
+    ) -> str | None:
+        """Return the identity of the node to ask, or ``None`` where none is left."""
+
+    @abstractmethod
+    def sent(self, node: str, now: float) -> None:
+        """Note a request sent to ``node``."""
+
+    @abstractmethod
+    def answered(
+        self, node: str, report: LoadReport | None, elapsed_ms: float, succeeded: bool, now: float
+    ) -> None:
+        """Note an answer; ``succeeded`` is false for an error of the backend server."""
+
+    @abstractmethod
+    def rejected(
+        self, node: str, report: LoadReport | None, retry_after_ms: int, now: float
+    ) -> None:
+        """Note a refusal by the serving node: the request did not run there."""
+
+    @abstractmethod
+    def lost(self, node: str, now: float) -> None:
+        """Note that nothing came back: the connection broke or the request was given up."""
+
+    @abstractmethod
+    def hedge_delay_ms(self, node: str, now: float) -> float | None:
+        """Return after how long a second try of an idempotent request pays, or ``None``."""
+
+    @abstractmethod
+    def retry_after_ms(self, now: float) -> int:
+        """Return when a refused caller should come back, spread over callers."""
+
+    def explain(self, now: float) -> list[dict[str, object]]:
+        """Return, for operators, what is believed of each member and how it scores."""
+        return []
--- /dev/null
+++ b/src/marjoramtide/settings/_route_settings.py
@@ -0,0 +1,50 @@
+"""The settings of one route, resolved through the tree."""
+
+import attrs
+
+
+@attrs.frozen(slots=True)
+class RouteSettings:
+    """Every value that serving one request depends on.
+
+    Units are in the names: ``_ms`` milliseconds, ``_s`` seconds, ``_bytes`` bytes; budgets and
+    shares are fractions of 1. A route is the longest configured path prefix that matches.
+    """
+
+    service: str = ""
+    route: str = "/"
+    # Requests
+    timeout_ms: int = 1000
+    max_timeout_ms: int = 10000
+    max_depth: int = 20
+    idempotent: str = "method"  # method | yes | no
+    priority: str = "caller"  # caller | urgent | routine
+    max_body_bytes: int = 8 * 1024 * 1024
+    # Capacity of one backend server
+    slots: int = 10
+    urgent_slots: int = 1
+    connections: int = 250
+    queue_limit: int = 40
+    limiter: str = "adaptive"  # adaptive | fixed
+    min_limit: int = 1
+    # Choice of a backend server
+    selector: str = "predicted"
+    choices: int = 3
+    ejection_cap: float = 0.34
+    slow_start_s: float = 10.0
+    spill_over: float = 1.0  # how much slower, in network hops, another data centre may seem
+    # Second tries
+    max_attempts: int = 3
+    retry_budget: float = 0.1
+    hedge_budget: float = 0.02
+    hedge_quantile: float = 0.95
+    # Measuring a backend server
+    health_path: str = "/health"
+    load_path: str = "/load"
+    measuring_per_s: float = 1.0
+    measuring_share: float = 0.005
+    # Claims for requests with an Idempotency-Key
+    claim_retention_s: float = 86400.0
+    claims_when_store_down: str = "refuse"  # refuse | run
+    # Telemetry
+    trace_share: float = 0.01
--- /dev/null
+++ b/src/marjoramtide/settings/_settings_view.py
@@ -0,0 +1,36 @@
+"""The shared settings in force, as the other parts of a node read them."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+from marjoramtide.settings._route_settings import RouteSettings
+
+
+class SettingsView(ABC):
+    """The tree in force on this node, resolved for this node's place in it."""
+
+    @property
+    @abstractmethod
+    def revision(self) -> int:
+        """Return the revision in force; 0 before the first one."""
+
+    @property
+    @abstractmethod
+    def is_current(self) -> bool:
+        """Tell whether this node may answer callers.
+
+        False where it has been cut off from the store and every peer for longer than the bound, or
+        was frozen and has not caught up: it can't know what is in force.
+        """
+
+    @abstractmethod
+    def service_for_host(self, host: str) -> str | None:
+        """Return the service that a ``Host`` header names, or ``None``."""
+
+    @abstractmethod
+    def route(self, service: str, path: str) -> RouteSettings:
+        """Return the settings of the longest route of ``service`` that is a prefix of ``path``."""
+
+    @abstractmethod
+    def on_change(self, listener: Callable[[int], None]) -> None:
+        """Call ``listener`` with each revision that comes into force."""
