--- a/src/marjoramtide/errors/_base.py
+++ b/src/marjoramtide/errors/_base.py
@@ -11,7 +11,8 @@
     ``retry_after_ms`` tells a caller when to come back, in milliseconds, where that is known.
 
     For example, ``MarjoramtideError(ErrorCode.PEER_LOST, "connection closed", step="peers.send",
-    peer="10.0.0.7:7101")`` prints as ``peer-lost at peers.send (10.0.0.7:7101): connection closed``.
+    peer="10.0.0.7:7101")`` prints as
+    ``peer-lost at peers.send (10.0.0.7:7101): connection closed``.
     """
 
     def __init__(
--- a/src/marjoramtide/peers/_control_channel.py
+++ b/src/marjoramtide/peers/_control_channel.py
@@ -16,7 +16,10 @@
     async def ask(
         self, address: str, subject: str, body: dict[str, Any], *, timeout: float = 2.0
     ) -> dict[str, Any]:
-        """Ask the node at the peer address ``IP:PORT``; raises ``peer-lost`` or ``peer-refused``."""
+        """Ask the node at the peer address ``IP:PORT``.
+
+        Raises ``peer-lost`` where no answer came, ``peer-refused`` where the peer said no.
+        """
 
     @abstractmethod
     def answer(
--- a/src/marjoramtide/policy/_call_profile.py
+++ b/src/marjoramtide/policy/_call_profile.py
@@ -1,11 +1,14 @@
-"""The part of a request that decisions depend on."""
+"""What the policy sees of a request."""
 
 import attrs
 
 
 @attrs.frozen(slots=True)
 class CallProfile:
-    """What the policy must know of one request; ``deadline`` is in seconds of the monotonic clock."""
+    """The part of a request that decisions depend on.
+
+    ``deadline`` is in seconds of the monotonic clock; ``attempt`` counts from 1.
+    """
 
     urgent: bool
     idempotent: bool
