--- a/src/marjoramtide/platform/_object_store.py
+++ b/src/marjoramtide/platform/_object_store.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 
+from marjoramtide.platform._listing import Listing
 from marjoramtide.platform._stored_object import StoredObject
 from marjoramtide.platform._watch_event import WatchEvent
 
@@ -22,8 +23,11 @@
         """Return the object under ``key``."""
 
     @abstractmethod
-    async def list(self, prefix: str, *, timeout: float = 2.0) -> list[StoredObject]:
-        """Return all objects whose keys begin with ``prefix``, in the order of their keys."""
+    async def list(self, prefix: str, *, timeout: float = 2.0) -> Listing:
+        """Return all objects whose keys begin with ``prefix``, in the order of their keys.
+
+        The listing's ``version`` is where a watch goes on.
+        """
 
     @abstractmethod
     async def create(self, key: str, value: bytes, *, timeout: float = 2.0) -> StoredObject:
--- /dev/null
+++ b/standins/object_store/_faults.py
@@ -0,0 +1,33 @@
+"""The faults that the stand-in plays."""
+
+import attrs
+
+ALL = -1
+
+
+@attrs.define(slots=True)
+class Faults:
+    """What goes wrong now. A count is used up call by call; ``-1`` stands for every call.
+
+    ``mode`` is ``up``, ``refuse`` (503, marked as without effect), ``drop`` (the connection closes
+    without an answer and without effect) or ``hang`` (no answer until the mode changes).
+    ``lose_answers`` applies writes and closes the connection. ``late_writes`` closes the connection
+    first and applies the write only when ``/faults/apply-late`` is called.
+    """
+
+    mode: str = attrs.field(
+        default="up", validator=attrs.validators.in_(["up", "refuse", "drop", "hang"])
+    )
+    slow_ms: float = 0
+    lose_answers: int = 0
+    late_writes: int = 0
+    stale_reads: int = 0
+    watch_gaps: int = 0
+    throttle: int = 0
+
+    def take(self, name: str) -> bool:
+        """Tell whether the counted fault hits this call, and use up one."""
+        left = int(getattr(self, name))
+        if left > 0:
+            setattr(self, name, left - 1)
+        return left != 0
