Add a backend server stand-in with slots and faults on command

An asyncio protocol with httptools rather than an aiohttp server: truncation, lost answers and the cost of a new connection need the raw transport, and the stand-in's own processor time must stay small beside the node's.

--- /dev/null
+++ b/standins/backend/_answer.py
@@ -0,0 +1,35 @@
+"""One answer of the stand-in."""
+
+import json
+from http import HTTPStatus
+
+import attrs
+
+
+@attrs.define(slots=True)
+class Answer:
+    """Status, headers and body; ``sent_bytes`` cuts the body short where it is truncated."""
+
+    status: int
+    headers: dict[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+    sent_bytes: int | None = None
+
+    def encode(self, *, close: bool) -> bytes:
+        """Return the bytes for the wire; ``Content-Length`` always states the whole body."""
+        connection = "close" if close else "keep-alive"
+        fields = {**self.headers, "Content-Length": str(len(self.body)), "Connection": connection}
+        lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        head = f"HTTP/1.1 {self.status} {HTTPStatus(self.status).phrase}\r\n{lines}\r\n"
+        return head.encode() + self.body[: self.sent_bytes]
+
+
+def json_answer(value: object, status: int = 200) -> Answer:
+    """Return an answer with a JSON body."""
+    return Answer(status, {"Content-Type": "application/json"}, json.dumps(value).encode())
+
+
+def refusal(reason: str) -> Answer:
+    """Return the answer to a request that was certainly not run."""
+    headers = {"Request-Outcome": "not-run", "Retry-After": "1", "Content-Type": "text/plain"}
+    return Answer(503, headers, reason.encode())
--- /dev/null
+++ b/standins/backend/_connection.py
@@ -0,0 +1,109 @@
+"""One connection to the stand-in."""
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING, Any, cast
+
+import httptools
+
+from standins.backend._request import Request
+
+if TYPE_CHECKING:
+    from standins.backend._server import BackendServer
+
+SETUP_S = 0.001  # what a new connection costs on the platform's servers
+
+
+class Connection(asyncio.Protocol):
+    """Parses requests and answers them one after the other, each by a task of its own."""
+
+    def __init__(self, server: "BackendServer") -> None:
+        self.server = server
+        self.parser: Any = httptools.HttpRequestParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.pending: deque[Request] = deque()
+        self.task: asyncio.Task[None] | None = None
+        self.begun_unsafe = False
+        self.target = b""
+        self.headers: dict[str, str] = {}
+        self.body: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if len(self.server.connections) >= self.server.connection_limit:
+            self.transport.abort()
+            return
+        self.server.connections.add(self)
+        self.server.ledger.connections_opened += 1
+        self.transport.pause_reading()
+        asyncio.get_running_loop().call_later(SETUP_S, self.resume)
+
+    def resume(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.server.connections.discard(self)
+        self.pending.clear()
+        if self.task is not None and not self.task.done():
+            self.server.ledger.cancels += 1
+            # A non-idempotent execution can't be undone by the caller's leaving: it runs on.
+            if not self.begun_unsafe:
+                self.task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            if self.transport is not None:
+                self.transport.abort()
+
+    def on_message_begin(self) -> None:
+        self.target, self.headers, self.body = b"", {}, []
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        if self.headers.get("expect", "").lower() == "100-continue" and self.transport:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        self.body.append(body)
+
+    def on_message_complete(self) -> None:
+        method = self.parser.get_method().decode()
+        request = Request(
+            method,
+            self.target.decode("latin-1"),
+            self.headers,
+            b"".join(self.body),
+            self.parser.should_keep_alive(),
+        )
+        self.pending.append(request)
+        if self.task is None:
+            self.start_next()
+
+    def start_next(self) -> None:
+        self.task = None
+        if self.pending:
+            self.task = asyncio.create_task(self.answer(self.pending.popleft()))
+
+    async def answer(self, request: Request) -> None:
+        self.begun_unsafe = False
+        answer = await self.server.answer(request, self)
+        if self.transport is None or self.transport.is_closing():
+            return
+        if answer is None:
+            self.transport.abort()
+            return
+        cut = answer.sent_bytes is not None
+        close = cut or not request.keep_alive or self.server.faults.drain
+        self.transport.write(answer.encode(close=close))
+        if close:
+            self.transport.close()
+        else:
+            self.start_next()
