Add the settings tree: schema, checks, resolution and the view of a node

One table of keys carries type, bounds, choices and where a key may stand; an error names the path, the value and what is allowed. The view resolves the tree for its place once for each revision, so that a read is a look-up.

--- a/src/marjoramtide/settings/__init__.py
+++ b/src/marjoramtide/settings/__init__.py
@@ -1,7 +1,37 @@
-"""Settings: the node's own file, and the tree that all nodes share."""
+"""Settings: the node's own file, and the tree that all nodes share.
 
+The parts that talk to the store and to other nodes are in ``marjoramtide.settings.sync``.
+"""
+
+from marjoramtide.settings._branch import Branch, parse_branch
+from marjoramtide.settings._envelope import Envelope, RecentChange, decode_envelope
+from marjoramtide.settings._freshness import Freshness
+from marjoramtide.settings._level import Level
 from marjoramtide.settings._node_settings import NodeSettings, load_node_settings
+from marjoramtide.settings._place import Place
+from marjoramtide.settings._resolved import Resolved
 from marjoramtide.settings._route_settings import RouteSettings
+from marjoramtide.settings._schema import SCHEMA
 from marjoramtide.settings._settings_view import SettingsView
+from marjoramtide.settings._tree import SettingsTree, parse_tree
+from marjoramtide.settings._tree_view import TreeSettingsView
 
-__all__ = ["NodeSettings", "RouteSettings", "SettingsView", "load_node_settings"]
+__all__ = [
+    "SCHEMA",
+    "Branch",
+    "Envelope",
+    "Freshness",
+    "Level",
+    "NodeSettings",
+    "Place",
+    "RecentChange",
+    "Resolved",
+    "RouteSettings",
+    "SettingsTree",
+    "SettingsView",
+    "TreeSettingsView",
+    "decode_envelope",
+    "load_node_settings",
+    "parse_branch",
+    "parse_tree",
+]
--- /dev/null
+++ b/src/marjoramtide/settings/_freshness.py
@@ -0,0 +1,41 @@
+"""Whether a node can know which settings are in force."""
+
+import attrs
+
+from marjoramtide.clock import Clock
+
+DEFAULT_BOUND_S = 8.0
+
+
+@attrs.define(slots=True)
+class Freshness:
+    """Remembers when this node last caught up with the store or another node.
+
+    ``bound_s`` is how long, in seconds, that holds good. ``unreadable`` is a revision known to be
+    in force that this node couldn't read.
+    """
+
+    clock: Clock
+    bound_s: float = DEFAULT_BOUND_S
+    caught_up_at: float | None = None
+    unreadable: int = 0
+
+    def caught_up(self, asked_at: float) -> None:
+        """Note an answer that was taken over in full.
+
+        ``asked_at`` is when the question was sent. A process that was frozen finds answers from
+        before in its sockets; dated by their arrival they would pass for news, and the node would
+        serve callers by settings replaced long ago. Dated by the question they count as old.
+        """
+        self.caught_up_at = max(asked_at, self.caught_up_at or asked_at)
+
+    @property
+    def is_current(self) -> bool:
+        """Tell whether the last catching up is within the bound.
+
+        The age is computed at each call, not set by a task: a process that was frozen must answer
+        False to the first request after it wakes, before any of its tasks has run.
+        """
+        if self.caught_up_at is None or self.unreadable:
+            return False
+        return self.clock.monotonic() - self.caught_up_at <= self.bound_s
--- /dev/null
+++ b/src/marjoramtide/settings/_schema.py
@@ -0,0 +1,271 @@
+"""Every key of the settings tree: the one table that checks and the reference page come from."""
+
+import attrs
+
+from marjoramtide.settings._choice_key import ChoiceKey
+from marjoramtide.settings._hosts_key import HostsKey
+from marjoramtide.settings._key_spec import NODE_WIDE, NOT_ON_ROUTES, KeySpec
+from marjoramtide.settings._level import Level
+from marjoramtide.settings._number_key import NumberKey
+from marjoramtide.settings._path_key import PathKey
+from marjoramtide.settings._route_settings import RouteSettings
+
+REQUESTS = "Requests"
+CAPACITY = "Capacity of one backend server"
+CHOICE = "Choice of a backend server"
+SECOND_TRIES = "Second tries"
+MEASURING = "Measuring a backend server"
+CLAIMS = "Claims for requests with an Idempotency-Key"
+TELEMETRY = "Telemetry"
+NODES = "Nodes"
+
+_TABLE: tuple[KeySpec, ...] = (
+    HostsKey(
+        name="hosts",
+        group=REQUESTS,
+        levels=frozenset({Level.SERVICE}),
+        meaning="Host names by which callers address the service; its own name by default.",
+    ),
+    NumberKey(
+        name="timeout_ms",
+        group=REQUESTS,
+        minimum=1,
+        maximum=600_000,
+        meaning="Milliseconds until the deadline of a request whose caller names none.",
+    ),
+    NumberKey(
+        name="max_timeout_ms",
+        group=REQUESTS,
+        minimum=1,
+        maximum=600_000,
+        meaning="The longest deadline a caller may ask for, in milliseconds.",
+    ),
+    NumberKey(
+        name="max_depth",
+        group=REQUESTS,
+        minimum=1,
+        maximum=100,
+        meaning="How many calls deep a request may be before it is refused.",
+    ),
+    ChoiceKey(
+        name="idempotent",
+        group=REQUESTS,
+        choices=("method", "yes", "no"),
+        meaning="Whether requests may run more than once: by their HTTP method (RFC 9110), "
+        "always, or never.",
+    ),
+    ChoiceKey(
+        name="priority",
+        group=REQUESTS,
+        choices=("caller", "urgent", "routine"),
+        meaning="The class of a request: what its Priority header says (RFC 9218), or fixed.",
+    ),
+    NumberKey(
+        name="max_body_bytes",
+        group=REQUESTS,
+        minimum=0,
+        maximum=1 << 30,
+        meaning="The largest request body, in bytes.",
+    ),
+    NumberKey(
+        name="slots",
+        group=CAPACITY,
+        levels=NOT_ON_ROUTES,
+        minimum=1,
+        maximum=10_000,
+        meaning="Requests that a backend server runs at the same time.",
+    ),
+    NumberKey(
+        name="urgent_slots",
+        group=CAPACITY,
+        levels=NOT_ON_ROUTES,
+        minimum=0,
+        maximum=9_999,
+        meaning="Slots that only urgent requests may take; fewer than `slots`.",
+    ),
+    NumberKey(
+        name="connections",
+        group=CAPACITY,
+        levels=NOT_ON_ROUTES,
+        minimum=1,
+        maximum=100_000,
+        meaning="Connections that a backend server takes; not fewer than `slots`.",
+    ),
+    NumberKey(
+        name="queue_limit",
+        group=CAPACITY,
+        levels=NOT_ON_ROUTES,
+        minimum=0,
+        maximum=100_000,
+        meaning="Requests that may wait beside a backend server.",
+    ),
+    ChoiceKey(
+        name="limiter",
+        group=CAPACITY,
+        levels=NOT_ON_ROUTES,
+        choices=("adaptive", "fixed"),
+        meaning="Whether the number of slots in use follows the times observed, or is fixed.",
+    ),
+    NumberKey(
+        name="min_limit",
+        group=CAPACITY,
+        levels=NOT_ON_ROUTES,
+        minimum=1,
+        maximum=10_000,
+        meaning="What the adaptive limit never falls below; not more than `slots`.",
+    ),
+    ChoiceKey(
+        name="selector",
+        group=CHOICE,
+        levels=NOT_ON_ROUTES,
+        choices=("predicted",),
+        meaning="The policy that chooses a backend server.",
+    ),
+    NumberKey(
+        name="choices",
+        group=CHOICE,
+        levels=NOT_ON_ROUTES,
+        minimum=1,
+        maximum=20,
+        meaning="Backend servers that are compared for each request.",
+    ),
+    NumberKey(
+        name="ejection_cap",
+        group=CHOICE,
+        levels=NOT_ON_ROUTES,
+        minimum=0,
+        maximum=1,
+        fraction=True,
+        meaning="The largest share of a service's backend servers that may be set aside as failing "
+        "or slow.",
+    ),
+    NumberKey(
+        name="slow_start_s",
+        group=CHOICE,
+        levels=NOT_ON_ROUTES,
+        minimum=0,
+        maximum=3600,
+        fraction=True,
+        meaning="Seconds over which a started backend server is given its full share.",
+    ),
+    NumberKey(
+        name="spill_over",
+        group=CHOICE,
+        levels=NOT_ON_ROUTES,
+        minimum=0,
+        maximum=1000,
+        fraction=True,
+        meaning="How much slower, in network hops, another data centre may seem.",
+    ),
+    NumberKey(
+        name="max_attempts",
+        group=SECOND_TRIES,
+        minimum=1,
+        maximum=10,
+        meaning="Backend servers that are asked at most for one request.",
+    ),
+    NumberKey(
+        name="retry_budget",
+        group=SECOND_TRIES,
+        minimum=0,
+        maximum=1,
+        fraction=True,
+        meaning="Retries, as a share of requests.",
+    ),
+    NumberKey(
+        name="hedge_budget",
+        group=SECOND_TRIES,
+        minimum=0,
+        maximum=1,
+        fraction=True,
+        meaning="Hedged requests, as a share of requests; idempotent ones only.",
+    ),
+    NumberKey(
+        name="hedge_quantile",
+        group=SECOND_TRIES,
+        minimum=0.5,
+        maximum=0.9999,
+        fraction=True,
+        meaning="The quantile of observed times after which a request is hedged.",
+    ),
+    PathKey(
+        name="health_path",
+        group=MEASURING,
+        levels=NOT_ON_ROUTES,
+        optional=True,
+        meaning="The backend server's health endpoint.",
+    ),
+    PathKey(
+        name="load_path",
+        group=MEASURING,
+        levels=NOT_ON_ROUTES,
+        optional=True,
+        meaning="The backend server's load endpoint.",
+    ),
+    NumberKey(
+        name="measuring_per_s",
+        group=MEASURING,
+        levels=NOT_ON_ROUTES,
+        minimum=0,
+        maximum=100,
+        fraction=True,
+        meaning="Measuring calls a second that each backend server receives at most.",
+    ),
+    NumberKey(
+        name="measuring_share",
+        group=MEASURING,
+        levels=NOT_ON_ROUTES,
+        minimum=0,
+        maximum=1,
+        fraction=True,
+        meaning="Measuring calls, as a share of the requests of a backend server.",
+    ),
+    NumberKey(
+        name="claim_retention_s",
+        group=CLAIMS,
+        minimum=1,
+        maximum=31_536_000,
+        fraction=True,
+        meaning="Seconds for which an Idempotency-Key is remembered.",
+    ),
+    ChoiceKey(
+        name="claims_when_store_down",
+        group=CLAIMS,
+        choices=("refuse", "run"),
+        meaning="What becomes of a request with an Idempotency-Key while the store is down: "
+        "refused as not run, or run without protection against a repetition.",
+    ),
+    NumberKey(
+        name="trace_share",
+        group=TELEMETRY,
+        minimum=0,
+        maximum=1,
+        fraction=True,
+        meaning="The share of requests that are traced.",
+    ),
+    NumberKey(
+        name="freshness_s",
+        group=NODES,
+        levels=NODE_WIDE,
+        minimum=2,
+        maximum=60,
+        fraction=True,
+        meaning="Seconds after which a node that hears neither the store nor any other node stops "
+        "taking callers' requests.",
+    ),
+    NumberKey(
+        name="watchers",
+        group=NODES,
+        levels=NODE_WIDE,
+        minimum=1,
+        maximum=9,
+        meaning="Nodes of a data centre that watch the settings in the store.",
+    ),
+)
+
+SCHEMA: dict[str, KeySpec] = {spec.name: spec for spec in _TABLE}
+
+NODE_DEFAULTS = {"freshness_s": 8.0, "watchers": 3}
+DEFAULTS: dict[str, object] = {
+    field.name: field.default for field in attrs.fields(RouteSettings) if field.name in SCHEMA
+} | NODE_DEFAULTS
--- /dev/null
+++ b/src/marjoramtide/settings/_tree_view.py
@@ -0,0 +1,104 @@
+"""The settings tree as one node reads it."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.settings._envelope import Envelope
+from marjoramtide.settings._freshness import Freshness
+from marjoramtide.settings._place import Place
+from marjoramtide.settings._resolved import Resolved
+from marjoramtide.settings._route_settings import RouteSettings
+from marjoramtide.settings._settings_view import SettingsView
+from marjoramtide.settings._tree import SettingsTree
+
+ROUTE_KEYS = frozenset(field.name for field in attrs.fields(RouteSettings))
+
+
+def matches(prefix: str, path: str) -> bool:
+    """Tell whether a route prefix covers ``path``: whole segments only.
+
+    ``/tiles`` covers ``/tiles``, ``/tiles/7`` and ``/tiles?z=7`` but not ``/tilesets``.
+    """
+    if not path.startswith(prefix):
+        return False
+    return prefix.endswith("/") or path[len(prefix) : len(prefix) + 1] in ("", "/", "?")
+
+
+class TreeSettingsView(SettingsView):
+    """Resolves the tree for this node's place once for each revision, so that reads are look-ups.
+
+    ``install`` is called by the task that owns the settings; everyone else reads.
+    """
+
+    def __init__(self, place: Place, freshness: Freshness) -> None:
+        self.place = place
+        self.freshness = freshness
+        self.envelope: Envelope | None = None
+        self.tree = SettingsTree({})
+        self.node_values: dict[str, Any] = Resolved.of([]).values
+        self.routes: dict[str, list[tuple[str, RouteSettings]]] = {}
+        self.hosts: dict[str, str] = {}
+        self.listeners: list[Callable[[int], None]] = []
+
+    @property
+    def revision(self) -> int:
+        return self.envelope.revision if self.envelope else 0
+
+    @property
+    def digest(self) -> str:
+        return self.envelope.digest if self.envelope else ""
+
+    @property
+    def is_current(self) -> bool:
+        return self.freshness.is_current
+
+    def service_for_host(self, host: str) -> str | None:
+        service = self.hosts.get(host)
+        if service is None:
+            name = host[: host.rfind("]") + 1] if host.startswith("[") else host.partition(":")[0]
+            service = self.hosts.get(name.lower().rstrip("."))
+        return service
+
+    def route(self, service: str, path: str) -> RouteSettings:
+        """Return the settings of a request; raises ``unknown-service``."""
+        try:
+            routes = self.routes[service]
+        except KeyError:
+            raise MarjoramtideError(
+                ErrorCode.UNKNOWN_SERVICE, f"no service {service!r}", step="settings.route"
+            ) from None
+        return next(
+            (settings for prefix, settings in routes if matches(prefix, path)), routes[-1][1]
+        )
+
+    def on_change(self, listener: Callable[[int], None]) -> None:
+        self.listeners.append(listener)
+
+    def resolved(self, service: str, path: str) -> tuple[str, Resolved]:
+        """Return the route prefix that covers ``path``, and its values with their origins."""
+        prefix = self.route(service, path).route
+        return prefix, self.tree.resolve(self.place, service, prefix)
+
+    def install(self, envelope: Envelope, tree: SettingsTree) -> None:
+        """Put a checked revision into force and tell the listeners."""
+        routes = {
+            service: [
+                (prefix, self._route_settings(tree, service, prefix))
+                for prefix in tree.routes(service)
+            ]
+            for service in tree.services()
+        }
+        self.hosts = {host: service for service in routes for host in tree.hosts(service)}
+        self.node_values = tree.resolve(self.place).values
+        self.envelope, self.tree, self.routes = envelope, tree, routes
+        self.freshness.bound_s = self.node_values["freshness_s"]
+        for listener in self.listeners:
+            listener(envelope.revision)
+
+    def _route_settings(self, tree: SettingsTree, service: str, prefix: str) -> RouteSettings:
+        resolved = tree.resolve(self.place, service, prefix)
+        values = {key: value for key, value in resolved.values.items() if key in ROUTE_KEYS}
+        return RouteSettings(**values | {"service": service, "route": prefix})
