Choose, admit and budget: a first version of every policy

The selector predicts the time to a good answer for a few nodes drawn at random; five baselines stand behind the same interface. Admission runs the earliest deadline first inside a class under an adaptive limit. Budgets bound second tries and reads of a backend server.

Interfaces: Admission.set_accepting is new; Selector.cancelled is new (a request given up by this node says nothing of success, unlike a lost one); answered takes served_ms, rejected and lost take elapsed_ms, all optional.

--- a/src/marjoramtide/policy/__init__.py
+++ b/src/marjoramtide/policy/__init__.py
@@ -2,7 +2,27 @@
 
 from marjoramtide.policy._admission import Admission, Decision, Verdict
 from marjoramtide.policy._call_profile import CallProfile
+from marjoramtide.policy._come_back_hint import ComeBackHint
+from marjoramtide.policy._factories import LIMITERS, SELECTORS, make_admission, make_selector
+from marjoramtide.policy._limiter import Limiter
 from marjoramtide.policy._load_report import LoadReport
+from marjoramtide.policy._measuring_budget import MeasuringBudget
+from marjoramtide.policy._retry_budget import RetryBudget
 from marjoramtide.policy._selector import Selector
 
-__all__ = ["Admission", "CallProfile", "Decision", "LoadReport", "Selector", "Verdict"]
+__all__ = [
+    "LIMITERS",
+    "SELECTORS",
+    "Admission",
+    "CallProfile",
+    "ComeBackHint",
+    "Decision",
+    "Limiter",
+    "LoadReport",
+    "MeasuringBudget",
+    "RetryBudget",
+    "Selector",
+    "Verdict",
+    "make_admission",
+    "make_selector",
+]
--- a/src/marjoramtide/policy/_admission.py
+++ b/src/marjoramtide/policy/_admission.py
@@ -30,10 +30,17 @@
     """Admits, queues or rejects requests for one backend server.
 
     A request is known by an integer ticket that the caller of these methods makes up. The object
-    holds no timer: whoever owns it calls ``expire`` at ``next_expiry``. Times are in seconds of the
-    monotonic clock, durations in milliseconds.
+    holds no timer: whoever owns it calls ``expire`` at ``next_expiry``, which any other call may
+    move to an earlier time. Times are in seconds of the monotonic clock, durations in milliseconds.
     """
 
+    @abstractmethod
+    def set_accepting(self, accepting: bool) -> None:
+        """Reject every new request as ``draining`` from now on, or take requests again.
+
+        What is queued or started stays: a planned stop cuts off nothing that was taken.
+        """
+
     @abstractmethod
     def offer(self, ticket: int, profile: CallProfile, now: float) -> Decision:
         """Decide on a new request."""
--- /dev/null
+++ b/src/marjoramtide/policy/_class_queue.py
@@ -0,0 +1,39 @@
+"""The queued requests of one class."""
+
+import bisect
+
+import attrs
+
+
+@attrs.define(slots=True)
+class ClassQueue:
+    """Tickets in the order of their deadlines (earliest deadline first).
+
+    A sorted list instead of a heap, because admission asks how many are ahead of a deadline: a
+    heap can't tell without reading all of it. Searching takes O(log n); inserting moves pointers
+    within a list that ``queue_limit`` bounds.
+    """
+
+    entries: list[tuple[float, int]] = attrs.Factory(list)
+
+    def __len__(self) -> int:
+        return len(self.entries)
+
+    def ahead_of(self, deadline: float) -> int:
+        """Return how many would run before a request with ``deadline``."""
+        return bisect.bisect_right(self.entries, (deadline, 1 << 62))
+
+    def add(self, deadline: float, ticket: int) -> None:
+        bisect.insort(self.entries, (deadline, ticket))
+
+    def remove(self, deadline: float, ticket: int) -> None:
+        """Remove an entry that is queued."""
+        position = bisect.bisect_left(self.entries, (deadline, ticket))
+        del self.entries[position]
+
+    def first_deadline(self) -> float | None:
+        return self.entries[0][0] if self.entries else None
+
+    def pop(self) -> int:
+        """Remove and return the ticket with the earliest deadline."""
+        return self.entries.pop(0)[1]
--- /dev/null
+++ b/src/marjoramtide/policy/_counting_selector.py
@@ -0,0 +1,82 @@
+"""What the baseline policies share."""
+
+import random
+from collections.abc import Collection
+
+import attrs
+
+from marjoramtide.membership import Member
+from marjoramtide.policy._load_report import LoadReport
+from marjoramtide.policy._selector import Selector
+
+RETRY_AFTER_MS = (50, 150)
+
+
+@attrs.define(slots=True)
+class CountingSelector(Selector):
+    """Keeps the members and how many requests of this node each has outstanding.
+
+    Policies for comparison derive from it and differ in ``choose`` alone: they neither hedge nor
+    eject, as their published forms don't.
+    """
+
+    rng: random.Random
+    outstanding: dict[str, int] = attrs.Factory(dict)
+
+    @property
+    def nodes(self) -> list[str]:
+        return list(self.outstanding)
+
+    def candidates(self, excluded: Collection[str]) -> list[str]:
+        """Return the members that may be asked."""
+        return [node for node in self.outstanding if node not in excluded]
+
+    def update_members(self, members: Collection[Member], now: float) -> None:
+        self.outstanding = {member.node: self.outstanding.get(member.node, 0) for member in members}
+
+    def sent(self, node: str, now: float) -> None:
+        if node in self.outstanding:
+            self.outstanding[node] += 1
+
+    def answered(
+        self,
+        node: str,
+        report: LoadReport | None,
+        elapsed_ms: float,
+        succeeded: bool,
+        now: float,
+        *,
+        served_ms: float | None = None,
+    ) -> None:
+        self.settled(node)
+
+    def rejected(
+        self,
+        node: str,
+        report: LoadReport | None,
+        retry_after_ms: int,
+        now: float,
+        *,
+        elapsed_ms: float | None = None,
+    ) -> None:
+        self.settled(node)
+
+    def lost(self, node: str, now: float, *, elapsed_ms: float | None = None) -> None:
+        self.settled(node)
+
+    def cancelled(self, node: str, now: float, *, elapsed_ms: float | None = None) -> None:
+        self.settled(node)
+
+    def settled(self, node: str) -> None:
+        """Count one request less as outstanding."""
+        if self.outstanding.get(node, 0) > 0:
+            self.outstanding[node] -= 1
+
+    def hedge_delay_ms(self, node: str, now: float) -> float | None:
+        return None
+
+    def retry_after_ms(self, now: float) -> int:
+        return self.rng.randint(*RETRY_AFTER_MS)
+
+    def explain(self, now: float) -> list[dict[str, object]]:
+        return [{"node": node, "outstanding": count} for node, count in self.outstanding.items()]
--- /dev/null
+++ b/src/marjoramtide/policy/_edf_admission.py
@@ -0,0 +1,226 @@
+"""Admission by deadline, with slots kept for urgent requests."""
+
+import itertools
+
+import attrs
+
+from marjoramtide.errors import ErrorCode
+from marjoramtide.policy._admission import Admission, Decision, Verdict
+from marjoramtide.policy._call_profile import CallProfile
+from marjoramtide.policy._class_queue import ClassQueue
+from marjoramtide.policy._come_back_hint import ComeBackHint
+from marjoramtide.policy._execution_times import ExecutionTimes
+from marjoramtide.policy._limiter import Limiter
+from marjoramtide.policy._load_report import LoadReport
+
+DRAINING_RETRY_MS = 1000
+RECHECK_SLACK = 1.25
+
+
+@attrs.define(slots=True)
+class EdfAdmission(Admission):
+    """Earliest deadline first inside a class, urgent before routine, within a limit.
+
+    A request that arrives starts where a slot is free for its class, waits where it can still
+    finish in time, and is rejected otherwise, with the time at which it would have been taken. Of
+    the limit, ``urgent_slots`` are never given to routine requests (but at least one slot is theirs
+    to use), so an urgent request doesn't wait for a routine one to end. Queues are bounded by
+    ``queue_limit`` for each class. A queued routine request that urgent ones have pushed behind its
+    deadline is dropped by ``expire``, never one that has started.
+    """
+
+    limiter: Limiter
+    urgent_slots: int
+    queue_limit: int
+    started_at: float
+    accepting: bool = True
+    times: ExecutionTimes = attrs.Factory(ExecutionTimes)
+    urgent: ClassQueue = attrs.Factory(ClassQueue)
+    routine: ClassQueue = attrs.Factory(ClassQueue)
+    profiles: dict[int, CallProfile] = attrs.Factory(dict)
+    hint: ComeBackHint = attrs.Factory(ComeBackHint)
+    sequence: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(1))
+    routine_running: int = 0
+    recheck_at: float | None = None
+
+    @property
+    def in_use(self) -> int:
+        return len(self.times.running)
+
+    @property
+    def limit(self) -> int:
+        return self.limiter.limit
+
+    @property
+    def routine_limit(self) -> int:
+        """Return how many routine requests may run at once: at least one."""
+        return max(1, self.limit - self.urgent_slots)
+
+    def set_accepting(self, accepting: bool) -> None:
+        self.accepting = accepting
+
+    def offer(self, ticket: int, profile: CallProfile, now: float) -> Decision:
+        if not self.accepting:
+            return Decision(Verdict.REJECT, ErrorCode.DRAINING, DRAINING_RETRY_MS)
+        remaining_ms = (profile.deadline - now) * 1000
+        if remaining_ms <= 0:
+            return self._reject(ErrorCode.DEADLINE, 0.0, now)
+        if self._may_start(profile.urgent):
+            return self._start_or_reject(ticket, profile, remaining_ms, now)
+        return self._queue_or_reject(ticket, profile, remaining_ms, now)
+
+    def _start_or_reject(
+        self, ticket: int, profile: CallProfile, remaining_ms: float, now: float
+    ) -> Decision:
+        # Where nothing runs, one is let in whatever was measured before. Otherwise a server that
+        # was slow once would refuse everything as too late, never run anything, and so never find
+        # out that it is quick again.
+        if self.in_use and remaining_ms < self.times.quick.value:
+            return self._reject(ErrorCode.DEADLINE, 0.0, now)
+        self._start(ticket, profile, now)
+        return Decision(Verdict.START)
+
+    def _queue_or_reject(
+        self, ticket: int, profile: CallProfile, remaining_ms: float, now: float
+    ) -> Decision:
+        service_ms = self.times.expected_ms(now)
+        wait_ms = self._wait_ms(self._ahead(profile), profile.urgent, service_ms)
+        queue = self._queue(profile.urgent)
+        if len(queue) >= self.queue_limit:
+            return self._reject(ErrorCode.OVERLOADED, wait_ms, now)
+        lateness_ms = wait_ms + service_ms - remaining_ms
+        if lateness_ms > 0:
+            # Failure: a request waits its whole deadline in a queue that could never have served
+            # it, and the caller is told at the end. Refused now, the caller can go elsewhere.
+            return self._reject(ErrorCode.OVERLOADED, min(lateness_ms, wait_ms), now)
+        queue.add(profile.deadline, ticket)
+        self.profiles[ticket] = profile
+        if profile.urgent and len(self.routine):
+            self.recheck_at = now
+        return Decision(Verdict.QUEUE)
+
+    def finished(self, ticket: int, now: float, duration_ms: float, succeeded: bool) -> list[int]:
+        in_use = self.in_use
+        if self._end(ticket, now) is None:
+            return []
+        self.times.learn(duration_ms, succeeded)
+        before = self.limit
+        self.limiter.observe(duration_ms, in_use, succeeded)
+        if self.limit < before and self.profiles:
+            self.recheck_at = now
+        return self._start_queued(now)
+
+    def withdraw(self, ticket: int, now: float) -> list[int]:
+        if ticket not in self.times.running:
+            self._drop_queued(ticket)
+            return []
+        ran_ms = self._end(ticket, now)
+        self.times.learn_at_least(ran_ms or 0.0)
+        return self._start_queued(now)
+
+    def expire(self, now: float) -> list[int]:
+        service_ms = self.times.expected_ms(now)
+        late = self._too_late(self.urgent, now) + self._too_late(self.routine, now)
+        if self.recheck_at is not None:
+            self.recheck_at = None
+            late += self._pushed_back(service_ms, now)
+        return late
+
+    def next_expiry(self) -> float | None:
+        first = (self.urgent.first_deadline(), self.routine.first_deadline())
+        times = [self._latest_start(deadline) for deadline in first if deadline is not None]
+        if self.recheck_at is not None and times:
+            times.append(self.recheck_at)
+        return min(times, default=None)
+
+    def report(self, now: float) -> LoadReport:
+        return LoadReport(
+            in_use=self.in_use,
+            limit=self.limit,
+            queued_urgent=len(self.urgent),
+            queued_routine=len(self.routine),
+            service_time_ms=self.times.expected_ms(now),
+            success_rate=self.times.success.value,
+            accepts=self.accepting,
+            uptime_s=now - self.started_at,
+            sequence=next(self.sequence),
+        )
+
+    def _queue(self, urgent: bool) -> ClassQueue:
+        return self.urgent if urgent else self.routine
+
+    def _ahead(self, profile: CallProfile) -> int:
+        """Return how many queued requests would start before this one."""
+        if profile.urgent:
+            return self.urgent.ahead_of(profile.deadline)
+        return len(self.urgent) + self.routine.ahead_of(profile.deadline)
+
+    def _may_start(self, urgent: bool) -> bool:
+        if self.in_use >= self.limit:
+            return False
+        return urgent or self.routine_running < self.routine_limit
+
+    def _wait_ms(self, ahead: int, urgent: bool, service_ms: float) -> float:
+        """Return the expected wait behind ``ahead`` others: a slot frees once in a share of the
+        service time, as many times as there are slots."""
+        return (ahead + 1) * service_ms / (self.limit if urgent else self.routine_limit)
+
+    def _start(self, ticket: int, profile: CallProfile, now: float) -> None:
+        self.times.start(ticket, now)
+        self.profiles[ticket] = profile
+        if not profile.urgent:
+            self.routine_running += 1
+
+    def _end(self, ticket: int, now: float) -> float | None:
+        ran_ms = self.times.end(ticket, now)
+        if ran_ms is not None and not self.profiles.pop(ticket).urgent:
+            self.routine_running -= 1
+        return ran_ms
+
+    def _start_queued(self, now: float) -> list[int]:
+        started = []
+        for urgent in (True, False):
+            queue = self._queue(urgent)
+            while len(queue) and self._may_start(urgent):
+                ticket = queue.pop()
+                self._start(ticket, self.profiles[ticket], now)
+                started.append(ticket)
+        return started
+
+    def _drop_queued(self, ticket: int) -> None:
+        profile = self.profiles.pop(ticket, None)
+        if profile is not None:
+            self._queue(profile.urgent).remove(profile.deadline, ticket)
+
+    def _latest_start(self, deadline: float) -> float:
+        return deadline - self.times.mean.value / 1000
+
+    def _too_late(self, queue: ClassQueue, now: float) -> list[int]:
+        """Drop and return what could not finish even if it started now."""
+        late = []
+        while len(queue) and self._latest_start(queue.entries[0][0]) <= now:
+            late.append(queue.pop())
+        for ticket in late:
+            del self.profiles[ticket]
+        return late
+
+    def _pushed_back(self, service_ms: float, now: float) -> list[int]:
+        """Drop and return the routine requests that no longer finish in time where they stand.
+
+        Failure: a surge of urgent requests, or a limit that fell, leaves routine ones waiting for
+        a slot that comes too late, and their callers hear of it only at the deadline. The slack
+        keeps a small error of the estimate from dropping what would have been served.
+        """
+        late: list[int] = []
+        for deadline, ticket in list(self.routine.entries):
+            ahead = len(self.urgent) + self.routine.ahead_of(deadline) - 1
+            need_ms = self._wait_ms(ahead, False, service_ms) + service_ms
+            if need_ms > (deadline - now) * 1000 * RECHECK_SLACK:
+                self._drop_queued(ticket)
+                late.append(ticket)
+        return late
+
+    def _reject(self, reason: ErrorCode, base_ms: float, now: float) -> Decision:
+        service_ms = self.times.expected_ms(now)
+        rate = self.limit * 1000 / service_ms if service_ms else 1000.0
+        return Decision(Verdict.REJECT, reason, self.hint.next_ms(base_ms, rate, now))
--- /dev/null
+++ b/src/marjoramtide/policy/_factories.py
@@ -0,0 +1,81 @@
+"""Builds the policies that the settings name."""
+
+import random
+from collections.abc import Callable
+
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.membership import Member
+from marjoramtide.policy._adaptive_limiter import AdaptiveLimiter
+from marjoramtide.policy._admission import Admission
+from marjoramtide.policy._completion_model import CompletionModel
+from marjoramtide.policy._edf_admission import EdfAdmission
+from marjoramtide.policy._explorer import Explorer
+from marjoramtide.policy._fixed_limiter import FixedLimiter
+from marjoramtide.policy._least_outstanding import LeastOutstanding
+from marjoramtide.policy._limiter import Limiter
+from marjoramtide.policy._outlier_ejection import OutlierEjection
+from marjoramtide.policy._polled_reports import PolledReports
+from marjoramtide.policy._predicted_selector import PredictedSelector
+from marjoramtide.policy._random_choice import RandomChoice
+from marjoramtide.policy._round_robin import RoundRobin
+from marjoramtide.policy._selector import Selector
+from marjoramtide.policy._two_choices import TwoChoices
+from marjoramtide.settings import RouteSettings
+
+BASELINES: dict[str, Callable[[random.Random], Selector]] = {
+    "round-robin": RoundRobin,
+    "random": RandomChoice,
+    "least-outstanding": LeastOutstanding,
+    "two-choices": TwoChoices,
+    "polled-reports": PolledReports,
+}
+SELECTORS = ("predicted", *BASELINES)
+LIMITERS = ("adaptive", "fixed")
+
+
+def make_selector(settings: RouteSettings, self_member: Member, rng: random.Random) -> Selector:
+    """Build the selector that ``settings.selector`` names, for one service on one ingress node.
+
+    Raises ``bad-settings`` for a name that isn't one of ``SELECTORS``.
+    """
+    if settings.selector in BASELINES:
+        return BASELINES[settings.selector](rng)
+    if settings.selector != "predicted":
+        raise _unknown("selector", settings.selector, SELECTORS, "policy.make_selector")
+    ejection = OutlierEjection(settings.ejection_cap)
+    return PredictedSelector(
+        self_member=self_member,
+        rng=rng,
+        model=CompletionModel(settings.slots, settings.urgent_slots, settings.slow_start_s),
+        ejection=ejection,
+        explorer=Explorer(ejection),
+        choices=max(1, settings.choices),
+        spill_over=settings.spill_over,
+        hedge_quantile=settings.hedge_quantile,
+    )
+
+
+def make_admission(settings: RouteSettings, now: float) -> Admission:
+    """Build the admission of one backend server that began to serve at ``now``.
+
+    Raises ``bad-settings`` for a limiter that isn't one of ``LIMITERS``.
+    """
+    return EdfAdmission(
+        limiter=_make_limiter(settings),
+        urgent_slots=settings.urgent_slots,
+        queue_limit=settings.queue_limit,
+        started_at=now,
+    )
+
+
+def _make_limiter(settings: RouteSettings) -> Limiter:
+    if settings.limiter == "adaptive":
+        return AdaptiveLimiter(settings.slots, settings.min_limit)
+    if settings.limiter == "fixed":
+        return FixedLimiter(settings.slots)
+    raise _unknown("limiter", settings.limiter, LIMITERS, "policy.make_admission")
+
+
+def _unknown(key: str, value: str, allowed: tuple[str, ...], step: str) -> MarjoramtideError:
+    message = f"{key}: {value!r} is not one of {', '.join(allowed)}"
+    return MarjoramtideError(ErrorCode.BAD_SETTINGS, message, step=step)
--- /dev/null
+++ b/src/marjoramtide/policy/_fixed_limiter.py
@@ -0,0 +1,19 @@
+"""A limit that stays."""
+
+import attrs
+
+from marjoramtide.policy._limiter import Limiter
+
+
+@attrs.define(slots=True)
+class FixedLimiter(Limiter):
+    """Runs as many requests at once as the backend server has slots."""
+
+    slots: int
+
+    @property
+    def limit(self) -> int:
+        return max(1, self.slots)
+
+    def observe(self, duration_ms: float, in_use: int, succeeded: bool) -> None:
+        """Learn nothing."""
--- /dev/null
+++ b/src/marjoramtide/policy/_least_outstanding.py
@@ -0,0 +1,22 @@
+"""The member with the fewest own requests outstanding."""
+
+from collections.abc import Collection
+
+import attrs
+
+from marjoramtide.policy._call_profile import CallProfile
+from marjoramtide.policy._counting_selector import CountingSelector
+
+
+@attrs.define(slots=True)
+class LeastOutstanding(CountingSelector):
+    """Asks the member that owes this node the fewest answers; ties are drawn at random."""
+
+    def choose(
+        self, profile: CallProfile, now: float, excluded: Collection[str] = ()
+    ) -> str | None:
+        candidates = self.candidates(excluded)
+        if not candidates:
+            return None
+        fewest = min(self.outstanding[node] for node in candidates)
+        return self.rng.choice([node for node in candidates if self.outstanding[node] == fewest])
--- /dev/null
+++ b/src/marjoramtide/policy/_limiter.py
@@ -0,0 +1,16 @@
+"""The interface of limits on how many requests run at once."""
+
+from abc import ABC, abstractmethod
+
+
+class Limiter(ABC):
+    """Decides how many requests one backend server runs at once."""
+
+    @property
+    @abstractmethod
+    def limit(self) -> int:
+        """Return the limit at this moment, at least 1."""
+
+    @abstractmethod
+    def observe(self, duration_ms: float, in_use: int, succeeded: bool) -> None:
+        """Learn from an execution that ended while ``in_use`` were running, itself included."""
--- /dev/null
+++ b/src/marjoramtide/policy/_node_view.py
@@ -0,0 +1,113 @@
+"""What an ingress node believes of one serving node."""
+
+import bisect
+
+import attrs
+
+from marjoramtide.membership import Member
+from marjoramtide.policy._load_report import LoadReport
+from marjoramtide.policy._smoothed import Smoothed
+
+OWN_TIME_FADES_S = 10.0
+EXPLORE_AFTER_S = 1.0
+EXPLORE_AFTER_AT_MOST_S = 16.0
+
+
+@attrs.define(slots=True, eq=False)
+class NodeView:
+    """Reports, own observations and own requests in flight of one serving node.
+
+    ``network_ms`` begins at the distance and follows the low end of what is seen. ``sent_since``
+    counts own requests that the held report can't know of. ``closed_until`` and ``back_off_until``
+    come from refusals: closed while the node takes nothing, back-off while it is full.
+    """
+
+    member: Member
+    distance_ms: float
+    tier: int
+    joined_at: float
+    network: Smoothed = attrs.field(init=False)
+    report: LoadReport | None = None
+    reported_at: float = 0.0
+    outstanding: list[float] = attrs.Factory(list)
+    sent_since: int = 0
+    elapsed: Smoothed = attrs.Factory(lambda: Smoothed(0.3, 0.1))
+    success: Smoothed = attrs.Factory(lambda: Smoothed(0.2, 0.2, 1.0, 1))
+    last_answer_at: float = 0.0
+    closed_until: float = 0.0
+    back_off_until: float = 0.0
+    ejected: bool = False
+    ejected_until: float = 0.0
+    ejections: int = 0
+    probes_passed: int = 0
+    results: int = 0
+    explore_at: float = 0.0
+    explore_after_s: float = EXPLORE_AFTER_S
+
+    def __attrs_post_init__(self) -> None:
+        self.network = Smoothed(0.05, 0.3, self.distance_ms, 1)
+
+    @property
+    def node(self) -> str:
+        return self.member.node
+
+    def note_sent(self, now: float) -> None:
+        self.outstanding.append(now)
+        self.sent_since += 1
+
+    def note_settled(self, now: float, elapsed_ms: float | None) -> None:
+        """Forget the request sent ``elapsed_ms`` ago, the oldest where that isn't known."""
+        if not self.outstanding:
+            return
+        position = 0
+        if elapsed_ms is not None:
+            position = bisect.bisect_right(self.outstanding, now - elapsed_ms / 1000 + 1e-6) - 1
+        del self.outstanding[max(0, position)]
+        self.sent_since = min(self.sent_since, len(self.outstanding))
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Keep a report unless a newer one is held.
+
+        Failure: two answers overtake each other on their separate connections, and the older one,
+        from before a burst, makes a full node look idle. The sequence is the sender's own, so no
+        clock takes part.
+        """
+        held = self.report
+        if held is not None and (0 < report.sequence <= held.sequence):
+            return
+        self.report = report
+        self.reported_at = now
+        seen = now - self.network.value / 2000
+        self.sent_since = len(self.outstanding) - bisect.bisect_left(self.outstanding, seen)
+        self.closed_until = 0.0 if report.accepts else self.closed_until
+
+    def note_answer_time(self, elapsed_ms: float, typical_ms: float, now: float) -> None:
+        """Take in how long a good answer took, and plan when to look again if it then idles."""
+        self.elapsed.add(elapsed_ms)
+        slow = elapsed_ms > 2 * typical_ms
+        longer = min(self.explore_after_s * 2, EXPLORE_AFTER_AT_MOST_S)
+        self.explore_after_s = longer if slow else EXPLORE_AFTER_S
+        self.explore_at = now + self.explore_after_s
+
+    def own_time_ms(self, now: float) -> float:
+        """Return the mean of own latencies, fading while nothing new is seen."""
+        idle = max(0.0, now - self.last_answer_at)
+        return self.elapsed.value * OWN_TIME_FADES_S / (OWN_TIME_FADES_S + idle)
+
+    def success_rate(self) -> float:
+        """Return the lower of what this node saw and what the serving node reports."""
+        reported = self.report.success_rate if self.report is not None else 1.0
+        return min(self.success.value, reported)
+
+    def oldest_outstanding(self) -> float | None:
+        return self.outstanding[0] if self.outstanding else None
+
+    def ramp(self, now: float, slow_start_s: float) -> float:
+        """Return the share (0 to 1) of its full load that a node gets after a cold start."""
+        if slow_start_s <= 0:
+            return 1.0
+        if self.report is None:
+            uptime_s = now - self.joined_at
+        else:
+            uptime_s = self.report.uptime_s + now - self.reported_at
+        return min(1.0, max(0.1, uptime_s / slow_start_s))
--- /dev/null
+++ b/src/marjoramtide/policy/_predicted_selector.py
@@ -0,0 +1,255 @@
+"""The policy that asks where a good answer is predicted soonest."""
+
+import random
+from collections.abc import Collection
+
+import attrs
+
+from marjoramtide.membership import Member
+from marjoramtide.policy._call_profile import CallProfile
+from marjoramtide.policy._come_back_hint import ComeBackHint
+from marjoramtide.policy._completion_model import CompletionModel
+from marjoramtide.policy._explorer import Explorer
+from marjoramtide.policy._load_report import LoadReport
+from marjoramtide.policy._node_view import NodeView
+from marjoramtide.policy._outlier_ejection import OutlierEjection
+from marjoramtide.policy._selector import Selector
+from marjoramtide.policy._spill_over import SpillOver
+
+DISTANCES_MS = (0.7, 2.7, 20.0)
+OWN_DISTANCE_MS = 0.0
+RESAMPLE_ABOVE = 2.0
+CLOSED_AT_LEAST_MS = 1000.0
+SHORTEST_HEDGE_MS = 1.0
+
+
+@attrs.define(slots=True)
+class PredictedSelector(Selector):
+    """Asks, of a few nodes drawn at random, the one with the best expected time to a good answer.
+
+    The nodes fall into tiers by distance: the same data centre, the same region, elsewhere. The
+    nearest tier that has a usable node is preferred, and the next one takes what ``spill_over``
+    lets go. ``choices`` nodes are drawn from the near tier and as many from the next; this node's
+    own backend server is always looked at where it serves the service, since it saves a hop.
+    """
+
+    self_member: Member
+    rng: random.Random
+    model: CompletionModel
+    ejection: OutlierEjection
+    explorer: Explorer
+    choices: int
+    spill_over: float
+    hedge_quantile: float
+    views: dict[str, NodeView] = attrs.Factory(dict)
+    spill: SpillOver = attrs.Factory(SpillOver)
+    hint: ComeBackHint = attrs.field(init=False)
+    rate_per_s: float = 0.0
+    rate_updated_at: float | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self.hint = ComeBackHint(self.rng)
+
+    def update_members(self, members: Collection[Member], now: float) -> None:
+        # Members known from the start have been up for an unknown time: only those that join
+        # later are taken for cold before they have reported.
+        joined_at = now if self.views else float("-inf")
+        known = self.views
+        self.views = {}
+        for member in members:
+            view = known.get(member.node) or self._new_view(member, joined_at)
+            view.member = member
+            self.views[member.node] = view
+
+    def _new_view(self, member: Member, joined_at: float) -> NodeView:
+        tier = self._tier(member)
+        is_self = member.node == self.self_member.node
+        distance_ms = OWN_DISTANCE_MS if is_self else DISTANCES_MS[tier]
+        return NodeView(member, distance_ms, tier, joined_at)
+
+    def _tier(self, member: Member) -> int:
+        if member.region != self.self_member.region:
+            return 2
+        return 0 if member.data_centre == self.self_member.data_centre else 1
+
+    def choose(
+        self, profile: CallProfile, now: float, excluded: Collection[str] = ()
+    ) -> str | None:
+        if profile.idempotent and not profile.urgent and profile.attempt == 1:
+            explored = self.explorer.pick(self._open(excluded, now), now)
+            if explored is not None:
+                return explored.node
+        pool = [view for view in self._open(excluded, now) if not view.ejected]
+        # Where all that is left is ejected, asking it is still better than refusing unasked.
+        pool = pool or self._open(excluded, now)
+        if not pool:
+            return None
+        return self._choose_from(pool, profile.urgent, now).node
+
+    def _open(self, excluded: Collection[str], now: float) -> list[NodeView]:
+        return [
+            view
+            for view in self.views.values()
+            if view.closed_until <= now and view.member.node not in excluded
+        ]
+
+    def _choose_from(self, pool: list[NodeView], urgent: bool, now: float) -> NodeView:
+        near_tier = min(view.tier for view in pool)
+        near = [view for view in pool if view.tier == near_tier]
+        best, best_ms = self._best_of_sample(near, urgent, now)
+        if len(near) == len(pool):
+            return best
+        far_tier = min(view.tier for view in pool if view.tier != near_tier)
+        far = [view for view in pool if view.tier == far_tier]
+        other, other_ms = self._best_of_sample(far, urgent, now)
+        hop_ms = DISTANCES_MS[far_tier] - DISTANCES_MS[near_tier]
+        far_ms = other_ms + self.spill_over * hop_ms
+        band_ms = max(hop_ms, 0.5 * self.model.typical_ms())
+        share = self.spill.push(best_ms, far_ms, band_ms, now)
+        return other if self.rng.random() < share else best
+
+    def _best_of_sample(
+        self, pool: list[NodeView], urgent: bool, now: float
+    ) -> tuple[NodeView, float]:
+        """Return the best of a few and its score.
+
+        Failure: every ingress node knows the same best server and sends it everything at once
+        (herding). Each node draws its own few, so the best one is asked by only some of them
+        (Mitzenmacher, 2001; Prequal, 2024). A draw of nothing but bad nodes is repeated once.
+        """
+        best, best_ms = self._best(self._sample(pool, now), urgent, now)
+        if best_ms > RESAMPLE_ABOVE * self.model.typical_ms() and len(pool) > self.choices:
+            again, again_ms = self._best(self._sample(pool, now), urgent, now)
+            if again_ms < best_ms:
+                return again, again_ms
+        return best, best_ms
+
+    def _best(self, sample: list[NodeView], urgent: bool, now: float) -> tuple[NodeView, float]:
+        scored = [(self.model.score(view, urgent, now), view) for view in sample]
+        score, best = min(scored, key=lambda pair: pair[0])
+        return best, score
+
+    def _sample(self, pool: list[NodeView], now: float) -> list[NodeView]:
+        drawn = self.rng.sample(pool, min(self.choices, len(pool)))
+        own = self.views.get(self.self_member.node)
+        if own is not None and own in pool and own not in drawn:
+            drawn.append(own)
+        # Failure: a server that has just started is idle, so everyone sends to it, and it is slow
+        # while its caches are empty. It takes part only in a share of the draws that grows with
+        # its uptime; that holds over all ingress nodes together, which counts of own requests
+        # wouldn't.
+        slow_start_s = self.model.slow_start_s
+        warm = [
+            view
+            for view in drawn
+            if (ramp := view.ramp(now, slow_start_s)) >= 1 or self.rng.random() < ramp
+        ]
+        return warm or drawn
+
+    def sent(self, node: str, now: float) -> None:
+        view = self.views.get(node)
+        if view is not None:
+            view.note_sent(now)
+
+    def answered(
+        self,
+        node: str,
+        report: LoadReport | None,
+        elapsed_ms: float,
+        succeeded: bool,
+        now: float,
+        *,
+        served_ms: float | None = None,
+    ) -> None:
+        view = self.views.get(node)
+        if view is None:
+            return
+        if succeeded:
+            view.note_answer_time(elapsed_ms, self.model.typical_ms(), now)
+            self.model.latency.add(elapsed_ms)
+            self._count_answer(now)
+        self._settle(view, report, elapsed_ms, now)
+        view.last_answer_at = now
+        if served_ms is not None:
+            view.network.add(max(0.0, elapsed_ms - served_ms))
+        self.ejection.note(view, succeeded, self.views.values(), now)
+
+    def rejected(
+        self,
+        node: str,
+        report: LoadReport | None,
+        retry_after_ms: int,
+        now: float,
+        *,
+        elapsed_ms: float | None = None,
+    ) -> None:
+        view = self.views.get(node)
+        if view is None:
+            return
+        self._settle(view, report, elapsed_ms, now)
+        view.last_answer_at = now
+        if report is not None and not report.accepts:
+            view.closed_until = now + max(retry_after_ms, CLOSED_AT_LEAST_MS) / 1000
+        else:
+            view.back_off_until = now + retry_after_ms / 1000
+
+    def lost(self, node: str, now: float, *, elapsed_ms: float | None = None) -> None:
+        view = self.views.get(node)
+        if view is not None:
+            self._settle(view, None, elapsed_ms, now)
+            self.ejection.note(view, False, self.views.values(), now)
+
+    def cancelled(self, node: str, now: float, *, elapsed_ms: float | None = None) -> None:
+        view = self.views.get(node)
+        if view is None:
+            return
+        self._settle(view, None, elapsed_ms, now)
+        if elapsed_ms is not None and elapsed_ms > view.elapsed.value:
+            view.note_answer_time(elapsed_ms, self.model.typical_ms(), now)
+
+    def _settle(
+        self, view: NodeView, report: LoadReport | None, elapsed_ms: float | None, now: float
+    ) -> None:
+        view.note_settled(now, elapsed_ms)
+        if report is not None:
+            view.take_report(report, now)
+            ahead = report.in_use + report.queued_urgent + report.queued_routine
+            self.model.load.add(ahead / max(1, report.limit))
+
+    def _count_answer(self, now: float) -> None:
+        """Follow the rate of good answers, weighing the last second most."""
+        elapsed = now - self.rate_updated_at if self.rate_updated_at is not None else 0.0
+        self.rate_updated_at = now
+        self.rate_per_s = self.rate_per_s / (1 + max(0.0, elapsed)) + 1
+
+    def hedge_delay_ms(self, node: str, now: float) -> float | None:
+        # The quantile is that of the service, not of the node: a straggler's own quantile would
+        # put off the second try exactly where it is needed.
+        quantile = self.model.latency.quantile(self.hedge_quantile)
+        return None if quantile is None else max(SHORTEST_HEDGE_MS, quantile)
+
+    def retry_after_ms(self, now: float) -> int:
+        waits = [max(view.back_off_until, view.closed_until) - now for view in self.views.values()]
+        base_ms = max(0.0, min(waits, default=1.0)) * 1000
+        return self.hint.next_ms(max(base_ms, self.model.typical_ms()), self.rate_per_s, now)
+
+    def explain(self, now: float) -> list[dict[str, object]]:
+        return [
+            {
+                "node": view.node,
+                "data_centre": view.member.data_centre,
+                "score_ms": round(self.model.score(view, False, now), 3),
+                "predicted_ms": round(self.model.predict_ms(view, False, now), 3),
+                "network_ms": round(view.network.value, 3),
+                "own_mean_ms": round(view.elapsed.value, 3),
+                "success_rate": round(view.success_rate(), 3),
+                "outstanding": len(view.outstanding),
+                "sent_since_report": view.sent_since,
+                "report_age_s": None if view.report is None else round(now - view.reported_at, 3),
+                "ramp": round(view.ramp(now, self.model.slow_start_s), 2),
+                "ejected": view.ejected,
+                "closed": view.closed_until > now,
+                "backs_off": view.back_off_until > now,
+            }
+            for view in self.views.values()
+        ]
--- /dev/null
+++ b/src/marjoramtide/policy/_random_choice.py
@@ -0,0 +1,19 @@
+"""Any member, with equal chances."""
+
+from collections.abc import Collection
+
+import attrs
+
+from marjoramtide.policy._call_profile import CallProfile
+from marjoramtide.policy._counting_selector import CountingSelector
+
+
+@attrs.define(slots=True)
+class RandomChoice(CountingSelector):
+    """Asks a member drawn at random."""
+
+    def choose(
+        self, profile: CallProfile, now: float, excluded: Collection[str] = ()
+    ) -> str | None:
+        candidates = self.candidates(excluded)
+        return self.rng.choice(candidates) if candidates else None
--- /dev/null
+++ b/src/marjoramtide/policy/_retry_budget.py
@@ -0,0 +1,45 @@
+"""The budget of second tries."""
+
+import math
+
+import attrs
+
+WINDOW_S = 10.0
+
+
+@attrs.define(slots=True)
+class RetryBudget:
+    """A token bucket filled by first attempts; one instance each for retries and for hedges.
+
+    Failure: servers fail, each request is tried three times, and the threefold load keeps them
+    failing after the cause is gone (a retry storm). Each first attempt deposits ``share`` of a
+    token and each second try takes a whole one, so second tries never exceed that share of the
+    requests of the last ``WINDOW_S`` seconds: a storm can't feed itself, since a retry deposits
+    nothing. ``min_per_s`` tokens a second come in besides, so that a quiet service may retry too.
+    """
+
+    share: float
+    min_per_s: float = 1.0
+    tokens: float = 0.0
+    updated_at: float = 0.0
+
+    def _refresh(self, now: float) -> None:
+        elapsed = max(0.0, now - self.updated_at) if self.updated_at else 0.0
+        self.updated_at = now
+        # Decay instead of a fixed ceiling: the balance tends to WINDOW_S seconds of income at any
+        # rate of requests, so a night of success can't be saved up for a storm.
+        kept = math.exp(-elapsed / WINDOW_S)
+        self.tokens = self.tokens * kept + self.min_per_s * WINDOW_S * (1 - kept)
+
+    def deposit(self, now: float) -> None:
+        """Note a first attempt."""
+        self._refresh(now)
+        self.tokens += self.share
+
+    def withdraw(self, now: float) -> bool:
+        """Take a token for a second try; ``False`` where there is none."""
+        self._refresh(now)
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
--- a/src/marjoramtide/policy/_selector.py
+++ b/src/marjoramtide/policy/_selector.py
@@ -31,19 +31,44 @@
 
     @abstractmethod
     def answered(
-        self, node: str, report: LoadReport | None, elapsed_ms: float, succeeded: bool, now: float
+        self,
+        node: str,
+        report: LoadReport | None,
+        elapsed_ms: float,
+        succeeded: bool,
+        now: float,
+        *,
+        served_ms: float | None = None,
     ) -> None:
-        """Note an answer; ``succeeded`` is false for an error of the backend server."""
+        """Note an answer; ``succeeded`` is false for an error of the backend server.
+
+        ``elapsed_ms`` counts from ``sent``; ``served_ms`` is the part of it that the request spent
+        at the serving node, where that is known, so that the rest is the network's.
+        """
 
     @abstractmethod
     def rejected(
-        self, node: str, report: LoadReport | None, retry_after_ms: int, now: float
+        self,
+        node: str,
+        report: LoadReport | None,
+        retry_after_ms: int,
+        now: float,
+        *,
+        elapsed_ms: float | None = None,
     ) -> None:
         """Note a refusal by the serving node: the request did not run there."""
 
     @abstractmethod
-    def lost(self, node: str, now: float) -> None:
-        """Note that nothing came back: the connection broke or the request was given up."""
+    def lost(self, node: str, now: float, *, elapsed_ms: float | None = None) -> None:
+        """Note that nothing will come back: the connection broke."""
+
+    @abstractmethod
+    def cancelled(self, node: str, now: float, *, elapsed_ms: float | None = None) -> None:
+        """Note that this node gave a request up itself.
+
+        The caller left, the deadline passed, or another try answered first. It says that the
+        answer takes longer than ``elapsed_ms``, and nothing of success.
+        """
 
     @abstractmethod
     def hedge_delay_ms(self, node: str, now: float) -> float | None:
--- /dev/null
+++ b/src/marjoramtide/policy/_two_choices.py
@@ -0,0 +1,20 @@
+"""The power of two choices."""
+
+from collections.abc import Collection
+
+import attrs
+
+from marjoramtide.policy._call_profile import CallProfile
+from marjoramtide.policy._counting_selector import CountingSelector
+
+
+@attrs.define(slots=True)
+class TwoChoices(CountingSelector):
+    """Draws two members at random and asks the one that owes fewer answers (Mitzenmacher, 2001)."""
+
+    def choose(
+        self, profile: CallProfile, now: float, excluded: Collection[str] = ()
+    ) -> str | None:
+        candidates = self.candidates(excluded)
+        drawn = self.rng.sample(candidates, min(2, len(candidates)))
+        return min(drawn, key=self.outstanding.__getitem__, default=None)
