--- a/src/marjoramtide/clock/__init__.py
+++ b/src/marjoramtide/clock/__init__.py
@@ -1,7 +1,8 @@
 """Time, handed in wherever a decision depends on it."""
 
 from marjoramtide.clock._clock import Clock
+from marjoramtide.clock._freeze import FreezeDetector
 from marjoramtide.clock._manual import ManualClock
 from marjoramtide.clock._system import SystemClock
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ["Clock", "FreezeDetector", "ManualClock", "SystemClock"]
--- /dev/null
+++ b/src/marjoramtide/exchange/__init__.py
@@ -0,0 +1,25 @@
+"""One request and its one answer, in the form in which the parts of a node hand them on."""
+
+from marjoramtide.exchange._answer import Answer
+from marjoramtide.exchange._failures import NotRunError, UnknownOutcomeError
+from marjoramtide.exchange._handler import RequestHandler
+from marjoramtide.exchange._headers import OWN_ANSWER, OWN_REQUEST, end_to_end
+from marjoramtide.exchange._outcome import Outcome
+from marjoramtide.exchange._request import Request
+from marjoramtide.exchange._request_body import INLINE_BYTES, RequestBody, inline_body, stream_body
+
+__all__ = [
+    "INLINE_BYTES",
+    "OWN_ANSWER",
+    "OWN_REQUEST",
+    "Answer",
+    "NotRunError",
+    "Outcome",
+    "Request",
+    "RequestBody",
+    "RequestHandler",
+    "UnknownOutcomeError",
+    "end_to_end",
+    "inline_body",
+    "stream_body",
+]
--- /dev/null
+++ b/src/marjoramtide/exchange/_answer.py
@@ -0,0 +1,33 @@
+"""The answer of a backend server on its way to the caller."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import attrs
+
+from marjoramtide.policy import LoadReport
+
+
+@attrs.define(slots=True)
+class Answer:
+    """Status and headers, with the whole body or with the stream of a large one.
+
+    ``served_ms`` is how long the request spent at the serving node until the head of the answer.
+    ``stream`` raises ``UnknownOutcomeError`` where the rest of the body does not arrive, so that a
+    truncated answer can't be taken for a whole one. ``cancel`` tells whoever is still producing the
+    body to stop; it is called once, by whoever does not read the stream to its end.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes = b""
+    stream: AsyncIterator[bytes] | None = None
+    length: int | None = None
+    report: LoadReport | None = None
+    served_ms: float | None = None
+    cancel: Callable[[], Awaitable[None]] | None = None
+
+    async def close(self) -> None:
+        """Stop a stream that nobody reads any more."""
+        if self.cancel is not None:
+            cancel, self.cancel = self.cancel, None
+            await cancel()
--- /dev/null
+++ b/src/marjoramtide/exchange/_headers.py
@@ -0,0 +1,40 @@
+"""Which headers travel from end to end."""
+
+from collections.abc import Iterable
+
+# RFC 9110, section 7.6.1, with the ones that name a connection by custom.
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+# Written anew at each hop.
+OWN_REQUEST = frozenset(
+    ("content-length", "expect", "request-timeout-ms", "marjoramtide-depth", "traceparent")
+)
+OWN_ANSWER = frozenset(
+    ("content-length", "request-outcome", "retry-after-ms", "marjoramtide-node", "date", "server")
+)
+
+
+def end_to_end(
+    headers: Iterable[tuple[str, str]], own: frozenset[str]
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers without those of the connection, the ones it names, and ours."""
+    pairs = [(name, value) for name, value in headers]
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    dropped = HOP_BY_HOP | own | named if named else HOP_BY_HOP | own
+    return tuple((name, value) for name, value in pairs if name.lower() not in dropped)
--- /dev/null
+++ b/src/marjoramtide/exchange/_request_body.py
@@ -0,0 +1,44 @@
+"""The body of a request: small ones in one piece, large ones as a stream."""
+
+from collections.abc import AsyncIterator
+
+import attrs
+
+INLINE_BYTES = 64 * 1024
+
+
+@attrs.define(slots=True)
+class RequestBody:
+    """A body that can be read again, or a stream that can be opened once.
+
+    A body of up to ``INLINE_BYTES`` is held in memory and may be sent to a second node. A larger
+    one is read from the caller only when a serving node has admitted the request; from then on
+    ``opened`` is true and no other node can be given it.
+    """
+
+    inline: bytes | None = None
+    stream: AsyncIterator[bytes] | None = None
+    length: int | None = None
+    opened: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether the body can still be sent from its beginning."""
+        return self.inline is not None or not self.opened
+
+    def open(self) -> AsyncIterator[bytes]:
+        """Return the chunks of a streamed body, once."""
+        if self.stream is None or self.opened:
+            raise RuntimeError("the body is not a stream, or was opened before")
+        self.opened = True
+        return self.stream
+
+
+def inline_body(data: bytes = b"") -> RequestBody:
+    """Return a body that is wholly in memory."""
+    return RequestBody(inline=data, length=len(data))
+
+
+def stream_body(stream: AsyncIterator[bytes], length: int | None) -> RequestBody:
+    """Return a body that is read as it is sent; ``length`` in bytes, ``None`` where not known."""
+    return RequestBody(stream=stream, length=length)
--- /dev/null
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -0,0 +1,91 @@
+"""The tries made for one request."""
+
+import asyncio
+
+import attrs
+
+from marjoramtide.errors import ErrorCode
+from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, UnknownOutcomeError
+from marjoramtide.ingress._service_state import ServiceState
+from marjoramtide.settings import RouteSettings
+
+SERVER_ERROR = 500
+
+
+@attrs.define(slots=True)
+class Attempts:
+    """What has been tried, and what may be told of it.
+
+    ``unknown`` is the first failure after which a backend server may have begun the request. While
+    it is set, "not run" would be a lie whatever later tries say.
+    """
+
+    request: Request
+    body: RequestBody
+    settings: RouteSettings
+    state: ServiceState
+    excluded: set[str] = attrs.Factory(set)
+    count: int = 0
+    unknown: UnknownOutcomeError | None = None
+    refused: NotRunError | None = None
+    answer: Answer | None = None
+
+    def note(self, error: NotRunError | UnknownOutcomeError) -> None:
+        """Remember how a try failed."""
+        if isinstance(error, UnknownOutcomeError):
+            self.unknown = self.unknown or error
+        else:
+            self.refused = error
+
+    def settle(self, task: "asyncio.Task[Answer]") -> Exception | None:
+        """Take the end of a try: ``None`` where its answer is final, else how it failed.
+
+        A server error of an idempotent request is kept as the answer for want of a better one.
+        """
+        error = task.exception()
+        if error is None:
+            self.answer = task.result()
+            if self.answer.status < SERVER_ERROR:
+                return None
+            error = UnknownOutcomeError(
+                ErrorCode.BACKEND_FAILED, f"status {self.answer.status}", step="ingress.attempt"
+            )
+        elif isinstance(error, NotRunError | UnknownOutcomeError):
+            self.note(error)
+        else:
+            raise error
+        return error
+
+    def take_answer(self) -> Answer:
+        """Return the answer to give to the caller; it is no longer ours to close."""
+        assert self.answer is not None
+        answer, self.answer = self.answer, None
+        return answer
+
+    def may_retry(self, error: Exception, now: float) -> bool:
+        """Tell whether another try is allowed after ``error``, and charge its budget.
+
+        A request that may have begun goes on only where it is idempotent; one that certainly did
+        not run goes on whatever it is. A body that was read from the caller can't be sent again.
+        """
+        if self.count >= self.settings.max_attempts or now >= self.request.deadline:
+            return False
+        if not self.body.repeatable:
+            return False
+        if isinstance(error, NotRunError):
+            return self.state.rejections.withdraw(now)
+        return self.request.idempotent and self.state.retries.withdraw(now)
+
+    def final_error(self, now: float) -> NotRunError | UnknownOutcomeError:
+        """Return what the caller is told when there is no answer."""
+        if self.unknown is not None:
+            error: NotRunError | UnknownOutcomeError = self.unknown
+        elif self.refused is not None:
+            error = self.refused
+        else:
+            error = NotRunError(
+                ErrorCode.NO_CANDIDATE, "no backend server may be asked", step="ingress.choose"
+            )
+        if error.retry_after_ms is None:
+            error.retry_after_ms = self.state.selector.retry_after_ms(now)
+        return error
--- /dev/null
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -0,0 +1,225 @@
+"""Choosing nodes for a request until there is one final answer."""
+
+import asyncio
+import random
+
+import attrs
+
+from marjoramtide.clock import Clock
+from marjoramtide.errors import ErrorCode
+from marjoramtide.exchange import (
+    Answer,
+    NotRunError,
+    Request,
+    RequestBody,
+    RequestHandler,
+    UnknownOutcomeError,
+)
+from marjoramtide.ingress._attempts import Attempts
+from marjoramtide.ingress._service_state import ServiceState, make_service_state
+from marjoramtide.membership import Directory
+from marjoramtide.peers import PeerClient
+from marjoramtide.policy import CallProfile, Selector
+from marjoramtide.settings import RouteSettings, SettingsView
+from marjoramtide.telemetry import Metrics, TraceContext, Tracer, read_trace
+
+NO_TRACE = TraceContext("0" * 32, "0" * 16, sampled=False)
+SERVER_ERROR = 500
+
+
+class Dispatcher:
+    """Sends each request to the node that the selector chooses, again where that is safe."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        view: SettingsView,
+        local: RequestHandler,
+        peers: PeerClient,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        tracer: Tracer,
+    ) -> None:
+        self.directory = directory
+        self.view = view
+        self.local = local
+        self.peers = peers
+        self.clock = clock
+        self.rng = rng
+        self.metrics = metrics
+        self.tracer = tracer
+        self.states: dict[str, ServiceState] = {}
+        view.on_change(lambda revision: self.states.clear())
+
+    def state(self, service: str) -> ServiceState:
+        """Return what is kept for a service, up to date with its members."""
+        state = self.states.get(service)
+        if state is None:
+            settings = self.view.route(service, "/")
+            state = make_service_state(settings, self.directory.self_member, self.rng)
+            self.states[service] = state
+        state.refresh(self.directory, self.clock.monotonic())
+        return state
+
+    async def dispatch(
+        self, request: Request, body: RequestBody, settings: RouteSettings
+    ) -> Answer:
+        """Return the answer; raises ``NotRunError`` or ``UnknownOutcomeError`` as soon as known."""
+        attempts = Attempts(request, body, settings, self.state(request.service))
+        now = self.clock.monotonic()
+        attempts.state.retries.deposit(now)
+        attempts.state.rejections.deposit(now)
+        try:
+            async with asyncio.timeout(max(0.0, request.deadline - now)):
+                if request.idempotent and body.inline is not None:
+                    attempts.state.hedges.deposit(now)
+                    return await self.try_hedged(attempts)
+                return await self.try_in_turn(attempts)
+        except TimeoutError as error:
+            raise UnknownOutcomeError(
+                ErrorCode.DEADLINE,
+                "the deadline passed before the answer came",
+                step="ingress.dispatch",
+                retry_after_ms=attempts.state.selector.retry_after_ms(self.clock.monotonic()),
+            ) from error
+
+    async def try_in_turn(self, attempts: Attempts) -> Answer:
+        """Try one node after the other."""
+        while True:
+            node = self.choose(attempts)
+            if node is None:
+                raise attempts.final_error(self.clock.monotonic())
+            try:
+                return await self.attempt(attempts, node)
+            except (NotRunError, UnknownOutcomeError) as error:
+                attempts.note(error)
+                now = self.clock.monotonic()
+                if not attempts.may_retry(error, now):
+                    raise attempts.final_error(now) from error
+
+    async def try_hedged(self, attempts: Attempts) -> Answer:
+        """Try nodes, a second one beside the first where that one is slow; the loser is cancelled.
+
+        Only for idempotent requests whose body can be sent again.
+        """
+        running: set[asyncio.Task[Answer]] = set()
+        first = self.start_another(attempts, running)
+        now = self.clock.monotonic()
+        delay_ms = attempts.state.selector.hedge_delay_ms(first, now) if first else None
+        delay_s = None if delay_ms is None else delay_ms / 1000
+        try:
+            while running:
+                done, _ = await asyncio.wait(
+                    running, timeout=delay_s, return_when=asyncio.FIRST_COMPLETED
+                )
+                now = self.clock.monotonic()
+                if not done:
+                    delay_s = None
+                    if attempts.state.hedges.withdraw(now):
+                        self.metrics.count("ingress.hedges")
+                        self.start_another(attempts, running)
+                    continue
+                for task in done:
+                    running.discard(task)
+                    failure = attempts.settle(task)
+                    if failure is None:
+                        return attempts.take_answer()
+                    if attempts.may_retry(failure, now):
+                        self.metrics.count("ingress.retries")
+                        self.start_another(attempts, running)
+            if attempts.answer is not None:
+                return attempts.take_answer()
+            raise attempts.final_error(self.clock.monotonic())
+        finally:
+            await self.cancel_all(running, attempts)
+
+    def start_another(self, attempts: Attempts, running: "set[asyncio.Task[Answer]]") -> str | None:
+        """Begin a try at another node, where there is one; return that node."""
+        node = self.choose(attempts)
+        if node is not None:
+            running.add(asyncio.create_task(self.attempt(attempts, node)))
+        return node
+
+    async def cancel_all(self, running: "set[asyncio.Task[Answer]]", attempts: Attempts) -> None:
+        """Cancel the tries that lost, and close what they may have brought all the same."""
+        for task in running:
+            task.cancel()
+        for ended in await asyncio.gather(*running, return_exceptions=True):
+            if isinstance(ended, Answer):
+                await ended.close()
+        if attempts.answer is not None:
+            await attempts.answer.close()
+
+    def choose(self, attempts: Attempts) -> str | None:
+        """Return a node that was not tried yet, and count the try."""
+        request = attempts.request
+        profile = CallProfile(
+            request.urgent, request.idempotent, request.deadline, attempts.count + 1
+        )
+        now = self.clock.monotonic()
+        node = attempts.state.selector.choose(profile, now, attempts.excluded)
+        if node is not None:
+            attempts.excluded.add(node)
+            attempts.count += 1
+        return node
+
+    async def attempt(self, attempts: Attempts, node: str) -> Answer:
+        """Send the request to one node, and let the selector learn from what becomes of it."""
+        selector = attempts.state.selector
+        started = self.clock.monotonic()
+        selector.sent(node, started)
+        try:
+            answer = await self.send(attempts, node)
+        except BaseException as error:
+            self.learn_failure(selector, node, error, started)
+            raise
+        now = self.clock.monotonic()
+        selector.answered(
+            node,
+            answer.report,
+            (now - started) * 1000,
+            answer.status < SERVER_ERROR,
+            now,
+            served_ms=answer.served_ms,
+        )
+        return answer
+
+    def learn_failure(
+        self, selector: Selector, node: str, error: BaseException, started: float
+    ) -> None:
+        now = self.clock.monotonic()
+        elapsed_ms = (now - started) * 1000
+        match error:
+            case NotRunError(code=ErrorCode.CONNECT_FAILED | ErrorCode.PEER_LOST):
+                selector.lost(node, now, elapsed_ms=elapsed_ms)
+                self.directory.report_failure(node)
+            case NotRunError():
+                retry_after_ms = error.retry_after_ms or 0
+                selector.rejected(node, error.report, retry_after_ms, now, elapsed_ms=elapsed_ms)
+            case UnknownOutcomeError(code=ErrorCode.DEADLINE):
+                selector.cancelled(node, now, elapsed_ms=elapsed_ms)
+            case UnknownOutcomeError():
+                selector.lost(node, now, elapsed_ms=elapsed_ms)
+                if error.code is ErrorCode.PEER_LOST:
+                    self.directory.report_failure(node)
+            case _:
+                selector.cancelled(node, now, elapsed_ms=elapsed_ms)
+
+    async def send(self, attempts: Attempts, node: str) -> Answer:
+        """Send the request to a node: by a call where it is this one, else by its peer address."""
+        request = attempts.request
+        with self.tracer.span("attempt", read_trace(request.trace) or NO_TRACE) as span:
+            if span is not None:
+                span.attributes |= {"to": node, "attempt": attempts.count}
+                request = attrs.evolve(request, trace=span.header(), attempt=attempts.count)
+            elif attempts.count > 1:
+                request = attrs.evolve(request, attempt=attempts.count)
+            if node == self.directory.self_member.node:
+                return await self.local.handle(request, attempts.body)
+            member = self.directory.find(node)
+            if member is None:
+                raise NotRunError(
+                    ErrorCode.NO_CANDIDATE, "the node has left", step="ingress.send", peer=node
+                )
+            return await self.peers.request(member.peer_address, request, attempts.body)
--- /dev/null
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -0,0 +1,178 @@
+"""The port on which callers reach the service."""
+
+import asyncio
+import logging
+
+import structlog
+from aiohttp import web
+
+from marjoramtide.clock import Clock, FreezeDetector
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.exchange import Answer, NotRunError, Outcome, Request, UnknownOutcomeError
+from marjoramtide.ingress._dispatcher import Dispatcher
+from marjoramtide.ingress._library_log import LibraryLog
+from marjoramtide.ingress._read_body import read_body
+from marjoramtide.ingress._read_request import read_request
+from marjoramtide.ingress._refusal import refusal
+from marjoramtide.settings import SettingsView
+from marjoramtide.telemetry import Metrics, Tracer, read_trace
+
+log = structlog.get_logger()
+
+MAX_LINE_BYTES = 8190
+MAX_HEADERS = 100
+KEEP_ALIVE_S = 75.0
+COME_BACK_MS = 1000
+
+
+class Ingress:
+    """Takes callers' HTTP and gives each request its one final answer."""
+
+    def __init__(
+        self,
+        node: str,
+        view: SettingsView,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        freeze: FreezeDetector,
+        metrics: Metrics,
+        tracer: Tracer,
+    ) -> None:
+        self.node = node
+        self.view = view
+        self.dispatcher = dispatcher
+        self.clock = clock
+        self.freeze = freeze
+        self.metrics = metrics
+        self.tracer = tracer
+        self.stopping = False
+        self.in_progress = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.runner: web.ServerRunner | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on the callers' address."""
+        server = web.Server(
+            self.handle,
+            handler_cancellation=True,
+            access_log=None,
+            logger=LibraryLog(logging.getLogger("marjoramtide.ingress.aiohttp")),
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            max_headers=MAX_HEADERS,
+            auto_decompress=False,
+            keepalive_timeout=KEEP_ALIVE_S,
+        )
+        self.runner = web.ServerRunner(server, shutdown_timeout=0.5)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, host, port, backlog=1024).start()
+
+    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request of a caller."""
+        self.in_progress += 1
+        self.idle.clear()
+        started = self.clock.monotonic()
+        try:
+            response = await self.answer(http, started)
+        finally:
+            self.in_progress -= 1
+            if not self.in_progress:
+                self.idle.set()
+        self.metrics.timing("ingress.request", (self.clock.monotonic() - started) * 1000)
+        return response
+
+    async def answer(self, http: web.BaseRequest, now: float) -> web.StreamResponse:
+        try:
+            self.check_open(now)
+            request, settings = read_request(http, self.view, self.tracer, now)
+            body = await read_body(http, settings.max_body_bytes)
+            trace = read_trace(request.trace)
+            assert trace is not None
+            with self.tracer.span("ingress", trace) as span:
+                if span is not None:
+                    span.attributes |= {"method": request.method, "service": request.service}
+                answer = await self.dispatcher.dispatch(request, body, settings)
+            return await self.send(http, request, answer)
+        except MarjoramtideError as error:
+            return self.refuse(http, error)
+
+    def check_open(self, now: float) -> None:
+        """Refuse where this node must not take callers' requests."""
+        if self.stopping:
+            raise NotRunError(
+                ErrorCode.DRAINING, "the node is stopping", step="ingress", retry_after_ms=0
+            )
+        self.freeze.was_frozen(now)
+        if not self.view.is_current:
+            # Cut off from the store and every peer, this node can't know what was accepted since;
+            # serving by old settings would make an accepted change untrue here.
+            raise NotRunError(
+                ErrorCode.STALE_SETTINGS,
+                "the node can't know which settings are in force",
+                step="ingress",
+                retry_after_ms=COME_BACK_MS,
+            )
+
+    def refuse(self, http: web.BaseRequest, error: MarjoramtideError) -> web.Response:
+        self.metrics.count(f"ingress.refused.{error.code}")
+        log.info(
+            "ingress.refused",
+            code=error.code,
+            step=error.step,
+            peer=error.peer,
+            reason=error.message,
+            caller=http.remote,
+            outcome="unknown" if isinstance(error, UnknownOutcomeError) else "not-run",
+        )
+        response = refusal(error, self.node)
+        if self.stopping or not http.content.at_eof():
+            # The rest of a body that was not read would be taken for the next request.
+            response.force_close()
+        return response
+
+    async def send(
+        self, http: web.BaseRequest, request: Request, answer: Answer
+    ) -> web.StreamResponse:
+        """Give the answer to the caller, whole or visibly broken off."""
+        self.metrics.count("ingress.completed")
+        response: web.StreamResponse
+        if answer.stream is None:
+            response = web.Response(status=answer.status, body=answer.body or None)
+            self.add_headers(response, answer)
+            if request.method == "HEAD" and answer.length is not None:
+                response.content_length = answer.length
+            return response
+        response = web.StreamResponse(status=answer.status)
+        self.add_headers(response, answer)
+        if answer.length is not None:
+            response.content_length = answer.length
+        else:
+            response.enable_chunked_encoding()
+        try:
+            await response.prepare(http)
+            async for data in answer.stream:
+                await response.write(data)
+            answer.cancel = None
+            await response.write_eof()
+        except MarjoramtideError as error:
+            # The head is out; a broken connection is the only way left to say that this is not all.
+            log.warning("ingress.broken_off", code=error.code, step=error.step, peer=error.peer)
+            self.metrics.count("ingress.broken_off")
+            if http.transport is not None:
+                http.transport.abort()
+        finally:
+            await answer.close()
+        return response
+
+    def add_headers(self, response: web.StreamResponse, answer: Answer) -> None:
+        for name, value in answer.headers:
+            response.headers.add(name, value)
+        response.headers["Request-Outcome"] = Outcome.COMPLETED
+        response.headers["Marjoramtide-Node"] = self.node
+        response.headers["Server"] = "marjoramtide"
+
+    async def close(self) -> None:
+        """Stop listening and close callers' connections."""
+        if self.runner is not None:
+            await self.runner.cleanup()
--- /dev/null
+++ b/src/marjoramtide/ingress/_refusal.py
@@ -0,0 +1,53 @@
+"""How an error is told to a caller."""
+
+import math
+
+from aiohttp import web
+
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.exchange import Outcome, UnknownOutcomeError
+
+# The HTTP status and the RFC 9209 error type of each code; 503 and proxy_internal_error otherwise.
+STATUSES = {
+    ErrorCode.BAD_REQUEST: (400, "http_request_error"),
+    ErrorCode.UNKNOWN_SERVICE: (404, "destination_not_found"),
+    ErrorCode.DEPTH_EXCEEDED: (508, "proxy_loop_detected"),
+    ErrorCode.BODY_TOO_LARGE: (413, "http_request_error"),
+    ErrorCode.HEAD_TOO_LARGE: (431, "http_request_error"),
+    ErrorCode.DUPLICATE_KEY: (409, "http_request_denied"),
+    ErrorCode.OVERLOADED: (503, "connection_limit_reached"),
+    ErrorCode.DEADLINE: (503, "connection_limit_reached"),
+    ErrorCode.DRAINING: (503, "destination_unavailable"),
+    ErrorCode.NO_CANDIDATE: (503, "destination_unavailable"),
+    ErrorCode.CONNECT_FAILED: (503, "connection_refused"),
+    ErrorCode.STORE_UNAVAILABLE: (503, "proxy_internal_error"),
+    ErrorCode.STALE_SETTINGS: (503, "proxy_internal_error"),
+}
+UNKNOWN_STATUSES = {
+    ErrorCode.DEADLINE: (504, "http_response_timeout"),
+    ErrorCode.TRUNCATED: (502, "http_response_incomplete"),
+    ErrorCode.DUPLICATE_KEY: (409, "http_request_denied"),
+}
+
+
+def refusal(error: MarjoramtideError, node: str) -> web.Response:
+    """Return the one final answer for a request that was given up.
+
+    It is sent at once, never held back to the deadline; ``Retry-After`` (whole seconds, RFC 9110)
+    and ``Retry-After-Ms`` tell the caller when to come back.
+    """
+    unknown = isinstance(error, UnknownOutcomeError)
+    if unknown:
+        status, kind = UNKNOWN_STATUSES.get(error.code, (502, "connection_terminated"))
+    else:
+        status, kind = STATUSES.get(error.code, (503, "proxy_internal_error"))
+    headers = {
+        "Proxy-Status": f'marjoramtide; error={kind}; details="{error.code}"',
+        "Request-Outcome": Outcome.UNKNOWN if unknown else Outcome.NOT_RUN,
+        "Marjoramtide-Node": node,
+        "Server": "marjoramtide",
+    }
+    if error.retry_after_ms is not None:
+        headers["Retry-After"] = str(math.ceil(error.retry_after_ms / 1000))
+        headers["Retry-After-Ms"] = str(error.retry_after_ms)
+    return web.Response(status=status, headers=headers, text=f"{error.code}: {error.message}\n")
--- a/src/marjoramtide/peers/__init__.py
+++ b/src/marjoramtide/peers/__init__.py
@@ -1,5 +1,8 @@
 """Node to node: requests, answers and small questions, multiplexed."""
 
+from marjoramtide.peers._client import PeerClient
 from marjoramtide.peers._control_channel import ControlChannel
+from marjoramtide.peers._peer_control import PeerControlChannel
+from marjoramtide.peers._server import PeerServer
 
-__all__ = ["ControlChannel"]
+__all__ = ["ControlChannel", "PeerClient", "PeerControlChannel", "PeerServer"]
--- /dev/null
+++ b/src/marjoramtide/peers/_client.py
@@ -0,0 +1,121 @@
+"""The connections of this node to its peers."""
+
+import asyncio
+from typing import Any
+
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
+
+from marjoramtide.clock import Clock
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, UnknownOutcomeError
+from marjoramtide.peers._handshake import HANDSHAKE_TIMEOUT_S, open_as_client
+from marjoramtide.peers._lanes import CONTROL, ROUTINE, URGENT
+from marjoramtide.peers._limits import MAX_FRAME_BYTES, PING_INTERVAL_S, PING_TIMEOUT_S
+from marjoramtide.peers._link import Link
+
+CONNECT_TIMEOUT_S = 0.5
+
+
+class PeerClient:
+    """Sends requests and questions to peers, over one connection for each peer and lane.
+
+    Urgent and routine requests travel on connections of their own: a large routine body in a
+    connection's buffers would otherwise stand before an urgent request, which would wait for it
+    whatever the serving node has reserved. Chunks bound what one request puts on a connection.
+    """
+
+    def __init__(self, key: str, clock: Clock) -> None:
+        self.key = key
+        self.clock = clock
+        self.links: dict[tuple[str, str], Link] = {}
+        self.opening: dict[tuple[str, str], asyncio.Task[Link]] = {}
+
+    async def request(self, address: str, request: Request, body: RequestBody) -> Answer:
+        """Have the node at ``address`` serve a request; raises as ``RequestHandler.handle``."""
+        link = await self.link(address, URGENT if request.urgent else ROUTINE)
+        remaining_ms = (request.deadline - self.clock.monotonic()) * 1000
+        if remaining_ms <= 0:
+            raise NotRunError(
+                ErrorCode.DEADLINE, "no time is left", step="peers.send", peer=address
+            )
+        return await link.request(request, body, remaining_ms)
+
+    async def ask(
+        self, address: str, subject: str, body: dict[str, Any], timeout: float
+    ) -> dict[str, Any]:
+        """Ask the node at ``address`` a question."""
+        try:
+            async with asyncio.timeout(timeout):
+                link = await self.link(address, CONTROL)
+                return await link.ask(subject, body)
+        except TimeoutError as error:
+            raise MarjoramtideError(
+                ErrorCode.PEER_LOST, f"no reply in {timeout} s", step="peers.ask", peer=address
+            ) from error
+        except (NotRunError, UnknownOutcomeError) as error:
+            raise MarjoramtideError(
+                ErrorCode.PEER_LOST, error.message, step="peers.ask", peer=address
+            ) from error
+
+    async def link(self, address: str, lane: str) -> Link:
+        """Return the open connection, or open one; callers that come meanwhile share it."""
+        name = (address, lane)
+        link = self.links.get(name)
+        if link is not None and not link.closed:
+            return link
+        task = self.opening.get(name)
+        if task is None:
+            task = self.opening[name] = asyncio.create_task(self.open(address, lane))
+            task.add_done_callback(lambda done: self.opened(name, done))
+        # A caller that gives up must not end the connection that others wait for.
+        return await asyncio.shield(task)
+
+    def opened(self, name: tuple[str, str], task: "asyncio.Task[Link]") -> None:
+        self.opening.pop(name, None)
+        if not task.cancelled() and task.exception() is None:
+            self.links[name] = task.result()
+
+    async def open(self, address: str, lane: str) -> Link:
+        """Connect and prove the key; nothing of a request is sent before."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                socket = await connect(
+                    f"ws://{address}/",
+                    compression=None,
+                    max_size=MAX_FRAME_BYTES,
+                    ping_interval=PING_INTERVAL_S,
+                    ping_timeout=PING_TIMEOUT_S,
+                    proxy=None,
+                    user_agent_header=None,
+                )
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                await open_as_client(socket, self.key, lane, address)
+        except (OSError, TimeoutError, WebSocketException) as error:
+            raise NotRunError(
+                ErrorCode.CONNECT_FAILED,
+                f"{type(error).__name__}: {error}",
+                step="peers.connect",
+                peer=address,
+            ) from error
+        except MarjoramtideError as error:
+            raise NotRunError(error.code, error.message, step=error.step, peer=address) from error
+        return Link(socket, address, lane)
+
+    async def drop(self, address: str) -> None:
+        """Close the connections to a peer that is known to be dead.
+
+        Requests on them end as unknown at once, in place of waiting for their deadlines on a
+        connection over which nothing will come.
+        """
+        names = [name for name in self.links if name[0] == address]
+        for link in [self.links.pop(name) for name in names]:
+            await link.close()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for task in list(self.opening.values()):
+            task.cancel()
+        await asyncio.gather(*self.opening.values(), return_exceptions=True)
+        await asyncio.gather(*(link.close() for link in self.links.values()))
+        self.links.clear()
--- /dev/null
+++ b/src/marjoramtide/peers/_codec.py
@@ -0,0 +1,74 @@
+"""One CBOR codec for all messages between nodes."""
+
+from typing import Any
+
+import attrs
+import cbor2
+
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.peers import _messages as messages
+from marjoramtide.policy import LoadReport
+
+# The position in this list is the number on the wire: append only.
+MESSAGE_TYPES: list[type] = [
+    messages.RequestMessage,
+    messages.ContinueMessage,
+    messages.RequestChunk,
+    messages.AnswerMessage,
+    messages.AnswerChunk,
+    messages.FailureMessage,
+    messages.CancelMessage,
+    messages.CreditMessage,
+    messages.QuestionMessage,
+    messages.ReplyMessage,
+]
+TYPE_NUMBERS = {cls: number for number, cls in enumerate(MESSAGE_TYPES)}
+FIELD_NAMES = {cls: tuple(field.name for field in attrs.fields(cls)) for cls in MESSAGE_TYPES}
+FIELD_TYPES = {
+    str: str,
+    int: int,
+    bool: bool,
+    bytes: bytes,
+    float: (int, float),
+    dict[str, Any]: dict,
+    list[tuple[str, str]]: list,
+    list[Any] | None: (list, type(None)),
+}
+CHECKS = [
+    tuple(FIELD_TYPES[field.type] for field in attrs.fields(cls))  # type: ignore[index]
+    for cls in MESSAGE_TYPES
+]
+
+
+def encode(message: Any) -> bytes:
+    """Return the message as a CBOR array: its type's number, then its fields."""
+    cls = type(message)
+    fields = [getattr(message, name) for name in FIELD_NAMES[cls]]
+    return cbor2.dumps([TYPE_NUMBERS[cls], *fields])
+
+
+def decode(frame: bytes) -> Any:
+    """Return the message in a frame; raises ``bad-frame`` for anything else."""
+    try:
+        number, *fields = cbor2.loads(frame)
+        checks = CHECKS[number]
+        if len(fields) != len(checks) or not all(map(isinstance, fields, checks)):
+            raise ValueError("fields do not match the message")
+        return MESSAGE_TYPES[number](*fields)
+    except Exception as error:
+        raise MarjoramtideError(
+            ErrorCode.BAD_FRAME, f"{type(error).__name__}: {error}", step="peers.decode"
+        ) from error
+
+
+def pack_report(report: LoadReport | None) -> list[Any] | None:
+    """Return a load report as the plain list that travels in a message."""
+    return None if report is None else list(attrs.astuple(report))
+
+
+def unpack_report(fields: list[Any] | None) -> LoadReport | None:
+    """Return the load report of a message, or ``None`` where it has none that is sound."""
+    try:
+        return None if fields is None else LoadReport(*fields)
+    except TypeError:
+        return None
--- /dev/null
+++ b/src/marjoramtide/peers/_limits.py
@@ -0,0 +1,7 @@
+"""Bounds of a connection between nodes."""
+
+# Head fields and an inline body fit; a settings tree of 1 MB with its envelope fits too.
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+PING_INTERVAL_S = 2.0
+PING_TIMEOUT_S = 2.0
+MAX_OPEN_PER_SESSION = 4096
--- /dev/null
+++ b/src/marjoramtide/peers/_messages.py
@@ -0,0 +1,111 @@
+"""The messages between nodes."""
+
+from typing import Any
+
+import attrs
+
+
+@attrs.frozen(slots=True)
+class RequestMessage:
+    """A request; ``more`` tells that its body follows in chunks once it is admitted."""
+
+    id: int
+    service: str
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    urgent: bool
+    idempotent: bool
+    remaining_ms: float
+    depth: int
+    key: str
+    trace: str
+    attempt: int
+    body: bytes
+    more: bool
+    length: int
+
+
+@attrs.frozen(slots=True)
+class ContinueMessage:
+    """The request is admitted: send its body."""
+
+    id: int
+
+
+@attrs.frozen(slots=True)
+class RequestChunk:
+    """A piece of a request's body."""
+
+    id: int
+    data: bytes
+    last: bool
+
+
+@attrs.frozen(slots=True)
+class AnswerMessage:
+    """An answer; ``more`` tells that its body follows in chunks."""
+
+    id: int
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    more: bool
+    length: int
+    report: list[Any] | None
+    served_ms: float
+
+
+@attrs.frozen(slots=True)
+class AnswerChunk:
+    """A piece of an answer's body."""
+
+    id: int
+    data: bytes
+    last: bool
+
+
+@attrs.frozen(slots=True)
+class FailureMessage:
+    """No answer, or no rest of one; ``not_run`` tells that the request certainly did not run."""
+
+    id: int
+    not_run: bool
+    code: str
+    text: str
+    retry_after_ms: int
+    report: list[Any] | None
+
+
+@attrs.frozen(slots=True)
+class CancelMessage:
+    """Nobody waits for this request any more."""
+
+    id: int
+
+
+@attrs.frozen(slots=True)
+class CreditMessage:
+    """The reader of a stream has taken this many bytes and has room for as many more."""
+
+    id: int
+    size: int
+
+
+@attrs.frozen(slots=True)
+class QuestionMessage:
+    """A question of one node to another, beside callers' requests."""
+
+    id: int
+    subject: str
+    body: dict[str, Any]
+
+
+@attrs.frozen(slots=True)
+class ReplyMessage:
+    """The answer to a question; ``code`` is empty unless it was refused."""
+
+    id: int
+    body: dict[str, Any]
+    code: str
+    text: str
--- /dev/null
+++ b/src/marjoramtide/peers/_peer_control.py
@@ -0,0 +1,24 @@
+"""Questions between nodes over the peers' connections."""
+
+from typing import Any
+
+from marjoramtide.peers._client import PeerClient
+from marjoramtide.peers._control_channel import ControlChannel
+from marjoramtide.peers._server import PeerServer
+from marjoramtide.peers._session import QuestionHandler
+
+
+class PeerControlChannel(ControlChannel):
+    """Asks through the client's control lane, and answers what the server takes in."""
+
+    def __init__(self, client: PeerClient, server: PeerServer) -> None:
+        self.client = client
+        self.server = server
+
+    async def ask(
+        self, address: str, subject: str, body: dict[str, Any], *, timeout: float = 2.0
+    ) -> dict[str, Any]:
+        return await self.client.ask(address, subject, body, timeout)
+
+    def answer(self, subject: str, handler: QuestionHandler) -> None:
+        self.server.questions[subject] = handler
--- /dev/null
+++ b/src/marjoramtide/peers/_session.py
@@ -0,0 +1,243 @@
+"""The server's end of one connection."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+import attrs
+import structlog
+from websockets.asyncio.server import ServerConnection
+from websockets.exceptions import ConnectionClosed
+
+from marjoramtide.clock import Clock, FreezeDetector
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.exchange import (
+    Answer,
+    NotRunError,
+    Request,
+    RequestHandler,
+    UnknownOutcomeError,
+    inline_body,
+    stream_body,
+)
+from marjoramtide.peers._byte_stream import ByteStream
+from marjoramtide.peers._codec import decode, encode, pack_report
+from marjoramtide.peers._limits import MAX_OPEN_PER_SESSION
+from marjoramtide.peers._messages import (
+    AnswerChunk,
+    AnswerMessage,
+    CancelMessage,
+    ContinueMessage,
+    CreditMessage,
+    FailureMessage,
+    QuestionMessage,
+    ReplyMessage,
+    RequestChunk,
+    RequestMessage,
+)
+from marjoramtide.peers._send_window import SendWindow
+
+log = structlog.get_logger()
+
+QuestionHandler = Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]
+
+
+@attrs.define(slots=True, eq=False)
+class Served:
+    """A request of the peer that is being served."""
+
+    body: ByteStream
+    window: SendWindow = attrs.Factory(SendWindow)
+    task: "asyncio.Task[None] | None" = None
+
+
+class Session:
+    """Serves what one peer sends on one connection; the connection's task owns the socket."""
+
+    def __init__(
+        self,
+        socket: ServerConnection,
+        peer: str,
+        handler: RequestHandler,
+        questions: Mapping[str, QuestionHandler],
+        clock: Clock,
+        freeze: FreezeDetector,
+    ) -> None:
+        self.socket = socket
+        self.peer = peer
+        self.handler = handler
+        self.questions = questions
+        self.clock = clock
+        self.freeze = freeze
+        self.served: dict[int, Served] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Read frames until the connection ends."""
+        try:
+            async for frame in self.socket:
+                self.take(decode(frame))  # type: ignore[arg-type]
+        except ConnectionClosed:
+            pass
+        except MarjoramtideError as error:
+            log.warning("peers.bad_frame", code=error.code, peer=self.peer, reason=error.message)
+            await self.socket.close(1002, "bad frame")
+        finally:
+            for task in list(self.tasks):
+                task.cancel()
+
+    def take(self, message: Any) -> None:
+        match message:
+            case RequestMessage():
+                self.take_request(message)
+            case QuestionMessage():
+                self.start(self.reply(message))
+            case _:
+                served = self.served.get(message.id)
+                if served is not None:
+                    self.take_for(served, message)
+
+    def take_for(self, served: Served, message: Any) -> None:
+        match message:
+            case RequestChunk():
+                served.body.feed(message.data, message.last)
+            case CreditMessage():
+                served.window.credit(message.size)
+            case CancelMessage():
+                if served.task is not None:
+                    served.task.cancel()
+            case _:
+                raise MarjoramtideError(
+                    ErrorCode.BAD_FRAME,
+                    f"{type(message).__name__} is out of place",
+                    step="peers.session",
+                    peer=self.peer,
+                )
+
+    def take_request(self, message: RequestMessage) -> None:
+        number = message.id
+        if number in self.served or len(self.served) >= MAX_OPEN_PER_SESSION:
+            raise MarjoramtideError(
+                ErrorCode.BAD_FRAME,
+                "a request number is used twice, or too many are open",
+                step="peers.session",
+                peer=self.peer,
+            )
+        served = self.served[number] = Served(ByteStream(lambda size: self.grant(number, size)))
+        served.task = self.start(self.serve(message, served))
+
+    def start(self, work: Any) -> "asyncio.Task[None]":
+        task: asyncio.Task[None] = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def serve(self, message: RequestMessage, served: Served) -> None:
+        """Serve one request and send its answer, or why there is none."""
+        try:
+            answer = await self.handle(message, served)
+            await self.send_answer(message.id, answer, served.window)
+        except NotRunError as error:
+            await self.fail(message.id, error, not_run=True)
+        except UnknownOutcomeError as error:
+            await self.fail(message.id, error, not_run=False)
+        except ConnectionClosed:
+            pass
+        except Exception as error:
+            log.exception("peers.serve_failed", code=ErrorCode.INTERNAL, peer=self.peer)
+            failure = UnknownOutcomeError(ErrorCode.INTERNAL, str(error), step="peers.serve")
+            await self.fail(message.id, failure, not_run=False)
+        finally:
+            self.served.pop(message.id, None)
+
+    async def handle(self, message: RequestMessage, served: Served) -> Answer:
+        now = self.clock.monotonic()
+        if self.freeze.was_frozen(now):
+            # Frames that waited in the socket while this process was stopped carry deadlines that
+            # have passed in the world outside. Running them now would do work, or book a booking,
+            # that the caller was told is lost. They have not begun, so "not run" is true.
+            raise NotRunError(
+                ErrorCode.DEADLINE, "the node was stopped meanwhile", step="peers.serve"
+            )
+        request = Request(
+            service=message.service,
+            method=message.method,
+            target=message.target,
+            headers=tuple((name, value) for name, value in message.headers),
+            urgent=message.urgent,
+            idempotent=message.idempotent,
+            deadline=now + message.remaining_ms / 1000,
+            depth=message.depth,
+            key=message.key,
+            trace=message.trace,
+            attempt=message.attempt,
+        )
+        if not message.more:
+            return await self.handler.handle(request, inline_body(message.body))
+        length = None if message.length < 0 else message.length
+        chunks = self.body_chunks(message.id, served.body)
+        return await self.handler.handle(request, stream_body(chunks, length))
+
+    async def body_chunks(self, number: int, stream: ByteStream) -> Any:
+        """Ask for the body when the backend server is ready to take it."""
+        await self.send(ContinueMessage(number))
+        async for data in stream:
+            yield data
+
+    async def send_answer(self, number: int, answer: Answer, window: SendWindow) -> None:
+        message = AnswerMessage(
+            id=number,
+            status=answer.status,
+            headers=list(answer.headers),
+            body=answer.body,
+            more=answer.stream is not None,
+            length=-1 if answer.length is None else answer.length,
+            report=pack_report(answer.report),
+            served_ms=answer.served_ms or 0.0,
+        )
+
+        async def send(data: bytes, last: bool) -> None:
+            await self.send(AnswerChunk(number, data, last))
+
+        try:
+            await self.send(message)
+            if answer.stream is not None:
+                await window.send_all(answer.stream, send)
+                answer.cancel = None
+        finally:
+            await answer.close()
+
+    async def fail(
+        self, number: int, error: NotRunError | UnknownOutcomeError, *, not_run: bool
+    ) -> None:
+        retry_after_ms = -1 if error.retry_after_ms is None else error.retry_after_ms
+        report = pack_report(error.report)
+        message = FailureMessage(
+            number, not_run, str(error.code), error.message, retry_after_ms, report
+        )
+        with contextlib.suppress(ConnectionClosed):
+            await self.send(message)
+
+    async def reply(self, message: QuestionMessage) -> None:
+        """Answer one question."""
+        handler = self.questions.get(message.subject)
+        try:
+            if handler is None:
+                raise MarjoramtideError(
+                    ErrorCode.NOT_FOUND, f"no subject {message.subject!r}", step="peers.reply"
+                )
+            reply = ReplyMessage(message.id, await handler(message.body), "", "")
+        except MarjoramtideError as error:
+            reply = ReplyMessage(message.id, {}, str(error.code), error.message)
+        except Exception as error:
+            log.exception("peers.reply_failed", code=ErrorCode.INTERNAL, peer=self.peer)
+            reply = ReplyMessage(message.id, {}, str(ErrorCode.INTERNAL), str(error))
+        with contextlib.suppress(ConnectionClosed):
+            await self.send(reply)
+
+    async def grant(self, number: int, size: int) -> None:
+        await self.send(CreditMessage(number, size))
+
+    async def send(self, message: Any) -> None:
+        await self.socket.send(encode(message))
--- /dev/null
+++ b/src/marjoramtide/serving/_backend_transport.py
@@ -0,0 +1,34 @@
+"""The interface to the backend server beside a node."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+from marjoramtide.exchange import Answer, Request, RequestBody
+
+
+class BackendTransport(ABC):
+    """Sends requests to the one backend server of this node."""
+
+    @abstractmethod
+    async def send(
+        self,
+        request: Request,
+        body: RequestBody,
+        remaining_ms: float,
+        begun: Callable[[], None],
+    ) -> Answer:
+        """Send the request and return its answer.
+
+        Calls ``begun`` before the first byte of the request may leave. Raises ``NotRunError``
+        where nothing was sent or the backend server says that it did not run the request, and
+        ``UnknownOutcomeError`` where the answer broke off. A connection on which anything was
+        cancelled or broke off is closed and never used again.
+        """
+
+    @abstractmethod
+    async def read(self, path: str, timeout_s: float) -> tuple[int, bytes]:
+        """Read one of the backend server's own endpoints: its status and body."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close all connections."""
--- /dev/null
+++ b/src/marjoramtide/serving/_service.py
@@ -0,0 +1,273 @@
+"""The only door to a node's own backend server."""
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator
+
+import attrs
+
+from marjoramtide.clock import Clock
+from marjoramtide.errors import ErrorCode
+from marjoramtide.exchange import (
+    Answer,
+    NotRunError,
+    Request,
+    RequestBody,
+    RequestHandler,
+    UnknownOutcomeError,
+)
+from marjoramtide.policy import Admission, CallProfile, Verdict
+from marjoramtide.serving._backend_transport import BackendTransport
+from marjoramtide.telemetry import Metrics, TraceContext, Tracer, read_trace
+
+NO_TRACE = TraceContext("0" * 32, "0" * 16, sampled=False)
+
+
+@attrs.define(slots=True, eq=False)
+class Execution:
+    """One request at the backend server; ``begun`` once a byte of it may have left."""
+
+    ticket: int
+    request: Request
+    body: RequestBody
+    arrived: float
+    started: float = 0.0
+    begun: bool = False
+
+    def begin(self) -> None:
+        self.begun = True
+
+
+class ServingService(RequestHandler):
+    """Admits, queues, dispatches and cancels, from exact local knowledge.
+
+    Only this class says "not run" of a request: it knows whether a byte of it may have left.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        admission: Admission,
+        transport: BackendTransport,
+        clock: Clock,
+        metrics: Metrics,
+        tracer: Tracer,
+    ) -> None:
+        self.service = service
+        self.admission = admission
+        self.transport = transport
+        self.clock = clock
+        self.metrics = metrics
+        self.tracer = tracer
+        self.tickets = itertools.count(1)
+        self.waiting: dict[int, asyncio.Future[None]] = {}
+        self.in_progress: set[int] = set()
+        self.background: set[asyncio.Task[Answer]] = set()
+        self.timer: asyncio.TimerHandle | None = None
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    async def handle(self, request: Request, body: RequestBody) -> Answer:
+        if request.service != self.service:
+            raise NotRunError(
+                ErrorCode.UNKNOWN_SERVICE,
+                f"this node serves {self.service!r}, not {request.service!r}",
+                step="serving.admit",
+            )
+        ticket = next(self.tickets)
+        self.in_progress.add(ticket)
+        self.idle.clear()
+        execution = Execution(ticket, request, body, self.clock.monotonic())
+        try:
+            await self.admit(execution)
+        except BaseException:
+            self.done(ticket)
+            raise
+        if request.idempotent:
+            return await self.execute(execution)
+        return await self.execute_to_the_end(execution)
+
+    async def admit(self, execution: Execution) -> None:
+        """Return when the request may start; raise ``NotRunError`` where it may not."""
+        request, ticket = execution.request, execution.ticket
+        profile = CallProfile(request.urgent, request.idempotent, request.deadline, request.attempt)
+        now = self.clock.monotonic()
+        decision = self.admission.offer(ticket, profile, now)
+        if decision.verdict is Verdict.REJECT:
+            self.metrics.count(f"serving.rejected.{decision.reason}")
+            raise NotRunError(
+                ErrorCode(decision.reason),
+                "the backend server has no room",
+                step="serving.admit",
+                retry_after_ms=decision.retry_after_ms,
+                report=self.admission.report(now),
+            )
+        if decision.verdict is Verdict.QUEUE:
+            await self.wait_for_slot(ticket)
+        execution.started = self.clock.monotonic()
+
+    async def wait_for_slot(self, ticket: int) -> None:
+        waiter = self.waiting[ticket] = asyncio.get_running_loop().create_future()
+        self.schedule_expiry()
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            self.start(self.admission.withdraw(ticket, self.clock.monotonic()))
+            raise
+        finally:
+            self.waiting.pop(ticket, None)
+
+    async def execute_to_the_end(self, execution: Execution) -> Answer:
+        """Execute a non-idempotent request whether or not its caller still waits.
+
+        Closing the connection would not undo a booking that has begun; it would only lose its
+        outcome. So a caller that goes away cancels what has not begun, and nothing else.
+        """
+        task = asyncio.create_task(self.execute(execution))
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if execution.begun:
+                task.add_done_callback(self.close_unread)
+            else:
+                task.cancel()
+            raise
+
+    def close_unread(self, task: "asyncio.Task[Answer]") -> None:
+        """Close the stream of an answer that nobody will read."""
+        if not task.cancelled() and task.exception() is None:
+            closing = asyncio.ensure_future(task.result().close())
+            self.background.add(closing)  # type: ignore[arg-type]
+            closing.add_done_callback(self.background.discard)  # type: ignore[arg-type]
+
+    async def execute(self, execution: Execution) -> Answer:
+        """Send an admitted request and return its answer with the load at this moment."""
+        request = execution.request
+        succeeded = False
+        streaming = False
+        try:
+            with self.tracer.span("serving", read_trace(request.trace) or NO_TRACE) as span:
+                answer = await self.send(execution)
+                if span is not None:
+                    span.attributes |= {"status": answer.status, "urgent": request.urgent}
+            succeeded = answer.status < 500
+            streaming = answer.stream is not None
+            if answer.stream is not None:
+                answer.stream = self.watch_stream(execution, answer.stream, succeeded)
+                answer.cancel = self.finish_on_cancel(execution, answer)
+        except (NotRunError, UnknownOutcomeError) as error:
+            self.metrics.count(f"serving.failed.{error.code}")
+            raise
+        finally:
+            if not streaming:
+                self.finish(execution, succeeded)
+        now = self.clock.monotonic()
+        answer.report = self.admission.report(now)
+        answer.served_ms = (now - execution.arrived) * 1000
+        return answer
+
+    async def send(self, execution: Execution) -> Answer:
+        request = execution.request
+        remaining = request.deadline - self.clock.monotonic()
+        if remaining <= 0:
+            raise NotRunError(ErrorCode.DEADLINE, "no time is left", step="serving.send")
+        try:
+            async with asyncio.timeout(remaining):
+                return await self.transport.send(
+                    request, execution.body, remaining * 1000, execution.begin
+                )
+        except TimeoutError as error:
+            raise UnknownOutcomeError(
+                ErrorCode.DEADLINE, "the deadline passed in the backend server", step="serving.send"
+            ) from error
+
+    async def watch_stream(
+        self, execution: Execution, stream: AsyncIterator[bytes], succeeded: bool
+    ) -> AsyncIterator[bytes]:
+        """Pass the stream on; the slot is free when it ends, within the deadline."""
+        whole = False
+        remaining = max(0.0, execution.request.deadline - self.clock.monotonic())
+        try:
+            async with asyncio.timeout(remaining):
+                async for data in stream:
+                    yield data
+            whole = True
+        except TimeoutError as error:
+            raise UnknownOutcomeError(
+                ErrorCode.DEADLINE, "the deadline passed amid the answer", step="serving.stream"
+            ) from error
+        finally:
+            self.finish(execution, succeeded and whole)
+
+    def finish_on_cancel(self, execution: Execution, answer: Answer):  # type: ignore[no-untyped-def]
+        close = answer.cancel
+
+        async def cancel() -> None:
+            if close is not None:
+                await close()
+            self.finish(execution, False)
+
+        return cancel
+
+    def finish(self, execution: Execution, succeeded: bool) -> None:
+        """Free the slot, once, and start whoever waits for it."""
+        if execution.ticket not in self.in_progress:
+            return
+        now = self.clock.monotonic()
+        duration_ms = (now - execution.started) * 1000
+        self.metrics.timing("serving.execution", duration_ms)
+        self.start(self.admission.finished(execution.ticket, now, duration_ms, succeeded))
+        self.done(execution.ticket)
+
+    def done(self, ticket: int) -> None:
+        self.in_progress.discard(ticket)
+        if not self.in_progress:
+            self.idle.set()
+
+    def start(self, tickets: list[int]) -> None:
+        """Wake the queued requests that were given a slot."""
+        for ticket in tickets:
+            waiter = self.waiting.get(ticket)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(None)
+            elif waiter is None or waiter.cancelled():
+                # Cancelled in the same turn of the loop: without this the slot is never freed.
+                self.start(self.admission.withdraw(ticket, self.clock.monotonic()))
+
+    def schedule_expiry(self) -> None:
+        due = self.admission.next_expiry()
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if due is not None:
+            delay = max(0.0, due - self.clock.monotonic())
+            self.timer = asyncio.get_running_loop().call_later(delay, self.expire)
+
+    def expire(self) -> None:
+        """Refuse at once the queued requests that can no longer finish in time."""
+        now = self.clock.monotonic()
+        report = None
+        for ticket in self.admission.expire(now):
+            waiter = self.waiting.get(ticket)
+            if waiter is not None and not waiter.done():
+                report = report or self.admission.report(now)
+                waiter.set_exception(
+                    NotRunError(
+                        ErrorCode.DEADLINE,
+                        "it could no longer finish in time",
+                        step="serving.queue",
+                        retry_after_ms=0,
+                        report=report,
+                    )
+                )
+        self.schedule_expiry()
+
+    async def close(self) -> None:
+        """Close the connections to the backend server."""
+        if self.timer is not None:
+            self.timer.cancel()
+        for task in list(self.background):
+            task.cancel()
+        await self.transport.close()
--- a/src/marjoramtide/settings/_route_settings.py
+++ b/src/marjoramtide/settings/_route_settings.py
@@ -36,6 +36,7 @@
     # Second tries
     max_attempts: int = 3
     retry_budget: float = 0.1
+    rejection_budget: float = 0.5
     hedge_budget: float = 0.02
     hedge_quantile: float = 0.95
     # Measuring a backend server
--- a/src/marjoramtide/telemetry/__init__.py
+++ b/src/marjoramtide/telemetry/__init__.py
@@ -1,1 +1,17 @@
-"""TODO"""
+"""Logs, metrics and spans."""
+
+from marjoramtide.telemetry._logs import configure_logs
+from marjoramtide.telemetry._metrics import Metrics
+from marjoramtide.telemetry._span import Span
+from marjoramtide.telemetry._trace_context import TraceContext, new_trace, read_trace
+from marjoramtide.telemetry._tracer import Tracer
+
+__all__ = [
+    "Metrics",
+    "Span",
+    "TraceContext",
+    "Tracer",
+    "configure_logs",
+    "new_trace",
+    "read_trace",
+]
--- /dev/null
+++ b/src/marjoramtide/telemetry/_span.py
@@ -0,0 +1,23 @@
+"""What was done for one request at one hop."""
+
+from typing import Any
+
+import attrs
+
+
+@attrs.define(slots=True)
+class Span:
+    """A span as it is logged: times in seconds since the epoch and milliseconds."""
+
+    trace_id: str
+    span_id: str
+    parent_id: str
+    name: str
+    node: str
+    start: float
+    duration_ms: float = 0.0
+    attributes: dict[str, Any] = attrs.Factory(dict)
+
+    def header(self) -> str:
+        """Return the ``traceparent`` by which the next hop names this span as its parent."""
+        return f"00-{self.trace_id}-{self.span_id}-01"
