Resolve writes whose answers are lost, and claim idempotency keys

A read that doesn't find a write proves nothing: the write may still be on its way, or the read stale. The same conditional write is sent again until the store answers it; that answer decides every earlier copy too, and only then is the object read. Claims build on it.

Not yet shown by scenarios: claims.

--- /dev/null
+++ b/features/platform/object_store.feature
@@ -0,0 +1,147 @@
+Feature: The store's answers are told truly
+  What the rest of a node decides rests on three words of a write: it took effect, it did not, or
+  nobody knows yet. Each scenario breaks the way between a node and the store and checks the word.
+
+  Scenario: A write whose answer is lost is not taken for a conflict
+    The store applies a create and the connection breaks before the answer. HTTP calls PUT
+    idempotent, so the client library would send it again; the copy meets the object that the first
+    one made, and the writer would hear that somebody else was faster.
+    Given an object store
+    And the node has called the store before
+    When the store loses the answer to the next write
+    And the node creates "settings/tree" as "mine"
+    Then the call fails as "store-ambiguous"
+    And the store has seen 2 writes
+
+  Scenario: A lost answer is resolved to the writer's own object
+    Given an object store
+    When the store loses the answer to the next write
+    And the node creates "settings/tree" as "mine" and resolves the outcome
+    Then the write is its own
+
+  Scenario: A lost answer is resolved to another writer's object
+    Another node's object is there already. The answer that is lost said so.
+    Given an object store
+    And another node created "settings/tree" as "theirs"
+    When the store loses the answer to the next write
+    And the node creates "settings/tree" as "mine" and resolves the outcome
+    Then the write lost to "theirs"
+
+  Scenario: A write that takes effect late is not reported as failed
+    The connection breaks while the create is still under way inside the platform. A read at that
+    moment finds nothing, and a writer that went by it would report "not done" of a write that comes
+    into force a moment later.
+    Given an object store
+    When the store holds the next write back
+    And the node creates "settings/tree" as "mine" and resolves the outcome
+    Then the write is its own
+    And the write held back is refused when it arrives
+    And the store holds "mine" under "settings/tree"
+
+  Scenario: A late update does not undo a newer one
+    The first copy of an update is held back, the second one is applied and answered. When the first
+    arrives, another node has built on the second.
+    Given an object store
+    And another node created "settings/tree" as "first"
+    When the store holds the next write back
+    And the node updates "settings/tree" to "mine" and resolves the outcome
+    Then the write is its own
+    When another node updates "settings/tree" to "mine+theirs"
+    Then the write held back is refused when it arrives
+    And the store holds "mine+theirs" under "settings/tree"
+
+  Scenario: A lost update is known again after another node has built on it
+    The update takes effect, its answer is lost, and before the writer asks, another node replaces
+    the object with one that carries the first writer's id in its history.
+    Given an object store
+    And another node created "settings/tree" as "first"
+    When the store loses the answer to the next write
+    And another node builds on that write before the node looks
+    And the node updates "settings/tree" to "mine" and resolves the outcome
+    Then the write is its own
+    And the store holds "mine+theirs" under "settings/tree"
+
+  Scenario: A stale read is not taken for the winner
+    The write loses to another node's. The read that follows shows the version from before it, which
+    would tell the writer that nobody has won.
+    Given an object store
+    And another node created "settings/tree" as "first"
+    And another node has updated "settings/tree" to "theirs" meanwhile
+    When the next read is stale
+    And the node updates the first version of "settings/tree" to "mine" and resolves the outcome
+    Then the write lost to "theirs"
+
+  Scenario: A write that is never answered stays undecided
+    The store hangs for longer than the deadline. Neither "done" nor "not done" would be true.
+    Given an object store
+    When the store is in mode "hang"
+    And the node creates "settings/tree" as "mine" and resolves the outcome within 0.3 s
+    Then the call fails as "store-ambiguous"
+
+  Scenario Outline: A refusal counts as without effect only on the store's own word
+    A gateway before the store answers 5xx for what the store behind it may have applied.
+    Given an object store
+    When the store is in mode "<mode>"
+    And the node creates "settings/tree" as "mine"
+    Then the call fails as "<code>"
+
+    Examples:
+      | mode   | code              |
+      | refuse | store-unavailable |
+      | error  | store-ambiguous   |
+      | drop   | store-ambiguous   |
+
+  Scenario: A node gives way when the store refuses over its rate
+    The limit holds for the whole fleet. A node that only repeated what was refused would take the
+    calls that others need.
+    Given an object store that refuses every call over its rate
+    When the node creates "settings/tree" as "mine"
+    Then the call fails as "store-throttled"
+    And the node's write budget is below 20 calls a second
+
+  Scenario: A node keeps its own budget
+    A fault in a node, or a storm of its callers, asks for far more calls than the node may make.
+    Given an object store
+    And a node that may make 5 writes at once and 1 a second
+    When the node makes 50 writes within 0.2 s
+    Then the store has seen 5 writes
+    And the others failed as "store-throttled"
+
+  Scenario: An outage costs no timeout for each call, and no flood at its end
+    The store hangs. The first calls wait out their timeouts; the next are refused at once. When it
+    is back, one call tries it before the others are let through.
+    Given an object store
+    When the store is in mode "hang"
+    And the node reads 5 times with a timeout of 0.05 s
+    And the node reads 20 times at once
+    Then every read failed as "store-unavailable"
+    And the store has seen 5 reads
+    When 10 s have passed
+    And the node reads 20 times at once
+    Then the store has seen 6 reads
+    When the store is in mode "up"
+    And 10 s have passed
+    And the node reads 20 times at once
+    Then the store has seen 7 reads
+    And the node can read again
+
+  Scenario: A watch goes on from the version of the list
+    The newest change under the prefix was a deletion and has left the history. A watch from the
+    newest object listed would meet a gap after every list.
+    Given an object store that keeps 3 changes
+    When 6 objects are made and the newest 4 deleted under "members/"
+    Then a watch of "members/" from the list's version reports the next change
+    And a watch of "members/" from the newest object listed fails as "not-found"
+
+  Scenario: The store's process is killed and comes back
+    Given the object store as a process
+    When the node creates "settings/tree" as "mine"
+    Then the call succeeds
+    When the store's process is killed
+    And the node creates "settings/other" as "mine"
+    Then the call fails without a claim of success
+    When the node reads 6 times with a timeout of 0.05 s
+    Then every read failed as "store-unavailable"
+    When the store's process is started again at its address
+    And 10 s have passed
+    Then the node can read again
--- /dev/null
+++ b/src/marjoramtide/claims/_claim_cleaner.py
@@ -0,0 +1,71 @@
+"""Deletion of claims whose retention has ended."""
+
+import random
+
+from marjoramtide.claims._claim_keys import SLICES, slice_prefix
+from marjoramtide.claims._claim_record import decode_record
+from marjoramtide.clock import Clock
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.platform import ObjectStore, StoredObject
+
+INTERVAL_S = 10.0
+DELETES_PER_PASS = 200
+CALL_TIMEOUT_S = 2.0
+
+
+class ClaimCleaner:
+    """Deletes expired claims, one slice of all keys at a time.
+
+    Every node runs one from a random slice on, with no agreement on who cleans what.
+    """
+
+    def __init__(self, store: ObjectStore, clock: Clock, rng: random.Random) -> None:
+        self.store = store
+        self.clock = clock
+        self.rng = rng
+        self.next_slice = rng.randrange(SLICES)
+
+    async def run(self) -> None:
+        """Clean a slice every ``INTERVAL_S`` or so, until cancelled."""
+        while True:
+            await self.clock.sleep(INTERVAL_S * self.rng.uniform(0.5, 1.5))
+            await self.clean_slice(self.next_slice)
+            self.next_slice = (self.next_slice + 1) % SLICES
+
+    async def clean_slice(self, number: int) -> int:
+        """Delete the expired claims of one slice and return how many; errors leave the rest."""
+        deleted = 0
+        try:
+            claims = await self.store.list(slice_prefix(number), timeout=CALL_TIMEOUT_S)
+            for claim in claims:
+                if deleted == DELETES_PER_PASS:
+                    break
+                if self.is_expired(claim):
+                    deleted += await self.delete(claim)
+        except MarjoramtideError:
+            return deleted
+        return deleted
+
+    def is_expired(self, claim: StoredObject) -> bool:
+        record = decode_record(claim.value)
+        return record is not None and record.is_expired(self.clock.wall())
+
+    async def delete(self, claim: StoredObject) -> bool:
+        """Delete the claim as it was listed.
+
+        Between the list and the delete another cleaner may have deleted it and a caller claimed the
+        key anew; without the version, the new claim would go and its request could run twice.
+        """
+        try:
+            await self.store.delete(claim.key, claim.version, timeout=CALL_TIMEOUT_S)
+        except MarjoramtideError as error:
+            if error.code != ErrorCode.VERSION_CONFLICT:
+                raise
+            return False
+        return True
+
+
+def make_claim_cleaner(
+    store: ObjectStore, clock: Clock, rng: random.Random | None = None
+) -> ClaimCleaner:
+    return ClaimCleaner(store, clock, rng or random.Random())
--- /dev/null
+++ b/src/marjoramtide/claims/_claim_entry.py
@@ -0,0 +1,14 @@
+"""A state of a claim that the store has yet to take in."""
+
+import attrs
+
+from marjoramtide.claims._claim_record import ClaimRecord
+
+
+@attrs.define(slots=True, eq=False)
+class ClaimEntry:
+    """The record to be stored under ``key``; ``version`` is the last one known, 0 for none."""
+
+    key: str
+    record: ClaimRecord
+    version: int
--- a/standins/object_store/_app.py
+++ b/standins/object_store/_app.py
@@ -40,7 +40,7 @@
     def app(self) -> web.Application:
         """Return the application."""
         app = web.Application(client_max_size=2 * MAX_VALUE_BYTES, middlewares=[self.fail])
-        app.router.add_get("/v1/objects", self.list)
+        app.router.add_get("/v1/objects", self.list_objects)
         app.router.add_get("/v1/objects/{key:.+}", self.get)
         app.router.add_put("/v1/objects/{key:.+}", self.put)
         app.router.add_delete("/v1/objects/{key:.+}", self.delete)
@@ -63,6 +63,8 @@
             await self.mode_changed.wait()
         if self.faults.mode == "drop":
             return self.cut(request)
+        if self.faults.mode == "error":
+            return web.Response(status=500)
         if self.faults.mode == "refuse":
             return web.Response(status=503, headers={**NO_EFFECT, "Retry-After": "1"})
         rate = self.writes if kind == "writes" else self.reads
@@ -84,7 +86,7 @@
             return web.Response(status=404)
         return web.Response(body=record.value, headers={"ETag": f'"{record.version}"'})
 
-    async def list(self, request: web.Request) -> web.StreamResponse:
+    async def list_objects(self, request: web.Request) -> web.StreamResponse:
         stale = self.faults.take("stale_reads")
         records = self.state.select(request.query.get("prefix", ""), stale)
         version = max((record.version for record in records), default=0)
@@ -143,7 +145,7 @@
         await response.prepare(request)
         while True:
             changed = self.state.changed
-            if self.state.has_gap(prefix, since) or self.faults.mode in ("drop", "refuse"):
+            if self.state.has_gap(prefix, since) or self.faults.mode in ("drop", "error", "refuse"):
                 return self.cut(request)
             for record in self.state.changes(prefix, since):
                 await response.write(json.dumps(as_json(record)).encode() + b"\n")
@@ -164,16 +166,25 @@
             self.faults = attrs.evolve(self.faults, **wanted)
         except ValueError as error:
             return web.json_response({"error": str(error)}, status=400)
+        self.set_mode(self.faults.mode)
+        return web.json_response(attrs.asdict(self.faults))
+
+    def set_mode(self, mode: str) -> None:
+        """Change the mode, and let go on what hangs or watches."""
+        self.faults.mode = mode
         self.mode_changed.set()
         self.mode_changed = asyncio.Event()
         self.state.changed.set()
         self.state.changed = asyncio.Event()
-        return web.json_response(attrs.asdict(self.faults))
 
-    async def apply_late(self, request: web.Request) -> web.StreamResponse:
-        """Apply the writes that were held back, each under its condition."""
+    def apply_late_writes(self) -> list[bool]:
+        """Apply the writes held back, each under its condition; tell which took effect."""
         late, self.late = self.late, []
-        applied = [apply() is not None for apply in late]
+        return [apply() is not None for apply in late]
+
+    async def apply_late(self, request: web.Request) -> web.StreamResponse:
+        """Let the writes that were held back arrive."""
+        applied = self.apply_late_writes()
         return web.json_response({"applied": applied.count(True), "refused": applied.count(False)})
 
     async def stats(self, request: web.Request) -> web.StreamResponse:
@@ -183,8 +194,15 @@
         )
 
 
+def make_server(
+    *, writes_per_s: float = 400, reads_per_s: float = 2000, history: int = 1000
+) -> ObjectStoreServer:
+    """Return the stand-in for a test's own loop; its faults and counts are at hand in it."""
+    return ObjectStoreServer(StoreState(history), writes_per_s, reads_per_s)
+
+
 def make_app(
     *, writes_per_s: float = 400, reads_per_s: float = 2000, history: int = 1000
 ) -> web.Application:
-    """Return the stand-in as an aiohttp application, for a process or for a test's own loop."""
-    return ObjectStoreServer(StoreState(history), writes_per_s, reads_per_s).app()
+    """Return the stand-in as an aiohttp application."""
+    return make_server(writes_per_s=writes_per_s, reads_per_s=reads_per_s, history=history).app()
--- a/standins/object_store/_faults.py
+++ b/standins/object_store/_faults.py
@@ -9,14 +9,15 @@
 class Faults:
     """What goes wrong now. A count is used up call by call; ``-1`` stands for every call.
 
-    ``mode`` is ``up``, ``refuse`` (503, marked as without effect), ``drop`` (the connection closes
-    without an answer and without effect) or ``hang`` (no answer until the mode changes).
-    ``lose_answers`` applies writes and closes the connection. ``late_writes`` closes the connection
-    first and applies the write only when ``/faults/apply-late`` is called.
+    ``mode`` is ``up``; ``refuse``: 503, marked as without effect; ``drop``: the connection closes
+    without an answer and without effect; ``error``: 500, without effect, unmarked; ``hang``:
+    no answer until the mode changes. ``lose_answers`` applies writes and closes the connection.
+    ``late_writes`` closes the connection first and applies the write only when
+    ``/faults/apply-late`` is called.
     """
 
     mode: str = attrs.field(
-        default="up", validator=attrs.validators.in_(["up", "refuse", "drop", "hang"])
+        default="up", validator=attrs.validators.in_(["up", "refuse", "drop", "error", "hang"])
     )
     slow_ms: float = 0
     lose_answers: int = 0
