--- /dev/null
+++ b/features/steps/bench_steps.py
@@ -0,0 +1,146 @@
+"""Steps for the load tool: each scenario runs its stand-in in the same event loop."""
+
+import asyncio
+import time
+from typing import Any
+
+from behave import given, then, when
+from bench.load import Attempt, Audit, Backends, OpenLoop, Outcome, PlannedCall, audit, play, tally
+from standins.backend import BackendServer, start_backend
+
+from marjoramtide.clock import ManualClock
+
+SERVICE = "mapdesk"
+
+
+def planned(count: int, method: str, *, spacing_s: float = 0.0) -> list[PlannedCall]:
+    """Return ``count`` calls; every second booking carries an idempotency key."""
+    label = "lookup" if method == "GET" else "booking"
+    return [
+        PlannedCall(
+            at_s=number * spacing_s,
+            request_id=f"{label}-{number}",
+            service=SERVICE,
+            label=label,
+            timeout_ms=5000,
+            method=method,
+            answer_bytes=1000,
+            body_bytes=0 if method == "GET" else 300,
+            key=f"key-{number}" if method == "POST" and number % 2 else "",
+        )
+        for number in range(count)
+    ]
+
+
+async def start(faults: dict[str, Any]) -> BackendServer:
+    server = await start_backend("127.0.0.1", 0, slots=50, service_ms=1)
+    server.set_faults(server.faults.updated(faults))
+    return server
+
+
+async def play_against(faults: dict[str, Any], calls: list[PlannedCall]) -> tuple[Any, Audit]:
+    server = await start(faults)
+    results = await play(calls, {SERVICE: [server.name]})
+    async with Backends([server.name]) as backends:
+        found = audit(results, *await backends.executions())
+    await server.close()
+    return results, found
+
+
+async def play_through_a_freeze(calls: list[PlannedCall]) -> tuple[Any, float, float]:
+    server = await start({"freeze": True})
+    began = time.monotonic()
+    playing = asyncio.create_task(play(calls, {SERVICE: [server.name]}, start=began))
+    for _ in range(400):
+        if sum(connection.task is not None for connection in server.connections) == len(calls):
+            break
+        await asyncio.sleep(0.01)
+    else:
+        raise AssertionError("the load tool did not send the whole plan")
+    thawed = time.monotonic()
+    server.set_faults(server.faults.updated({"freeze": False}))
+    results = await playing
+    await server.close()
+    return results, began, thawed
+
+
+@given('a load-tool backend server with the fault "{fault}" for every {kind}')
+def step_fault(context: Any, fault: str, kind: str) -> None:
+    context.faults = {fault: 1.0}
+
+
+@given("a load-tool backend server that is frozen")
+def step_frozen(context: Any) -> None:
+    context.faults = {"freeze": True}
+
+
+@when("the load tool makes {lookups:d} lookups and {bookings:d} bookings")
+def step_calls(context: Any, lookups: int, bookings: int) -> None:
+    calls = planned(lookups, "GET") + planned(bookings, "POST")
+    context.results, context.audit = asyncio.run(play_against(context.faults, calls))
+
+
+@when("the load tool plays {count:d} lookups and the server thaws when all have arrived")
+def step_freeze(context: Any, count: int) -> None:
+    calls = planned(count, "GET", spacing_s=0.005)
+    context.results, context.began, context.thawed = asyncio.run(play_through_a_freeze(calls))
+
+
+@then('the load tool counts {count:d} calls as "{outcome}"')
+def step_outcomes(context: Any, count: int, outcome: str) -> None:
+    whole = tally(context.results)[""]
+    assert dict(whole.outcomes) == {Outcome(outcome): count}, (whole.outcomes, whole.reasons)
+
+
+@then('the audit lists {count:d} requests as "{kind}"')
+def step_audit(context: Any, count: int, kind: str) -> None:
+    found = getattr(context.audit, kind)
+    assert len(found) == count, context.audit
+    assert not context.audit.clean
+
+
+@then("the audit counts {count:d} executions as wasted")
+def step_wasted(context: Any, count: int) -> None:
+    assert context.audit.wasted == count, context.audit
+
+
+@then("the audit finds no broken promise")
+def step_clean(context: Any) -> None:
+    assert context.audit.clean, context.audit
+
+
+@then("every latency spans from the planned time to the thaw")
+def step_spans(context: Any) -> None:
+    short = [
+        result
+        for result in context.results
+        if context.began + result.call.at_s + result.latency_ms / 1000 < context.thawed
+    ]
+    assert not short, short
+
+
+@given("an open loop on a manual clock with a call planned every 0.1 s for 1 s")
+def step_manual(context: Any) -> None:
+    context.clock = ManualClock()
+    context.calls = planned(10, "GET", spacing_s=0.1)
+
+
+@when("the clock jumps by 2 s at once and every answer takes no time")
+def step_jump(context: Any) -> None:
+    async def answer(call: PlannedCall) -> tuple[Attempt, ...]:
+        return (Attempt(call.request_id, Outcome.COMPLETED, 0.0),)
+
+    async def run() -> Any:
+        loop = OpenLoop(answer, context.clock)
+        start_s = context.clock.monotonic()
+        context.clock.advance(2.0)
+        async with asyncio.timeout(2):
+            return await loop.run(context.calls, start_s)
+
+    context.results = asyncio.run(run())
+
+
+@then("the latencies counted are the 2 s less each planned time")
+def step_counted(context: Any) -> None:
+    counted = [round(result.latency_ms) for result in context.results]
+    assert counted == [round(2000 - call.at_s * 1000) for call in context.calls], counted
--- a/standins/backend/_server.py
+++ b/standins/backend/_server.py
@@ -99,7 +99,7 @@
     async def run(self, request: Request, connection: Connection) -> None:
         """Execute: from here on the request counts as run, whatever becomes of its caller."""
         connection.begun_unsafe = not request.idempotent
-        key = request.headers.get("idempotency-key", "")
+        key = request.headers.get("idempotency-key", "").strip('"')
         for _ in range(2 if self.happens(self.faults.run_twice) else 1):
             self.ledger.began(request.request_id, key)
         self.ledger.peak = max(self.ledger.peak, self.slots.in_use)
