Add changes of the settings tree and how they come into force

A change asks every member first, then makes one conditional write; a lost answer is resolved by repeating the same write until its condition is answered. Nodes follow by watch, gossip and pull, and apply only a higher revision of the same lineage.

--- a/src/marjoramtide/settings/__init__.py
+++ b/src/marjoramtide/settings/__init__.py
@@ -4,6 +4,8 @@
 """
 
 from marjoramtide.settings._branch import Branch, parse_branch
+from marjoramtide.settings._edit import Edit, EditAction, parse_edits
+from marjoramtide.settings._editing import apply_edits, compare_trees, conflicting_branches
 from marjoramtide.settings._envelope import Envelope, RecentChange, decode_envelope
 from marjoramtide.settings._freshness import Freshness
 from marjoramtide.settings._level import Level
@@ -19,6 +21,8 @@
 __all__ = [
     "SCHEMA",
     "Branch",
+    "Edit",
+    "EditAction",
     "Envelope",
     "Freshness",
     "Level",
@@ -30,8 +34,12 @@
     "SettingsTree",
     "SettingsView",
     "TreeSettingsView",
+    "apply_edits",
+    "compare_trees",
+    "conflicting_branches",
     "decode_envelope",
     "load_node_settings",
     "parse_branch",
+    "parse_edits",
     "parse_tree",
 ]
--- /dev/null
+++ b/src/marjoramtide/settings/_edit.py
@@ -0,0 +1,55 @@
+"""One step of a change of the settings tree."""
+
+from enum import StrEnum
+from typing import Any
+
+import attrs
+import cattrs
+
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.settings._branch import Branch, parse_branch
+
+
+class EditAction(StrEnum):
+    """What an edit does: two act on a key, two on a whole branch."""
+
+    SET = "set"
+    UNSET = "unset"
+    CREATE = "create"
+    REMOVE = "remove"
+
+
+@attrs.frozen(slots=True)
+class Edit:
+    """Set or unset ``key`` in a branch, or create or remove the branch itself.
+
+    ``path`` is a branch such as ``/services/mapdesk``; a removed branch takes all inside it along.
+    """
+
+    action: EditAction
+    path: str
+    key: str = ""
+    value: Any = None
+
+    @property
+    def branch(self) -> Branch:
+        return parse_branch(self.path)
+
+    def __str__(self) -> str:
+        if self.action is EditAction.SET:
+            return f"set {self.path} {self.key} = {self.value!r}"
+        return " ".join(part for part in (self.action, self.path, self.key) if part)
+
+
+def parse_edits(raw: Any) -> list[Edit]:
+    """Read edits from plain maps, as they come from operators and other nodes."""
+    try:
+        edits = cattrs.structure(raw, list[Edit])
+    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
+        reasons = "; ".join(cattrs.transform_error(error))
+        raise MarjoramtideError(
+            ErrorCode.BAD_REQUEST, f"not a list of edits: {reasons}", step="settings.edit"
+        ) from error
+    for edit in edits:
+        parse_branch(edit.path)
+    return edits
--- a/src/marjoramtide/settings/_number_key.py
+++ b/src/marjoramtide/settings/_number_key.py
@@ -19,7 +19,7 @@
     @property
     def allowed(self) -> str:
         kind = "a number" if self.fraction else "a whole number"
-        return f"{kind} from {self.minimum:,g} to {self.maximum:,g}".replace(",", "")
+        return f"{kind} from {self.minimum} to {self.maximum}"
 
     def accepts(self, value: Any) -> bool:
         if isinstance(value, bool) or not isinstance(value, int | float):
--- /dev/null
+++ b/src/marjoramtide/settings/sync/__init__.py
@@ -0,0 +1,20 @@
+"""Settings between the nodes and the store: changes, and how they come into force."""
+
+from marjoramtide.settings.sync._change_outcome import ChangeOutcome
+from marjoramtide.settings.sync._change_request import ChangeRequest
+from marjoramtide.settings.sync._progress import Progress, Report
+from marjoramtide.settings.sync._service import SettingsService, make_settings_service
+from marjoramtide.settings.sync._tree_store import HISTORY_PREFIX, TREE_KEY
+from marjoramtide.settings.sync._watchers import choose_watchers
+
+__all__ = [
+    "HISTORY_PREFIX",
+    "TREE_KEY",
+    "ChangeOutcome",
+    "ChangeRequest",
+    "Progress",
+    "Report",
+    "SettingsService",
+    "choose_watchers",
+    "make_settings_service",
+]
--- /dev/null
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -0,0 +1,204 @@
+"""Keeps one node's settings level with what is in force."""
+
+import asyncio
+import random
+
+import attrs
+import structlog
+
+from marjoramtide.clock import Clock
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.membership import Directory, Member
+from marjoramtide.settings._envelope import decode_envelope
+from marjoramtide.settings._freshness import Freshness
+from marjoramtide.settings._tree_view import TreeSettingsView
+from marjoramtide.settings.sync._adopter import Adopter
+from marjoramtide.settings.sync._backoff import backoff
+from marjoramtide.settings.sync._peer_settings import PeerSettings
+from marjoramtide.settings.sync._tree_store import TREE_KEY, TreeStore
+from marjoramtide.settings.sync._watchers import choose_watchers
+
+CHECKS_IN_BOUND = 4
+CATCH_UP_PEERS = 3
+LONELY_ROUNDS = 3
+WATCH_WAIT_S = 30.0
+ROLE_CHECK_S = 1.0
+PULL_MOST_S = 5.0
+
+log = structlog.get_logger()
+
+
+@attrs.define(slots=True)
+class Follower:
+    """Three loops: catch up and stay fresh, watch the store where chosen, pull what gossip names.
+
+    ``lonely_rounds`` counts rounds in which only nodes answered that can't know what is in force
+    either.
+    """
+
+    view: TreeSettingsView
+    adopter: Adopter
+    trees: TreeStore
+    peers: PeerSettings
+    directory: Directory
+    clock: Clock
+    rng: random.Random
+    lonely_rounds: int = 0
+    gossiped: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @property
+    def freshness(self) -> Freshness:
+        return self.view.freshness
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.stay_fresh())
+            tasks.create_task(self.watch())
+            tasks.create_task(self.pull_gossiped())
+
+    def member_changed(self, member: Member) -> None:
+        """Take note of a member that reports more than this node has."""
+        if member.revision > self.view.revision:
+            self.gossiped.set()
+
+    # Staying fresh
+
+    async def stay_fresh(self) -> None:
+        """Ask someone several times within the bound; while not current, at short intervals."""
+        waits = backoff(self.rng)
+        while True:
+            if await self.check():
+                waits = backoff(self.rng)
+                wait = self.freshness.bound_s / CHECKS_IN_BOUND
+                await self.clock.sleep(wait * (0.75 + self.rng.random() / 4))
+            else:
+                await self.clock.sleep(next(waits))
+
+    async def check(self) -> bool:
+        """Make one round of questions; return whether this node has caught up by it.
+
+        While fresh, one peer is asked and the store only if that fails. A node that isn't current
+        (at start, cut off, frozen) asks the store and several peers, those first that report most.
+        """
+        asked_at = self.clock.monotonic()
+        was_current = self.view.is_current
+        if was_current and await self._ask_peers(1, asked_at):
+            return True
+        if await self._ask_store(asked_at):
+            return True
+        return not was_current and await self._ask_peers(CATCH_UP_PEERS, asked_at)
+
+    async def _ask_store(self, asked_at: float) -> bool:
+        try:
+            stored = await self.trees.read()
+        except MarjoramtideError as error:
+            log.info("settings.store", error=str(error), code=error.code)
+            return False
+        if stored is None:
+            # No tree: true of a fleet that has none yet, but also what a stale read says. Where
+            # anyone reports a revision, the answer is taken from the peers.
+            level = self.view.revision == 0 and not self.peers.ahead(0)
+        else:
+            level = self.adopter.adopt(stored.envelope, "store")
+            # An answer older than what is in force here is a stale one: it proves nothing.
+            level = level and stored.envelope.revision >= self.view.revision
+        if level:
+            self._caught_up(asked_at)
+        return level
+
+    async def _ask_peers(self, count: int, asked_at: float) -> bool:
+        ahead = self.peers.ahead(self.view.revision)
+        known = {member.node for member in ahead}
+        others = [member for member in self.peers.others() if member.node not in known]
+        answers = await self.peers.pull_from([*ahead, *others][:count], self.view.revision)
+        level = [
+            answer
+            for answer in answers
+            if answer.envelope is None or self.adopter.adopt(answer.envelope, answer.node)
+        ]
+        if any(answer.current for answer in level):
+            self._caught_up(asked_at)
+            return True
+        return bool(level) and self._lonely(asked_at)
+
+    def _lonely(self, asked_at: float) -> bool:
+        """Take answers of nodes that aren't current themselves, after several rounds of them.
+
+        A node that was frozen must not be told that all is well by another that was frozen with it,
+        so one such answer isn't enough. But where a whole region was stopped, or started while the
+        store is down, nobody is current, and waiting for someone who is would never end: after
+        several rounds, each with other peers, the region goes on with the highest revision it has.
+        """
+        self.lonely_rounds += 1
+        if self.view.is_current or self.lonely_rounds < LONELY_ROUNDS or not self.view.revision:
+            return False
+        log.warning("settings.nobody_current", revision=self.view.revision)
+        self._caught_up(asked_at)
+        return True
+
+    def _caught_up(self, asked_at: float) -> None:
+        self.lonely_rounds = 0
+        self.freshness.caught_up(asked_at)
+
+    # Watching the store
+
+    def is_watcher(self) -> bool:
+        """Tell whether this node is one of those of its data centre that watch the store."""
+        here = self.directory.self_member
+        neighbours = [
+            member
+            for member in self.directory.members()
+            if (member.region, member.data_centre) == (here.region, here.data_centre)
+        ]
+        return here.node in choose_watchers(neighbours, self.view.node_values["watchers"])
+
+    async def watch(self) -> None:
+        """Watch the store while chosen; the choice is looked at again after each watch."""
+        waits = backoff(self.rng)
+        while True:
+            if not self.is_watcher():
+                await self.clock.sleep(ROLE_CHECK_S)
+                continue
+            try:
+                await self.watch_once()
+                waits = backoff(self.rng)
+            except MarjoramtideError as error:
+                log.info("settings.watch", error=str(error), code=error.code)
+                await self.clock.sleep(next(waits))
+
+    async def watch_once(self) -> None:
+        """Read the tree, then take changes as they come until the watch ends.
+
+        Each watch begins with a read, so that what a watch missed without saying so (a lapsed one,
+        or a gap in its history) is missed for one watch at most.
+        """
+        stored = await self.trees.read()
+        if stored:
+            self.adopter.adopt(stored.envelope, "store")
+        since = stored.version if stored else 0
+        try:
+            async for event in self.trees.store.watch(TREE_KEY, since, wait=WATCH_WAIT_S):
+                if event.stored and event.key == TREE_KEY:
+                    self.adopter.adopt(decode_envelope(event.stored.value), "watch")
+        except MarjoramtideError as error:
+            if error.code is not ErrorCode.NOT_FOUND:
+                raise
+            log.info("settings.watch_gap", since=since)
+
+    # Pulling what gossip names
+
+    async def pull_gossiped(self) -> None:
+        """Pull from a peer whenever gossip tells of a higher revision."""
+        while True:
+            await self.gossiped.wait()
+            self.gossiped.clear()
+            for wait in backoff(self.rng, most_s=PULL_MOST_S):
+                ahead = self.peers.ahead(self.view.revision)
+                if not ahead:
+                    break
+                for answer in await self.peers.pull_from(ahead[:1], self.view.revision):
+                    if answer.envelope:
+                        self.adopter.adopt(answer.envelope, answer.node)
+                if self.peers.ahead(self.view.revision):
+                    await self.clock.sleep(wait)
--- /dev/null
+++ b/src/marjoramtide/settings/sync/_peer_settings.py
@@ -0,0 +1,128 @@
+"""Settings questions between nodes."""
+
+import asyncio
+import random
+import zlib
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.membership import Directory, Member, MemberState
+from marjoramtide.peers import ControlChannel
+from marjoramtide.settings._edit import Edit
+from marjoramtide.settings._envelope import Envelope, decode_envelope
+
+PULL = "settings.pull"
+PREPARE = "settings.prepare"
+ASK_TIMEOUT_S = 2.0
+PREPARED_AT_ONCE = 32
+
+
+@attrs.frozen(slots=True)
+class PeerAnswer:
+    """What a peer has in force; ``envelope`` only where that is newer than what was asked with.
+
+    ``current`` is what the peer says of itself: whether it can know what is in force.
+    """
+
+    node: str
+    revision: int
+    current: bool
+    envelope: Envelope | None = None
+
+
+@attrs.define(slots=True)
+class PeerSettings:
+    """Asks other nodes for their settings, and whether they can read a change."""
+
+    directory: Directory
+    channel: ControlChannel
+    rng: random.Random
+
+    def others(self) -> list[Member]:
+        """Return the other members that may answer, in random order, suspects last."""
+        own = self.directory.self_member.node
+        found = [member for member in self.directory.members() if member.node != own]
+        self.rng.shuffle(found)
+        return sorted(found, key=lambda member: member.state is MemberState.SUSPECT)
+
+    def ahead(self, revision: int) -> list[Member]:
+        """Return the others that report more than ``revision``, those of this place first."""
+        here = self.directory.self_member
+        found = [member for member in self.others() if member.revision > revision]
+        return sorted(
+            found,
+            key=lambda member: (
+                member.region != here.region,
+                member.data_centre != here.data_centre,
+            ),
+        )
+
+    async def pull(self, member: Member, have: int) -> PeerAnswer:
+        """Ask one member for what it has beyond revision ``have``."""
+        raw = await self.channel.ask(
+            member.peer_address, PULL, {"have": have}, timeout=ASK_TIMEOUT_S
+        )
+        return decode_answer(member, raw)
+
+    async def pull_from(self, members: Iterable[Member], have: int) -> list[PeerAnswer]:
+        """Ask several members at once; return the answers that came."""
+        found = await asyncio.gather(
+            *(self.pull(member, have) for member in members), return_exceptions=True
+        )
+        for failure in found:
+            if isinstance(failure, BaseException) and not isinstance(failure, MarjoramtideError):
+                raise failure
+        return [answer for answer in found if isinstance(answer, PeerAnswer)]
+
+    async def refusals(self, edits: Iterable[Edit], lineage: str) -> dict[str, str]:
+        """Ask every member that isn't known dead or leaving whether it can take the edits.
+
+        Returns, for each member that can't or doesn't answer, its identity and the reason.
+        """
+        body = {"edits": [attrs.asdict(edit) for edit in edits], "lineage": lineage}
+        gate = asyncio.Semaphore(PREPARED_AT_ONCE)
+
+        async def ask(member: Member) -> str:
+            async with gate:
+                try:
+                    answer = await self.channel.ask(
+                        member.peer_address, PREPARE, body, timeout=ASK_TIMEOUT_S
+                    )
+                except MarjoramtideError as error:
+                    return str(error)
+                return str(answer.get("reason", ""))
+
+        asked = [member for member in self.others() if member.state is not MemberState.LEAVING]
+        reasons = await asyncio.gather(*(ask(member) for member in asked))
+        return {
+            member.node: reason for member, reason in zip(asked, reasons, strict=True) if reason
+        }
+
+
+def encode_answer(envelope: Envelope | None, have: int, current: bool) -> dict[str, Any]:
+    """Return the answer to a pull, with the envelope where the asker's revision is older."""
+    revision = envelope.revision if envelope else 0
+    newer = envelope is not None and revision > have
+    return {
+        "revision": revision,
+        "current": current,
+        "envelope": zlib.compress(envelope.encode()) if envelope and newer else b"",
+    }
+
+
+def decode_answer(member: Member, raw: dict[str, Any]) -> PeerAnswer:
+    """Read the answer to a pull; raises ``bad-frame`` where it isn't one."""
+    try:
+        packed = raw["envelope"]
+        envelope = decode_envelope(zlib.decompress(packed)) if packed else None
+        return PeerAnswer(member.node, int(raw["revision"]), raw["current"] is True, envelope)
+    except (KeyError, TypeError, ValueError, zlib.error) as error:
+        raise MarjoramtideError(
+            ErrorCode.BAD_FRAME,
+            f"not an answer to {PULL}: {error!r}",
+            step=PULL,
+            peer=member.peer_address,
+        ) from error
--- /dev/null
+++ b/src/marjoramtide/settings/sync/_service.py
@@ -0,0 +1,127 @@
+"""The settings part of a node."""
+
+import asyncio
+import random
+from typing import Any
+
+import attrs
+
+from marjoramtide.clock import Clock
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.membership import Directory
+from marjoramtide.peers import ControlChannel
+from marjoramtide.platform import ObjectStore
+from marjoramtide.settings._edit import EditAction, parse_edits
+from marjoramtide.settings._envelope import Envelope
+from marjoramtide.settings._freshness import Freshness
+from marjoramtide.settings._node_settings import NodeSettings
+from marjoramtide.settings._place import Place
+from marjoramtide.settings._tree import check_value
+from marjoramtide.settings._tree_view import TreeSettingsView
+from marjoramtide.settings.sync._adopter import Adopter
+from marjoramtide.settings.sync._change_maker import ChangeMaker
+from marjoramtide.settings.sync._change_outcome import ChangeOutcome
+from marjoramtide.settings.sync._change_request import ChangeRequest
+from marjoramtide.settings.sync._follower import Follower
+from marjoramtide.settings.sync._peer_settings import (
+    PREPARE,
+    PULL,
+    PeerSettings,
+    encode_answer,
+)
+from marjoramtide.settings.sync._progress import Progress, Report
+from marjoramtide.settings.sync._tree_store import TreeStore
+
+
+def _silent(_: Progress) -> None:
+    """Report to nobody."""
+
+
+@attrs.define(slots=True)
+class SettingsService:
+    """Keeps the view level with the tree in force, answers other nodes, and makes changes.
+
+    For example::
+
+        service = make_settings_service(node_settings, store, directory, channel, SystemClock())
+        task = asyncio.create_task(service.run())
+        service.view.route("mapdesk", "/tiles/7").timeout_ms
+    """
+
+    view: TreeSettingsView
+    follower: Follower
+    maker: ChangeMaker
+    changes: set["asyncio.Task[ChangeOutcome]"] = attrs.field(factory=set)
+
+    async def run(self) -> None:
+        """Follow the tree until cancelled."""
+        try:
+            await self.follower.run()
+        finally:
+            for change in self.changes:
+                change.cancel()
+
+    async def change(self, request: ChangeRequest, report: Report = _silent) -> ChangeOutcome:
+        """Make a change; see ``ChangeMaker.make`` for what it raises.
+
+        The change goes on when the operator's connection breaks: given up half-way, a write whose
+        answer was lost would stay unresolved. Asking again with the same change id tells its end.
+        """
+        task = asyncio.create_task(self.maker.make(request, report))
+        self.changes.add(task)
+        task.add_done_callback(self.changes.discard)
+        return await asyncio.shield(task)
+
+    async def envelope_at(self, revision: int) -> Envelope:
+        """Return an earlier revision; raises ``not-found`` or what the store raises."""
+        found = await self.maker.envelope_at(revision)
+        if found is None:
+            raise MarjoramtideError(
+                ErrorCode.NOT_FOUND, "there is no revision 0", step="settings.history"
+            )
+        return found
+
+    async def answer_pull(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Answer another node that asks what is in force here."""
+        return encode_answer(self.view.envelope, int(body.get("have", 0)), self.view.is_current)
+
+    async def answer_prepare(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Answer whether this node can read a change, with the reason where it can't."""
+        envelope = self.view.envelope
+        if envelope and body.get("lineage") != envelope.lineage:
+            return {"reason": f"follows another tree, of lineage {envelope.lineage}"}
+        try:
+            edits = parse_edits(body.get("edits"))
+        except MarjoramtideError as error:
+            return {"reason": error.message}
+        problems = [
+            problem
+            for edit in edits
+            if edit.action is EditAction.SET
+            for problem in check_value(edit.branch, edit.key, edit.value)
+        ]
+        return {"reason": "; ".join(problems)}
+
+
+def make_settings_service(
+    node_settings: NodeSettings,
+    store: ObjectStore,
+    directory: Directory,
+    control_channel: ControlChannel,
+    clock: Clock,
+    rng: random.Random | None = None,
+) -> SettingsService:
+    """Return the settings part of the node that ``node_settings`` describes."""
+    rng = rng or random.Random()
+    place = Place(node_settings.region, node_settings.data_centre)
+    view = TreeSettingsView(place, Freshness(clock))
+    trees = TreeStore(store, clock, rng)
+    peers = PeerSettings(directory, control_channel, rng)
+    adopter = Adopter(view, directory)
+    follower = Follower(view, adopter, trees, peers, directory, clock, rng)
+    maker = ChangeMaker(view, adopter, trees, peers, directory, clock)
+    service = SettingsService(view, follower, maker)
+    control_channel.answer(PULL, service.answer_pull)
+    control_channel.answer(PREPARE, service.answer_prepare)
+    directory.on_change(follower.member_changed)
+    return service
