--- a/src/marjoramtide/daemon/__init__.py
+++ b/src/marjoramtide/daemon/__init__.py
@@ -1,1 +1,1 @@
-"""TODO"""
+"""The node as a process."""
--- /dev/null
+++ b/src/marjoramtide/daemon/_node.py
@@ -0,0 +1,215 @@
+"""One node: its parts, their start and their planned stop."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+import structlog
+
+from marjoramtide.claims import make_claims
+from marjoramtide.clock import FreezeDetector, SystemClock
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.ingress import Dispatcher, Ingress
+from marjoramtide.membership import Member, MemberState, make_membership
+from marjoramtide.peers import PeerClient, PeerControlChannel, PeerServer
+from marjoramtide.platform import open_object_store
+from marjoramtide.serving import (
+    AiohttpTransport,
+    BackendState,
+    ClaimGate,
+    Measurer,
+    ServingService,
+)
+from marjoramtide.settings import NodeSettings, parse_address
+from marjoramtide.settings.sync import make_settings_service
+from marjoramtide.telemetry import Metrics, Tracer
+
+log = structlog.get_logger()
+
+# Connections to the backend server are bounded by its slots; this bounds them where slots are many.
+MAX_CONNECTIONS = 1000
+LEAVE_PAUSE_S = 0.3
+
+
+class Node:
+    """Owns the parts of a node; each part owns its sockets and its state."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self.settings = settings
+        self.clock = SystemClock()
+        rng = random.Random()
+        self.store = open_object_store(settings.store, clock=self.clock, rng=rng)
+        self.freeze = FreezeDetector(self.clock)
+        self.membership = make_membership(
+            settings, self.store, self.clock, random.SystemRandom()
+        )
+        self.name = self.membership.self_member.node
+        self.metrics = Metrics(settings.statsd)
+        self.tracer = Tracer(self.name, self.clock, rng)
+        self.transport = AiohttpTransport(settings.backend, MAX_CONNECTIONS)
+        self.claims = make_claims(self.store, self.clock, self.name)
+        self.peer_client = PeerClient(settings.key, self.clock)
+        self.peer_server = PeerServer(settings.key, self.clock, self.freeze)
+        control = PeerControlChannel(self.peer_client, self.peer_server)
+        self.settings_service = make_settings_service(
+            settings, self.store, self.membership, control, self.clock, rng
+        )
+        self.view = self.settings_service.view
+        self.claim_gate = ClaimGate(self.claims, self.view, self.clock)
+        self.serving = ServingService(
+            settings.service,
+            self.transport,
+            self.claim_gate,
+            self.clock,
+            self.metrics,
+            self.tracer,
+        )
+        self.peer_server.handler = self.serving
+        self.measurer = Measurer(self.transport, self.clock, self.metrics, self.backend_changed)
+        self.serving.measurer = self.measurer
+        self.dispatcher = Dispatcher(
+            self.membership,
+            self.view,
+            self.serving,
+            self.peer_client,
+            self.clock,
+            rng,
+            self.metrics,
+            self.tracer,
+        )
+        self.ingress = Ingress(
+            self.name,
+            self.view,
+            self.dispatcher,
+            self.clock,
+            self.freeze,
+            self.metrics,
+            self.tracer,
+        )
+        self.backend_state = BackendState.DOWN
+        self.drained_by_operator = False
+        self.stopping = False
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.view.on_change(self.settings_changed)
+        self.membership.on_change(self.member_changed)
+
+    async def start(self) -> None:
+        """Open every port and begin every task."""
+        settings = self.settings
+        try:
+            await self.peer_server.start(*parse_address(settings.peers))
+            await self.membership.start()
+            await self.ingress.start(*parse_address(settings.callers))
+        except OSError as error:
+            raise MarjoramtideError(
+                ErrorCode.BAD_SETTINGS, f"can't listen: {error}", step="daemon.start"
+            ) from error
+        for work in (
+            self.freeze.run(),
+            self.settings_service.run(),
+            self.measurer.run(),
+            self.metrics.run(),
+            self.claims.run(),
+        ):
+            self.spawn(work)
+        log.info("daemon.started", callers=settings.callers, peers=settings.peers)
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run a task of the node for as long as the node runs."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.task_ended)
+
+    def task_ended(self, task: "asyncio.Task[Any]") -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error(
+                "daemon.task_failed",
+                code=ErrorCode.INTERNAL,
+                task=repr(task.get_coro()),
+                exc_info=task.exception(),
+            )
+
+    def settings_changed(self, revision: int) -> None:
+        """Put a new revision of the shared settings into force in this node's own parts."""
+        try:
+            settings = self.view.route(self.settings.service, "/")
+        except MarjoramtideError as error:
+            log.warning("daemon.no_service", code=error.code, reason=error.message)
+            return
+        self.serving.open(settings)
+        self.measurer.configure(settings)
+        self.update_state()
+        log.info("settings.in_force", revision=revision)
+
+    def backend_changed(self, state: BackendState) -> None:
+        self.backend_state = state
+        self.update_state()
+
+    def drain(self, drained: bool) -> None:
+        """Stop or resume taking new work, on an operator's word."""
+        self.drained_by_operator = drained
+        self.update_state()
+
+    def update_state(self) -> None:
+        """Tell the admission and the other nodes whether this one takes new work.
+
+        The admission rejects at once, whatever the others still believe, so a leaving backend
+        server gets nothing new however slowly the word spreads.
+        """
+        opened = self.serving.admission is not None
+        accepting = (
+            opened
+            and self.backend_state is BackendState.READY
+            and not self.drained_by_operator
+            and not self.stopping
+        )
+        self.serving.set_accepting(accepting)
+        if self.stopping:
+            state = MemberState.LEAVING
+        elif accepting:
+            state = MemberState.READY
+        else:
+            state = MemberState.DRAINING if opened else MemberState.STARTING
+        if state is not self.membership.self_member.state:
+            log.info("daemon.state", state=state, backend=self.backend_state)
+            self.membership.set_state(state)
+
+    def member_changed(self, member: Member) -> None:
+        """Close the connections to a node that is known to be dead."""
+        if member.state is MemberState.DEAD:
+            self.spawn(self.peer_client.drop(member.peer_address))
+
+    async def stop(self) -> None:
+        """Refuse what is new, finish what is in progress, then leave."""
+        log.info("daemon.stopping", in_progress=len(self.serving.in_progress))
+        self.stopping = True
+        self.ingress.stopping = True
+        self.update_state()
+        try:
+            async with asyncio.timeout(self.settings.stop_grace_s):
+                # Requests that others sent before they heard still get a "not run" in place of a
+                # broken connection, which would be an unknown outcome to a booking.
+                await asyncio.sleep(LEAVE_PAUSE_S)
+                await self.ingress.idle.wait()
+                await self.serving.idle.wait()
+                await self.peer_server.drained()
+                await self.claim_gate.finish()
+        except TimeoutError:
+            log.warning("daemon.stop_cut", code=ErrorCode.DEADLINE, after_s=self.settings.stop_grace_s)
+        await self.membership.stop()
+        await self.ingress.close()
+        await self.close()
+        log.info("daemon.stopped")
+
+    async def close(self) -> None:
+        """End all tasks and close all sockets."""
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.peer_server.close()
+        await self.peer_client.close()
+        await self.serving.close()
+        await self.store.close()
--- /dev/null
+++ b/src/marjoramtide/daemon/main.py
@@ -0,0 +1,63 @@
+"""The node's process: ``marjoramtided --settings FILE [--check]``."""
+
+import argparse
+import asyncio
+import gc
+import signal
+import sys
+
+import structlog
+
+from marjoramtide.daemon._node import Node
+from marjoramtide.errors import MarjoramtideError
+from marjoramtide.settings import NodeSettings, load_node_settings
+from marjoramtide.telemetry import configure_logs
+
+log = structlog.get_logger()
+
+BAD_SETTINGS_STATUS = 2
+
+
+async def run(settings: NodeSettings) -> None:
+    """Run a node until SIGTERM or SIGINT, then stop it as planned."""
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    node = Node(settings)
+    try:
+        await node.start()
+    except BaseException:
+        await node.close()
+        raise
+    # What lives since the start is never garbage; scanning it again and again costs tail latency.
+    gc.collect()
+    gc.freeze()
+    await stop.wait()
+    await node.stop()
+
+
+def main() -> int:
+    """Read the settings and run; exit status 2 for settings that can't be used."""
+    parser = argparse.ArgumentParser(prog="marjoramtided", description=__doc__)
+    parser.add_argument("--settings", required=True, metavar="FILE", help="this node's TOML file")
+    parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    options = parser.parse_args()
+    try:
+        settings = load_node_settings(options.settings)
+        if options.check:
+            print(f"{options.settings}: ok")
+            return 0
+        configure_logs(
+            settings.log_level,
+            node_name=settings.name or settings.peers,
+            data_centre=settings.data_centre,
+        )
+        asyncio.run(run(settings))
+    except MarjoramtideError as error:
+        print(str(error), file=sys.stderr)
+        return BAD_SETTINGS_STATUS
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/marjoramtide/errors/_codes.py
+++ b/src/marjoramtide/errors/_codes.py
@@ -30,6 +30,7 @@
     TRUNCATED = "truncated"
     CANCELLED = "cancelled"
     DUPLICATE_KEY = "duplicate-key"
+    KEY_REUSED = "key-reused"
     STORE_UNAVAILABLE = "store-unavailable"
     STORE_THROTTLED = "store-throttled"
     STORE_AMBIGUOUS = "store-ambiguous"
--- a/src/marjoramtide/ingress/_refusal.py
+++ b/src/marjoramtide/ingress/_refusal.py
@@ -14,7 +14,7 @@
     ErrorCode.DEPTH_EXCEEDED: (508, "proxy_loop_detected"),
     ErrorCode.BODY_TOO_LARGE: (413, "http_request_error"),
     ErrorCode.HEAD_TOO_LARGE: (431, "http_request_error"),
-    ErrorCode.DUPLICATE_KEY: (409, "http_request_denied"),
+    ErrorCode.KEY_REUSED: (422, "http_request_denied"),
     ErrorCode.OVERLOADED: (503, "connection_limit_reached"),
     ErrorCode.DEADLINE: (503, "connection_limit_reached"),
     ErrorCode.DRAINING: (503, "destination_unavailable"),
--- a/src/marjoramtide/peers/_server.py
+++ b/src/marjoramtide/peers/_server.py
@@ -17,6 +17,8 @@
 
 log = structlog.get_logger()
 
+DRAIN_POLL_S = 0.02
+
 # What the library says of broken handshakes is told in our own log, with a code.
 quiet = logging.getLogger("marjoramtide.peers.websockets")
 quiet.setLevel(logging.CRITICAL)
@@ -25,11 +27,9 @@
 class PeerServer:
     """Accepts connections of nodes that hold the fleet's key."""
 
-    def __init__(
-        self, key: str, handler: RequestHandler, clock: Clock, freeze: FreezeDetector
-    ) -> None:
+    def __init__(self, key: str, clock: Clock, freeze: FreezeDetector) -> None:
         self.key = key
-        self.handler = handler
+        self.handler: RequestHandler | None = None
         self.clock = clock
         self.freeze = freeze
         self.questions: dict[str, QuestionHandler] = {}
@@ -68,6 +68,7 @@
             log.warning("peers.refused", code=ErrorCode.BAD_KEY, peer=peer, reason="no handshake")
             await socket.close(1008, "refused")
             return
+        assert self.handler is not None
         session = Session(socket, peer, self.handler, self.questions, self.clock, self.freeze)
         self.sessions.add(session)
         try:
@@ -75,6 +76,11 @@
         finally:
             self.sessions.discard(session)
 
+    async def drained(self) -> None:
+        """Wait until no request of a peer is in progress, its answer's last byte included."""
+        while any(session.served for session in self.sessions):
+            await asyncio.sleep(DRAIN_POLL_S)
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         if self.server is not None:
--- /dev/null
+++ b/src/marjoramtide/serving/_claim_gate.py
@@ -0,0 +1,155 @@
+"""Dispatch of requests with an idempotency key."""
+
+import asyncio
+import hashlib
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import structlog
+
+from marjoramtide.claims import (
+    ClaimHandle,
+    ClaimOutcome,
+    ClaimRecord,
+    ClaimResult,
+    Claims,
+    ClaimState,
+    ConflictReason,
+)
+from marjoramtide.clock import Clock
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.exchange import Answer, NotRunError, Request, UnknownOutcomeError
+from marjoramtide.serving._execution import Execution
+from marjoramtide.settings import SettingsView
+
+log = structlog.get_logger()
+
+STEP = "serving.claim"
+# Answers given from the record of an earlier try carry this header.
+REPLAYED = ("Idempotency-Replayed", "true")
+
+
+class ClaimGate:
+    """Sends a request only under a claim, and records how it ended.
+
+    A booking that is sent again with its key, through whatever node, then runs at most once within
+    the retention: the claim is made before the dispatch, by a conditional write.
+    """
+
+    def __init__(self, claims: Claims, view: SettingsView, clock: Clock) -> None:
+        self.claims = claims
+        self.view = view
+        self.clock = clock
+        self.background: set[asyncio.Task[Any]] = set()
+
+    async def send(
+        self, execution: Execution, dispatch: Callable[[Execution], Awaitable[Answer]]
+    ) -> Answer:
+        """Claim, dispatch and record; raises as ``RequestHandler.handle``."""
+        request = execution.request
+        settings = self.view.route(request.service, request.target)
+        try:
+            result = await self.claims.acquire(
+                request.service, request.key, digest(execution), settings, request.deadline
+            )
+        except MarjoramtideError as error:
+            raise NotRunError(error.code, error.message, step=STEP) from error
+        if not result.may_run:
+            return self.answer_without_running(result)
+        if result.handle is None:
+            log.warning("serving.unclaimed", reason=result.detail, service=request.service)
+            return await dispatch(execution)
+        return await self.send_claimed(execution, result.handle, dispatch)
+
+    async def send_claimed(
+        self,
+        execution: Execution,
+        handle: ClaimHandle,
+        dispatch: Callable[[Execution], Awaitable[Answer]],
+    ) -> Answer:
+        if not handle.may_dispatch(self.clock.monotonic()):
+            # A node that was stopped between claim and dispatch must not act on a claim that may
+            # have ended meanwhile; it has sent nothing, so the key is given back.
+            await self.claims.release(handle)
+            raise NotRunError(ErrorCode.DEADLINE, "the claim is too old to act on", step=STEP)
+        try:
+            answer = await dispatch(execution)
+        except NotRunError:
+            # Awaited: the next node's claim would otherwise meet this one and call it a duplicate.
+            await self.claims.release(handle)
+            raise
+        except BaseException:
+            if execution.begun:
+                self.spawn(self.claims.record(handle, ClaimState.UNKNOWN))
+            else:
+                self.spawn(self.claims.release(handle))
+            raise
+        body = answer.body if answer.stream is None else None
+        self.spawn(
+            self.claims.record(handle, ClaimState.COMPLETED, answer.status, answer.headers, body)
+        )
+        return answer
+
+    def answer_without_running(self, result: ClaimResult) -> Answer:
+        """Return the recorded answer, or raise what keeps the request from running."""
+        if result.outcome is ClaimOutcome.RECORDED and result.record is not None:
+            return recorded_answer(result.record)
+        if result.outcome is ClaimOutcome.UNAVAILABLE:
+            raise NotRunError(
+                ErrorCode.STORE_UNAVAILABLE,
+                "the key could not be claimed",
+                step=STEP,
+                retry_after_ms=result.retry_after_ms,
+            )
+        if result.reason is ConflictReason.OTHER_REQUEST:
+            raise NotRunError(
+                ErrorCode.KEY_REUSED,
+                "the key was used with another request",
+                step=STEP,
+                retry_after_ms=0,
+            )
+        raise duplicate(result.retry_after_ms)
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run beside the request: its answer need not wait for the record."""
+        task = asyncio.create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    async def finish(self) -> None:
+        """Wait for the records on their way, for a planned stop."""
+        await asyncio.gather(*self.background, return_exceptions=True)
+        await self.claims.settle(2.0)
+
+
+def recorded_answer(record: ClaimRecord) -> Answer:
+    """Return the answer of the request that ran with this key."""
+    if record.state is not ClaimState.COMPLETED:
+        raise duplicate(None)
+    if record.body is None:
+        text = f"completed earlier with status {record.status}; its answer was not kept\n".encode()
+        return Answer(409, (REPLAYED, ("Content-Type", "text/plain")), text, length=len(text))
+    headers = (*record.headers, REPLAYED)
+    return Answer(record.status, headers, record.body, length=len(record.body))
+
+
+def duplicate(retry_after_ms: int | None) -> UnknownOutcomeError:
+    """Return the error for a key under which another try runs, or ended unknown.
+
+    It is "unknown" to the caller, whose booking may have run by that other try.
+    """
+    return UnknownOutcomeError(
+        ErrorCode.DUPLICATE_KEY,
+        "a request with this key is in progress or ended unknown",
+        step=STEP,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def digest(execution: Execution) -> str:
+    """Return what tells apart requests that use one key; a streamed body counts by its length."""
+    request: Request = execution.request
+    body = execution.body.inline
+    content = str(execution.body.length).encode() if body is None else body
+    parts = (request.method.encode(), request.target.encode(), content)
+    return hashlib.blake2b(b"\0".join(parts), digest_size=16).hexdigest()
--- /dev/null
+++ b/src/marjoramtide/serving/_measurer.py
@@ -0,0 +1,107 @@
+"""Reads the backend server's health endpoint, within its budget."""
+
+import json
+from collections.abc import Callable
+
+import aiohttp
+import structlog
+
+from marjoramtide.clock import Clock
+from marjoramtide.policy import MeasuringBudget
+from marjoramtide.serving._backend_state import BackendState
+from marjoramtide.serving._backend_transport import BackendTransport
+from marjoramtide.settings import RouteSettings
+from marjoramtide.telemetry import Metrics
+
+log = structlog.get_logger()
+
+READ_TIMEOUT_S = 1.0
+FAILED_READS = 2
+MAX_WAIT_S = 0.5
+
+
+class Measurer:
+    """Tells ``listener`` the backend server's state as its own endpoint states it.
+
+    Only draining and being down are taken from there. Load is known exactly on this side, from the
+    requests under way and their times; the endpoint's figures lag or mislead, so they are not read.
+    """
+
+    def __init__(
+        self,
+        transport: BackendTransport,
+        clock: Clock,
+        metrics: Metrics,
+        listener: Callable[[BackendState], None],
+    ) -> None:
+        self.transport = transport
+        self.clock = clock
+        self.metrics = metrics
+        self.listener = listener
+        self.state: BackendState | None = None
+        self.failed_reads = 0
+        self.path = "/health"
+        self.budget: MeasuringBudget | None = None
+
+    def configure(self, settings: RouteSettings) -> None:
+        """Read at the rate that these settings allow."""
+        last_read_at = self.budget.last_read_at if self.budget is not None else None
+        self.path = settings.health_path
+        self.budget = MeasuringBudget(
+            settings.measuring_per_s, settings.measuring_share, settings.slots
+        )
+        self.budget.last_read_at = last_read_at
+
+    def doubt(self) -> None:
+        """Bring the next read forward: a request has just failed or been refused as draining."""
+        if self.budget is not None:
+            self.budget.traffic(self.clock.monotonic(), succeeded=False)
+
+    def traffic(self) -> None:
+        """Note that a request went well, so that reads may be rarer."""
+        if self.budget is not None:
+            self.budget.traffic(self.clock.monotonic())
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            now = self.clock.monotonic()
+            due = self.budget.next_read_at(now) if self.budget is not None else now + MAX_WAIT_S
+            if due > now:
+                # In short steps, since a failing request may bring the next read forward.
+                await self.clock.sleep(min(due - now, MAX_WAIT_S))
+                continue
+            state = await self.read()
+            if state is not None and state is not self.state:
+                log.info("serving.backend_state", state=state, before=self.state)
+                self.state = state
+                self.listener(state)
+
+    async def read(self) -> BackendState | None:
+        """Read once; ``None`` where one failure alone says too little."""
+        assert self.budget is not None
+        started = self.clock.monotonic()
+        try:
+            status, body = await self.transport.read(self.path, READ_TIMEOUT_S)
+            state = parse_state(status, body)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            state = BackendState.DOWN
+        now = self.clock.monotonic()
+        self.budget.read(now, (now - started) * 1000)
+        self.metrics.count("serving.measuring_reads")
+        if state is not BackendState.DOWN:
+            self.failed_reads = 0
+            return state
+        self.failed_reads += 1
+        return state if self.failed_reads >= FAILED_READS or self.state is None else None
+
+
+def parse_state(status: int, body: bytes) -> BackendState:
+    """Return the state in a health answer: its JSON ``state``, or by its status alone."""
+    try:
+        state = json.loads(body).get("state", "")
+    except (ValueError, AttributeError):
+        state = ""
+    if state == "draining":
+        return BackendState.DRAINING
+    return BackendState.READY if status < 400 else BackendState.DOWN
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -4,7 +4,6 @@
 import itertools
 from collections.abc import AsyncIterator
 
-import attrs
 
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode
@@ -16,28 +15,19 @@
     RequestHandler,
     UnknownOutcomeError,
 )
-from marjoramtide.policy import Admission, CallProfile, Verdict
+from marjoramtide.policy import Admission, CallProfile, Verdict, make_admission
 from marjoramtide.serving._backend_transport import BackendTransport
+from marjoramtide.serving._claim_gate import ClaimGate
+from marjoramtide.serving._execution import Execution
+from marjoramtide.serving._measurer import Measurer
+from marjoramtide.settings import RouteSettings
 from marjoramtide.telemetry import Metrics, TraceContext, Tracer, read_trace
 
+STEP = "serving.send"
+SERVER_ERROR = 500
 NO_TRACE = TraceContext("0" * 32, "0" * 16, sampled=False)
 
 
-@attrs.define(slots=True, eq=False)
-class Execution:
-    """One request at the backend server; ``begun`` once a byte of it may have left."""
-
-    ticket: int
-    request: Request
-    body: RequestBody
-    arrived: float
-    started: float = 0.0
-    begun: bool = False
-
-    def begin(self) -> None:
-        self.begun = True
-
-
 class ServingService(RequestHandler):
     """Admits, queues, dispatches and cancels, from exact local knowledge.
 
@@ -47,18 +37,20 @@
     def __init__(
         self,
         service: str,
-        admission: Admission,
         transport: BackendTransport,
+        claim_gate: ClaimGate,
         clock: Clock,
         metrics: Metrics,
         tracer: Tracer,
     ) -> None:
         self.service = service
-        self.admission = admission
+        self.admission: Admission | None = None
         self.transport = transport
+        self.claim_gate = claim_gate
         self.clock = clock
         self.metrics = metrics
         self.tracer = tracer
+        self.measurer: Measurer | None = None
         self.tickets = itertools.count(1)
         self.waiting: dict[int, asyncio.Future[None]] = {}
         self.in_progress: set[int] = set()
@@ -67,6 +59,18 @@
         self.idle = asyncio.Event()
         self.idle.set()
 
+    def open(self, settings: RouteSettings) -> None:
+        """Begin to admit by these settings, or go on by changed ones."""
+        if self.admission is None:
+            self.admission = make_admission(settings, self.clock.monotonic())
+        else:
+            self.admission.reconfigure(settings)
+
+    def set_accepting(self, accepting: bool) -> None:
+        """Take new requests, or reject them while those in progress go on."""
+        if self.admission is not None:
+            self.admission.set_accepting(accepting)
+
     async def handle(self, request: Request, body: RequestBody) -> Answer:
         if request.service != self.service:
             raise NotRunError(
@@ -74,6 +78,8 @@
                 f"this node serves {self.service!r}, not {request.service!r}",
                 step="serving.admit",
             )
+        if self.admission is None:
+            raise NotRunError(ErrorCode.DRAINING, "the node is starting", step="serving.admit")
         ticket = next(self.tickets)
         self.in_progress.add(ticket)
         self.idle.clear()
@@ -152,7 +158,7 @@
                 answer = await self.send(execution)
                 if span is not None:
                     span.attributes |= {"status": answer.status, "urgent": request.urgent}
-            succeeded = answer.status < 500
+            succeeded = answer.status < SERVER_ERROR
             streaming = answer.stream is not None
             if answer.stream is not None:
                 answer.stream = self.watch_stream(execution, answer.stream, succeeded)
@@ -172,17 +178,28 @@
         request = execution.request
         remaining = request.deadline - self.clock.monotonic()
         if remaining <= 0:
-            raise NotRunError(ErrorCode.DEADLINE, "no time is left", step="serving.send")
+            raise NotRunError(ErrorCode.DEADLINE, "no time is left", step=STEP)
         try:
             async with asyncio.timeout(remaining):
-                return await self.transport.send(
-                    request, execution.body, remaining * 1000, execution.begin
-                )
+                if request.key and not request.idempotent:
+                    return await self.claim_gate.send(execution, self.dispatch)
+                return await self.dispatch(execution)
         except TimeoutError as error:
+            if not execution.begun:
+                raise NotRunError(
+                    ErrorCode.DEADLINE, "the deadline passed before it was sent", step=STEP
+                ) from error
             raise UnknownOutcomeError(
-                ErrorCode.DEADLINE, "the deadline passed in the backend server", step="serving.send"
+                ErrorCode.DEADLINE, "the deadline passed in the backend server", step=STEP
             ) from error
 
+    async def dispatch(self, execution: Execution) -> Answer:
+        """Hand the request to the backend server."""
+        remaining = execution.request.deadline - self.clock.monotonic()
+        return await self.transport.send(
+            execution.request, execution.body, remaining * 1000, execution.begin
+        )
+
     async def watch_stream(
         self, execution: Execution, stream: AsyncIterator[bytes], succeeded: bool
     ) -> AsyncIterator[bytes]:
@@ -215,6 +232,8 @@
         """Free the slot, once, and start whoever waits for it."""
         if execution.ticket not in self.in_progress:
             return
+        if self.measurer is not None:
+            (self.measurer.traffic if succeeded else self.measurer.doubt)()
         now = self.clock.monotonic()
         duration_ms = (now - execution.started) * 1000
         self.metrics.timing("serving.execution", duration_ms)
--- a/src/marjoramtide/settings/__init__.py
+++ b/src/marjoramtide/settings/__init__.py
@@ -9,7 +9,7 @@
 from marjoramtide.settings._envelope import Envelope, RecentChange, decode_envelope
 from marjoramtide.settings._freshness import Freshness
 from marjoramtide.settings._level import Level
-from marjoramtide.settings._node_settings import NodeSettings, load_node_settings
+from marjoramtide.settings._node_settings import NodeSettings, load_node_settings, parse_address
 from marjoramtide.settings._place import Place
 from marjoramtide.settings._resolved import Resolved
 from marjoramtide.settings._route_settings import RouteSettings
@@ -39,6 +39,7 @@
     "conflicting_branches",
     "decode_envelope",
     "load_node_settings",
+    "parse_address",
     "parse_branch",
     "parse_edits",
     "parse_tree",
