Believe slowness for as long as it proved to last, and cut the limit only where that helps

Cause: under noise that comes and goes within 400 ms the limit fell to 1 on every server that had been slow once, and stayed: nobody asked a server that reported a limit of 1. Views of unasked servers were also kept for 30 s. Ruled out: a share of the requests exploring (too few at 200 requests a second for each node).

--- a/src/marjoramtide/policy/_completion_model.py
+++ b/src/marjoramtide/policy/_completion_model.py
@@ -5,13 +5,11 @@
 from marjoramtide.membership import MemberState
 from marjoramtide.policy._node_view import NodeView
 from marjoramtide.policy._recent_latency import RecentLatency
-from marjoramtide.policy._silence import silence_ms
-from marjoramtide.policy._smoothed import Smoothed
+from marjoramtide.policy._service_mean import ServiceMean
 
-ASSUMED_SERVICE_MS = 10.0
+ASSUMED_LATENCY_MS = 10.0
 REPORT_TRUST_SERVICE_TIMES = 5.0
 REPORT_TRUST_AT_LEAST_MS = 50.0
-SERVICE_TIME_FADES_MS = 30_000.0
 OWN_TIME_DOUBT = 0.5
 CONTENTION = 0.5
 LOWEST_SUCCESS = 0.02
@@ -32,11 +30,11 @@
     urgent_slots: int
     slow_start_s: float
     latency: RecentLatency = attrs.Factory(RecentLatency)
-    load: Smoothed = attrs.Factory(lambda: Smoothed(0.05, 0.05))
+    usual: ServiceMean = attrs.Factory(ServiceMean)
 
     def typical_ms(self) -> float:
         """Return the usual latency of the service."""
-        return self.latency.median() or ASSUMED_SERVICE_MS
+        return self.latency.median() or ASSUMED_LATENCY_MS
 
     def score(self, view: NodeView, urgent: bool, now: float) -> float:
         """Return the expected milliseconds to a good answer, costs of a retry included.
@@ -60,27 +58,30 @@
         predicted = view.network.value + wait_ms + service_ms
         # Own observation bounds the report: a report that promises less than half of what this
         # node's requests took is misleading or out of date.
-        predicted = max(predicted, OWN_TIME_DOUBT * view.own_time_ms(now))
+        own_ms = view.elapsed.value * view.belief(view.last_answer_at, now)
+        predicted = max(predicted, OWN_TIME_DOUBT * own_ms)
         if view.back_off_until > now:
             predicted = max(predicted, (view.back_off_until - now) * 1000 + service_ms)
-        silence = silence_ms(view.oldest_outstanding(), view.last_answer_at, predicted, now)
-        return max(predicted, silence)
+        return max(predicted, view.silence_ms(predicted, now))
 
     def _service_ms(self, view: NodeView, now: float) -> float:
-        typical = self.typical_ms()
+        typical = self.usual.service_ms or self.typical_ms()
         if view.report is None or not view.report.service_time_ms:
             return typical
-        # A node that isn't asked can't report that it is quick again. Exploration finds that out;
-        # the slow drift to the typical time is for services whose requests may not be used for it.
-        age_ms = (now - view.reported_at) * 1000
-        trust = SERVICE_TIME_FADES_MS / (SERVICE_TIME_FADES_MS + age_ms)
-        return typical + (view.report.service_time_ms - typical) * trust
+        belief = view.belief(view.reported_at, now)
+        return typical + (view.report.service_time_ms - typical) * belief
+
+    def _limit(self, view: NodeView, now: float) -> float:
+        if view.report is None:
+            return self.slots
+        cut = max(0, self.slots - view.report.limit)
+        return view.report.limit + cut * (1 - view.belief(view.reported_at, now))
 
     def _load(self, view: NodeView, urgent: bool, service_ms: float, now: float) -> float:
         """Return the work ahead as a multiple of the effective concurrency."""
         report = view.report
-        limit = self.slots if report is None else report.limit
-        expected = self.load.value * limit
+        limit = self._limit(view, now)
+        expected = self.usual.load * limit
         if report is None:
             ahead = expected
         else:
--- a/src/marjoramtide/policy/_edf_admission.py
+++ b/src/marjoramtide/policy/_edf_admission.py
@@ -8,7 +8,6 @@
 from marjoramtide.policy._admission import Admission, Decision, Verdict
 from marjoramtide.policy._call_profile import CallProfile
 from marjoramtide.policy._class_queue import ClassQueue
-from marjoramtide.policy._come_back_hint import ComeBackHint
 from marjoramtide.policy._execution_times import ExecutionTimes
 from marjoramtide.policy._limiter import Limiter
 from marjoramtide.policy._load_report import LoadReport
@@ -38,7 +37,6 @@
     urgent: ClassQueue = attrs.Factory(ClassQueue)
     routine: ClassQueue = attrs.Factory(ClassQueue)
     profiles: dict[int, CallProfile] = attrs.Factory(dict)
-    hint: ComeBackHint = attrs.Factory(ComeBackHint)
     sequence: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(1))
     routine_running: int = 0
     recheck_at: float | None = None
@@ -61,10 +59,15 @@
 
     def offer(self, ticket: int, profile: CallProfile, now: float) -> Decision:
         if not self.accepting:
-            return Decision(Verdict.REJECT, ErrorCode.DRAINING, DRAINING_RETRY_MS)
+            return _reject(ErrorCode.DRAINING, DRAINING_RETRY_MS)
         remaining_ms = (profile.deadline - now) * 1000
         if remaining_ms <= 0:
-            return self._reject(ErrorCode.DEADLINE, 0.0, now)
+            return _reject(ErrorCode.DEADLINE, 0.0)
+        if profile.attempt == 1 and (silence := self.times.silence_ms(now)):
+            # Failure: a neighbour takes the processor for a moment, and what arrives in that moment
+            # runs ten times slower although others have room. Turned away at once, it costs its
+            # caller one hop. Only first attempts are: where all are slow, the second one runs.
+            return _reject(ErrorCode.OVERLOADED, silence)
         if self._may_start(profile.urgent):
             return self._start_or_reject(ticket, profile, remaining_ms, now)
         return self._queue_or_reject(ticket, profile, remaining_ms, now)
@@ -76,7 +79,7 @@
         # was slow once would refuse everything as too late, never run anything, and so never find
         # out that it is quick again.
         if self.in_use and remaining_ms < self.times.quick.value:
-            return self._reject(ErrorCode.DEADLINE, 0.0, now)
+            return _reject(ErrorCode.DEADLINE, 0.0)
         self._start(ticket, profile, now)
         return Decision(Verdict.START)
 
@@ -87,12 +90,12 @@
         wait_ms = self._wait_ms(self._ahead(profile), profile.urgent, service_ms)
         queue = self._queue(profile.urgent)
         if len(queue) >= self.queue_limit:
-            return self._reject(ErrorCode.OVERLOADED, wait_ms, now)
+            return _reject(ErrorCode.OVERLOADED, wait_ms)
         lateness_ms = wait_ms + service_ms - remaining_ms
         if lateness_ms > 0:
             # Failure: a request waits its whole deadline in a queue that could never have served
             # it, and the caller is told at the end. Refused now, the caller can go elsewhere.
-            return self._reject(ErrorCode.OVERLOADED, min(lateness_ms, wait_ms), now)
+            return _reject(ErrorCode.OVERLOADED, min(lateness_ms, wait_ms))
         queue.add(profile.deadline, ticket)
         self.profiles[ticket] = profile
         if profile.urgent and len(self.routine):
@@ -220,7 +223,6 @@
                 late.append(ticket)
         return late
 
-    def _reject(self, reason: ErrorCode, base_ms: float, now: float) -> Decision:
-        service_ms = self.times.expected_ms(now)
-        rate = self.limit * 1000 / service_ms if service_ms else 1000.0
-        return Decision(Verdict.REJECT, reason, self.hint.next_ms(base_ms, rate, now))
+
+def _reject(reason: ErrorCode, retry_after_ms: float) -> Decision:
+    return Decision(Verdict.REJECT, reason, max(1, round(retry_after_ms)))
--- a/src/marjoramtide/policy/_execution_times.py
+++ b/src/marjoramtide/policy/_execution_times.py
@@ -10,11 +10,11 @@
 class ExecutionTimes:
     """The smoothed time of executions, and the tickets that run now.
 
-    ``mean`` rises faster than it falls. ``quick`` follows the low end of the times: what less than
+    ``quick`` follows the low end of the times: what less than
     this remains for can't finish even when the server is at its best.
     """
 
-    mean: Smoothed = attrs.Factory(lambda: Smoothed(0.2, 0.1))
+    mean: Smoothed = attrs.Factory(lambda: Smoothed(0.2, 0.2))
     quick: Smoothed = attrs.Factory(lambda: Smoothed(0.01, 0.3))
     success: Smoothed = attrs.Factory(lambda: Smoothed(0.1, 0.1, 1.0, 1))
     running: dict[int, float] = attrs.Factory(dict)
@@ -55,5 +55,9 @@
 
         The running ones count as evidence before they end, see ``silence_ms``.
         """
+        return max(self.mean.value, self.silence_ms(now))
+
+    def silence_ms(self, now: float) -> float:
+        """Return for how long the running ones have been owed beyond what is usual."""
         oldest = next(iter(self.running.values()), None)
-        return max(self.mean.value, silence_ms(oldest, self.last_end, self.mean.value, now))
+        return silence_ms(oldest, self.last_end, len(self.running), self.mean.value, now)
--- a/src/marjoramtide/policy/_explorer.py
+++ b/src/marjoramtide/policy/_explorer.py
@@ -10,6 +10,7 @@
 SHARE = 0.005
 PER_S = 0.2
 MAX_TOKENS = 1.0
+EXPLORE_AFTER_BELIEFS = 5.0
 
 
 @attrs.define(slots=True)
@@ -42,4 +43,9 @@
     def _wants_one(self, view: NodeView, now: float) -> bool:
         if view.ejected:
             return self.ejection.may_probe(view, now)
-        return not view.outstanding and view.last_answer_at > 0 and now >= view.explore_at
+        idle_s = now - view.last_answer_at
+        return (
+            not view.outstanding
+            and view.last_answer_at > 0
+            and idle_s > EXPLORE_AFTER_BELIEFS * view.believed_s
+        )
--- a/src/marjoramtide/policy/_load_report.py
+++ b/src/marjoramtide/policy/_load_report.py
@@ -21,3 +21,8 @@
     accepts: bool = True
     uptime_s: float = 1e9
     sequence: int = 0
+
+    @property
+    def load(self) -> float:
+        """Return what runs and waits, as a multiple of the limit."""
+        return (self.in_use + self.queued_urgent + self.queued_routine) / max(1, self.limit)
--- a/src/marjoramtide/policy/_node_view.py
+++ b/src/marjoramtide/policy/_node_view.py
@@ -6,11 +6,12 @@
 
 from marjoramtide.membership import Member
 from marjoramtide.policy._load_report import LoadReport
+from marjoramtide.policy._silence import silence_ms
 from marjoramtide.policy._smoothed import Smoothed
 
-OWN_TIME_FADES_S = 10.0
-EXPLORE_AFTER_S = 1.0
-EXPLORE_AFTER_AT_MOST_S = 16.0
+SLOW_IS_BELIEVED_S = 0.2
+SLOW_IS_BELIEVED_AT_MOST_S = 20.0
+SLOW = 3.0
 
 
 @attrs.define(slots=True, eq=False)
@@ -20,6 +21,11 @@
     ``network_ms`` begins at the distance and follows the low end of what is seen. ``sent_since``
     counts own requests that the held report can't know of. ``closed_until`` and ``back_off_until``
     come from refusals: closed while the node takes nothing, back-off while it is full.
+
+    What was learned of a slow node fades, because a node that isn't asked can't tell that it is
+    quick again. It is believed for ``believed_s``: short at first, since a neighbour's burst ends
+    within milliseconds, and twice as long each time that the node is found to be slow still, so
+    that a lasting straggler is tried ever more rarely.
     """
 
     member: Member
@@ -41,8 +47,7 @@
     ejections: int = 0
     probes_passed: int = 0
     results: int = 0
-    explore_at: float = 0.0
-    explore_after_s: float = EXPLORE_AFTER_S
+    believed_s: float = SLOW_IS_BELIEVED_S
 
     def __attrs_post_init__(self) -> None:
         self.network = Smoothed(0.05, 0.3, self.distance_ms, 1)
@@ -82,25 +87,26 @@
         self.closed_until = 0.0 if report.accepts else self.closed_until
 
     def note_answer_time(self, elapsed_ms: float, typical_ms: float, now: float) -> None:
-        """Take in how long a good answer took, and plan when to look again if it then idles."""
+        """Take in how long an answer took, and with it how long slowness is believed."""
         self.elapsed.add(elapsed_ms)
-        slow = elapsed_ms > 2 * typical_ms
-        longer = min(self.explore_after_s * 2, EXPLORE_AFTER_AT_MOST_S)
-        self.explore_after_s = longer if slow else EXPLORE_AFTER_S
-        self.explore_at = now + self.explore_after_s
+        if elapsed_ms <= SLOW * typical_ms:
+            self.believed_s = SLOW_IS_BELIEVED_S
+        elif now - self.last_answer_at > self.believed_s:
+            self.believed_s = min(self.believed_s * 2, SLOW_IS_BELIEVED_AT_MOST_S)
 
-    def own_time_ms(self, now: float) -> float:
-        """Return the mean of own latencies, fading while nothing new is seen."""
-        idle = max(0.0, now - self.last_answer_at)
-        return self.elapsed.value * OWN_TIME_FADES_S / (OWN_TIME_FADES_S + idle)
+    def belief(self, since: float, now: float) -> float:
+        """Return the share (1 to 0) to which what was learned at ``since`` is still believed."""
+        return 1 / (1 + ((now - since) / self.believed_s) ** 2)
 
     def success_rate(self) -> float:
         """Return the lower of what this node saw and what the serving node reports."""
         reported = self.report.success_rate if self.report is not None else 1.0
         return min(self.success.value, reported)
 
-    def oldest_outstanding(self) -> float | None:
-        return self.outstanding[0] if self.outstanding else None
+    def silence_ms(self, usual_ms: float, now: float) -> float:
+        """Return for how long own requests have been owed an answer beyond what is usual."""
+        oldest = self.outstanding[0] if self.outstanding else None
+        return silence_ms(oldest, self.last_answer_at, len(self.outstanding), usual_ms, now)
 
     def ramp(self, now: float, slow_start_s: float) -> float:
         """Return the share (0 to 1) of its full load that a node gets after a cold start."""
--- a/src/marjoramtide/policy/_polled_reports.py
+++ b/src/marjoramtide/policy/_polled_reports.py
@@ -59,8 +59,7 @@
 
     def _receive(self, node: str, report: LoadReport | None) -> None:
         if report is not None:
-            queued = report.queued_urgent + report.queued_routine
-            self.arriving[node] = (report.in_use + queued) / max(1, report.limit)
+            self.arriving[node] = report.load
 
     def _poll(self, now: float) -> None:
         if (now - self.polled_at) * 1000 >= self.period_ms:
--- a/src/marjoramtide/policy/_predicted_selector.py
+++ b/src/marjoramtide/policy/_predicted_selector.py
@@ -213,8 +213,7 @@
         view.note_settled(now, elapsed_ms)
         if report is not None:
             view.take_report(report, now)
-            ahead = report.in_use + report.queued_urgent + report.queued_routine
-            self.model.load.add(ahead / max(1, report.limit))
+            self.model.usual.note(self.views.values())
 
     def _count_answer(self, now: float) -> None:
         """Follow the rate of good answers, weighing the last second most."""
--- a/src/marjoramtide/policy/_silence.py
+++ b/src/marjoramtide/policy/_silence.py
@@ -1,21 +1,26 @@
 """Evidence from answers that haven't come."""
 
 USUAL_TIMES = 3.0
+USUAL_TIMES_AT_LEAST = 1.5
 
 
-def silence_ms(oldest: float | None, last_answer: float, usual_ms: float, now: float) -> float:
+def silence_ms(
+    oldest: float | None, last_answer: float, running: int, usual_ms: float, now: float
+) -> float:
     """Return for how many milliseconds a server has owed an answer, 0 where that is usual.
 
-    ``oldest`` is when the oldest unanswered request began, ``None`` where there is none;
-    ``last_answer`` is when any answer last came. Both are in seconds.
+    ``oldest`` is when the oldest of ``running`` unanswered requests began, ``None`` where there is
+    none; ``last_answer`` is when any answer last came. Both are in seconds.
 
     Failure: a server turns ten times slower without warning. Everything known of it was told by
     quick answers, so it looks as good as ever and gets its full share until the first slow answer
     arrives, one slow service time later. A silence beyond ``USUAL_TIMES`` usual times is counted as
-    slowness at once. One long request among others that are answered isn't: each answer ends the
-    silence, so uneven work doesn't look like a slow server.
+    slowness at once; the more requests run, the sooner one of them should have been answered. One
+    long request among others that are answered isn't: each answer ends the silence, so uneven work
+    doesn't look like a slow server.
     """
     if oldest is None:
         return 0.0
     silence = (now - max(oldest, last_answer)) * 1000
-    return silence if silence > USUAL_TIMES * usual_ms else 0.0
+    patience = max(USUAL_TIMES_AT_LEAST, USUAL_TIMES / running)
+    return silence if silence > patience * usual_ms else 0.0
