--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -41,9 +41,7 @@
         rng = random.Random()
         self.store = open_object_store(settings.store, clock=self.clock, rng=rng)
         self.freeze = FreezeDetector(self.clock)
-        self.membership = make_membership(
-            settings, self.store, self.clock, random.SystemRandom()
-        )
+        self.membership = make_membership(settings, self.store, self.clock, random.SystemRandom())
         self.name = self.membership.self_member.node
         self.metrics = Metrics(settings.statsd)
         self.tracer = Tracer(self.name, self.clock, rng)
@@ -158,7 +156,7 @@
         The admission rejects at once, whatever the others still believe, so a leaving backend
         server gets nothing new however slowly the word spreads.
         """
-        opened = self.serving.admission is not None
+        opened = self.serving.is_open
         accepting = (
             opened
             and self.backend_state is BackendState.READY
@@ -197,7 +195,9 @@
                 await self.peer_server.drained()
                 await self.claim_gate.finish()
         except TimeoutError:
-            log.warning("daemon.stop_cut", code=ErrorCode.DEADLINE, after_s=self.settings.stop_grace_s)
+            log.warning(
+                "daemon.stop_cut", code=ErrorCode.DEADLINE, after_s=self.settings.stop_grace_s
+            )
         await self.membership.stop()
         await self.ingress.close()
         await self.close()
--- a/src/marjoramtide/peers/_server.py
+++ b/src/marjoramtide/peers/_server.py
@@ -17,8 +17,6 @@
 
 log = structlog.get_logger()
 
-DRAIN_POLL_S = 0.02
-
 # What the library says of broken handshakes is told in our own log, with a code.
 quiet = logging.getLogger("marjoramtide.peers.websockets")
 quiet.setLevel(logging.CRITICAL)
@@ -78,8 +76,8 @@
 
     async def drained(self) -> None:
         """Wait until no request of a peer is in progress, its answer's last byte included."""
-        while any(session.served for session in self.sessions):
-            await asyncio.sleep(DRAIN_POLL_S)
+        for session in list(self.sessions):
+            await session.idle.wait()
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -71,6 +71,8 @@
         self.clock = clock
         self.freeze = freeze
         self.served: dict[int, Served] = {}
+        self.idle = asyncio.Event()
+        self.idle.set()
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -124,6 +126,7 @@
                 step="peers.session",
                 peer=self.peer,
             )
+        self.idle.clear()
         served = self.served[number] = Served(ByteStream(lambda size: self.grant(number, size)))
         served.task = self.start(self.serve(message, served))
 
@@ -150,6 +153,8 @@
             await self.fail(message.id, failure, not_run=False)
         finally:
             self.served.pop(message.id, None)
+            if not self.served:
+                self.idle.set()
 
     async def handle(self, message: RequestMessage, served: Served) -> Answer:
         now = self.clock.monotonic()
--- a/src/marjoramtide/policy/__init__.py
+++ b/src/marjoramtide/policy/__init__.py
@@ -3,8 +3,9 @@
 from marjoramtide.policy._admission import Admission, Decision, Verdict
 from marjoramtide.policy._call_profile import CallProfile
 from marjoramtide.policy._come_back_hint import ComeBackHint
-from marjoramtide.policy._factories import LIMITERS, SELECTORS, make_admission, make_selector
+from marjoramtide.policy._factories import SELECTORS, make_admission, make_selector
 from marjoramtide.policy._limiter import Limiter
+from marjoramtide.policy._limiters import LIMITERS
 from marjoramtide.policy._load_report import LoadReport
 from marjoramtide.policy._measuring_budget import MeasuringBudget
 from marjoramtide.policy._retry_budget import RetryBudget
--- a/src/marjoramtide/policy/_admission.py
+++ b/src/marjoramtide/policy/_admission.py
@@ -7,6 +7,7 @@
 
 from marjoramtide.policy._call_profile import CallProfile
 from marjoramtide.policy._load_report import LoadReport
+from marjoramtide.settings import RouteSettings
 
 
 class Verdict(Enum):
@@ -41,6 +42,10 @@
         What is queued or started stays: a planned stop cuts off nothing that was taken.
         """
 
+    @abstractmethod
+    def reconfigure(self, settings: RouteSettings) -> None:
+        """Go on by changed settings; what is queued or started stays."""
+
     @abstractmethod
     def offer(self, ticket: int, profile: CallProfile, now: float) -> Decision:
         """Decide on a new request."""
--- a/src/marjoramtide/policy/_edf_admission.py
+++ b/src/marjoramtide/policy/_edf_admission.py
@@ -10,7 +10,9 @@
 from marjoramtide.policy._class_queue import ClassQueue
 from marjoramtide.policy._execution_times import ExecutionTimes
 from marjoramtide.policy._limiter import Limiter
+from marjoramtide.policy._limiters import make_limiter
 from marjoramtide.policy._load_report import LoadReport
+from marjoramtide.settings import RouteSettings
 
 DRAINING_RETRY_MS = 1000
 RECHECK_SLACK = 1.25
@@ -39,6 +41,7 @@
     profiles: dict[int, CallProfile] = attrs.Factory(dict)
     sequence: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(1))
     routine_running: int = 0
+    limited_by: tuple[str, int, int] = ("", 0, 0)
     recheck_at: float | None = None
 
     @property
@@ -54,6 +57,14 @@
         """Return how many routine requests may run at once: at least one."""
         return max(1, self.limit - self.urgent_slots)
 
+    def reconfigure(self, settings: RouteSettings) -> None:
+        wanted = (settings.limiter, settings.slots, settings.min_limit)
+        if wanted != self.limited_by:
+            self.limiter = make_limiter(settings)
+            self.limited_by = wanted
+        self.urgent_slots = settings.urgent_slots
+        self.queue_limit = settings.queue_limit
+
     def set_accepting(self, accepting: bool) -> None:
         self.accepting = accepting
 
--- a/src/marjoramtide/policy/_factories.py
+++ b/src/marjoramtide/policy/_factories.py
@@ -3,16 +3,13 @@
 import random
 from collections.abc import Callable
 
-from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.membership import Member
-from marjoramtide.policy._adaptive_limiter import AdaptiveLimiter
 from marjoramtide.policy._admission import Admission
 from marjoramtide.policy._completion_model import CompletionModel
 from marjoramtide.policy._edf_admission import EdfAdmission
 from marjoramtide.policy._explorer import Explorer
-from marjoramtide.policy._fixed_limiter import FixedLimiter
 from marjoramtide.policy._least_outstanding import LeastOutstanding
-from marjoramtide.policy._limiter import Limiter
+from marjoramtide.policy._limiters import make_limiter, unknown_policy
 from marjoramtide.policy._outlier_ejection import OutlierEjection
 from marjoramtide.policy._polled_reports import PolledReports
 from marjoramtide.policy._predicted_selector import PredictedSelector
@@ -30,7 +27,6 @@
     "polled-reports": PolledReports,
 }
 SELECTORS = ("predicted", *BASELINES)
-LIMITERS = ("adaptive", "fixed")
 
 
 def make_selector(settings: RouteSettings, self_member: Member, rng: random.Random) -> Selector:
@@ -41,7 +37,7 @@
     if settings.selector in BASELINES:
         return BASELINES[settings.selector](rng)
     if settings.selector != "predicted":
-        raise _unknown("selector", settings.selector, SELECTORS, "policy.make_selector")
+        raise unknown_policy("selector", settings.selector, SELECTORS, "policy.make_selector")
     ejection = OutlierEjection(settings.ejection_cap)
     return PredictedSelector(
         self_member=self_member,
@@ -61,21 +57,8 @@
     Raises ``bad-settings`` for a limiter that isn't one of ``LIMITERS``.
     """
     return EdfAdmission(
-        limiter=_make_limiter(settings),
+        limiter=make_limiter(settings),
         urgent_slots=settings.urgent_slots,
         queue_limit=settings.queue_limit,
         started_at=now,
     )
-
-
-def _make_limiter(settings: RouteSettings) -> Limiter:
-    if settings.limiter == "adaptive":
-        return AdaptiveLimiter(settings.slots, settings.min_limit)
-    if settings.limiter == "fixed":
-        return FixedLimiter(settings.slots)
-    raise _unknown("limiter", settings.limiter, LIMITERS, "policy.make_admission")
-
-
-def _unknown(key: str, value: str, allowed: tuple[str, ...], step: str) -> MarjoramtideError:
-    message = f"{key}: {value!r} is not one of {', '.join(allowed)}"
-    return MarjoramtideError(ErrorCode.BAD_SETTINGS, message, step=step)
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -4,7 +4,6 @@
 import itertools
 from collections.abc import AsyncIterator
 
-
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import (
@@ -44,7 +43,11 @@
         tracer: Tracer,
     ) -> None:
         self.service = service
-        self.admission: Admission | None = None
+        self.is_open = False
+        self.admission: Admission = make_admission(
+            RouteSettings(service=service), clock.monotonic()
+        )
+        self.admission.set_accepting(False)
         self.transport = transport
         self.claim_gate = claim_gate
         self.clock = clock
@@ -61,15 +64,12 @@
 
     def open(self, settings: RouteSettings) -> None:
         """Begin to admit by these settings, or go on by changed ones."""
-        if self.admission is None:
-            self.admission = make_admission(settings, self.clock.monotonic())
-        else:
-            self.admission.reconfigure(settings)
+        self.is_open = True
+        self.admission.reconfigure(settings)
 
     def set_accepting(self, accepting: bool) -> None:
         """Take new requests, or reject them while those in progress go on."""
-        if self.admission is not None:
-            self.admission.set_accepting(accepting)
+        self.admission.set_accepting(accepting)
 
     async def handle(self, request: Request, body: RequestBody) -> Answer:
         if request.service != self.service:
@@ -78,8 +78,6 @@
                 f"this node serves {self.service!r}, not {request.service!r}",
                 step="serving.admit",
             )
-        if self.admission is None:
-            raise NotRunError(ErrorCode.DRAINING, "the node is starting", step="serving.admit")
         ticket = next(self.tickets)
         self.in_progress.add(ticket)
         self.idle.clear()
--- a/src/marjoramtide/telemetry/_metrics.py
+++ b/src/marjoramtide/telemetry/_metrics.py
@@ -53,10 +53,10 @@
         with self.client.pipeline() as batch:
             for name, number in counts.items():
                 batch.incr(name, number)
-            for name, (number, total, largest) in timings.items():
-                batch.timing(f"{name}.mean", total / number)
+            for name, (calls, total, largest) in timings.items():
+                batch.timing(f"{name}.mean", total / calls)
                 batch.timing(f"{name}.max", largest)
-                batch.incr(f"{name}.count", int(number))
+                batch.incr(f"{name}.count", int(calls))
             for name, level in self.gauges.items():
                 batch.gauge(name, level)
 
