--- /dev/null
+++ b/features/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios of membership, and the network in memory that they run on."""
--- a/src/marjoramtide/membership/__init__.py
+++ b/src/marjoramtide/membership/__init__.py
@@ -1,7 +1,28 @@
 """Which nodes there are, and in which state."""
 
 from marjoramtide.membership._directory import Directory
+from marjoramtide.membership._gossip_counters import GossipCounters
 from marjoramtide.membership._member import Member
 from marjoramtide.membership._member_state import MemberState
+from marjoramtide.membership._membership_event import EventKind, MembershipEvent
+from marjoramtide.membership._membership_service import MembershipService, make_membership
+from marjoramtide.membership._packet_codec import MAX_DATAGRAM_BYTES, PacketCodec
+from marjoramtide.membership._packet_error import DropCode
+from marjoramtide.membership._swim_core import SwimCore
+from marjoramtide.membership._swim_options import SwimOptions
 
-__all__ = ["Directory", "Member", "MemberState"]
+__all__ = [
+    "MAX_DATAGRAM_BYTES",
+    "Directory",
+    "DropCode",
+    "EventKind",
+    "GossipCounters",
+    "Member",
+    "MemberState",
+    "MembershipEvent",
+    "MembershipService",
+    "PacketCodec",
+    "SwimCore",
+    "SwimOptions",
+    "make_membership",
+]
--- /dev/null
+++ b/src/marjoramtide/membership/_announcer.py
@@ -0,0 +1,152 @@
+"""Keeps this node's announcement in the store, and reads those of others, rarely."""
+
+import random
+from collections.abc import Callable
+
+import structlog
+
+from marjoramtide.clock import Clock
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.membership._announcement import (
+    ANNOUNCEMENTS,
+    Announcement,
+    announcement_of,
+    decode_announcement,
+)
+from marjoramtide.membership._member import Member
+from marjoramtide.platform import ObjectStore, StoredObject
+
+log = structlog.get_logger()
+
+REFRESH_S = 3600.0
+ABANDONED_S = 3 * REFRESH_S
+REREAD_FLOOR_S = 300.0
+REREAD_PER_MEMBER_S = 1.0
+ALONE_REREAD_S = 10.0
+RETRY_FIRST_S = 0.5
+RETRY_LAST_S = 30.0
+MAX_REMOVALS = 2
+STOP_TIMEOUT_S = 2.0
+
+
+class Announcer:
+    """The only part of membership that uses the store.
+
+    ``found`` is called with all announcements after each read. Reads are spread so that the whole
+    fleet makes about one a second at most (``REREAD_PER_MEMBER_S`` for each member), whatever its
+    size; a node that knows no other member reads more often.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        rng: random.Random,
+        member: Callable[[], Member],
+        member_count: Callable[[], int],
+        found: Callable[[list[Announcement]], None],
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.rng = rng
+        self.member = member
+        self.member_count = member_count
+        self.found = found
+        self.version: int | None = None
+        self.refreshed_at = 0.0
+        self.failures = 0
+
+    async def run(self) -> None:
+        """Announce, read, and refresh both rarely until cancelled; a store outage is waited out."""
+        while True:
+            try:
+                await self._round()
+                self.failures = 0
+                pause = self._pause()
+            except MarjoramtideError as error:
+                self.failures += 1
+                pause = self._retry_pause()
+                if self.failures == 1:
+                    log.warning(
+                        "announcement-delayed", code=error.code, step=error.step, error=str(error)
+                    )
+            await self.clock.sleep(pause)
+
+    async def withdraw(self) -> None:
+        """Remove the announcement, for a planned stop; where the store is down it stays."""
+        if self.version is None:
+            return
+        try:
+            await self.store.delete(self._own().key, self.version, timeout=STOP_TIMEOUT_S)
+        except MarjoramtideError as error:
+            log.warning("announcement-left-behind", code=error.code, error=str(error))
+
+    def _own(self) -> Announcement:
+        return announcement_of(self.member(), self.clock.wall())
+
+    def _pause(self) -> float:
+        usual = max(REREAD_FLOOR_S, REREAD_PER_MEMBER_S * self.member_count())
+        pause = ALONE_REREAD_S if self.member_count() < 2 else usual
+        return pause * self.rng.uniform(0.5, 1.5)
+
+    def _retry_pause(self) -> float:
+        # Full jitter: after an outage the whole fleet would otherwise come back in step.
+        longest = min(RETRY_LAST_S, RETRY_FIRST_S * 2 ** min(self.failures, 10))
+        return self.rng.uniform(RETRY_FIRST_S / 2, longest)
+
+    async def _round(self) -> None:
+        # Written before the list is read: of two nodes that start at once in an empty fleet, at
+        # least one then finds the other.
+        if self.version is None or self.clock.monotonic() - self.refreshed_at > REFRESH_S:
+            await self._write()
+        stored = await self.store.list(ANNOUNCEMENTS)
+        announcements = [(item, decoded) for item in stored if (decoded := _decoded(item))]
+        self.found([decoded for _, decoded in announcements])
+        await self._remove_abandoned(announcements)
+
+    async def _write(self) -> None:
+        own = self._own()
+        try:
+            written = (
+                await self.store.create(own.key, own.encode())
+                if self.version is None
+                else await self.store.update(own.key, own.encode(), self.version)
+            )
+        except MarjoramtideError as error:
+            if error.code is ErrorCode.NOT_FOUND:
+                self.version = None
+            if error.code is not ErrorCode.VERSION_CONFLICT:
+                raise
+            # The key holds this run's random number, so the object can only be an earlier write
+            # of this process whose answer was lost.
+            written = await self.store.get(own.key)
+        self.version = written.version
+        self.refreshed_at = self.clock.monotonic()
+
+    async def _remove_abandoned(
+        self, announcements: list[tuple[StoredObject, Announcement]]
+    ) -> None:
+        own = self._own()
+        abandoned = [
+            item
+            for item, found in announcements
+            if found.node != own.node
+            and (
+                found.gossip_address == own.gossip_address
+                or own.refreshed - found.refreshed > ABANDONED_S
+            )
+        ]
+        for item in abandoned[:MAX_REMOVALS]:
+            try:
+                await self.store.delete(item.key, item.version)
+            except MarjoramtideError as error:
+                if error.code not in (ErrorCode.VERSION_CONFLICT, ErrorCode.NOT_FOUND):
+                    raise
+
+
+def _decoded(item: StoredObject) -> Announcement | None:
+    try:
+        return decode_announcement(item.value)
+    except MarjoramtideError as error:
+        log.warning("announcement-unreadable", code=error.code, key=item.key, error=str(error))
+        return None
--- /dev/null
+++ b/src/marjoramtide/membership/_disseminator.py
@@ -0,0 +1,164 @@
+"""Spreads news: piggybacked on probes, in gossip of its own, and on request."""
+
+import random
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+
+from marjoramtide.membership._health import Health
+from marjoramtide.membership._member_entry import MemberEntry
+from marjoramtide.membership._member_view import MemberView, bucket_of
+from marjoramtide.membership._news_queue import NewsQueue
+from marjoramtide.membership._packet import AppliedSettings, Kind, Record, Status
+from marjoramtide.membership._packet_codec import record_size, status_size
+from marjoramtide.membership._packet_sender import PacketSender
+from marjoramtide.membership._swim_options import SwimOptions
+from marjoramtide.membership._token_bucket import TokenBucket
+
+# A datagram's 1200 bytes less its code (16), its header and the frames of its parts.
+CONTENT_BYTES = 940
+STATUS_SHARE = 600
+KEY_BYTES = 8
+REVISION_GROUP_BYTES = 90
+MIN_BUCKETS, MAX_BUCKETS = 16, 225
+MAX_WANTED_KEYS = 100
+
+
+class Disseminator:
+    """Decides what news goes to whom.
+
+    A status is 23 to 32 bytes and names its member by key; a node that does not know the key asks
+    for the record once, so a whole record travels to each node once. Settings revisions travel
+    grouped, 8 bytes for each member, since after a change all members report the same one.
+    """
+
+    def __init__(
+        self, view: MemberView, sender: PacketSender, options: SwimOptions, rng: random.Random
+    ) -> None:
+        self.view = view
+        self.sender = sender
+        self.options = options
+        self.rng = rng
+        self.statuses = NewsQueue()
+        self.revisions = NewsQueue()
+        self.gossip_budget = TokenBucket(options.gossip_bytes_per_s, options.gossip_burst_bytes)
+        self.answer_budget = TokenBucket(options.answer_bytes_per_s, options.answer_burst_bytes)
+
+    def is_idle(self) -> bool:
+        return not self.statuses and not self.revisions
+
+    def content(
+        self, about: MemberEntry | None = None
+    ) -> tuple[list[Status], list[tuple[AppliedSettings, tuple[int, ...]]]]:
+        """Take the news for one datagram, the least told first.
+
+        A member believed to be failing is told so first (Lifeguard's buddy system): it can refute
+        a suspicion only after it has heard of it.
+        """
+        statuses = []
+        if about is not None and about.health is not Health.ALIVE:
+            statuses.append(about.status(self.sender.own.key))
+        statuses += self._take_statuses(STATUS_SHARE)
+        room = CONTENT_BYTES - sum(status_size(status) for status in statuses)
+        return statuses, self._take_revisions(room)
+
+    def _take_statuses(self, room: int) -> list[Status]:
+        taken = []
+        for key, accuser in self.statuses.peek(room // 23):
+            status = self.view.entries[key].status(accuser)
+            room -= status_size(status)
+            if room < 0:
+                break
+            taken.append(status)
+        copies = self.options.copies(self.options.gossip_copies, self.view.alive_count())
+        self.statuses.sent([status.key for status in taken], copies)
+        return taken
+
+    def _take_revisions(self, room: int) -> list[tuple[AppliedSettings, tuple[int, ...]]]:
+        groups: dict[AppliedSettings, list[int]] = defaultdict(list)
+        taken = []
+        for key, _ in self.revisions.peek(room // KEY_BYTES):
+            settings = self.view.entries[key].settings()
+            room -= KEY_BYTES + (0 if settings in groups else REVISION_GROUP_BYTES)
+            if room < 0:
+                break
+            groups[settings].append(key)
+            taken.append(key)
+        copies = self.options.copies(self.options.revision_copies, self.view.alive_count())
+        self.revisions.sent(taken, copies)
+        return [(settings, tuple(keys)) for settings, keys in groups.items()]
+
+    def forget(self, key: int) -> None:
+        """Stop passing on news of a member."""
+        self.statuses.discard(key)
+        self.revisions.discard(key)
+
+    def gossip(self, now: float, fanout: int) -> None:
+        """Send waiting news to ``fanout`` members chosen at random, within the budget."""
+        for _ in range(fanout):
+            if self.is_idle():
+                return
+            target = self.random_peer()
+            if target is None or not self.gossip_budget.take(self._expected_bytes(), now):
+                return
+            statuses, revisions = self.content(target)
+            self.sender.send(
+                Kind.GOSSIP,
+                target.member.gossip_address,
+                target.key,
+                statuses=statuses,
+                revisions=revisions,
+            )
+
+    def _expected_bytes(self) -> int:
+        waiting = 30 * len(self.statuses) + KEY_BYTES * len(self.revisions)
+        return 150 + min(CONTENT_BYTES, waiting)
+
+    def random_peer(self) -> MemberEntry | None:
+        """Return a member other than this node that is not known to be dead."""
+        live = self.view.live()
+        if len(live) < 2:
+            return None
+        entry = self.rng.choice(live)
+        while entry is self.sender.own:
+            entry = self.rng.choice(live)
+        return entry
+
+    def sync_buckets(self) -> tuple[int, ...]:
+        """Return the digests of the parts of the view, for another node to compare."""
+        count = min(MAX_BUCKETS, max(MIN_BUCKETS, self.view.alive_count() // 3))
+        return tuple(self.view.bucket_digests(count))
+
+    def differing(self, buckets: tuple[int, ...]) -> list[MemberEntry]:
+        """Return the entries in parts where the other node's digest differs, live ones first."""
+        count = len(buckets)
+        own = self.view.bucket_digests(count)
+        unequal = {number for number in range(count) if own[number] != buckets[number]}
+        entries = [
+            entry for entry in self.view.entries.values() if bucket_of(entry.key, count) in unequal
+        ]
+        self.rng.shuffle(entries)
+        return sorted(entries, key=lambda entry: entry.health.is_gone)
+
+    def send_records(
+        self, address: str, destination: int, entries: Iterable[MemberEntry], now: float
+    ) -> None:
+        """Send whole records in a bounded number of datagrams, within the budget of answers."""
+        batches = _batches([entry.record() for entry in entries])
+        for _, batch in zip(range(self.options.sync_datagrams), batches, strict=False):
+            if not self.answer_budget.take(sum(map(record_size, batch)) + 150, now):
+                return
+            self.sender.send(Kind.GOSSIP, address, destination, records=batch)
+
+
+def _batches(records: list[Record]) -> Iterator[list[Record]]:
+    batch: list[Record] = []
+    room = CONTENT_BYTES
+    for record in records:
+        size = record_size(record)
+        if size > room and batch:
+            yield batch
+            batch, room = [], CONTENT_BYTES
+        batch.append(record)
+        room -= size
+    if batch:
+        yield batch
--- /dev/null
+++ b/src/marjoramtide/membership/_failure_detector.py
@@ -0,0 +1,213 @@
+"""Probes members one after another and through helpers."""
+
+import random
+from collections.abc import Callable
+
+from marjoramtide.membership._awareness import Awareness
+from marjoramtide.membership._disseminator import Disseminator
+from marjoramtide.membership._gossip_counters import GossipCounters
+from marjoramtide.membership._member_entry import MemberEntry
+from marjoramtide.membership._member_view import MemberView
+from marjoramtide.membership._packet import Kind, Packet
+from marjoramtide.membership._packet_sender import PacketSender
+from marjoramtide.membership._probe import Probe, Relay
+from marjoramtide.membership._swim_options import SwimOptions
+
+MAX_PROBES = 64
+MAX_RELAYS = 256
+NACK_SHARE = 0.8
+
+
+class FailureDetector:
+    """SWIM's probing (Das et al., 2002): round robin over a shuffled list, so that each member is
+    probed within one round, with ``indirect_probes`` helpers before a probe counts as failed.
+
+    ``accuse`` is called with each member whose probe failed.
+    """
+
+    def __init__(
+        self,
+        view: MemberView,
+        sender: PacketSender,
+        news: Disseminator,
+        options: SwimOptions,
+        rng: random.Random,
+        counters: GossipCounters,
+        accuse: Callable[[MemberEntry], None],
+    ) -> None:
+        self.view = view
+        self.sender = sender
+        self.news = news
+        self.options = options
+        self.rng = rng
+        self.counters = counters
+        self.accuse = accuse
+        self.awareness = Awareness(options.awareness_limit)
+        self.probes: dict[int, Probe] = {}
+        self.probed: set[int] = set()
+        self.relays: dict[int, Relay] = {}
+        self.order: list[int] = []
+        self.last_number = rng.getrandbits(31)
+        self.next_probe_at = 0.0
+        self.next_dead_probe_at = 0.0
+
+    def reset(self, now: float) -> None:
+        """Forget all probes under way: their answers can't be told from missed ones."""
+        self.probes.clear()
+        self.probed.clear()
+        self.relays.clear()
+        self.next_probe_at = now
+        self.awareness.score = self.awareness.limit
+
+    def tick(self, now: float) -> None:
+        """Bring probes under way on and start the next one."""
+        self._expire_relays(now)
+        for number, probe in list(self.probes.items()):
+            if now >= probe.fails_at:
+                self._fail(number, probe)
+            elif now >= probe.indirect_at and not probe.asked_helpers:
+                self._ask_helpers(number, probe)
+        if now >= self.next_probe_at:
+            self.next_probe_at = now + self.options.probe_interval_s * self.awareness.multiplier
+            entry = self._next_target()
+            if entry is not None:
+                self.probe(entry, now)
+        if now >= self.next_dead_probe_at:
+            spread = self.rng.uniform(0.5, 1.5)
+            self.next_dead_probe_at = now + self.options.dead_probe_interval_s * spread
+            self._try_dead()
+
+    def probe(self, entry: MemberEntry, now: float) -> None:
+        """Start a probe of a member, unless one is under way."""
+        if entry.key in self.probed or len(self.probes) >= MAX_PROBES:
+            return
+        patience = self.awareness.multiplier
+        number = self._number()
+        self.probes[number] = Probe(
+            target=entry.key,
+            indirect_at=now + self.options.probe_timeout_s * patience,
+            fails_at=now + self.options.probe_interval_s * patience,
+        )
+        self.probed.add(entry.key)
+        self.counters.probes += 1
+        self.ping(entry, number)
+
+    def ping(self, entry: MemberEntry, number: int) -> None:
+        """Send one ping with news on it."""
+        statuses, revisions = self.news.content(entry)
+        self.sender.send(
+            Kind.PING,
+            entry.member.gossip_address,
+            entry.key,
+            number=number,
+            statuses=statuses,
+            revisions=revisions,
+        )
+
+    def on_ack(self, packet: Packet, now: float) -> bool:
+        """Take a confirmation; return whether it answers a probe of this node."""
+        relay = self.relays.pop(packet.number, None)
+        if relay is not None and relay.target == packet.sender:
+            self._answer_relay(Kind.ACK, relay)
+            return True
+        probe = self.probes.get(packet.number)
+        if probe is None or packet.sender not in (probe.target, *probe.helpers):
+            return False
+        self._end(packet.number, probe)
+        self.awareness.add(-1)
+        entry = self.view.entries.get(probe.target)
+        if entry is not None:
+            self.view.doubt(entry, False, now)
+        return True
+
+    def on_nack(self, packet: Packet) -> None:
+        """Take a helper's word that it could not reach the target either."""
+        probe = self.probes.get(packet.number)
+        if probe is not None:
+            probe.missing.discard(packet.sender)
+
+    def on_request(self, packet: Packet, now: float) -> None:
+        """Probe a member for another node."""
+        entry = self.view.entries.get(packet.keys[0]) if packet.keys else None
+        if entry is None or len(self.relays) >= MAX_RELAYS:
+            return
+        number = self._number()
+        self.relays[number] = Relay(
+            requester=packet.sender,
+            number=packet.number,
+            target=entry.key,
+            expires=now + self.options.probe_timeout_s * NACK_SHARE,
+        )
+        self.ping(entry, number)
+
+    def _number(self) -> int:
+        self.last_number += 1
+        return self.last_number
+
+    def _next_target(self) -> MemberEntry | None:
+        live = self.view.live()
+        if len(live) < 2:
+            return None
+        for _ in range(2):
+            while self.order:
+                entry = self.view.entries.get(self.order.pop())
+                if entry and not entry.health.is_gone and entry is not self.sender.own:
+                    return entry
+            self.order = [entry.key for entry in live]
+            self.rng.shuffle(self.order)
+        return None
+
+    def _try_dead(self) -> None:
+        # Without this a region that was cut off stays "dead" for the other one for ever after the
+        # link is back, since neither side probes the dead. One datagram at a time is enough: a
+        # single answer lets the two sides compare their views.
+        dead = [entry for entry in self.view.gone.values() if entry.is_tried()]
+        if dead:
+            self.ping(self.rng.choice(dead), self._number())
+
+    def _ask_helpers(self, number: int, probe: Probe) -> None:
+        probe.asked_helpers = True
+        candidates = [
+            entry
+            for entry in self.rng.sample(
+                self.view.live(), min(len(self.view.live()), self.options.indirect_probes + 2)
+            )
+            if entry.key != probe.target and entry is not self.sender.own
+        ][: self.options.indirect_probes]
+        for helper in candidates:
+            probe.helpers.add(helper.key)
+            probe.missing.add(helper.key)
+            self.sender.send(
+                Kind.PING_REQUEST,
+                helper.member.gossip_address,
+                helper.key,
+                number=number,
+                keys=(probe.target,),
+            )
+
+    def _fail(self, number: int, probe: Probe) -> None:
+        self._end(number, probe)
+        self.counters.failed_probes += 1
+        # Helpers that said nothing at all point at this node's own link or load; helpers that
+        # answered that they could not reach the target either point at the target.
+        self.awareness.add(len(probe.missing) if probe.helpers else 1)
+        entry = self.view.entries.get(probe.target)
+        if entry is not None and not entry.health.is_gone:
+            self.accuse(entry)
+
+    def _end(self, number: int, probe: Probe) -> None:
+        del self.probes[number]
+        self.probed.discard(probe.target)
+
+    def _expire_relays(self, now: float) -> None:
+        for number, relay in list(self.relays.items()):
+            if now >= relay.expires:
+                del self.relays[number]
+                self._answer_relay(Kind.NACK, relay)
+
+    def _answer_relay(self, kind: Kind, relay: Relay) -> None:
+        requester = self.view.entries.get(relay.requester)
+        if requester is not None:
+            self.sender.send(
+                kind, requester.member.gossip_address, requester.key, number=relay.number
+            )
--- /dev/null
+++ b/src/marjoramtide/membership/_gossip_counters.py
@@ -0,0 +1,22 @@
+"""Counts of the protocol's work."""
+
+from collections import Counter
+
+import attrs
+
+from marjoramtide.membership._packet_error import DropCode
+
+
+@attrs.define(slots=True)
+class GossipCounters:
+    """Totals since the start; ``dropped`` counts datagrams by the reason they were dropped for."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    probes: int = 0
+    failed_probes: int = 0
+    syncs: int = 0
+    refutations: int = 0
+    dropped: Counter[DropCode] = attrs.field(factory=Counter)
--- /dev/null
+++ b/src/marjoramtide/membership/_identity.py
@@ -0,0 +1,47 @@
+"""The part of a member record that never changes, and the key made from it."""
+
+import hashlib
+import sys
+from functools import lru_cache
+from typing import Any
+
+import cbor2
+
+from marjoramtide.membership._member import Member
+from marjoramtide.settings import parse_address
+
+
+@lru_cache(maxsize=4096)
+def member_key(node: str) -> int:
+    """Return the 64-bit key that stands for a node's identity in datagrams; never 0."""
+    return int.from_bytes(hashlib.blake2b(node.encode(), digest_size=8).digest(), "big") | 1
+
+
+def encode_identity(member: Member) -> bytes:
+    """Return the identity and addresses of a member as CBOR."""
+    return cbor2.dumps(
+        [
+            member.node,
+            member.service,
+            member.region,
+            member.data_centre,
+            member.peer_address,
+            member.gossip_address,
+            member.operators_address,
+        ]
+    )
+
+
+def decode_identity(identity: bytes) -> Member:
+    """Return a member with the identity and addresses given; raises ``ValueError``."""
+    fields: Any = cbor2.loads(identity)
+    if not isinstance(fields, list) or len(fields) != 7:
+        raise ValueError("an identity has seven fields")
+    if not all(isinstance(field, str) and field for field in fields):
+        raise ValueError("the fields of an identity are text and not empty")
+    for address in fields[4:]:
+        parse_address(address)
+    # Services, regions and data centres repeat over the fleet: one string each saves memory.
+    node, service, region, data_centre, *addresses = fields
+    shared: list[Any] = [sys.intern(text) for text in (service, region, data_centre)]
+    return Member(node, *shared, *addresses)
--- /dev/null
+++ b/src/marjoramtide/membership/_member_entry.py
@@ -0,0 +1,92 @@
+"""One row of a node's view."""
+
+import attrs
+import xxhash
+
+from marjoramtide.membership._health import Health
+from marjoramtide.membership._identity import encode_identity, member_key
+from marjoramtide.membership._member import Member
+from marjoramtide.membership._member_state import MemberState
+from marjoramtide.membership._packet import AppliedSettings, Record, Status
+from marjoramtide.membership._suspicion import Suspicion
+
+
+@attrs.define(slots=True, eq=False)
+class MemberEntry:
+    """What this node holds about one member.
+
+    ``member`` is the record that other parts of the node read. ``doubted`` is this node's own
+    passive sign of failure; it is not passed on. ``gone_at`` is when the member was believed dead.
+    """
+
+    member: Member
+    key: int
+    identity: bytes
+    declared: MemberState
+    health: Health = Health.ALIVE
+    doubted: bool = False
+    gone_at: float = 0.0
+    suspicion: Suspicion | None = None
+    summand: int = 0
+
+    def status(self, accuser: int = 0) -> Status:
+        return Status(
+            self.key,
+            self.member.incarnation,
+            self.declared,
+            self.health,
+            accuser if self.health is Health.SUSPECT else 0,
+        )
+
+    def settings(self) -> AppliedSettings:
+        return AppliedSettings(self.member.revision, self.member.digest)
+
+    def record(self) -> Record:
+        return Record(self.identity, self.status(), self.settings())
+
+    def is_tried(self) -> bool:
+        """Tell whether a member that is gone may come back under this identity."""
+        return self.health is Health.DEAD
+
+    def visible_state(self) -> MemberState:
+        """Return the state that other parts act on.
+
+        A member that is draining stays so under suspicion: ``suspect`` still takes work.
+        """
+        if self.health.is_gone:
+            return MemberState.DEAD
+        doubtful = self.health is Health.SUSPECT or self.doubted
+        return (
+            MemberState.SUSPECT
+            if doubtful and self.declared is MemberState.READY
+            else self.declared
+        )
+
+    def refresh(self) -> int:
+        """Recompute the summand of the view's digest; return how the digest changes.
+
+        Suspicion is left out, being short-lived, and so are members that are gone: nodes forget
+        them at different moments, which is no difference worth pulling for.
+        """
+        before = self.summand
+        member = self.member
+        text = (
+            ""
+            if self.health.is_gone
+            else f"{self.key},{member.incarnation},{self.declared},{member.revision}"
+        )
+        self.summand = xxhash.xxh3_64_intdigest(text.encode()) if text else 0
+        return before ^ self.summand
+
+
+def make_entry(member: Member, declared: MemberState, health: Health) -> MemberEntry:
+    """Return the entry of a member heard of for the first time."""
+    entry = MemberEntry(
+        member=member,
+        key=member_key(member.node),
+        identity=encode_identity(member),
+        declared=declared,
+        health=health,
+    )
+    entry.member = attrs.evolve(member, state=entry.visible_state())
+    return entry
--- /dev/null
+++ b/src/marjoramtide/membership/_member_view.py
@@ -0,0 +1,164 @@
+"""All members a node knows, and the rules by which news changes them."""
+
+from collections import defaultdict
+
+import attrs
+
+from marjoramtide.membership._health import Health
+from marjoramtide.membership._member import Member
+from marjoramtide.membership._member_entry import MemberEntry, make_entry
+from marjoramtide.membership._packet import AppliedSettings, Status
+
+
+class MemberView:
+    """The members by key, with what is derived from them.
+
+    News is merged so that the order and number of its arrivals does not matter: ``LEFT`` is final,
+    else the higher incarnation wins, else the graver health; the settings revision only rises.
+    ``members_of`` answers from a list that is rebuilt only after a member of the service changed.
+    """
+
+    def __init__(self) -> None:
+        self.entries: dict[int, MemberEntry] = {}
+        self.by_address: dict[str, int] = {}
+        self.by_service: dict[str, dict[int, MemberEntry]] = defaultdict(dict)
+        self.suspects: dict[int, MemberEntry] = {}
+        self.gone: dict[int, MemberEntry] = {}
+        self.digest = 0
+        self.changes: list[Member] = []
+        self.working: dict[str, list[Member]] = {}
+        self.present: list[Member] | None = None
+        self.live_entries: list[MemberEntry] | None = None
+
+    def add(self, member: Member, status: Status, now: float) -> MemberEntry:
+        """Add a member that is not known yet."""
+        entry = make_entry(
+            attrs.evolve(member, incarnation=status.incarnation), status.declared, status.health
+        )
+        self.entries[entry.key] = entry
+        self.by_address[member.gossip_address] = entry.key
+        self.by_service[member.service][entry.key] = entry
+        self.live_entries = None
+        self._changed(entry, now)
+        return entry
+
+    def merge_status(self, status: Status, now: float) -> bool:
+        """Apply a status of a known member; return whether it was news."""
+        entry = self.entries[status.key]
+        if not _supersedes(status, entry):
+            return False
+        entry.member = attrs.evolve(entry.member, incarnation=status.incarnation)
+        entry.declared = status.declared
+        entry.health = status.health
+        entry.doubted = False
+        self._changed(entry, now)
+        return True
+
+    def merge_settings(self, key: int, settings: AppliedSettings, now: float) -> bool:
+        """Apply the settings that a known member has in force; return whether it was news."""
+        entry = self.entries[key]
+        if settings.revision <= entry.member.revision:
+            return False
+        entry.member = attrs.evolve(
+            entry.member, revision=settings.revision, digest=settings.digest
+        )
+        self._changed(entry, now)
+        return True
+
+    def doubt(self, entry: MemberEntry, doubted: bool, now: float) -> None:
+        """Set or clear this node's own passive sign of failure."""
+        if entry.doubted is not doubted:
+            entry.doubted = doubted
+            self._changed(entry, now)
+
+    def forget_before(self, moment: float) -> None:
+        """Forget the members that were believed gone before ``moment``."""
+        for key in [key for key, entry in self.gone.items() if entry.gone_at < moment]:
+            self.remove(key)
+
+    def remove(self, key: int) -> None:
+        """Drop an entry without a trace."""
+        entry = self.entries.pop(key)
+        self.gone.pop(key, None)
+        self.suspects.pop(key, None)
+        self.by_service[entry.member.service].pop(key, None)
+        if self.by_address.get(entry.member.gossip_address) == key:
+            del self.by_address[entry.member.gossip_address]
+        self.digest ^= entry.summand
+        self.live_entries = None
+        self._drop_caches(entry)
+
+    def members(self) -> list[Member]:
+        """Return all members that are not known to be dead."""
+        if self.present is None:
+            self.present = [entry.member for entry in self.live()]
+        return self.present
+
+    def members_of(self, service: str) -> list[Member]:
+        """Return the members of a service that may take work."""
+        found = self.working.get(service)
+        if found is None:
+            entries = self.by_service[service].values() if service in self.by_service else ()
+            found = [entry.member for entry in entries if entry.member.state.takes_work()]
+            if service in self.by_service:
+                self.working[service] = found
+        return found
+
+    def bucket_digests(self, count: int) -> list[int]:
+        """Return 32-bit digests of the view's parts, ``count`` of them."""
+        buckets = [0] * count
+        for entry in self.entries.values():
+            buckets[bucket_of(entry.key, count)] ^= entry.summand & 0xFFFFFFFF
+        return buckets
+
+    def alive_count(self) -> int:
+        return len(self.entries) - len(self.gone)
+
+    def live(self) -> list[MemberEntry]:
+        """Return the entries that are not gone, to choose from."""
+        if self.live_entries is None:
+            self.live_entries = [
+                entry for entry in self.entries.values() if not entry.health.is_gone
+            ]
+        return self.live_entries
+
+    def _changed(self, entry: MemberEntry, now: float) -> None:
+        key = entry.key
+        state = entry.visible_state()
+        if state is not entry.member.state:
+            entry.member = attrs.evolve(entry.member, state=state)
+        self.digest ^= entry.refresh()
+        if entry.health.is_gone and key not in self.gone:
+            entry.gone_at = now
+            self.gone[key] = entry
+            self.live_entries = None
+        elif not entry.health.is_gone and key in self.gone:
+            del self.gone[key]
+            self.live_entries = None
+        if entry.health is Health.SUSPECT:
+            self.suspects[key] = entry
+        else:
+            entry.suspicion = None
+            self.suspects.pop(key, None)
+        self._drop_caches(entry)
+        self.changes.append(entry.member)
+
+    def _drop_caches(self, entry: MemberEntry) -> None:
+        self.working.pop(entry.member.service, None)
+        self.present = None
+
+
+def bucket_of(key: int, count: int) -> int:
+    """Return the part of the view that a member belongs to."""
+    return (key >> 1) % count
+
+
+def _supersedes(status: Status, entry: MemberEntry) -> bool:
+    # An identity that left, or whose addresses another process took, never returns: a late
+    # "alive" about it would send requests to whoever has its addresses now.
+    if entry.health is Health.LEFT:
+        return False
+    if status.health is Health.LEFT:
+        return True
+    known = (entry.member.incarnation, entry.health)
+    return (status.incarnation, status.health) > known
--- /dev/null
+++ b/src/marjoramtide/membership/_membership_service.py
@@ -0,0 +1,220 @@
+"""Membership as a running part of a node."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from marjoramtide.clock import Clock
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.membership._announcement import Announcement
+from marjoramtide.membership._announcer import Announcer
+from marjoramtide.membership._directory import Directory
+from marjoramtide.membership._drop_log import DropLog
+from marjoramtide.membership._gossip_counters import GossipCounters
+from marjoramtide.membership._gossip_protocol import GossipProtocol
+from marjoramtide.membership._identity import encode_identity, member_key
+from marjoramtide.membership._member import Member
+from marjoramtide.membership._member_state import MemberState
+from marjoramtide.membership._packet_codec import MAX_IDENTITY_BYTES, PacketCodec
+from marjoramtide.membership._swim_core import SwimCore
+from marjoramtide.membership._swim_options import SwimOptions
+from marjoramtide.platform import ObjectStore
+from marjoramtide.settings import NodeSettings, parse_address
+
+log = structlog.get_logger()
+
+LEAVE_PAUSE_S = 0.1
+REREAD_TRIES = 3
+RECEIVE_BUFFER_BYTES = 1 << 20
+
+
+class MembershipService(Directory):
+    """Runs a ``SwimCore`` over one UDP socket, and the announcement in the store.
+
+    Reads never wait: they answer from the core's view, which changes only in this event loop.
+    """
+
+    def __init__(
+        self, core: SwimCore, store: ObjectStore, clock: Clock, rng: random.Random
+    ) -> None:
+        self.core = core
+        self.clock = clock
+        self.rng = rng
+        self.listeners: list[Callable[[Member], None]] = []
+        self.drop_log = DropLog()
+        self.destinations: dict[str, tuple[str, int]] = {}
+        self.transport: asyncio.DatagramTransport | None = None
+        self.protocol: GossipProtocol | None = None
+        self.tasks: list[asyncio.Task[None]] = []
+        self.announcer = Announcer(
+            store, clock, rng, lambda: self.self_member, core.view.alive_count, self._found
+        )
+
+    # Directory
+
+    @property
+    def self_member(self) -> Member:
+        return self.core.own.member
+
+    @property
+    def counters(self) -> GossipCounters:
+        """Return the totals since the start."""
+        return self.core.counters
+
+    def members(self) -> list[Member]:
+        return self.core.view.members()
+
+    def members_of(self, service: str) -> list[Member]:
+        return self.core.view.members_of(service)
+
+    def find(self, node: str) -> Member | None:
+        entry = self.core.view.entries.get(member_key(node))
+        return entry.member if entry else None
+
+    def set_state(self, state: MemberState) -> None:
+        self.core.set_state(state)
+        self._flush()
+
+    def set_settings(self, revision: int, digest: str) -> None:
+        self.core.set_settings(revision, digest)
+        self._flush()
+
+    def report_failure(self, node: str) -> None:
+        self.core.report_failure(node)
+        self._flush()
+
+    def on_change(self, listener: Callable[[Member], None]) -> None:
+        self.listeners.append(listener)
+
+    # Life
+
+    async def start(self) -> None:
+        """Bind the gossip address and begin; raises ``bad-settings`` where it can't be bound."""
+        address = self.self_member.gossip_address
+        try:
+            (
+                self.transport,
+                self.protocol,
+            ) = await asyncio.get_running_loop().create_datagram_endpoint(
+                lambda: GossipProtocol(self._receive), local_addr=parse_address(address)
+            )
+        except OSError as error:
+            raise MarjoramtideError(
+                ErrorCode.BAD_SETTINGS, f"gossip: {error}", step="membership.start", peer=address
+            ) from error
+        self.tasks = [
+            asyncio.create_task(self._tick(), name="membership-tick"),
+            asyncio.create_task(self.announcer.run(), name="membership-announcer"),
+        ]
+
+    async def stop(self, leave: bool = True) -> None:
+        """End; with ``leave`` tell the others and remove the announcement first."""
+        if leave and self.transport is not None:
+            self.core.leave()
+            self._flush()
+            await self.clock.sleep(LEAVE_PAUSE_S)
+            self.core.leave()
+            self._flush()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if leave:
+            await self.announcer.withdraw()
+        if self.transport is not None and self.protocol is not None:
+            self.transport.close()
+            await self.protocol.closed
+            self.transport = None
+
+    async def _tick(self) -> None:
+        while True:
+            self.core.tick(self.clock.monotonic(), self.clock.wall())
+            self._flush()
+            await self.clock.sleep(self.core.options.tick_s)
+
+    def _receive(self, data: bytes, address: str) -> None:
+        self.core.receive(data, address, self.clock.monotonic(), self.clock.wall())
+        self._flush()
+
+    def _flush(self) -> None:
+        """Send what waits and tell the listeners what changed."""
+        for address, data in self.core.drain():
+            self._send(address, data)
+        changes, self.core.view.changes = self.core.view.changes, []
+        for member in changes:
+            self._notify(member)
+        events, self.core.events = self.core.events, []
+        for event in events:
+            log.info("membership", event_kind=event.kind, detail=event.detail)
+        drops, self.core.drops = self.core.drops, []
+        for code, address, message in drops:
+            self.drop_log.add(code, address, message, self.clock.monotonic())
+
+    def _send(self, address: str, data: bytes) -> None:
+        destination = self.destinations.get(address)
+        if destination is None:
+            destination = self.destinations[address] = parse_address(address)
+        if self.transport is not None:
+            self.transport.sendto(data, destination)
+
+    def _notify(self, member: Member) -> None:
+        for listener in self.listeners:
+            try:
+                listener(member)
+            except Exception:  # a fault in another part must not stop the failure detector
+                log.exception("listener-failed", code=ErrorCode.INTERNAL, node=member.node)
+
+    def _found(self, announcements: list[Announcement]) -> None:
+        addresses = [item.gossip_address for item in announcements]
+        self.core.add_seeds(addresses)
+        # A part of the fleet that both sides have forgotten is met again through the store.
+        known = {member.gossip_address for member in self.members()}
+        strangers = [address for address in addresses if address not in known]
+        if len(known) > 1:
+            for address in self.rng.sample(strangers, min(REREAD_TRIES, len(strangers))):
+                self.core.try_address(address)
+        self._flush()
+
+
+def make_membership(
+    node_settings: NodeSettings,
+    store: ObjectStore,
+    clock: Clock,
+    rng: random.Random,
+    options: SwimOptions | None = None,
+) -> MembershipService:
+    """Return the membership of one run of a node; raises ``bad-settings``.
+
+    ``rng`` makes the run's identity, so it must differ from run to run outside of tests
+    (``random.SystemRandom()``). For example::
+
+        membership = make_membership(settings, store, SystemClock(), random.SystemRandom())
+        await membership.start()
+        membership.set_state(MemberState.READY)
+    """
+    member = Member(
+        node=f"{node_settings.name or node_settings.peers}~{rng.getrandbits(48):012x}",
+        service=node_settings.service,
+        region=node_settings.region,
+        data_centre=node_settings.data_centre,
+        peer_address=node_settings.peers,
+        gossip_address=node_settings.gossip,
+        operators_address=node_settings.operators,
+        incarnation=int(clock.wall() * 1000),
+    )
+    _check_size(member)
+    core = SwimCore(member, PacketCodec(node_settings.key), rng, options)
+    return MembershipService(core, store, clock, rng)
+
+
+def _check_size(member: Member) -> None:
+    texts: Iterable[str] = (member.node, member.service, member.region, member.data_centre)
+    size = len(encode_identity(member))
+    if size > MAX_IDENTITY_BYTES or not all(texts):
+        raise MarjoramtideError(
+            ErrorCode.BAD_SETTINGS,
+            f"name, service, region and data_centre: {size} bytes with the addresses; "
+            f"none may be empty and at most {MAX_IDENTITY_BYTES} bytes together are allowed",
+            step="membership.start",
+        )
--- /dev/null
+++ b/src/marjoramtide/membership/_packet_codec.py
@@ -0,0 +1,181 @@
+"""Datagrams to bytes and back, authenticated."""
+
+import hashlib
+import hmac
+import struct
+from typing import Any
+
+import cbor2
+
+from marjoramtide.membership._health import Health
+from marjoramtide.membership._packet import (
+    DECLARED_STATES,
+    AppliedSettings,
+    Kind,
+    Packet,
+    Record,
+    Status,
+)
+from marjoramtide.membership._packet_error import DropCode, PacketError
+
+MAX_DATAGRAM_BYTES = 1200
+MAC_BYTES = 16
+FORMAT = 1
+MAX_DIGEST_CHARACTERS = 64
+MAX_IDENTITY_BYTES = 400
+_STATUSES, _REVISIONS, _RECORDS, _BUCKETS, _KEYS = range(1, 6)
+_MALFORMED = (cbor2.CBORError, ValueError, TypeError, IndexError, KeyError, struct.error)
+
+
+class PacketCodec:
+    """Encodes with CBOR and authenticates with keyed BLAKE2b (RFC 7693), 16 bytes.
+
+    The code is checked before anything is parsed, so bytes from outside the fleet never reach the
+    CBOR decoder. A fleet with another key is told apart by the same check.
+    """
+
+    def __init__(self, key: str) -> None:
+        self.key = hashlib.blake2b(key.encode(), digest_size=32, person=b"mt-membership").digest()
+
+    def _mac(self, body: bytes) -> bytes:
+        return hashlib.blake2b(body, digest_size=MAC_BYTES, key=self.key).digest()
+
+    def encode(self, packet: Packet) -> bytes:
+        """Return the datagram; raises ``ValueError`` where it would be too large."""
+        body = cbor2.dumps(_to_wire(packet))
+        if len(body) + MAC_BYTES > MAX_DATAGRAM_BYTES:
+            raise ValueError(f"datagram of {len(body) + MAC_BYTES} bytes")
+        return self._mac(body) + body
+
+    def decode(self, data: bytes) -> Packet:
+        """Return the packet; raises ``PacketError`` for all that this fleet did not send."""
+        if len(data) > MAX_DATAGRAM_BYTES:
+            raise PacketError(DropCode.OVERSIZED, f"{len(data)} bytes")
+        mac, body = data[:MAC_BYTES], data[MAC_BYTES:]
+        if not hmac.compare_digest(mac, self._mac(body)):
+            raise PacketError(DropCode.BAD_MAC, "not authenticated with this fleet's key")
+        try:
+            return _from_wire(cbor2.loads(body))
+        except _MALFORMED as error:
+            raise PacketError(DropCode.MALFORMED, str(error)) from error
+
+
+def status_size(status: Status) -> int:
+    """Return an upper bound of the encoded size in bytes."""
+    return 32 if status.accuser else 23
+
+
+def record_size(record: Record) -> int:
+    """Return an upper bound of the encoded size in bytes."""
+    return len(record.identity) + len(record.settings.digest) + 50
+
+
+def _to_wire(packet: Packet) -> list[Any]:
+    body: dict[int, Any] = {}
+    if packet.statuses:
+        body[_STATUSES] = [_status_to_wire(status) for status in packet.statuses]
+    if packet.revisions:
+        body[_REVISIONS] = [
+            [settings.revision, settings.digest, struct.pack(f"!{len(keys)}Q", *keys)]
+            for settings, keys in packet.revisions
+        ]
+    if packet.records:
+        body[_RECORDS] = [
+            [
+                record.identity,
+                *_status_to_wire(record.status)[:3],
+                record.settings.revision,
+                record.settings.digest,
+            ]
+            for record in packet.records
+        ]
+    if packet.buckets:
+        body[_BUCKETS] = struct.pack(f"!{len(packet.buckets)}I", *packet.buckets)
+    if packet.keys:
+        body[_KEYS] = struct.pack(f"!{len(packet.keys)}Q", *packet.keys)
+    return [
+        FORMAT,
+        int(packet.kind),
+        packet.sender,
+        packet.sequence,
+        packet.sent_ms,
+        packet.destination,
+        packet.number,
+        packet.view_digest,
+        *_status_to_wire(packet.status)[1:3],
+        packet.settings.revision,
+        packet.settings.digest,
+        body,
+    ]
+
+
+def _status_to_wire(status: Status) -> list[int]:
+    code = DECLARED_STATES.index(status.declared) + len(DECLARED_STATES) * status.health
+    wire = [status.key, status.incarnation, code]
+    return [*wire, status.accuser] if status.accuser else wire
+
+
+def _from_wire(wire: Any) -> Packet:
+    if not isinstance(wire, list) or len(wire) != 13 or wire[0] != FORMAT:
+        raise ValueError("not a packet of this format")
+    _, kind, sender, sequence, sent_ms, destination, number, view, *own, body = wire
+    incarnation, code, revision, digest = own
+    body = _mapping(body)
+    return Packet(
+        kind=Kind(kind),
+        sender=_number(sender),
+        sequence=_number(sequence),
+        sent_ms=_number(sent_ms),
+        destination=_number(destination),
+        number=_number(number),
+        view_digest=_number(view),
+        status=_status([sender, incarnation, code]),
+        settings=_settings(revision, digest),
+        statuses=[_status(item) for item in body.get(_STATUSES, ())],
+        revisions=[
+            (_settings(item[0], item[1]), _unpack("Q", item[2]))
+            for item in body.get(_REVISIONS, ())
+        ],
+        records=[_record(item) for item in body.get(_RECORDS, ())],
+        buckets=_unpack("I", body.get(_BUCKETS, b"")),
+        keys=_unpack("Q", body.get(_KEYS, b"")),
+    )
+
+
+def _mapping(value: Any) -> dict[int, Any]:
+    if not isinstance(value, dict):
+        raise ValueError("body is not a map")
+    return value
+
+
+def _number(value: Any) -> int:
+    if type(value) is not int or not 0 <= value < 1 << 64:
+        raise ValueError("not an unsigned number of 64 bits")
+    return value
+
+
+def _settings(revision: Any, digest: Any) -> AppliedSettings:
+    if not isinstance(digest, str) or len(digest) > MAX_DIGEST_CHARACTERS:
+        raise ValueError("bad settings digest")
+    return AppliedSettings(_number(revision), digest)
+
+
+def _status(wire: Any) -> Status:
+    health, declared = divmod(_number(wire[2]), len(DECLARED_STATES))
+    accuser = _number(wire[3]) if len(wire) > 3 else 0
+    return Status(
+        _number(wire[0]), _number(wire[1]), DECLARED_STATES[declared], Health(health), accuser
+    )
+
+
+def _record(wire: Any) -> Record:
+    identity, key, incarnation, code, revision, digest = wire
+    if not isinstance(identity, bytes) or len(identity) > MAX_IDENTITY_BYTES:
+        raise ValueError("bad identity")
+    return Record(identity, _status([key, incarnation, code]), _settings(revision, digest))
+
+
+def _unpack(letter: str, data: Any) -> tuple[int, ...]:
+    if not isinstance(data, bytes):
+        raise ValueError("not a byte string")
+    return struct.unpack(f"!{len(data) // struct.calcsize('!' + letter)}{letter}", data)
--- /dev/null
+++ b/src/marjoramtide/membership/_swim_core.py
@@ -0,0 +1,510 @@
+"""The membership protocol, without sockets, clocks or tasks."""
+
+import random
+
+import attrs
+
+from marjoramtide.membership._disseminator import MAX_WANTED_KEYS, Disseminator
+from marjoramtide.membership._failure_detector import FailureDetector
+from marjoramtide.membership._gossip_counters import GossipCounters
+from marjoramtide.membership._health import Health
+from marjoramtide.membership._identity import decode_identity, member_key
+from marjoramtide.membership._member import Member
+from marjoramtide.membership._member_entry import MemberEntry
+from marjoramtide.membership._member_state import MemberState
+from marjoramtide.membership._member_view import MemberView
+from marjoramtide.membership._membership_event import EventKind, MembershipEvent
+from marjoramtide.membership._packet import AppliedSettings, Kind, Packet, Record, Status
+from marjoramtide.membership._packet_codec import PacketCodec
+from marjoramtide.membership._packet_error import DropCode, PacketError
+from marjoramtide.membership._packet_sender import PacketSender
+from marjoramtide.membership._replay_window import ReplayWindow
+from marjoramtide.membership._suspicion import Suspicion
+from marjoramtide.membership._swim_options import SwimOptions
+
+LEARNING_S = 5.0
+SEEDS_TRIED = 3
+SEED_INTERVAL_S = 1.0
+WANT_INTERVAL_S = 0.5
+UNMATCHED_S = 5.0
+URGENT_FANOUT = 4
+LEAVE_FANOUT = 8
+HOUSEKEEPING_S = 30.0
+VERIFY_PER_TICK = 2
+MAX_VERIFY = 256
+
+
+class SwimCore:
+    """SWIM (Das et al., 2002) with Lifeguard's additions (Dadgar et al., 2018).
+
+    The owner feeds datagrams to ``receive`` and calls ``tick`` every ``options.tick_s``, both with
+    the monotonic and the wall clock in seconds, then sends what ``drain`` returns. ``events`` and
+    ``view.changes`` tell what happened; the owner empties them. Nothing raises on bad input: it is
+    counted in ``counters.dropped``.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        codec: PacketCodec,
+        rng: random.Random,
+        options: SwimOptions | None = None,
+    ) -> None:
+        self.options = options or SwimOptions()
+        self.rng = rng
+        self.codec = codec
+        self.counters = GossipCounters()
+        self.view = MemberView()
+        self.key = member_key(member.node)
+        status = Status(self.key, member.incarnation, member.state)
+        self.own = self.view.add(member, status, 0.0)
+        self.sender = PacketSender(codec, self.view, self.own, self.counters)
+        self.news = Disseminator(self.view, self.sender, self.options, rng)
+        self.detector = FailureDetector(
+            self.view, self.sender, self.news, self.options, rng, self.counters, self._accuse
+        )
+        self.windows: dict[int, tuple[ReplayWindow, float]] = {}
+        self.seeds: list[str] = []
+        self.events: list[MembershipEvent] = []
+        self.drops: list[tuple[DropCode, str, str]] = []
+        self.wanted: dict[int, float] = {}
+        self.verify: dict[int, Status] = {}
+        self.now: float | None = None
+        self.wall = 0.0
+        self.started = 0.0
+        self.last_match = 0.0
+        self.last_sync = 0.0
+        self.last_seed = -SEED_INTERVAL_S
+        self.last_housekeeping = 0.0
+        # While learning, this node has no fresh view of its own and accuses nobody.
+        self.learning = True
+        self.learned_from: float | None = None
+        self.learning_after = self.detector.last_number
+        self.left = False
+        self.superseded = False
+
+    # What the node asks for
+
+    def add_seeds(self, addresses: list[str]) -> None:
+        """Set gossip addresses to try while no other member is known."""
+        self.seeds = [item for item in addresses if item != self.own.member.gossip_address]
+
+    def try_address(self, address: str) -> None:
+        """Ping whoever listens at a gossip address, to find a part of the fleet not yet known."""
+        self.sender.send(Kind.PING, address, 0, number=self.detector._number())
+
+    def set_state(self, state: MemberState) -> None:
+        """Change this node's own state and tell some members at once."""
+        if self.own.declared is state or self.left:
+            return
+        self._set_own(self.own.member.incarnation + 1, state, self.own.health)
+        self.news.gossip(self._now(), URGENT_FANOUT)
+
+    def set_settings(self, revision: int, digest: str) -> None:
+        """Report the settings in force here."""
+        if self.view.merge_settings(self.key, AppliedSettings(revision, digest), self._now()):
+            self.news.revisions.put(self.key)
+            self.news.gossip(self._now(), self.options.gossip_fanout)
+
+    def report_failure(self, node: str) -> None:
+        """Doubt a member on a passive sign and probe it now."""
+        entry = self.view.entries.get(member_key(node))
+        if entry is None or entry is self.own or entry.health.is_gone:
+            return
+        self.view.doubt(entry, True, self._now())
+        self.detector.probe(entry, self._now())
+
+    def leave(self) -> None:
+        """Say goodbye to some members, who pass it on; may be called twice, for lost datagrams."""
+        if not self.left:
+            self.left = True
+            self._set_own(self.own.member.incarnation + 1, MemberState.LEAVING, Health.LEFT)
+        live = [entry for entry in self.view.live() if entry is not self.own]
+        for entry in self.rng.sample(live, min(len(live), LEAVE_FANOUT)):
+            self.sender.send(
+                Kind.GOSSIP,
+                entry.member.gossip_address,
+                entry.key,
+                statuses=[self.own.status()],
+            )
+
+    def drain(self) -> list[tuple[str, bytes]]:
+        """Return and forget the datagrams to send, each with its ``IP:PORT``."""
+        outbox, self.sender.outbox = self.sender.outbox, []
+        return outbox
+
+    # Time
+
+    def tick(self, now: float, wall: float) -> None:
+        """Do what is due."""
+        self._advance(now, wall)
+        if self.left or self.superseded:
+            return
+        self._expire_suspicions(now)
+        self._verify_claims(now)
+        self.detector.tick(now)
+        self._join(now)
+        self.news.gossip(now, self.options.gossip_fanout)
+        if now - self.last_housekeeping > HOUSEKEEPING_S:
+            self._housekeeping(now)
+
+    def _now(self) -> float:
+        return self.now or 0.0
+
+    def _advance(self, now: float, wall: float) -> None:
+        if self.now is None:
+            self.started = self.last_match = self.last_housekeeping = now
+        elif now - self.now > self.options.freeze_gap_s and not self.left:
+            self._thaw(now - self.now, now)
+        self.now = now
+        self.wall = self.sender.wall = wall
+
+    def _thaw(self, gap: float, now: float) -> None:
+        # A process that was stopped missed every answer sent to it meanwhile, and its timers all
+        # look expired at once: acting on them, it would declare healthy members dead. So it drops
+        # its probes, starts the suspicions it holds anew, accuses nobody until another member has
+        # answered a probe sent after its return, and refutes what was said about it.
+        self.detector.reset(now)
+        self.verify.clear()
+        for entry in self.view.suspects.values():
+            if entry.suspicion is not None:
+                entry.suspicion.started = now
+        self.learning = True
+        self.learned_from = None
+        self.learning_after = self.detector.last_number
+        self.last_match = now
+        if gap > self.options.forget_s / 2:
+            self._forget_all()
+        self._set_own(self.own.member.incarnation + 1, self.own.declared, self.own.health)
+        self.events.append(MembershipEvent(EventKind.FROZEN, f"{gap:.1f} s"))
+
+    def _forget_all(self) -> None:
+        # After so long the others may have forgotten identities that died meanwhile; telling them
+        # the old view would bring those back. Their addresses are kept as seeds only.
+        others = [entry for entry in self.view.entries.values() if entry is not self.own]
+        self.add_seeds([entry.member.gossip_address for entry in others])
+        for entry in others:
+            self._forget(entry.key)
+
+    def _forget(self, key: int) -> None:
+        self.news.forget(key)
+        self.view.remove(key)
+
+    def _housekeeping(self, now: float) -> None:
+        self.last_housekeeping = now
+        old = now - self.options.forget_s
+        for key in [key for key, entry in self.view.gone.items() if entry.gone_at < old]:
+            self._forget(key)
+        # A window may go once every datagram it guards against is out of time by its wall clock.
+        stale = now - 3 * self.options.time_window_s
+        self.windows = {key: pair for key, pair in self.windows.items() if pair[1] > stale}
+        self.wanted.clear()
+
+    # Own record
+
+    def _set_own(self, incarnation: int, state: MemberState, health: Health) -> None:
+        status = Status(self.key, incarnation, state, health)
+        self.view.merge_status(status, self._now())
+        self.news.statuses.put(self.key)
+
+    def _hear_about_self(self, status: Status) -> None:
+        if self.left or self.superseded:
+            return
+        own = self.own.member.incarnation
+        if status.health is Health.LEFT:
+            self._stand_down("another process has this node's gossip address")
+        elif status.incarnation > own or (
+            status.incarnation == own and status.health is not Health.ALIVE
+        ):
+            self.detector.awareness.add(1)
+            self.counters.refutations += 1
+            self._set_own(status.incarnation + 1, self.own.declared, Health.ALIVE)
+            self.events.append(MembershipEvent(EventKind.REFUTED, str(status.health.name)))
+
+    def _stand_down(self, reason: str) -> None:
+        self.superseded = True
+        self.events.append(MembershipEvent(EventKind.SUPERSEDED, reason))
+
+    # Suspicion
+
+    def _accuse(self, entry: MemberEntry) -> None:
+        if self.learning:
+            return
+        self._suspect(attrs.evolve(entry.status(), health=Health.SUSPECT, accuser=self.key))
+
+    def _suspect(self, status: Status) -> None:
+        entry = self.view.entries[status.key]
+        if self.view.merge_status(status, self._now()):
+            entry.suspicion = self._new_suspicion()
+        if entry.health is not Health.SUSPECT or status.incarnation != entry.member.incarnation:
+            return
+        if entry.suspicion is not None and entry.suspicion.confirm(status.accuser):
+            self.news.statuses.put(entry.key, status.accuser)
+
+    def _new_suspicion(self) -> Suspicion:
+        members = self.view.alive_count()
+        shortest = self.options.suspicion_minimum_s(members)
+        return Suspicion(
+            started=self._now(),
+            shortest_s=shortest,
+            longest_s=shortest * self.options.suspicion_spread,
+            confirmations=max(0, min(self.options.suspicion_confirmations, members - 3)),
+        )
+
+    def _expire_suspicions(self, now: float) -> None:
+        due = [
+            entry
+            for entry in self.view.suspects.values()
+            if entry.suspicion is not None and now >= entry.suspicion.deadline
+        ]
+        for entry in due:
+            self.view.merge_status(attrs.evolve(entry.status(), health=Health.DEAD), now)
+            self.news.statuses.put(entry.key)
+
+    def _verify_claims(self, now: float) -> None:
+        for key in list(self.verify)[:VERIFY_PER_TICK]:
+            claim = self.verify.pop(key)
+            entry = self.view.entries.get(key)
+            if entry is None or _is_answered(entry, claim):
+                continue
+            self.sender.send(Kind.GOSSIP, entry.member.gossip_address, entry.key, statuses=[claim])
+            self.detector.probe(entry, now)
+
+    # Finding the others
+
+    def _join(self, now: float) -> None:
+        peer = self.news.random_peer()
+        if peer is None:
+            self._try_seeds(now)
+            return
+        if not self.learning:
+            return
+        if self.learned_from is not None and now - self.learned_from > LEARNING_S:
+            self._learned()
+        elif now - self.last_sync >= self.options.join_interval_s:
+            self.detector.ping(peer, self.detector._number())
+            self._sync_with(peer.member.gossip_address, peer.key, now)
+
+    def _try_seeds(self, now: float) -> None:
+        if now - self.last_seed < SEED_INTERVAL_S:
+            return
+        self.last_seed = now
+        for address in self.rng.sample(self.seeds, min(SEEDS_TRIED, len(self.seeds))):
+            self.try_address(address)
+
+    def _learned(self) -> None:
+        self.learning = False
+        detail = f"{self.view.alive_count()} members"
+        self.events.append(MembershipEvent(EventKind.JOINED, detail))
+
+    def _sync_with(self, address: str, key: int, now: float, answer: bool = False) -> None:
+        self.last_sync = now
+        self.counters.syncs += 1
+        buckets = self.news.sync_buckets()
+        self.sender.send(Kind.SYNC, address, key, number=0 if answer else 1, buckets=buckets)
+
+    def _compare(self, packet: Packet, address: str, now: float) -> None:
+        if packet.view_digest == self.view.digest:
+            self.last_match = now
+            if self.learning and self.learned_from is not None:
+                self._learned()
+            return
+        # News under way makes views differ for a moment; pulling then would cost much for nothing.
+        settled = self.news.is_idle() or now - self.last_match > UNMATCHED_S
+        if settled and now - self.last_sync >= self.options.sync_interval_s:
+            self._sync_with(address, packet.sender, now)
+
+    # Datagrams
+
+    def receive(self, data: bytes, address: str, now: float, wall: float) -> None:
+        """Take a datagram that came from the gossip address ``address``."""
+        self._advance(now, wall)
+        self.counters.received += 1
+        self.counters.received_bytes += len(data)
+        try:
+            packet = self.codec.decode(data)
+            self._check_fresh(packet)
+            if packet.destination not in (0, self.key):
+                self._redirect(packet, address)
+            self._handle(packet, address, now)
+        except PacketError as error:
+            self._drop(error.code, address, str(error))
+        except Exception as error:  # one bad datagram must not stop the membership task
+            self._drop(DropCode.INTERNAL, address, repr(error))
+
+    def _drop(self, code: DropCode, address: str, message: str) -> None:
+        self.counters.dropped[code] += 1
+        self.drops.append((code, address, message))
+
+    def _check_fresh(self, packet: Packet) -> None:
+        if packet.sender == self.key:
+            raise PacketError(DropCode.REPLAYED, "this node's own datagram")
+        age = self.wall - packet.sent_ms / 1000
+        if abs(age) > self.options.time_window_s:
+            raise PacketError(DropCode.OUT_OF_TIME, f"sent {age:.0f} s ago by the sender's clock")
+        window, _ = self.windows.get(packet.sender) or (ReplayWindow(), 0.0)
+        self.windows[packet.sender] = (window, self._now())
+        if not window.accept(packet.sequence):
+            raise PacketError(DropCode.REPLAYED, f"sequence {packet.sequence} seen before")
+
+    def _redirect(self, packet: Packet, address: str) -> None:
+        # The sender means an earlier process at this address. An answer in its name would keep the
+        # dead identity alive for ever; the own record lets the sender replace it at once.
+        if packet.kind is Kind.PING:
+            self.news.send_records(address, packet.sender, [self.own], self._now())
+        raise PacketError(DropCode.MISADDRESSED, "meant for another member")
+
+    def _handle(self, packet: Packet, address: str, now: float) -> None:
+        if self.left or self.superseded:
+            return
+        missing: list[int] = []
+        self._hear_sender(packet, address, missing)
+        for status in packet.statuses:
+            self._hear_status(status, packet.sender, missing)
+        for settings, keys in packet.revisions:
+            self._hear_settings(settings, keys)
+        for record in packet.records:
+            self._hear_record(record, packet.sender, address)
+        self._act(packet, address, now)
+        self._want(missing, packet.sender, address, now)
+        if packet.kind in (Kind.PING, Kind.ACK):
+            self._compare(packet, address, now)
+
+    def _act(self, packet: Packet, address: str, now: float) -> None:
+        match packet.kind:
+            case Kind.PING:
+                statuses, revisions = self.news.content(self.view.entries.get(packet.sender))
+                self.sender.send(
+                    Kind.ACK,
+                    address,
+                    packet.sender,
+                    number=packet.number,
+                    statuses=statuses,
+                    revisions=revisions,
+                )
+            case Kind.ACK:
+                self.detector.on_ack(packet, now)
+                if self.learning and packet.number > self.learning_after:
+                    self.learned_from = self.learned_from or now
+            case Kind.NACK:
+                self.detector.on_nack(packet)
+            case Kind.PING_REQUEST:
+                self.detector.on_request(packet, now)
+            case Kind.SYNC:
+                self._answer_sync(packet, address, now)
+            case Kind.WANT:
+                known = [self.view.entries[key] for key in packet.keys if key in self.view.entries]
+                self.news.send_records(address, packet.sender, known, now)
+
+    def _answer_sync(self, packet: Packet, address: str, now: float) -> None:
+        if not packet.buckets:
+            return
+        different = self.news.differing(packet.buckets)
+        self.news.send_records(address, packet.sender, different, now)
+        if packet.number:
+            self._sync_with(address, packet.sender, now, answer=True)
+
+    def _want(self, missing: list[int], sender: int, address: str, now: float) -> None:
+        keys = [key for key in missing if now - self.wanted.get(key, -1e9) > WANT_INTERVAL_S]
+        keys = keys[:MAX_WANTED_KEYS]
+        if keys:
+            self.wanted.update(dict.fromkeys(keys, now))
+            self.sender.send(Kind.WANT, address, sender, keys=tuple(keys))
+
+    # News
+
+    def _hear_sender(self, packet: Packet, address: str, missing: list[int]) -> None:
+        entry = self.view.entries.get(packet.sender)
+        if entry is None:
+            missing.append(packet.sender)
+            return
+        if entry.health is Health.LEFT:
+            if packet.status.health is Health.LEFT:
+                return  # the goodbye is sent twice
+            self.sender.send(Kind.GOSSIP, address, packet.sender, statuses=[entry.status()])
+            raise PacketError(DropCode.SENDER_GONE, "the sender has left or was replaced")
+        self._hear_status(packet.status, packet.sender, missing)
+        if self.view.merge_settings(entry.key, packet.settings, self._now()):
+            self.news.revisions.put(entry.key)
+
+    def _hear_status(self, status: Status, sender: int, missing: list[int]) -> None:
+        if status.key == self.key:
+            self._hear_about_self(status)
+            return
+        entry = self.view.entries.get(status.key)
+        if entry is None:
+            if not status.health.is_gone:
+                missing.append(status.key)
+        elif status.health is Health.SUSPECT:
+            self._suspect(attrs.evolve(status, accuser=status.accuser or sender))
+        elif status.health is Health.DEAD and entry.health is Health.ALIVE:
+            # After a cut heals, the other side's view says "dead" of every member on this side.
+            # Believed at once, it would empty this side's list of backend servers until each one
+            # had refuted it. Where no suspicion went before, the claim is checked by a probe.
+            if not _is_answered(entry, status) and len(self.verify) < MAX_VERIFY:
+                self.verify[status.key] = status
+        elif self.view.merge_status(status, self._now()):
+            self.news.statuses.put(status.key)
+
+    def _hear_settings(self, settings: AppliedSettings, keys: tuple[int, ...]) -> None:
+        for key in keys:
+            known = key != self.key and key in self.view.entries
+            if known and self.view.merge_settings(key, settings, self._now()):
+                self.news.revisions.put(key)
+
+    def _hear_record(self, record: Record, sender: int, address: str) -> None:
+        if record.status.key in self.view.entries:
+            self._hear_status(record.status, sender, [])
+            self._hear_settings(record.settings, (record.status.key,))
+            return
+        if record.status.health.is_gone:
+            return
+        try:
+            member = decode_identity(record.identity)
+        except Exception as error:
+            raise PacketError(DropCode.MALFORMED, f"identity: {error}") from error
+        if member_key(member.node) != record.status.key:
+            raise PacketError(DropCode.MALFORMED, "identity and key differ")
+        if self._takes_address(member, record.status, address, sender):
+            self._admit(member, record)
+
+    def _admit(self, member: Member, record: Record) -> None:
+        alive = attrs.evolve(record.status, health=Health.ALIVE)
+        self.view.add(member, alive, self._now())
+        self._hear_settings(record.settings, (record.status.key,))
+        self.news.statuses.put(record.status.key)
+        if record.status.health is Health.SUSPECT:
+            self._suspect(record.status)
+
+    def _takes_address(self, member: Member, status: Status, address: str, sender: int) -> bool:
+        """Settle which of two identities has a gossip address; return whether the new one does.
+
+        Incarnations start at the wall clock, so the later process has the higher one; a process
+        whose clock ran back is told of the earlier record and raises its own above it.
+        """
+        holder = self.view.entries.get(self.view.by_address.get(member.gossip_address, 0))
+        if holder is None:
+            return True
+        if holder is self.own:
+            self._defend_address(member, status)
+            return False
+        if status.incarnation <= holder.member.incarnation:
+            self.news.send_records(address, sender, [holder], self._now())
+            return False
+        self.view.merge_status(attrs.evolve(holder.status(), health=Health.LEFT), self._now())
+        self.news.statuses.put(holder.key)
+        return True
+
+    def _defend_address(self, member: Member, status: Status) -> None:
+        if status.incarnation >= self.own.member.incarnation:
+            if self._now() - self.started > self.options.young_s:
+                self._stand_down(f"{member.node} has this node's gossip address")
+                return
+            self._set_own(status.incarnation + 1, self.own.declared, Health.ALIVE)
+        self.view.add(member, attrs.evolve(status, health=Health.LEFT), self._now())
+        self.view.by_address[member.gossip_address] = self.key
+        self.news.statuses.put(status.key)
+
+
+def _is_answered(entry: MemberEntry, claim: Status) -> bool:
+    return entry.health.is_gone or entry.member.incarnation > claim.incarnation
