--- /dev/null
+++ b/standins/mesh/__init__.py
@@ -0,0 +1,15 @@
+"""A mesh of real processes on loopback: store, backend servers and their nodes.
+
+For example::
+
+    async with Mesh(folder, make_plan({"mapdesk": 3})) as mesh:
+        await mesh.ready()
+        await mesh.nodes[0].process.kill()
+"""
+
+from standins.mesh._mesh import Mesh
+from standins.mesh._mesh_node import MeshNode
+from standins.mesh._plan import DATA_CENTRES, NodePlan, make_plan
+from standins.mesh._process import ManagedProcess
+
+__all__ = ["DATA_CENTRES", "ManagedProcess", "Mesh", "MeshNode", "NodePlan", "make_plan"]
