--- a/bench/load/_caller.py
+++ b/bench/load/_caller.py
@@ -8,11 +8,11 @@
 
 import aiohttp
 import xxhash
-from standins.expected_body import expected_body
 
 from bench.load._attempt import Attempt
 from bench.load._outcome import Outcome
 from bench.load._planned_call import PlannedCall
+from standins.expected_body import expected_body
 
 PATIENCE = 2.0  # a caller gives up after this multiple of the deadline, and one second
 HEADERS_OF_OUTCOME = {"not-run": Outcome.NOT_RUN, "unknown": Outcome.UNKNOWN}
--- a/features/run.py
+++ b/features/run.py
@@ -63,7 +63,7 @@
     name = str(path.relative_to(ROOT / "features"))
     report = folder / (name.replace("/", "__") + ".json")
     command = [sys.executable, "-m", "behave", "--no-color", "-f", "json", "-o", str(report)]
-    command += ["-f", "progress", "--no-skipped", "--no-timings", str(path)]
+    command += ["-f", "plain", "--no-skipped", "--no-timings", str(path)]
     started = time.monotonic()
     try:
         process = await asyncio.create_subprocess_exec(
--- a/features/steps/bench_steps.py
+++ b/features/steps/bench_steps.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 from behave import given, then, when
-from bench.load import Attempt, Audit, Backends, OpenLoop, Outcome, PlannedCall, audit, play, tally
-from standins.backend import BackendServer, start_backend
 
+from bench.load import Attempt, Audit, Backends, OpenLoop, Outcome, PlannedCall, audit, play, tally
 from marjoramtide.clock import ManualClock
+from standins.backend import BackendServer, start_backend
 
 SERVICE = "mapdesk"
 
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -3,8 +3,8 @@
 from typing import Any
 
 from behave import given, then, when
-from features.membership.network import Network, Node
 
+from features.membership.network import Network, Node
 from marjoramtide.membership import MemberState
 
 DATA_CENTRES = ("nadi-hall", "lautoka-hall", "sigatoka-hall", "navrangpura", "sanand")
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from behave import given, then, when
-from features.store_harness import start_harness, start_process
 
+from features.store_harness import start_harness, start_process
 from marjoramtide.errors import MarjoramtideError
 from marjoramtide.platform import StoreLimits, create_resolved, update_resolved
 
--- a/features/store_harness.py
+++ b/features/store_harness.py
@@ -9,11 +9,11 @@
 from typing import Any, TypeVar
 
 from aiohttp import web
-from standins.object_store import ObjectStoreServer, make_server
 
 from marjoramtide.clock import SystemClock
 from marjoramtide.errors import MarjoramtideError
 from marjoramtide.platform import HttpObjectStore, StoreLimits, open_object_store
+from standins.object_store import ObjectStoreServer, make_server
 
 T = TypeVar("T")
 SEED = 20261202
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -85,7 +85,7 @@
             self.metrics,
             self.tracer,
         )
-        self.backend_state = BackendState.DOWN
+        self.backend_state: BackendState | None = None
         self.drained_by_operator = False
         self.stopping = False
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -156,7 +156,7 @@
         The admission rejects at once, whatever the others still believe, so a leaving backend
         server gets nothing new however slowly the word spreads.
         """
-        opened = self.serving.is_open
+        opened = self.serving.is_open and self.backend_state is not None
         accepting = (
             opened
             and self.backend_state is BackendState.READY
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -25,6 +25,7 @@
     settings: RouteSettings
     state: ServiceState
     excluded: set[str] = attrs.Factory(set)
+    rejected_by: set[str] = attrs.Factory(set)
     count: int = 0
     unknown: UnknownOutcomeError | None = None
     refused: NotRunError | None = None
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -19,7 +19,7 @@
 from marjoramtide.ingress._service_state import ServiceState, make_service_state
 from marjoramtide.membership import Directory
 from marjoramtide.peers import PeerClient
-from marjoramtide.policy import CallProfile, Selector
+from marjoramtide.policy import CallProfile
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, TraceContext, Tracer, read_trace
 
@@ -159,6 +159,12 @@
         )
         now = self.clock.monotonic()
         node = attempts.state.selector.choose(profile, now, attempts.excluded)
+        if node is None and attempts.rejected_by:
+            # A node may turn a first try away because others probably have room. Where there is
+            # no other, the request would be refused though it could be served in time; a second
+            # try is judged by the node's room alone.
+            attempts.excluded -= attempts.rejected_by
+            node = attempts.state.selector.choose(profile, now, attempts.excluded)
         if node is not None:
             attempts.excluded.add(node)
             attempts.count += 1
@@ -172,7 +178,7 @@
         try:
             answer = await self.send(attempts, node)
         except BaseException as error:
-            self.learn_failure(selector, node, error, started)
+            self.learn_failure(attempts, node, error, started)
             raise
         now = self.clock.monotonic()
         selector.answered(
@@ -186,8 +192,9 @@
         return answer
 
     def learn_failure(
-        self, selector: Selector, node: str, error: BaseException, started: float
+        self, attempts: Attempts, node: str, error: BaseException, started: float
     ) -> None:
+        selector = attempts.state.selector
         now = self.clock.monotonic()
         elapsed_ms = (now - started) * 1000
         match error:
@@ -195,6 +202,7 @@
                 selector.lost(node, now, elapsed_ms=elapsed_ms)
                 self.directory.report_failure(node)
             case NotRunError():
+                attempts.rejected_by.add(node)
                 retry_after_ms = error.retry_after_ms or 0
                 selector.rejected(node, error.report, retry_after_ms, now, elapsed_ms=elapsed_ms)
             case UnknownOutcomeError(code=ErrorCode.DEADLINE):
--- a/src/marjoramtide/serving/_measurer.py
+++ b/src/marjoramtide/serving/_measurer.py
@@ -17,7 +17,7 @@
 
 READ_TIMEOUT_S = 1.0
 FAILED_READS = 2
-MAX_WAIT_S = 0.5
+MAX_WAIT_S = 0.1
 
 
 class Measurer:
--- a/standins/backend/__main__.py
+++ b/standins/backend/__main__.py
@@ -15,6 +15,7 @@
     parser.add_argument("--connections", type=int, default=250)
     parser.add_argument("--service-ms", type=float, default=20.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--journal", default="", help="file to which executions are written")
     return parser.parse_args()
 
 
@@ -30,6 +31,7 @@
         connections=options.connections,
         service_ms=options.service_ms,
         seed=options.seed,
+        journal=options.journal,
     )
     print(json.dumps({"event": "listening", "address": server.name}), flush=True)
     await ended.wait()
--- a/standins/backend/_server.py
+++ b/standins/backend/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import random
 from collections import deque
 
@@ -33,6 +34,7 @@
         self.random = random.Random(seed + 1)
         self.faults = Faults()
         self.ledger = Ledger()
+        self.journal: int | None = None
         self.connections: set[Connection] = set()
         self.thawed = asyncio.Event()
         self.thawed.set()
@@ -102,6 +104,7 @@
         key = request.headers.get("idempotency-key", "").strip('"')
         for _ in range(2 if self.happens(self.faults.run_twice) else 1):
             self.ledger.began(request.request_id, key)
+            self.write_journal(request.request_id, key)
         self.ledger.peak = max(self.ledger.peak, self.slots.in_use)
         began = self.now()
         try:
@@ -112,6 +115,11 @@
         finally:
             self.ledger.busy_s += self.now() - began
 
+    def write_journal(self, request_id: str, key: str) -> None:
+        """Write the execution down at once, where it outlasts this process."""
+        if self.journal is not None:
+            os.write(self.journal, f"{request_id}\t{key}\n".encode())
+
     def outcome(self, request: Request) -> Answer:
         """Return the answer to a request that was run."""
         if self.happens(self.faults.false_not_run):
@@ -219,11 +227,17 @@
     connections: int = 250,
     service_ms: float = 20.0,
     seed: int = 1,
+    journal: str = "",
 ) -> BackendServer:
-    """Start a stand-in on ``host``; ``port`` 0 takes a free one. Its name is its address."""
+    """Start a stand-in on ``host``; ``port`` 0 takes a free one. Its name is its address.
+
+    ``journal`` is a file to which each execution is written as it begins.
+    """
     server = BackendServer(
         name="", slots=slots, connections=connections, service_ms=service_ms, seed=seed
     )
+    if journal:
+        server.journal = os.open(journal, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
     loop = asyncio.get_running_loop()
     server.listener = await loop.create_server(lambda: Connection(server), host, port, backlog=512)
     bound = server.listener.sockets[0].getsockname()
--- a/standins/mesh/_mesh.py
+++ b/standins/mesh/_mesh.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 from typing import Any, Self
 
 import aiohttp
-from marjoramtide.settings import Envelope
 
+from marjoramtide.settings import Envelope
 from standins.free_port import free_port, loopback_host
 from standins.mesh._mesh_node import MeshNode, make_mesh_node
 from standins.mesh._plan import NodePlan
@@ -108,7 +110,7 @@
         for node in self.nodes:
             if node.process is not None and node.process.running:
                 for service in services:
-                    await self.wait_for(lambda: self.answers(node, service), timeout)
+                    await self.wait_for(partial(self.answers, node, service), timeout)
 
     async def answers(self, node: MeshNode, service: str) -> bool:
         """Tell whether a lookup of ``service`` is answered through this node."""
@@ -116,7 +118,7 @@
         try:
             async with (
                 aiohttp.ClientSession() as session,
-                session.get(f"http://{node.callers}/?ms=1", headers=headers) as response,
+                session.get(f"http://{node.callers}/", headers=headers) as response,
             ):
                 return response.status == 200
         except aiohttp.ClientError:
@@ -131,6 +133,12 @@
         except TimeoutError as error:
             raise TimeoutError(f"not so after {timeout} s\n{self.output()}") from error
 
+    def executions(self) -> tuple[Counter[str], Counter[str]]:
+        """Return executions by request id and by key over all servers there ever were."""
+        both = [node.executions() for node in self.nodes]
+        by_request = sum((requests for requests, _ in both), Counter[str]())
+        return by_request, sum((keys for _, keys in both), Counter[str]())
+
     def output(self) -> str:
         """Return the last lines of every process."""
         return "\n".join(
--- a/standins/mesh/_mesh_node.py
+++ b/standins/mesh/_mesh_node.py
@@ -1,5 +1,6 @@
 """A backend server stand-in and the node beside it, as processes."""
 
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -35,6 +36,17 @@
     def settings_file(self) -> Path:
         return self.folder / f"{self.name}.toml"
 
+    @property
+    def journal_file(self) -> Path:
+        return self.folder / f"{self.name}.journal"
+
+    def executions(self) -> tuple[Counter[str], Counter[str]]:
+        """Return executions by request id and by key, also of a server that was killed."""
+        text = self.journal_file.read_text() if self.journal_file.exists() else ""
+        rows = [line.split("\t") for line in text.splitlines()]
+        requests = Counter(request for request, _ in rows if request)
+        return requests, Counter(key.strip('"') for _, key in rows if key)
+
     def write_settings(self) -> None:
         """Write the node's own settings file."""
         values = {
@@ -58,6 +70,7 @@
         plan = self.plan
         arguments = ["standins.backend", "--listen", self.backend, "--slots", str(plan.slots)]
         arguments += ["--service-ms", str(plan.service_ms), "--seed", str(plan.seed)]
+        arguments += ["--journal", str(self.journal_file)]
         self.server = await start_process(f"{self.name}-backend", arguments, self.folder)
 
     async def start_node(self) -> None:
