--- a/src/marjoramtide/policy/_completion_model.py
+++ b/src/marjoramtide/policy/_completion_model.py
@@ -8,9 +8,9 @@
 from marjoramtide.policy._service_mean import ServiceMean
 
 ASSUMED_LATENCY_MS = 10.0
-REPORT_TRUST_SERVICE_TIMES = 5.0
-REPORT_TRUST_AT_LEAST_MS = 50.0
-OWN_TIME_DOUBT = 0.5
+REPORT_TRUST_SERVICE_TIMES = 2.0
+REPORT_TRUST_AT_LEAST_MS = 20.0
+OWN_TIME_DOUBT = 0.25
 CONTENTION = 0.5
 LOWEST_SUCCESS = 0.02
 SUSPECT_FACTOR = 2.0
@@ -56,7 +56,7 @@
         load = self._load(view, urgent, service_ms, now)
         wait_ms = service_ms * (CONTENTION * load**4 if load < 1 else load - CONTENTION)
         predicted = view.network.value + wait_ms + service_ms
-        # Own observation bounds the report: a report that promises less than half of what this
+        # Own observation bounds the report: a report that promises less than a quarter of what this
         # node's requests took is misleading or out of date.
         own_ms = view.elapsed.value * view.belief(view.last_answer_at, now)
         predicted = max(predicted, OWN_TIME_DOUBT * own_ms)
@@ -91,7 +91,7 @@
             # ago, the more the load is taken to be that of the service as a whole.
             age_ms = (now - view.reported_at) * 1000
             trusted = max(REPORT_TRUST_AT_LEAST_MS, REPORT_TRUST_SERVICE_TIMES * service_ms)
-            fresh = trusted / (trusted + age_ms)
+            fresh = 1 / (1 + (age_ms / trusted) ** 2)
             ahead = known * fresh + expected * (1 - fresh)
         effective = limit * view.ramp(now, self.slow_start_s)
         effective -= 0 if urgent else self.urgent_slots
--- a/src/marjoramtide/policy/_node_view.py
+++ b/src/marjoramtide/policy/_node_view.py
@@ -37,7 +37,7 @@
     reported_at: float = 0.0
     outstanding: list[float] = attrs.Factory(list)
     sent_since: int = 0
-    elapsed: Smoothed = attrs.Factory(lambda: Smoothed(0.3, 0.1))
+    elapsed: Smoothed = attrs.Factory(lambda: Smoothed(0.3, 0.3))
     success: Smoothed = attrs.Factory(lambda: Smoothed(0.2, 0.2, 1.0, 1))
     last_answer_at: float = 0.0
     closed_until: float = 0.0
--- a/src/marjoramtide/policy/_service_mean.py
+++ b/src/marjoramtide/policy/_service_mean.py
@@ -8,7 +8,7 @@
 from marjoramtide.policy._node_view import NodeView
 
 RENEW_EVERY = 16
-LOAD_AT_MOST = 1.0
+LOAD_AT_MOST = 0.7
 
 
 @attrs.define(slots=True)
