--- /dev/null
+++ b/features/claims/claims.feature
@@ -0,0 +1,208 @@
+Feature: A request with an idempotency key runs at most once
+  A caller that lost an answer sends its booking again with the same key, through any node. Each
+  scenario breaks the store, a node or the way between them, and counts which attempts may run.
+
+  Scenario: Two nodes race with one key
+    The caller's own retry and its first try arrive at two nodes at the same moment, fifty times
+    over. Both ask the store at once; its conditional create lets one of them through.
+    Given two nodes with claims
+    When both nodes claim each of 50 keys at once
+    Then each key is held by exactly one of them
+    And the other attempts met a conflict "in-progress"
+
+  Scenario: The answer of the claim's write is lost
+    The store has the claim, the node does not know. Dispatching on a guess could run the request
+    twice; refusing would leave a claim behind that no one can use.
+    Given two nodes with claims
+    When the store loses the answer to the claim's write
+    And node A claims "booking-1"
+    Then node A's result is "held"
+    And node B's claim of "booking-1" is "conflict"
+
+  Scenario: The answer that is lost said that another node was first
+    Given two nodes with claims
+    And node B has claimed "booking-1"
+    When the store loses the answer to the claim's write
+    And node A claims "booking-1"
+    Then node A's result is "conflict"
+
+  Scenario Outline: The store is down when the claim is asked for
+    Without the store no node can know whether another one ran the request. It is refused at once,
+    as not run, with a time to come back; a route's settings may choose otherwise.
+    Given two nodes with claims
+    And the route's claims_when_store_down is "<setting>"
+    When the store goes down by "<mode>"
+    And node A claims "booking-1"
+    Then node A's result is "<result>"
+    And a refusal says when to come back
+
+    Examples:
+      | setting | mode   | result         |
+      | refuse  | refuse | unavailable    |
+      | refuse  | drop   | unavailable    |
+      | refuse  | hang   | unavailable    |
+      | run     | refuse | held-unclaimed |
+      | run     | hang   | held-unclaimed |
+
+  Scenario Outline: The claim of a refused attempt takes effect late
+    The connection breaks, the node refuses the request as not run, and the claim's write arrives
+    after that, before or after the node comes to free the key. The caller was told to come back: its
+    next try must not find the key held for nobody, nor run beside an attempt.
+    Given two nodes with claims
+    When the store holds every write back and node A claims "booking-1"
+    Then node A's result is "unavailable"
+    When the writes held back arrive <order> node A settles its claims
+    Then node B's claim of "booking-1" is "held"
+    And node A's claim of "booking-1" is "conflict"
+
+    Examples:
+      | order  |
+      | before |
+      | after  |
+
+  Scenario: A late take-over of a released claim
+    A key is free again after a release. Node A's update that takes it over is held back, A refuses
+    the request, and the update arrives after A has freed the key.
+    Given two nodes with claims
+    And node B has claimed and released "booking-1"
+    When the store holds every write back and node A claims "booking-1"
+    Then node A's result is "unavailable"
+    When the writes held back arrive after node A settles its claims
+    Then node B's claim of "booking-1" is "held"
+
+  Scenario: An attempt is cancelled while its claim is on the way
+    The caller goes away in the middle. Nobody waits for the claim's answer any more, and the store
+    carries the write out when it is back.
+    Given two nodes with claims
+    When node A's claim of "booking-1" is cancelled while the store hangs
+    And the store comes back and node A settles its claims
+    Then node B's claim of "booking-1" is "held"
+
+  Scenario: The store goes down between the claim and its record
+    The booking ran and its answer went to the caller, but the store does not have the outcome. A
+    retry must neither run nor be told "not run".
+    Given two nodes with claims
+    And node A has claimed "booking-1"
+    When the store goes down by "refuse"
+    And node A records "booking-1" as completed with the body "booked"
+    Then the record has not reached the store
+    And node A's claim of "booking-1" is "recorded"
+    And node B's claim of "booking-1" is "unavailable"
+    When the store goes up before node A settles its claims
+    Then node B's claim of "booking-1" is "conflict"
+    When node A settles its claims
+    Then node B's claim of "booking-1" is "recorded"
+    And the recorded answer is 201 with the body "booked"
+
+  Scenario: A stale read of the claim
+    Node A's claim is completed. The read after node B's conflict shows the state before that, or
+    nothing at all; B waits for a read that fits the conflict, and whatever it sees, it does not run.
+    Given two nodes with claims
+    And node A has claimed "booking-1"
+    When the next 1 reads of claims are stale
+    Then node B's claim of "booking-1" is "conflict"
+    When node A records "booking-1" as completed with the body "booked"
+    And the next 1 reads of claims are stale
+    Then node B's claim of "booking-1" is "conflict"
+    And node B's claim of "booking-1" is "recorded"
+
+  Scenario: The store refuses over its rate
+    Given two nodes with claims
+    And the route's claims_when_store_down is "run"
+    When the store refuses every claim over its rate
+    And node A claims "booking-1"
+    Then node A's result is "unavailable"
+    And a refusal says when to come back
+
+  Scenario: A frozen holder wakes after the retention
+    Node A is stopped between its claim and the dispatch. A day later the claim has ended, the
+    caller's retry runs through node B, and A wakes up in the middle of its work.
+    Given two nodes with claims
+    And node A has claimed "booking-1"
+    And node A may dispatch "booking-1"
+    When 90000 s pass on every clock
+    Then node B's claim of "booking-1" is "held"
+    And node A may not dispatch "booking-1"
+
+  Scenario: A holder that died is not replaced
+    Node A is gone after its claim; whether it dispatched, nobody can tell. The claim stands until
+    the retention ends, however old it looks.
+    Given two nodes with claims
+    And node A has claimed "booking-1"
+    When 80000 s pass on every clock
+    Then node B's claim of "booking-1" is "conflict"
+
+  Scenario: A retention shorter than a request may last
+    The settings keep claims for a second. A second run would begin while the first still goes on.
+    Given two nodes with claims
+    And the route's claim_retention_s is 1
+    And node A has claimed "booking-1"
+    When 100 s pass on every clock
+    Then node B's claim of "booking-1" is "conflict"
+
+  Scenario: A key is used again with another request
+    A caller's fault: the answer of the first request must not be given for the second.
+    Given two nodes with claims
+    And node A has claimed "booking-1"
+    And node A has recorded "booking-1" as completed with the body "booked"
+    When node B claims "booking-1" for another request
+    Then node B met a conflict "other-request"
+
+  Scenario: A request that was certainly not sent frees its key
+    Given two nodes with claims
+    And node A has claimed and released "booking-1"
+    Then node A may not dispatch "booking-1"
+    And node B's claim of "booking-1" is "held"
+
+  Scenario: A copy of the claim arrives after its release
+    The first copy of the create was held back, the second one was answered, the request could not
+    be sent and its key is free again. Then the first copy arrives.
+    Given two nodes with claims
+    When the store holds one write back and node A claims "booking-1"
+    And node A releases "booking-1"
+    And the writes held back arrive
+    Then node B's claim of "booking-1" is "held"
+
+  Scenario: An answer that comes after "unknown"
+    The connection to the backend server broke and the outcome was recorded as unknown; then the
+    answer came after all. What is recorded as completed never becomes unknown again.
+    Given two nodes with claims
+    And node A has claimed "booking-1"
+    When node A records "booking-1" as unknown
+    Then node B's claim of "booking-1" is "recorded"
+    And the recorded state is "unknown"
+    When node A records "booking-1" as completed with the body "booked"
+    And node A records "booking-1" as unknown
+    Then node B's claim of "booking-1" is "recorded"
+    And the recorded answer is 201 with the body "booked"
+
+  Scenario: A slow cleaner meets a key that is claimed anew
+    Two cleaners list the same ended claim. The first deletes it, a caller claims the key again, and
+    only now the second deletes; without the version it would free a key that is running.
+    Given two nodes with claims
+    And node A has claimed "booking-1"
+    When 90000 s pass on every clock
+    And two cleaners list the slice of "booking-1"
+    And the first cleaner deletes what it listed
+    And node A claims "booking-1"
+    And the second cleaner deletes what it listed
+    Then node B's claim of "booking-1" is "conflict"
+    And the cleaners have deleted 1 claim
+
+  Scenario: The cleaner leaves what has not ended
+    Given two nodes with claims
+    And node A has claimed "booking-1"
+    When 80000 s pass on every clock
+    And a cleaner cleans the slice of "booking-1"
+    Then the cleaners have deleted 0 claims
+
+  Scenario: The store's process is killed while a request runs
+    The store is a process of its own and dies between the claim and its record. The request that
+    holds its claim goes on; new ones are refused and none of them may run.
+    Given two nodes with claims and the store as a process
+    And node A has claimed "booking-1"
+    When the store's process dies
+    And node A records "booking-1" as completed with the body "booked"
+    Then the record has not reached the store
+    And node A's claim of "booking-1" is "recorded"
+    And node B's claim of "booking-2" is "unavailable"
--- a/src/marjoramtide/claims/_claim_cleaner.py
+++ b/src/marjoramtide/claims/_claim_cleaner.py
@@ -1,5 +1,6 @@
 """Deletion of claims whose retention has ended."""
 
+import itertools
 import random
 
 from marjoramtide.claims._claim_keys import SLICES, slice_prefix
@@ -34,17 +35,19 @@
 
     async def clean_slice(self, number: int) -> int:
         """Delete the expired claims of one slice and return how many; errors leave the rest."""
-        deleted = 0
         try:
-            claims = await self.store.list(slice_prefix(number), timeout=CALL_TIMEOUT_S)
-            for claim in claims:
-                if deleted == DELETES_PER_PASS:
-                    break
-                if self.is_expired(claim):
-                    deleted += await self.delete(claim)
+            return await self.delete_all(await self.list_expired(number))
         except MarjoramtideError:
-            return deleted
-        return deleted
+            return 0
+
+    async def list_expired(self, number: int) -> list[StoredObject]:
+        """Return the claims of a slice whose retention has ended, at most ``DELETES_PER_PASS``."""
+        claims = await self.store.list(slice_prefix(number), timeout=CALL_TIMEOUT_S)
+        return list(itertools.islice(filter(self.is_expired, claims), DELETES_PER_PASS))
+
+    async def delete_all(self, claims: list[StoredObject]) -> int:
+        """Delete the claims as they were listed, and return how many were still there."""
+        return sum([await self.delete(claim) for claim in claims])
 
     def is_expired(self, claim: StoredObject) -> bool:
         record = decode_record(claim.value)
--- a/standins/object_store/_app.py
+++ b/standins/object_store/_app.py
@@ -36,6 +36,7 @@
         self.counts: Counter[str] = Counter()
         self.late: list[Callable[[], object]] = []
         self.mode_changed = asyncio.Event()
+        self.hung = asyncio.Event()
 
     def app(self) -> web.Application:
         """Return the application."""
@@ -57,9 +58,12 @@
             return await handler(request)
         kind = "writes" if request.method in ("PUT", "DELETE") else "reads"
         self.counts["watches" if request.path == "/v1/watch" else kind] += 1
+        # Read now: a call that hangs goes on after its caller has gone.
+        await request.read()
         if self.faults.slow_ms:
             await asyncio.sleep(self.faults.slow_ms / 1000)
         while self.faults.mode == "hang":
+            self.hung.set()
             await self.mode_changed.wait()
         if self.faults.mode == "drop":
             return self.cut(request)
