--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -7,8 +7,8 @@
 
 import attrs
 from behave import given, step, then, when
-from features.store_harness import SEED, start_harness, start_process
 
+from features.store_harness import SEED, start_harness, start_process
 from marjoramtide.claims import ClaimState, make_claim_cleaner, make_claims
 from marjoramtide.claims._claim_keys import claim_key
 from marjoramtide.settings import RouteSettings
