--- /dev/null
+++ b/features/settings/following.feature
@@ -0,0 +1,155 @@
+Feature: The settings in force never go back, and a node that can't know them says so
+
+  Background:
+    Given a settings fleet of nodes a, b, c whose tree is
+      """
+      [services.mapdesk]
+      slots = 10
+      """
+
+  Scenario: Most nodes learn of a change by gossip and pull it from a peer
+    Given settings nodes d, e, f, g, h join
+    And no settings node but a reaches the store
+    When an operator at a sets slots = 11 in /services/mapdesk
+    Then the change is accepted as revision 2
+    And every settings node has slots 11 for mapdesk
+
+  Scenario: Only a few nodes of each data centre watch the store
+    Given settings nodes d, e, f, g, h join
+    Then 3 of the settings nodes are watchers
+
+  Scenario: A watcher takes a change from the store without gossip
+    Given no settings gossip
+    When the tree in the store is changed to slots 11
+    Then within 2 s a watching settings node has slots 11
+
+  Scenario: A stale read after a change does not take it back
+    The store answers reads with an old state for a while, to watchers and to nodes that start.
+    When an operator at a sets slots = 11 in /services/mapdesk
+    And the store answers the next 20 reads with its first state
+    And the watches of the settings end
+    Then every settings node has slots 11 for mapdesk
+
+  Scenario: The store's history has a gap
+    The watch ends with "not found": the store no longer has what came after the version asked for.
+    Given no settings gossip
+    And the settings store's watches are deaf
+    When the tree in the store is changed to slots 11
+    And the settings store's watches report a gap
+    Then within 2 s a watching settings node has slots 11
+
+  Scenario: A watch lapses without a word
+    The store drops the watch but leaves the connection open, so that no change arrives any more.
+    Given no settings gossip
+    And the settings store's watches are deaf
+    When the tree in the store is changed to slots 11
+    Then within 35 s a watching settings node has slots 11
+
+  Scenario: A node that starts while the store is down takes the settings from a peer
+    Given the settings store is down
+    When the settings node d joins
+    Then within 5 s the settings node d is current, and then has slots 10
+
+  Scenario: A node that restarts while the store is stale does not go back
+    When an operator at a sets slots = 11 in /services/mapdesk
+    And the settings node c is replaced while 1 reads of the store are stale
+    Then within 8 s the settings node c is current, and then has slots 11
+
+  Scenario: A node that starts where nobody answers is not current
+    Given the settings store is down
+    And the settings node d is cut off from all
+    When 30 s pass for the settings nodes
+    Then the settings node d is not current
+
+  Scenario: The tree in the store was begun anew
+    Someone deleted the object, and a new tree counts from 1 again. Its revisions say nothing of
+    those in force; a node that compared them would go to settings that nobody approved for it.
+    When the tree in the store is replaced by revision 9 of another lineage with slots 12
+    And the watches of the settings end
+    Then every settings node has slots 10 for mapdesk
+
+  Scenario: An old frozen node returns
+    It sleeps through a change. When it wakes, its view and the answers in its sockets are old; it
+    must refuse callers at its first look, catch up, and take nobody back to the old revision.
+    Given the settings node c is frozen
+    And 20 s pass for the settings nodes
+    When an operator at a insists on slots = 11 in /services/mapdesk
+    And the settings node c wakes
+    Then the settings node c is not current
+    And within 5 s the settings node c is current, and then has slots 11
+    And every settings node has slots 11 for mapdesk
+
+  Scenario: A frozen node finds an answer from before in its socket
+    It freezes between a question and the answer. Dated by its arrival, the old answer would pass
+    for news: the node would serve callers by settings replaced minutes ago.
+    Given the settings node c is frozen while a peer's answer is on its way
+    And 20 s pass for the settings nodes
+    When an operator at a insists on slots = 11 in /services/mapdesk
+    And the settings node c wakes cut off from all
+    And 1 s pass for the settings nodes
+    Then the settings node c is not current
+
+  Scenario: An operator's node freezes between reading and writing
+    It wakes after others changed the same branch, and acts as though it still were its turn.
+    Given the settings node a freezes just before its next tree write, until b changed the branch
+    When an operator at a sets slots = 11 in /services/mapdesk
+    Then the change is rejected with branch-conflict
+    And every settings node has slots 12 for mapdesk
+
+  Scenario: A frozen watcher wakes to events that are old
+    Given the settings node a is frozen
+    When an operator at b insists on slots = 11 in /services/mapdesk
+    And an operator at b insists on slots = 12 in /services/mapdesk
+    And the settings node a wakes
+    And 5 s pass for the settings nodes
+    Then every settings node has slots 12 for mapdesk
+    And the settings node a never went back
+
+  Scenario: One node cut off from all stops taking callers' requests within the bound
+    Given the settings node c is cut off from all
+    When 5 s pass for the settings nodes
+    Then the settings node c is current
+    When 5 s pass for the settings nodes
+    Then the settings node c is not current
+    When the settings node c is reached again
+    Then within 5 s the settings node c is current, and then has slots 10
+
+  Scenario: A node cut off from the others only still reads the store
+    Given the settings node c is cut off from its peers
+    When 60 s pass for the settings nodes
+    Then the settings node c is current
+
+  Scenario: A region cut off from the store and the other region keeps serving
+    Given settings nodes x, y join in region east
+    And region east is cut off from the store and the rest
+    When 300 s pass for the settings nodes
+    Then the settings node x is current
+    And the settings node y is current
+    When an operator at a insists on slots = 11 in /services/mapdesk
+    Then the settings node x has slots 10
+    When region east is healed
+    Then within 9 s all settings nodes have slots 11
+
+  Scenario: The store is down for long and every node keeps its settings
+    Given the settings store is down
+    When 600 s pass for the settings nodes
+    Then every settings node is current
+    And every settings node has slots 10 for mapdesk
+
+  Scenario: A whole region that was frozen at once gets going without the store
+    Given the settings store is down
+    And every settings node is frozen
+    And 60 s pass for the settings nodes
+    When every settings node wakes
+    Then no settings node is current
+    And within 10 s every settings node is current
+
+  Scenario: A node that can't read the revision in force stops taking callers' requests
+    A newer program wrote a key that this one doesn't know. Serving on would be by settings that
+    are no longer in force.
+    When the tree in the store is changed to "[services.mapdesk]\nnew_key = 1"
+    And 9 s pass for the settings nodes
+    Then no settings node is current
+    When the tree in the store is changed to slots 12
+    Then within 9 s every settings node is current
+    And every settings node has slots 12 for mapdesk
--- a/src/marjoramtide/settings/sync/_follower.py
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -20,7 +20,7 @@
 
 CHECKS_IN_BOUND = 4
 CATCH_UP_PEERS = 3
-LONELY_ROUNDS = 3
+DOUBTFUL_ROUNDS = 3
 WATCH_WAIT_S = 30.0
 ROLE_CHECK_S = 1.0
 PULL_MOST_S = 5.0
@@ -32,8 +32,8 @@
 class Follower:
     """Three loops: catch up and stay fresh, watch the store where chosen, pull what gossip names.
 
-    ``lonely_rounds`` counts rounds in which only nodes answered that can't know what is in force
-    either.
+    ``missed`` is true while the last round found nobody, ``peers_answered`` where any peer answered
+    it; ``doubtful_rounds`` counts rounds whose answers weren't enough to go on.
     """
 
     view: TreeSettingsView
@@ -43,7 +43,9 @@
     directory: Directory
     clock: Clock
     rng: random.Random
-    lonely_rounds: int = 0
+    missed: bool = False
+    peers_answered: bool = False
+    doubtful_rounds: int = 0
     gossiped: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
@@ -78,68 +80,73 @@
     async def check(self) -> bool:
         """Make one round of questions; return whether this node has caught up by it.
 
-        While fresh, one peer is asked and the store only if that fails. A node that isn't current
-        (at start, cut off, frozen) asks the store and several peers, those first that report most.
+        While fresh, one peer is asked, several after a round that found nobody, and the store only
+        if none answers. A node that isn't current (at start, cut off, frozen) asks the store and
+        several peers, those that report most first.
         """
         asked_at = self.clock.monotonic()
-        was_current = self.view.is_current
-        if was_current and await self._ask_peers(1, asked_at):
-            return True
-        if await self._ask_store(asked_at):
+        count = CATCH_UP_PEERS if self.missed else 1
+        if self.view.is_current:
+            found = await self._ask_peers(count) or await self._ask_store()
+        else:
+            found = await self._catch_up()
+        self.missed = not found
+        if found:
+            self.doubtful_rounds = 0
+            self.freshness.caught_up(asked_at)
+        return found
+
+    async def _catch_up(self) -> bool:
+        """Ask the store and several peers; return whether their answers are enough to go on.
+
+        A node that starts may get an old tree from a stale store, a node that wakes an old one from
+        another that was frozen with it. Going on with that, it would serve callers by settings
+        replaced long ago. So both sides are asked, the highest revision counts, and an answer is
+        not enough while only nodes give it that aren't current themselves, or while gossip tells of
+        a higher revision.
+
+        But where a whole region was stopped, or started while the store is down, nobody is current,
+        and a node that reported a higher revision may be gone: waiting would never end. After
+        several such rounds, each with other peers, the node goes on with the highest it has.
+        """
+        store_answered, peer_is_current = await asyncio.gather(
+            self._ask_store(), self._ask_peers(CATCH_UP_PEERS)
+        )
+        somebody = store_answered or peer_is_current or self.peers_answered
+        if (store_answered or peer_is_current) and not self.peers.ahead(self.view.revision):
             return True
-        return not was_current and await self._ask_peers(CATCH_UP_PEERS, asked_at)
+        self.doubtful_rounds += somebody
+        if self.doubtful_rounds < DOUBTFUL_ROUNDS or not self.view.revision:
+            return False
+        log.warning("settings.going_on", revision=self.view.revision)
+        return True
 
-    async def _ask_store(self, asked_at: float) -> bool:
+    async def _ask_store(self) -> bool:
+        """Read the tree; return whether the answer shows what is in force."""
         try:
             stored = await self.trees.read()
         except MarjoramtideError as error:
             log.info("settings.store", error=str(error), code=error.code)
             return False
         if stored is None:
-            # No tree: true of a fleet that has none yet, but also what a stale read says. Where
-            # anyone reports a revision, the answer is taken from the peers.
-            level = self.view.revision == 0 and not self.peers.ahead(0)
-        else:
-            level = self.adopter.adopt(stored.envelope, "store")
-            # An answer older than what is in force here is a stale one: it proves nothing.
-            level = level and stored.envelope.revision >= self.view.revision
-        if level:
-            self._caught_up(asked_at)
-        return level
-
-    async def _ask_peers(self, count: int, asked_at: float) -> bool:
-        ahead = self.peers.ahead(self.view.revision)
-        known = {member.node for member in ahead}
-        others = [member for member in self.peers.others() if member.node not in known]
-        answers = await self.peers.pull_from([*ahead, *others][:count], self.view.revision)
+            # No tree: true of a fleet that has none yet, but also what a stale read says.
+            return self.view.revision == 0
+        level = self.adopter.adopt(stored.envelope, "store")
+        # An answer older than what is in force here is a stale one: it proves nothing.
+        return level and stored.envelope.revision >= self.view.revision
+
+    async def _ask_peers(self, count: int) -> bool:
+        """Pull from ``count`` peers; return whether one that is current answered."""
+        candidates = self.peers.others()
+        candidates.sort(key=lambda member: member.revision <= self.view.revision)
+        answers = await self.peers.pull_from(candidates[:count], self.view.revision)
         level = [
             answer
             for answer in answers
             if answer.envelope is None or self.adopter.adopt(answer.envelope, answer.node)
         ]
-        if any(answer.current for answer in level):
-            self._caught_up(asked_at)
-            return True
-        return bool(level) and self._lonely(asked_at)
-
-    def _lonely(self, asked_at: float) -> bool:
-        """Take answers of nodes that aren't current themselves, after several rounds of them.
-
-        A node that was frozen must not be told that all is well by another that was frozen with it,
-        so one such answer isn't enough. But where a whole region was stopped, or started while the
-        store is down, nobody is current, and waiting for someone who is would never end: after
-        several rounds, each with other peers, the region goes on with the highest revision it has.
-        """
-        self.lonely_rounds += 1
-        if self.view.is_current or self.lonely_rounds < LONELY_ROUNDS or not self.view.revision:
-            return False
-        log.warning("settings.nobody_current", revision=self.view.revision)
-        self._caught_up(asked_at)
-        return True
-
-    def _caught_up(self, asked_at: float) -> None:
-        self.lonely_rounds = 0
-        self.freshness.caught_up(asked_at)
+        self.peers_answered = bool(level)
+        return any(answer.current for answer in level)
 
     # Watching the store
 
--- a/src/marjoramtide/settings/sync/_peer_settings.py
+++ b/src/marjoramtide/settings/sync/_peer_settings.py
@@ -42,24 +42,27 @@
     rng: random.Random
 
     def others(self) -> list[Member]:
-        """Return the other members that may answer, in random order, suspects last."""
-        own = self.directory.self_member.node
-        found = [member for member in self.directory.members() if member.node != own]
-        self.rng.shuffle(found)
-        return sorted(found, key=lambda member: member.state is MemberState.SUSPECT)
+        """Return the other members in random order, those of this region first, suspects last.
 
-    def ahead(self, revision: int) -> list[Member]:
-        """Return the others that report more than ``revision``, those of this place first."""
+        When regions lose each other, half of the members stop answering at once, some seconds
+        before they are found dead. Asked at random, a node could miss everyone for longer than the
+        bound and refuse callers although its region is whole; its own region answers.
+        """
         here = self.directory.self_member
-        found = [member for member in self.others() if member.revision > revision]
+        found = [member for member in self.directory.members() if member.node != here.node]
+        self.rng.shuffle(found)
         return sorted(
             found,
             key=lambda member: (
+                member.state is MemberState.SUSPECT,
                 member.region != here.region,
-                member.data_centre != here.data_centre,
             ),
         )
 
+    def ahead(self, revision: int) -> list[Member]:
+        """Return the others that report more than ``revision``, those of this region first."""
+        return [member for member in self.others() if member.revision > revision]
+
     async def pull(self, member: Member, have: int) -> PeerAnswer:
         """Ask one member for what it has beyond revision ``have``."""
         raw = await self.channel.ask(
