--- /dev/null
+++ b/src/marjoramtide/policy/_factories.py
@@ -0,0 +1,64 @@
+"""Builds the policies that the settings name."""
+
+import random
+from collections.abc import Callable
+
+from marjoramtide.membership import Member
+from marjoramtide.policy._admission import Admission
+from marjoramtide.policy._completion_model import CompletionModel
+from marjoramtide.policy._edf_admission import EdfAdmission
+from marjoramtide.policy._explorer import Explorer
+from marjoramtide.policy._least_outstanding import LeastOutstanding
+from marjoramtide.policy._limiters import make_limiter, unknown_policy
+from marjoramtide.policy._outlier_ejection import OutlierEjection
+from marjoramtide.policy._polled_reports import PolledReports
+from marjoramtide.policy._predicted_selector import PredictedSelector
+from marjoramtide.policy._random_choice import RandomChoice
+from marjoramtide.policy._round_robin import RoundRobin
+from marjoramtide.policy._selector import Selector
+from marjoramtide.policy._two_choices import TwoChoices
+from marjoramtide.settings import RouteSettings
+
+BASELINES: dict[str, Callable[[random.Random], Selector]] = {
+    "round-robin": RoundRobin,
+    "random": RandomChoice,
+    "least-outstanding": LeastOutstanding,
+    "two-choices": TwoChoices,
+    "polled-reports": PolledReports,
+}
+SELECTORS = ("predicted", *BASELINES)
+
+
+def make_selector(settings: RouteSettings, self_member: Member, rng: random.Random) -> Selector:
+    """Build the selector that ``settings.selector`` names, for one service on one ingress node.
+
+    Raises ``bad-settings`` for a name that isn't one of ``SELECTORS``.
+    """
+    if settings.selector in BASELINES:
+        return BASELINES[settings.selector](rng)
+    if settings.selector != "predicted":
+        raise unknown_policy("selector", settings.selector, SELECTORS, "policy.make_selector")
+    ejection = OutlierEjection(settings.ejection_cap)
+    return PredictedSelector(
+        self_member=self_member,
+        rng=rng,
+        model=CompletionModel(settings.slots, settings.urgent_slots, settings.slow_start_s),
+        ejection=ejection,
+        explorer=Explorer(ejection),
+        choices=max(1, settings.choices),
+        spill_over=settings.spill_over,
+        hedge_quantile=settings.hedge_quantile,
+    )
+
+
+def make_admission(settings: RouteSettings, now: float) -> Admission:
+    """Build the admission of one backend server that began to serve at ``now``.
+
+    Raises ``bad-settings`` for a limiter that isn't one of ``LIMITERS``.
+    """
+    return EdfAdmission(
+        limiter=make_limiter(settings),
+        urgent_slots=settings.urgent_slots,
+        queue_limit=settings.queue_limit,
+        started_at=now,
+    )
