--- a/features/settings/tree.feature
+++ b/features/settings/tree.feature
@@ -68,3 +68,6 @@
 
   Scenario: The operators' reference page says what the schema says
     Then the settings reference page is current
+
+  Scenario: Every value that the parts of a node read can be set, and names only what there is
+    Then the schema has every key of a route, and the selectors and limiters of the policies
--- a/features/steps/settings_tree_steps.py
+++ b/features/steps/settings_tree_steps.py
@@ -3,11 +3,21 @@
 from pathlib import Path
 from typing import Any
 
+import attrs
 from behave import given, then
 
 from marjoramtide.clock import ManualClock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.settings import Envelope, Freshness, Place, TreeSettingsView, parse_tree
+from marjoramtide.policy import LIMITERS, SELECTORS
+from marjoramtide.settings import (
+    SCHEMA,
+    Envelope,
+    Freshness,
+    Place,
+    RouteSettings,
+    TreeSettingsView,
+    parse_tree,
+)
 from marjoramtide.settings.reference import reference_page
 
 PAGE = Path(__file__).parents[2] / "docs" / "operators" / "settings-reference.md"
@@ -59,3 +69,11 @@
 @then("the settings reference page is current")
 def then_page(context: Any) -> None:
     assert PAGE.read_text() == reference_page(), "run python -m marjoramtide.settings.reference"
+
+
+@then("the schema has every key of a route, and the selectors and limiters of the policies")
+def then_complete(context: Any) -> None:
+    fields = {field.name for field in attrs.fields(RouteSettings)} - {"service", "route"}
+    assert not fields - SCHEMA.keys(), fields - SCHEMA.keys()
+    assert all(SCHEMA["selector"].accepts(name) for name in SELECTORS)
+    assert all(SCHEMA["limiter"].accepts(name) for name in LIMITERS)
--- a/src/marjoramtide/settings/_schema.py
+++ b/src/marjoramtide/settings/_schema.py
@@ -118,7 +118,14 @@
         name="selector",
         group=CHOICE,
         levels=NOT_ON_ROUTES,
-        choices=("predicted",),
+        choices=(
+            "predicted",
+            "round-robin",
+            "random",
+            "least-outstanding",
+            "two-choices",
+            "polled-reports",
+        ),
         meaning="The policy that chooses a backend server.",
     ),
     NumberKey(
@@ -172,6 +179,14 @@
         fraction=True,
         meaning="Retries, as a share of requests.",
     ),
+    NumberKey(
+        name="rejection_budget",
+        group=SECOND_TRIES,
+        minimum=0,
+        maximum=1,
+        fraction=True,
+        meaning="Second tries after a backend server refused a request, as a share of requests.",
+    ),
     NumberKey(
         name="hedge_budget",
         group=SECOND_TRIES,
