--- a/bench/load/__init__.py
+++ b/bench/load/__init__.py
@@ -1,7 +1,7 @@
 """The load tool: plays planned calls in an open loop and checks every answer.
 
 For example, ``results = await play(calls, {"mapdesk": ["127.0.0.1:8080"]})`` and then
-``audit(results, *await backends.executions())`` tells what was run twice or falsely "not run".
+``audit(results, await backends.reports())`` tells what was run twice or falsely "not run".
 """
 
 from bench.load._attempt import Attempt
@@ -12,6 +12,7 @@
 from bench.load._outcome import Outcome
 from bench.load._planned_call import PlannedCall
 from bench.load._result import CallResult
+from bench.load._stand_in_report import StandInReport, stand_in_report
 from bench.load._tally import Tally, tally
 from bench.load._workers import play_in_workers
 
@@ -24,9 +25,11 @@
     "OpenLoop",
     "Outcome",
     "PlannedCall",
+    "StandInReport",
     "Tally",
     "audit",
     "play",
     "play_in_workers",
+    "stand_in_report",
     "tally",
 ]
--- a/bench/load/_audit.py
+++ b/bench/load/_audit.py
@@ -8,6 +8,7 @@
 from bench.load._attempt import Attempt
 from bench.load._outcome import Outcome
 from bench.load._result import CallResult
+from bench.load._stand_in_report import StandInReport
 
 
 @attrs.frozen(slots=True)
@@ -32,9 +33,11 @@
         return not (self.duplicates or self.false_not_run or self.wrong or self.unrun)
 
 
-def audit(results: Iterable[CallResult], by_request: Counter[str], by_key: Counter[str]) -> Audit:
+def audit(results: Iterable[CallResult], reports: Iterable[StandInReport]) -> Audit:
     """Compare results with the executions counted by all the backend servers together."""
-    calls = list(results)
+    calls, asked = list(results), list(reports)
+    by_request = sum((report.requests for report in asked), Counter[str]())
+    by_key = sum((report.keys for report in asked), Counter[str]())
     attempts = [attempt for result in calls for attempt in result.attempts]
     # Each attempt has a request id of its own. So a call with a key is judged by the key, which
     # all of its attempts share; one without, by the request id of each attempt.
--- a/bench/load/_backends.py
+++ b/bench/load/_backends.py
@@ -1,12 +1,13 @@
 """Drives the backend server stand-ins and asks them what they ran."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Sequence
 from typing import Any, Self
 
 import aiohttp
 
+from bench.load._stand_in_report import StandInReport, stand_in_report
+
 ADMIN_TIMEOUT_S = 10
 
 
@@ -41,13 +42,7 @@
         """Forget executions and faults everywhere."""
         await asyncio.gather(*(self.ask(each, "POST", "reset") for each in self.addresses))
 
-    async def stats(self) -> dict[str, dict[str, Any]]:
-        """Return the statistics of every stand-in by address."""
-        answers = await asyncio.gather(*(self.ask(a, "GET", "stats") for a in self.addresses))
-        return dict(zip(self.addresses, answers, strict=True))
-
-    async def executions(self) -> tuple[Counter[str], Counter[str]]:
-        """Return executions by request id and by idempotency key, summed over all stand-ins."""
+    async def reports(self) -> list[StandInReport]:
+        """Return what each stand-in has run so far, in the order of the addresses."""
         answers = await asyncio.gather(*(self.ask(a, "GET", "executions") for a in self.addresses))
-        requests = sum((Counter(answer["requests"]) for answer in answers), Counter())
-        return requests, sum((Counter(answer["keys"]) for answer in answers), Counter())
+        return list(map(stand_in_report, self.addresses, answers))
--- /dev/null
+++ b/bench/replay/__main__.py
@@ -0,0 +1,97 @@
+"""Replays traces under each policy, prints them side by side and checks the stated outcomes."""
+
+import argparse
+import asyncio
+import itertools
+import sys
+from pathlib import Path
+
+from bench.replay._expectation import load_expectations, promises
+from bench.replay._figures import Figures
+from bench.replay._fleet import DIRECT
+from bench.replay._plot import plot_tails
+from bench.replay._progress import Progress
+from bench.replay._run import run_trace
+from bench.replay._table import table
+from bench.replay._trace import TRACES, Trace, load_trace, trace_names
+from bench.replay._verdict import Verdict
+from marjoramtide.policy import SELECTORS
+
+DEFAULT_POLICIES = ("predicted", "round-robin", "two-choices", "least-outstanding")
+DEFAULT_SECONDS = 6.0
+
+
+def parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="python -m bench.replay", description=__doc__)
+    parser.add_argument(
+        "--trace", action="append", choices=trace_names(), help="all traces by default"
+    )
+    parser.add_argument(
+        "--policy",
+        action="append",
+        choices=[*SELECTORS, DIRECT],
+        help=f"{', '.join(DEFAULT_POLICIES)} by default; {DIRECT} leaves the nodes out",
+    )
+    parser.add_argument(
+        "--seconds", type=float, default=DEFAULT_SECONDS, help="length of each run; 0 for its own"
+    )
+    parser.add_argument("--logs", type=Path, help="keep the logs of all processes here")
+    return parser.parse_args()
+
+
+def judge(trace: Trace, runs: dict[str, Figures]) -> list[Verdict]:
+    """Return the verdicts on the promises and on the trace's own outcomes."""
+    kept = [
+        expectation.check(runs)
+        for policy in runs
+        if policy != DIRECT
+        for expectation in promises(policy)
+    ]
+    return kept + [expectation.check(runs) for expectation in load_expectations(trace.name)]
+
+
+def report(trace: Trace, runs: dict[str, Figures]) -> list[Verdict]:
+    """Print tables, plot and verdicts of one trace."""
+    print(f"\n== {trace.name} ({trace.site_name}, {trace.seconds:g} s, seed {trace.seed})")
+    print(f"{trace.description}\n")
+    ordered = list(runs.values())
+    print(table(ordered))
+    plot_tails(ordered)
+    verdicts = judge(trace, runs)
+    print("\n".join(map(str, verdicts)))
+    for run in ordered:
+        if run.load_tool_late():
+            print(f"NOT VALID   {run.policy}: the load tool itself was late; the machine is busy")
+    return verdicts
+
+
+async def replay(options: argparse.Namespace) -> list[Verdict]:
+    names = options.trace or trace_names()
+    policies = options.policy or DEFAULT_POLICIES
+    progress = Progress(total=len(names) * len(policies))
+    verdicts: list[Verdict] = []
+    for name in names:
+        trace = load_trace(TRACES / f"{name}.toml").scaled(options.seconds or None)
+        runs = {}
+        for policy in policies:
+            progress.begin(name, policy)
+            runs[policy] = await run_trace(trace, policy, options.logs)
+        verdicts += report(trace, runs)
+    return verdicts
+
+
+def main() -> int:
+    verdicts = asyncio.run(replay(parse()))
+    missed = [verdict for verdict in verdicts if verdict.met is False]
+    unchecked = [verdict for verdict in verdicts if verdict.met is None]
+    print(
+        f"\n{len(verdicts) - len(missed) - len(unchecked)} outcomes met, {len(missed)} missed",
+        end="",
+    )
+    print(f", {len(unchecked)} not checked")
+    print("\n".join(map(str, missed)))
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/replay/_expectation.py
@@ -0,0 +1,92 @@
+"""A stated outcome of a trace."""
+
+import tomllib
+from collections.abc import Sequence
+from pathlib import Path
+
+import attrs
+import cattrs
+
+from bench.replay._figures import METRICS, WHOLE, Figures
+from bench.replay._trace import OUTCOMES_SUFFIX, TRACES
+from bench.replay._verdict import Verdict
+
+PROMISES = ("duplicates", "false_not_run", "wrong", "unrun")
+BEST = "best-baseline"
+
+
+@attrs.frozen(slots=True)
+class Expectation:
+    """What a run is held to, as a count or as a ratio to another figure of the same run.
+
+    ``policy`` is the one held to it. The bound is ``at_most`` or ``at_least``, times the same
+    metric of the policy ``of`` (``best-baseline``: the best of all others in the run) and of
+    ``of_window`` where one of these is given. Windows are in shares of the trace.
+    """
+
+    name: str
+    metric: str = attrs.field(validator=attrs.validators.in_(list(METRICS)))
+    label: str = ""
+    policy: str = "predicted"
+    at_most: float | None = None
+    at_least: float | None = None
+    of: str = ""
+    window: tuple[float, float] = WHOLE
+    of_window: tuple[float, float] | None = None
+
+    def check(self, runs: dict[str, Figures]) -> Verdict:
+        """Hold the runs of one trace, by policy, to this outcome."""
+        own = runs.get(self.policy)
+        references = self.references(runs)
+        if own is None or references is None:
+            return Verdict(self.name, None, "not run with the policies it compares")
+        value = METRICS[self.metric](own, self.label, self.window)
+        reference = self.reference(references)
+        if self.at_most is not None:
+            bound, met = self.at_most * reference, value <= self.at_most * reference
+        else:
+            least = self.at_least or 0.0
+            bound, met = least * reference, value >= least * reference
+        sign = "<=" if self.at_most is not None else ">="
+        text = f"{self.metric} {value:.4g}, wanted {sign} {bound:.4g}"
+        if reference and self.relative:
+            text += f" (ratio {value / reference:.3g})"
+        return Verdict(self.name, met, text)
+
+    @property
+    def relative(self) -> bool:
+        return bool(self.of) or self.of_window is not None
+
+    def references(self, runs: dict[str, Figures]) -> list[Figures] | None:
+        """Return the runs to compare with; ``None`` where there are none."""
+        if self.of == BEST:
+            return [run for policy, run in runs.items() if policy != self.policy] or None
+        named = runs.get(self.of or self.policy)
+        return None if named is None else [named]
+
+    def reference(self, references: Sequence[Figures]) -> float:
+        if not self.relative:
+            return 1.0
+        window = self.of_window or self.window
+        values = [METRICS[self.metric](run, self.label, window) for run in references]
+        return min(values) if self.at_most is not None else max(values)
+
+
+def load_expectations(trace: str, folder: Path = TRACES) -> list[Expectation]:
+    """Read the outcomes next to a trace; raises ``ValueError`` naming the file."""
+    path = folder / f"{trace}{OUTCOMES_SUFFIX}"
+    try:
+        raw = tomllib.loads(path.read_text())
+        converter = cattrs.Converter(forbid_extra_keys=True)
+        return converter.structure(raw["outcomes"], list[Expectation])
+    except (OSError, KeyError, tomllib.TOMLDecodeError, cattrs.BaseValidationError) as error:
+        notes = cattrs.transform_error(error) if isinstance(error, ExceptionGroup) else [str(error)]
+        raise ValueError(f"{path}: {'; '.join(notes)}") from error
+
+
+def promises(policy: str) -> list[Expectation]:
+    """Return what holds in every trace and for every policy."""
+    return [
+        Expectation(name=f"no {metric} under {policy}", metric=metric, policy=policy, at_most=0)
+        for metric in PROMISES
+    ]
--- /dev/null
+++ b/bench/replay/_phase.py
@@ -0,0 +1,26 @@
+"""A stretch of steady arrivals of one class."""
+
+import attrs
+
+
+@attrs.frozen(slots=True)
+class Phase:
+    """Arrivals of one class of calls to one service, as a Poisson process.
+
+    Times are in seconds of the trace, ``rate`` in calls a second. Bookings are non-idempotent and
+    carry an idempotency key unless ``keyed`` is false.
+    """
+
+    service: str
+    label: str
+    rate: float
+    from_s: float = 0.0
+    until_s: float = float("inf")
+    booking: bool = False
+    urgent: bool = False
+    keyed: bool = True
+    timeout_ms: int = 2000
+    answer_bytes: int = 2048
+    body_bytes: int = 0
+    retries: int = 0
+    retry_wait_ms: float = 0.0
--- /dev/null
+++ b/bench/replay/_site.py
@@ -0,0 +1,58 @@
+"""The users' sites of today, at their real sizes."""
+
+import itertools
+
+import attrs
+
+
+@attrs.frozen(slots=True)
+class Service:
+    """A service and the shape of its backend servers; ``service_ms`` is a median."""
+
+    name: str
+    backends: int
+    slots: int
+    connections: int
+    service_ms: float
+
+
+@attrs.frozen(slots=True)
+class Site:
+    """A user's services, its region and data centres, and what its settings set for the whole."""
+
+    name: str
+    region: str
+    data_centres: tuple[str, ...]
+    services: tuple[Service, ...]
+    settings: str
+
+    def places(self) -> list[tuple[Service, int, str]]:
+        """Return service, number and data centre of each backend server, spread in turn."""
+        each = ((service, n) for service in self.services for n in range(service.backends))
+        return [
+            (service, number, centre)
+            for (service, number), centre in zip(each, itertools.cycle(self.data_centres))
+        ]
+
+
+VATULELE = Site(
+    name="vatulele",
+    region="viti-west",
+    data_centres=("nadi-hall", "lautoka-hall", "sigatoka-hall"),
+    services=(
+        Service("mapdesk", backends=10, slots=10, connections=250, service_ms=80),
+        Service("licencehub", backends=3, slots=10, connections=250, service_ms=80),
+    ),
+    settings="measuring_per_s = 1.0\nhedge_budget = 0.05\n",
+)
+SABARMATI = Site(
+    name="sabarmati",
+    region="ahmedabad",
+    data_centres=("navrangpura", "gift-city", "sanand"),
+    services=(
+        Service("case-desk", backends=6, slots=20, connections=200, service_ms=100),
+        Service("claims-ledger", backends=3, slots=20, connections=200, service_ms=100),
+    ),
+    settings="measuring_per_s = 0.5\nmeasuring_share = 0.004\nhedge_budget = 0.02\n",
+)
+SITES = {site.name: site for site in (VATULELE, SABARMATI)}
--- /dev/null
+++ b/bench/replay/_table.py
@@ -0,0 +1,74 @@
+"""The figures of one trace side by side, as text."""
+
+from collections.abc import Iterator, Sequence
+
+from bench.load import Outcome, Tally
+from bench.replay._figures import Figures
+
+CLASS_COLUMNS = (
+    *("policy", "class", "calls", "p50", "p99", "p99.9", "goodput", "missed"),
+    *("refused", "refusal p50", "refusal p99", "slow ref.", "unknown", "failed"),
+)
+RUN_COLUMNS = (
+    *("policy", "executions", "wasted", "duplicates", "false not-run", "wrong"),
+    *("reads/s", "reads % cap.", "CPU ms/call", "load tool lag ms"),
+)
+
+
+def align(rows: Sequence[Sequence[str]]) -> str:
+    """Return rows as a table; the first column is flush left, the others right."""
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    lines = (
+        "  ".join(
+            cell.ljust(width) if not index else cell.rjust(width)
+            for index, (cell, width) in enumerate(zip(row, widths, strict=True))
+        )
+        for row in rows
+    )
+    return "\n".join(lines)
+
+
+def class_rows(runs: Sequence[Figures]) -> Iterator[tuple[str, ...]]:
+    """Yield a row for each class and policy, the classes together."""
+    for label in runs[0].labels():
+        for run in runs:
+            yield class_row(run, label, run.tally(label))
+
+
+def class_row(run: Figures, label: str, counts: Tally) -> tuple[str, ...]:
+    return (
+        run.policy,
+        label,
+        str(counts.calls),
+        *(f"{counts.latency_ms(percent):.0f}" for percent in (50, 99, 99.9)),
+        f"{run.goodput(label):.0f}/s",
+        str(counts.missed_deadlines),
+        str(counts.refusals),
+        f"{counts.refusal_ms(50):.1f}",
+        f"{counts.refusal_ms(99):.1f}",
+        str(counts.slow_refusals),
+        str(counts.outcomes[Outcome.UNKNOWN] + counts.outcomes[Outcome.UNREACHABLE]),
+        str(counts.outcomes[Outcome.FAILED]),
+    )
+
+
+def run_row(run: Figures) -> tuple[str, ...]:
+    found = run.audit
+    return (
+        run.policy,
+        str(found.executions),
+        str(found.wasted),
+        str(len(found.duplicates)),
+        str(len(found.false_not_run)),
+        str(len(found.wrong)),
+        f"{run.measuring_per_s():.2f}",
+        f"{run.measuring_share() * 100:.2f}",
+        f"{run.cpu_ms_per_call():.2f}",
+        f"{run.tally().worst_send_lag_ms:.0f}",
+    )
+
+
+def table(runs: Sequence[Figures]) -> str:
+    """Return both tables of one trace; times are in milliseconds."""
+    classes = align([CLASS_COLUMNS, *class_rows(runs)])
+    return f"{classes}\n\n{align([RUN_COLUMNS, *map(run_row, runs)])}"
--- /dev/null
+++ b/bench/replay/_trace.py
@@ -0,0 +1,60 @@
+"""A recorded trace."""
+
+import tomllib
+from pathlib import Path
+
+import attrs
+import cattrs
+
+from bench.replay._event import Event
+from bench.replay._phase import Phase
+from bench.replay._site import SITES, Site
+
+TRACES = Path(__file__).resolve().parent.parent / "traces"
+OUTCOMES_SUFFIX = ".outcomes.toml"
+
+
+@attrs.frozen(slots=True)
+class Trace:
+    """Arrivals and faults, from a TOML file; ``origin`` says where its rates come from."""
+
+    name: str
+    description: str
+    origin: str
+    site_name: str = attrs.field(validator=attrs.validators.in_(list(SITES)))
+    seed: int
+    seconds: float
+    phases: list[Phase]
+    events: list[Event] = attrs.field(factory=list)
+
+    @property
+    def site(self) -> Site:
+        return SITES[self.site_name]
+
+    def scaled(self, seconds: float | None) -> "Trace":
+        """Return the trace at another length: rates stay, the times of the timeline move."""
+        if seconds is None or seconds == self.seconds:
+            return self
+        ratio = seconds / self.seconds
+        phases = [
+            attrs.evolve(phase, from_s=phase.from_s * ratio, until_s=phase.until_s * ratio)
+            for phase in self.phases
+        ]
+        events = [attrs.evolve(event, at_s=event.at_s * ratio) for event in self.events]
+        return attrs.evolve(self, seconds=seconds, phases=phases, events=events)
+
+
+def trace_names() -> list[str]:
+    """Return the names of the committed traces."""
+    files = (path.name for path in TRACES.glob("*.toml"))
+    return sorted(name[:-5] for name in files if not name.endswith(OUTCOMES_SUFFIX))
+
+
+def load_trace(path: Path) -> Trace:
+    """Read a trace; raises ``ValueError`` that names the file and what is wrong in it."""
+    try:
+        raw = {"name": path.stem, **tomllib.loads(path.read_text())}
+        return cattrs.Converter(forbid_extra_keys=True).structure(raw, Trace)
+    except (tomllib.TOMLDecodeError, cattrs.BaseValidationError) as error:
+        notes = cattrs.transform_error(error) if isinstance(error, ExceptionGroup) else [str(error)]
+        raise ValueError(f"{path}: {'; '.join(notes)}") from error
--- a/features/steps/bench_steps.py
+++ b/features/steps/bench_steps.py
@@ -42,7 +42,7 @@
     server = await start(faults)
     results = await play(calls, {SERVICE: [server.name]})
     async with Backends([server.name]) as backends:
-        found = audit(results, *await backends.executions())
+        found = audit(results, await backends.reports())
     await server.close()
     return results, found
 
--- a/standins/backend/__main__.py
+++ b/standins/backend/__main__.py
@@ -34,6 +34,8 @@
     print(json.dumps({"event": "listening", "address": server.name}), flush=True)
     await ended.wait()
     await server.close()
+    # Whoever audits executions reads them here once the process can't be asked any more.
+    print(json.dumps({"event": "ended", **server.report()}), flush=True)
 
 
 if __name__ == "__main__":
--- a/standins/backend/_ledger.py
+++ b/standins/backend/_ledger.py
@@ -10,6 +10,7 @@
     """Counts executions by request id and by idempotency key, and the rest of the statistics.
 
     An execution counts from its begin: a caller that goes away does not undo it.
+    ``last_run_after_drain_s`` is how long after the begin of a drain the last one began.
     """
 
     requests: Counter[str] = attrs.field(factory=Counter)
@@ -22,6 +23,7 @@
     connections_opened: int = 0
     peak: int = 0
     busy_s: float = 0.0
+    last_run_after_drain_s: float = 0.0
 
     def began(self, request_id: str, key: str) -> None:
         """Count an execution; empty names are not counted by name."""
--- a/standins/backend/_server.py
+++ b/standins/backend/_server.py
@@ -99,6 +99,8 @@
     async def run(self, request: Request, connection: Connection) -> None:
         """Execute: from here on the request counts as run, whatever becomes of its caller."""
         connection.begun_unsafe = not request.idempotent
+        if self.faults.drain:
+            self.ledger.last_run_after_drain_s = self.now() - self.drain_since
         key = request.headers.get("idempotency-key", "").strip('"')
         for _ in range(2 if self.happens(self.faults.run_twice) else 1):
             self.ledger.began(request.request_id, key)
@@ -153,7 +155,7 @@
         """Answer the endpoints by which tests and the replay drive the stand-in."""
         match request.method, request.path:
             case "GET", "/_admin/executions":
-                return json_answer({"requests": self.ledger.requests, "keys": self.ledger.keys})
+                return json_answer(self.report())
             case "GET", "/_admin/stats":
                 return json_answer(self.stats())
             case "GET", "/_admin/faults":
@@ -166,6 +168,11 @@
                 return json_answer({})
         return json_answer({"error": f"no {request.method} {request.path} here"}, 404)
 
+    def report(self) -> dict[str, object]:
+        """Return executions by request id and by key, with the statistics."""
+        counts = {"requests": self.ledger.requests, "keys": self.ledger.keys}
+        return {**counts, "stats": self.stats()}
+
     def stats(self) -> dict[str, object]:
         counts = attrs.asdict(
             self.ledger, filter=lambda field, _: field.name not in ("requests", "keys")
