--- /dev/null
+++ b/standins/mesh/_mesh.py
@@ -0,0 +1,145 @@
+"""A whole mesh of processes."""
+
+import asyncio
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, Self
+
+import aiohttp
+from marjoramtide.settings import Envelope
+
+from standins.free_port import free_port, loopback_host
+from standins.mesh._mesh_node import MeshNode, make_mesh_node
+from standins.mesh._plan import NodePlan
+from standins.mesh._process import ManagedProcess, start_process
+
+READY_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+
+def default_tree(services: Sequence[str]) -> str:
+    """Return a settings tree with just these services."""
+    return "".join(f"[services.{service}]\n" for service in services)
+
+
+class Mesh:
+    """Store, backend servers and nodes; everything it starts ends with it."""
+
+    def __init__(
+        self, folder: Path, plans: Sequence[NodePlan], tree: str = "", host: str = ""
+    ) -> None:
+        self.folder = folder
+        self.host = host or loopback_host()
+        self.store_address = f"{self.host}:{free_port(self.host)}"
+        services = list(dict.fromkeys(plan.service for plan in plans))
+        self.tree = tree or default_tree(services)
+        self.store: ManagedProcess | None = None
+        self.nodes: list[MeshNode] = [
+            self.make_node(f"{plan.service}-{number}", plan)
+            for number, plan in enumerate(plans, start=1)
+        ]
+
+    def make_node(self, name: str, plan: NodePlan) -> MeshNode:
+        """Return another pair for this mesh; nothing is started yet."""
+        return make_mesh_node(name, plan, self.host, f"http://{self.store_address}", self.folder)
+
+    async def __aenter__(self) -> Self:
+        try:
+            await self.start()
+        except BaseException:
+            await self.stop()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
+    async def start(self) -> None:
+        """Start every process and write the first revision of the settings."""
+        await self.start_store()
+        await self.write_tree()
+        await asyncio.gather(*(node.start_server() for node in self.nodes))
+        await asyncio.gather(*(node.start_node() for node in self.nodes))
+
+    async def start_store(self) -> None:
+        """Start the object store stand-in and wait until it answers."""
+        arguments = ["standins.object_store", "--listen", self.store_address]
+        self.store = await start_process("store", arguments, self.folder)
+        await self.wait_for(self.store_answers)
+
+    async def store_answers(self) -> bool:
+        try:
+            await self.store_json("GET", "/stats")
+        except aiohttp.ClientError:
+            return False
+        return True
+
+    async def store_json(self, method: str, path: str, body: Any = None) -> Any:
+        """Call one of the stand-in's own pages (``/stats``, ``/faults``)."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, f"http://{self.store_address}{path}", json=body) as response,
+        ):
+            return await response.json(content_type=None)
+
+    async def write_tree(self) -> None:
+        """Write the first revision of the settings tree."""
+        envelope = Envelope(
+            revision=1,
+            lineage="mesh",
+            change="first",
+            author="mesh",
+            time=time.time(),
+            parent="",
+            recent=[],
+            text=self.tree,
+        )
+        url = f"http://{self.store_address}/v1/objects/settings/tree"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.put(url, data=envelope.encode(), headers={"If-None-Match": "*"}) as response,
+        ):
+            response.raise_for_status()
+
+    async def ready(self, timeout: float = READY_TIMEOUT_S) -> None:
+        """Wait until a request of each service is answered through every running node."""
+        services = {node.plan.service for node in self.nodes}
+        for node in self.nodes:
+            if node.process is not None and node.process.running:
+                for service in services:
+                    await self.wait_for(lambda: self.answers(node, service), timeout)
+
+    async def answers(self, node: MeshNode, service: str) -> bool:
+        """Tell whether a lookup of ``service`` is answered through this node."""
+        headers = {"Host": service, "X-Request-Id": "ready"}
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(f"http://{node.callers}/?ms=1", headers=headers) as response,
+            ):
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def wait_for(self, condition: Any, timeout: float = READY_TIMEOUT_S) -> None:
+        """Poll until ``condition`` holds; raises ``TimeoutError`` with what the processes said."""
+        try:
+            async with asyncio.timeout(timeout):
+                while not await condition():
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError as error:
+            raise TimeoutError(f"not so after {timeout} s\n{self.output()}") from error
+
+    def output(self) -> str:
+        """Return the last lines of every process."""
+        return "\n".join(
+            f"== {path.name}\n" + "\n".join(path.read_text(errors="replace").splitlines()[-15:])
+            for path in sorted(self.folder.glob("*.log"))
+        )
+
+    async def stop(self) -> None:
+        """End every process."""
+        processes = [node.process for node in self.nodes]
+        processes += [node.server for node in self.nodes] + [self.store]
+        await asyncio.gather(*(process.kill() for process in processes if process is not None))
