--- a/bench/replay/__main__.py
+++ b/bench/replay/__main__.py
@@ -41,13 +41,8 @@
 
 def judge(trace: Trace, runs: dict[str, Figures]) -> list[Verdict]:
     """Return the verdicts on the promises and on the trace's own outcomes."""
-    kept = [
-        expectation.check(runs)
-        for policy in runs
-        if policy != DIRECT
-        for expectation in promises(policy)
-    ]
-    return kept + [expectation.check(runs) for expectation in load_expectations(trace.name)]
+    held = itertools.chain.from_iterable(promises(policy) for policy in runs if policy != DIRECT)
+    return [each.check(runs) for each in [*held, *load_expectations(trace.name)]]
 
 
 def report(trace: Trace, runs: dict[str, Figures]) -> list[Verdict]:
--- a/bench/replay/_plot.py
+++ b/bench/replay/_plot.py
@@ -12,12 +12,15 @@
 
 
 def plot_tails(runs: Sequence[Figures]) -> None:
-    """Print the p99 of the trace's first class as one bar for each policy."""
+    """Print the p99 of the trace's first class as one bar for each policy, if there are several."""
+    if len(runs) < 2:
+        return
     label = runs[0].labels()[0]
     tails = [run.tally(label).latency_ms(99) for run in runs]
     figure = plotext.figure
     figure.clear()
     figure.plot_size(WIDTH, FRAME_ROWS + ROWS_PER_BAR * len(runs))
     figure.title(f"{runs[0].trace.name}: p99 of {label}, ms")
-    figure.draw(figure.bar([run.policy for run in runs], tails, orientation="horizontal"))
+    names = [f"{run.policy} {tail:.0f}" for run, tail in zip(runs, tails, strict=True)]
+    figure.draw(figure.bar(names, tails, orientation="horizontal"))
     figure.show(colorless=True)
