Replay on the mesh of real processes; let the settings name every selector

The replay keeps no process starter of its own: pairs of stand-in and node come from standins.mesh, which now hands the connection limit on. The settings accepted only "predicted" as selector, so no baseline could be chosen; the choices are now those that the policies offer.

--- a/bench/load/_backends.py
+++ b/bench/load/_backends.py
@@ -38,6 +38,14 @@
         """Change the named faults of one stand-in."""
         await self.ask(address, "POST", "faults", faults)
 
+    async def answering(self) -> bool:
+        """Tell whether all stand-ins answer."""
+        try:
+            await asyncio.gather(*(self.ask(each, "GET", "stats") for each in self.addresses))
+        except aiohttp.ClientError:
+            return False
+        return True
+
     async def reset(self) -> None:
         """Forget executions and faults everywhere."""
         await asyncio.gather(*(self.ask(each, "POST", "reset") for each in self.addresses))
--- a/bench/replay/_fleet.py
+++ b/bench/replay/_fleet.py
@@ -1,58 +1,57 @@
 """The processes of one site: the store stand-in, and nodes with their backend servers."""
 
 import asyncio
-import itertools
-import os
-import time
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any, Self
 
-import aiohttp
-
 from bench.load import Backends, Caller, Outcome, PlannedCall, StandInReport
-from bench.replay._process import Process
 from bench.replay._seat import Seat
 from bench.replay._site import Service, Site
-from marjoramtide.settings import Envelope
+from standins.mesh import Mesh, NodePlan
 
 DIRECT = "direct"  # callers go straight to a random backend server: what no balancer would give
 READY_TIMEOUT_S = 30
 WARM_UP_WAIT_S = 0.1
-SETTINGS_KEY = "settings/tree"
-numbers = itertools.count()
 
 
-class Fleet:
-    """A site that runs, under one selector of the settings.
+def make_plans(site: Site, seed: int) -> list[NodePlan]:
+    """Return the pairs of backend server and node of ``site``."""
+    return [
+        NodePlan(
+            service=service.name,
+            data_centre=centre,
+            slots=service.slots,
+            service_ms=service.service_ms,
+            seed=seed + index,
+            connections=service.connections,
+        )
+        for index, (service, _, centre) in enumerate(site.places())
+    ]
+
+
+def settings_text(site: Site, policy: str) -> str:
+    """Return the settings tree of ``site``: the users differ by it alone."""
+    services = "".join(
+        f"[services.{service.name}]\nslots = {service.slots}\nconnections = {service.connections}\n"
+        for service in site.services
+    )
+    return f'selector = "{policy}"\n{site.settings}{services}'
+
 
-    Every instance has a loopback address of its own, made from this process's id, so that fleets
-    beside each other do not meet.
-    """
+class Fleet:
+    """A site that runs, under one selector of the settings."""
 
     def __init__(self, site: Site, policy: str, folder: Path, seed: int) -> None:
         self.site = site
         self.policy = policy
-        self.folder = folder
-        net = f"127.{1 + os.getpid() % 250}.{next(numbers) % 250}"
-        self.store_address = f"{net}.250:8500"
-        self.store: Process | None = None
+        self.mesh = Mesh(folder, make_plans(site, seed), settings_text(site, policy))
         self.seats = [
-            Seat(
-                service=service,
-                number=number,
-                data_centre=centre,
-                ip=f"{net}.{10 + index}",
-                folder=folder,
-                seed=seed + index,
-                with_node=policy != DIRECT,
-            )
-            for index, (service, number, centre) in enumerate(site.places())
+            Seat(service, number, pair, with_node=policy != DIRECT)
+            for (service, number, _), pair in zip(site.places(), self.mesh.nodes, strict=True)
         ]
-
-    @property
-    def backends(self) -> list[str]:
-        return [seat.backend for seat in self.seats if seat.stand_in is not None]
+        for pair in self.mesh.nodes:
+            pair.extra = {"region": site.region, "log_level": "warning"}
 
     def entries(self) -> dict[str, Sequence[str]]:
         """Return where callers enter: any node, or for ``direct`` the service's own servers."""
@@ -61,77 +60,35 @@
                 service.name: [seat.backend for seat in self.seats if seat.service is service]
                 for service in self.site.services
             }
-        nodes = [seat.callers for seat in self.seats]
+        nodes = [seat.pair.callers for seat in self.seats]
         return {service.name: nodes for service in self.site.services}
 
     async def __aenter__(self) -> Self:
         try:
             await self.start()
         except BaseException:
-            await self.end()
+            await self.mesh.stop()
             raise
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        await self.end()
+        await self.mesh.stop()
 
     async def start(self) -> None:
         """Start everything and wait until each entry serves each service."""
-        if self.policy != DIRECT:
-            arguments = ["standins.object_store", "--listen", self.store_address]
-            self.store = Process("store", arguments, self.folder / "store.log")
-            await self.store.start()
-            await self.store.announced()
-            await self.write_settings()
-        await asyncio.gather(*(self.start_seat(seat) for seat in self.seats))
-        await self.wait_until_ready()
-
-    async def start_seat(self, seat: Seat) -> None:
-        await seat.start(self.site.region, f"http://{self.store_address}")
-
-    def settings_text(self) -> str:
-        """Return the settings tree: the users differ by it alone."""
-        services = "".join(
-            f"[services.{service.name}]\nslots = {service.slots}\n"
-            f"connections = {service.connections}\n"
-            for service in self.site.services
-        )
-        return f'selector = "{self.policy}"\n{self.site.settings}{services}'
-
-    async def write_settings(self) -> None:
-        envelope = Envelope(
-            revision=1,
-            lineage="replay",
-            change="replay-1",
-            author="replay",
-            time=time.time(),
-            parent="",
-            recent=[],
-            text=self.settings_text(),
-        )
-        url = f"http://{self.store_address}/v1/objects/{SETTINGS_KEY}"
-        async with (
-            aiohttp.ClientSession(raise_for_status=True) as session,
-            session.put(url, data=envelope.encode(), headers={"If-None-Match": "*"}),
-        ):
-            pass
-
-    async def store_faults(self, **faults: Any) -> None:
-        """Change the faults of the store stand-in."""
-        async with (
-            aiohttp.ClientSession(raise_for_status=True) as session,
-            session.post(f"http://{self.store_address}/faults", json=faults),
-        ):
-            pass
-
-    async def wait_until_ready(self) -> None:
-        """Call every service through every entry until each has answered."""
-        async with asyncio.timeout(READY_TIMEOUT_S), asyncio.TaskGroup() as group:
+        if self.policy == DIRECT:
+            await asyncio.gather(*(seat.start() for seat in self.seats))
+        else:
+            await self.mesh.start()
+        async with asyncio.TaskGroup() as group:
             for service, addresses in self.entries().items():
                 for address in addresses:
                     group.create_task(self.until_served(service, address))
+        async with Backends([seat.backend for seat in self.seats]) as backends:
+            await backends.reset()
 
     async def until_served(self, service: str, address: str) -> None:
+        """Call a service through one entry until it answers; raises ``RuntimeError`` if never."""
         call = PlannedCall(
             at_s=0,
             request_id="warm-up",
@@ -145,18 +102,22 @@
         async with Caller({service: [address]}) as caller:
             last = (await caller.call(call))[-1]
         if last.outcome is not Outcome.COMPLETED:
-            raise RuntimeError(f"{service} is not served at {address}: {last}")
+            said = self.mesh.output()
+            raise RuntimeError(f"{service} is not served at {address}: {last}\n{said}")
 
     async def replace(self, seat: Seat, faults: dict[str, Any]) -> None:
         """End an instance in good order and start another at its address."""
         await seat.stop()
-        await self.start_seat(seat)
-        async with Backends([seat.backend]) as backends:
-            await backends.set_faults(seat.backend, **faults)
+        await seat.pair.start_server()
+        if faults:
+            await self.mesh.wait_for(lambda: answers_at(seat.backend))
+            await seat.pair.set_faults(**faults)
+        if seat.with_node:
+            await seat.pair.start_node()
 
     async def reports(self) -> list[StandInReport]:
         """Return what each stand-in has run, those that have ended included."""
-        async with Backends(self.backends) as backends:
+        async with Backends([seat.backend for seat in self.seats if seat.running]) as backends:
             running = await backends.reports()
         return [*running, *(report for seat in self.seats for report in seat.ended)]
 
@@ -166,10 +127,10 @@
 
     def node_cpu_s(self) -> float:
         """Return the processor time of all nodes there have been, in seconds."""
-        return sum(node.cpu_s() for seat in self.seats for node in seat.nodes())
+        return sum(seat.node_cpu_s() for seat in self.seats)
+
 
-    async def end(self) -> None:
-        """End every process; nodes first, all at the same time."""
-        await asyncio.gather(*(seat.stop() for seat in self.seats))
-        if self.store is not None:
-            await self.store.end()
+async def answers_at(address: str) -> bool:
+    """Tell whether a stand-in answers at ``address``."""
+    async with Backends([address]) as backends:
+        return await backends.answering()
--- a/bench/replay/_plot.py
+++ b/bench/replay/_plot.py
@@ -23,4 +23,5 @@
     figure.title(f"{runs[0].trace.name}: p99 of {label}, ms")
     names = [f"{run.policy} {tail:.0f}" for run, tail in zip(runs, tails, strict=True)]
     figure.draw(figure.bar(names, tails, orientation="horizontal"))
+    figure.ruler("x").lim(0, max(tails))  # the library's own limits may cut the last bar off
     figure.show(colorless=True)
--- a/bench/replay/_run.py
+++ b/bench/replay/_run.py
@@ -5,7 +5,7 @@
 import time
 from pathlib import Path
 
-from bench.load import Backends, audit, play_in_workers
+from bench.load import audit, play_in_workers
 from bench.replay._arrivals import arrivals
 from bench.replay._figures import Figures
 from bench.replay._fleet import Fleet
@@ -32,8 +32,6 @@
 async def run_in(trace: Trace, policy: str, folder: Path) -> Figures:
     calls = arrivals(trace)
     async with Fleet(trace.site, policy, folder, trace.seed) as fleet:
-        async with Backends(fleet.backends) as backends:
-            await backends.reset()
         cpu_before_s = fleet.node_cpu_s()
         start = time.monotonic() + WORKERS_START_S
         timeline = asyncio.create_task(Timeline(trace.events, fleet).run(start))
--- a/bench/replay/_timeline.py
+++ b/bench/replay/_timeline.py
@@ -25,8 +25,8 @@
 
     async def happen(self, event: Event) -> None:
         if event.action == "store":
-            if self.fleet.store is not None:
-                await self.fleet.store_faults(**event.faults)
+            if self.fleet.mesh.store is not None:
+                await self.fleet.mesh.store_json("POST", "/faults", event.faults)
             return
         hit = [seat for seat in self.fleet.seats if seat.matches(event.target)]
         if not hit:
--- a/src/marjoramtide/settings/_schema.py
+++ b/src/marjoramtide/settings/_schema.py
@@ -118,7 +118,14 @@
         name="selector",
         group=CHOICE,
         levels=NOT_ON_ROUTES,
-        choices=("predicted",),
+        choices=(
+            "predicted",
+            "round-robin",
+            "random",
+            "least-outstanding",
+            "two-choices",
+            "polled-reports",
+        ),
         meaning="The policy that chooses a backend server.",
     ),
     NumberKey(
--- a/standins/mesh/_mesh_node.py
+++ b/standins/mesh/_mesh_node.py
@@ -58,6 +58,7 @@
         plan = self.plan
         arguments = ["standins.backend", "--listen", self.backend, "--slots", str(plan.slots)]
         arguments += ["--service-ms", str(plan.service_ms), "--seed", str(plan.seed)]
+        arguments += ["--connections", str(plan.connections)]
         self.server = await start_process(f"{self.name}-backend", arguments, self.folder)
 
     async def start_node(self) -> None:
--- a/standins/mesh/_plan.py
+++ b/standins/mesh/_plan.py
@@ -17,6 +17,7 @@
     slots: int = 10
     service_ms: float = 20.0
     seed: int = 1
+    connections: int = 250
 
 
 def make_plan(
