--- a/standins/demo.py
+++ b/standins/demo.py
@@ -14,7 +14,17 @@
 import time
 from pathlib import Path
 
-from bench.load import Audit, CallResult, Outcome, PlannedCall, Tally, audit, play, tally
+from bench.load import (
+    Audit,
+    CallResult,
+    Outcome,
+    PlannedCall,
+    StandInReport,
+    Tally,
+    audit,
+    play,
+    tally,
+)
 from standins.mesh import Mesh, make_plan
 
 SECONDS = 15.0
@@ -120,7 +130,7 @@
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
             print()
-            found = audit(results, *mesh.executions())
+            found = audit(results, [StandInReport("all", *mesh.executions(), {})])
     print_table(tally(results))
     return verdict(results, found)
 
