Membership: probe twice a second, pass on more copies, keep joiners quiet

Cause: with one probe a second a lost data centre of 20 members in 100 was known everywhere after 11.6 s; a settings revision at 200 members took 3.1 s (median of 3), the tail waiting for pulls; joiners passed on all that they pulled. Now a probe starts every 0.5 s and still has 1 s to answer, a piece of news is sent 4 log10(n+1) times in place of 2 to 3, and a node passes nothing on while it learns. A node is learning for at least a second, so that a pair of newcomers that agree with each other alone do not count as joined.

--- a/src/marjoramtide/membership/_failure_detector.py
+++ b/src/marjoramtide/membership/_failure_detector.py
@@ -82,11 +82,11 @@
         if entry.key in self.probed or len(self.probes) >= MAX_PROBES:
             return
         patience = self.awareness.multiplier
-        number = self._number()
+        number = self.next_number()
         self.probes[number] = Probe(
             target=entry.key,
             indirect_at=now + self.options.probe_timeout_s * patience,
-            fails_at=now + self.options.probe_interval_s * patience,
+            fails_at=now + self.options.probe_limit_s * patience,
         )
         self.probed.add(entry.key)
         self.counters.probes += 1
@@ -104,6 +104,11 @@
             revisions=revisions,
         )
 
+    def next_number(self) -> int:
+        """Return a number for a probe; numbers rise, so that an old answer can be told."""
+        self.last_number += 1
+        return self.last_number
+
     def on_ack(self, packet: Packet, now: float) -> bool:
         """Take a confirmation; return whether it answers a probe of this node."""
         relay = self.relays.pop(packet.number, None)
@@ -131,7 +136,7 @@
         entry = self.view.entries.get(packet.keys[0]) if packet.keys else None
         if entry is None or len(self.relays) >= MAX_RELAYS:
             return
-        number = self._number()
+        number = self.next_number()
         self.relays[number] = Relay(
             requester=packet.sender,
             number=packet.number,
@@ -140,10 +145,6 @@
         )
         self.ping(entry, number)
 
-    def _number(self) -> int:
-        self.last_number += 1
-        return self.last_number
-
     def _next_target(self) -> MemberEntry | None:
         live = self.view.live()
         if len(live) < 2:
@@ -163,7 +164,7 @@
         # single answer lets the two sides compare their views.
         dead = [entry for entry in self.view.gone.values() if entry.is_tried()]
         if dead:
-            self.ping(self.rng.choice(dead), self._number())
+            self.ping(self.rng.choice(dead), self.next_number())
 
     def _ask_helpers(self, number: int, probe: Probe) -> None:
         probe.asked_helpers = True
--- a/src/marjoramtide/membership/_member_view.py
+++ b/src/marjoramtide/membership/_member_view.py
@@ -71,11 +71,6 @@
             entry.doubted = doubted
             self._changed(entry, now)
 
-    def forget_before(self, moment: float) -> None:
-        """Forget the members that were believed gone before ``moment``."""
-        for key in [key for key, entry in self.gone.items() if entry.gone_at < moment]:
-            self.remove(key)
-
     def remove(self, key: int) -> None:
         """Drop an entry without a trace."""
         entry = self.entries.pop(key)
--- a/src/marjoramtide/membership/_membership_service.py
+++ b/src/marjoramtide/membership/_membership_service.py
@@ -17,6 +17,7 @@
 from marjoramtide.membership._identity import encode_identity, member_key
 from marjoramtide.membership._member import Member
 from marjoramtide.membership._member_state import MemberState
+from marjoramtide.membership._membership_event import EventKind
 from marjoramtide.membership._packet_codec import MAX_IDENTITY_BYTES, PacketCodec
 from marjoramtide.membership._swim_core import SwimCore
 from marjoramtide.membership._swim_options import SwimOptions
@@ -146,7 +147,8 @@
             self._notify(member)
         events, self.core.events = self.core.events, []
         for event in events:
-            log.info("membership", event_kind=event.kind, detail=event.detail)
+            write = log.error if event.kind is EventKind.SUPERSEDED else log.info
+            write(f"membership-{event.kind}", step="membership", detail=event.detail)
         drops, self.core.drops = self.core.drops, []
         for code, address, message in drops:
             self.drop_log.add(code, address, message, self.clock.monotonic())
@@ -204,8 +206,10 @@
         incarnation=int(clock.wall() * 1000),
     )
     _check_size(member)
-    core = SwimCore(member, PacketCodec(node_settings.key), rng, options)
-    return MembershipService(core, store, clock, rng)
+    # The protocol draws many numbers; none of them is a secret, so a fast generator will do.
+    fast = random.Random(rng.getrandbits(64))
+    core = SwimCore(member, PacketCodec(node_settings.key), fast, options)
+    return MembershipService(core, store, clock, fast)
 
 
 def _check_size(member: Member) -> None:
--- a/src/marjoramtide/membership/_swim_core.py
+++ b/src/marjoramtide/membership/_swim_core.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.membership._disseminator import MAX_WANTED_KEYS, Disseminator
 from marjoramtide.membership._failure_detector import FailureDetector
 from marjoramtide.membership._gossip_counters import GossipCounters
@@ -15,13 +16,14 @@
 from marjoramtide.membership._member_view import MemberView
 from marjoramtide.membership._membership_event import EventKind, MembershipEvent
 from marjoramtide.membership._packet import AppliedSettings, Kind, Packet, Record, Status
-from marjoramtide.membership._packet_codec import PacketCodec
+from marjoramtide.membership._packet_codec import MAX_DIGEST_CHARACTERS, PacketCodec
 from marjoramtide.membership._packet_error import DropCode, PacketError
 from marjoramtide.membership._packet_sender import PacketSender
 from marjoramtide.membership._replay_window import ReplayWindow
 from marjoramtide.membership._suspicion import Suspicion
 from marjoramtide.membership._swim_options import SwimOptions
 
+LEARNING_FLOOR_S = 1.0
 LEARNING_S = 5.0
 SEEDS_TRIED = 3
 SEED_INTERVAL_S = 1.0
@@ -91,7 +93,7 @@
 
     def try_address(self, address: str) -> None:
         """Ping whoever listens at a gossip address, to find a part of the fleet not yet known."""
-        self.sender.send(Kind.PING, address, 0, number=self.detector._number())
+        self.sender.send(Kind.PING, address, 0, number=self.detector.next_number())
 
     def set_state(self, state: MemberState) -> None:
         """Change this node's own state and tell some members at once."""
@@ -101,7 +103,13 @@
         self.news.gossip(self._now(), URGENT_FANOUT)
 
     def set_settings(self, revision: int, digest: str) -> None:
-        """Report the settings in force here."""
+        """Report the settings in force here; raises ``bad-settings`` for an overlong digest."""
+        if len(digest) > MAX_DIGEST_CHARACTERS:
+            raise MarjoramtideError(
+                ErrorCode.BAD_SETTINGS,
+                f"settings digest of {len(digest)} characters; at most {MAX_DIGEST_CHARACTERS}",
+                step="membership.set_settings",
+            )
         if self.view.merge_settings(self.key, AppliedSettings(revision, digest), self._now()):
             self.news.revisions.put(self.key)
             self.news.gossip(self._now(), self.options.gossip_fanout)
@@ -223,6 +231,7 @@
 
     def _stand_down(self, reason: str) -> None:
         self.superseded = True
+        self.view.merge_status(attrs.evolve(self.own.status(), health=Health.LEFT), self._now())
         self.events.append(MembershipEvent(EventKind.SUPERSEDED, reason))
 
     # Suspicion
@@ -236,9 +245,11 @@
         entry = self.view.entries[status.key]
         if self.view.merge_status(status, self._now()):
             entry.suspicion = self._new_suspicion()
-        if entry.health is not Health.SUSPECT or status.incarnation != entry.member.incarnation:
+            self.news.statuses.put(entry.key, status.accuser)
+        if entry.suspicion is None or status.incarnation != entry.member.incarnation:
             return
-        if entry.suspicion is not None and entry.suspicion.confirm(status.accuser):
+        # A suspicion that came with a whole record names no accuser: it is no further evidence.
+        if status.accuser and entry.suspicion.confirm(status.accuser):
             self.news.statuses.put(entry.key, status.accuser)
 
     def _new_suspicion(self) -> Suspicion:
@@ -282,7 +293,7 @@
         if self.learned_from is not None and now - self.learned_from > LEARNING_S:
             self._learned()
         elif now - self.last_sync >= self.options.join_interval_s:
-            self.detector.ping(peer, self.detector._number())
+            self.detector.ping(peer, self.detector.next_number())
             self._sync_with(peer.member.gossip_address, peer.key, now)
 
     def _try_seeds(self, now: float) -> None:
@@ -306,7 +317,8 @@
     def _compare(self, packet: Packet, address: str, now: float) -> None:
         if packet.view_digest == self.view.digest:
             self.last_match = now
-            if self.learning and self.learned_from is not None:
+            learned_from = self.learned_from if self.learning else None
+            if learned_from is not None and now - learned_from > LEARNING_FLOOR_S:
                 self._learned()
             return
         # News under way makes views differ for a moment; pulling then would cost much for nothing.
@@ -360,7 +372,7 @@
         missing: list[int] = []
         self._hear_sender(packet, address, missing)
         for status in packet.statuses:
-            self._hear_status(status, packet.sender, missing)
+            self._hear_status(status, missing)
         for settings, keys in packet.revisions:
             self._hear_settings(settings, keys)
         for record in packet.records:
@@ -423,11 +435,11 @@
                 return  # the goodbye is sent twice
             self.sender.send(Kind.GOSSIP, address, packet.sender, statuses=[entry.status()])
             raise PacketError(DropCode.SENDER_GONE, "the sender has left or was replaced")
-        self._hear_status(packet.status, packet.sender, missing)
+        self._hear_status(packet.status, missing)
         if self.view.merge_settings(entry.key, packet.settings, self._now()):
             self.news.revisions.put(entry.key)
 
-    def _hear_status(self, status: Status, sender: int, missing: list[int]) -> None:
+    def _hear_status(self, status: Status, missing: list[int]) -> None:
         if status.key == self.key:
             self._hear_about_self(status)
             return
@@ -436,7 +448,7 @@
             if not status.health.is_gone:
                 missing.append(status.key)
         elif status.health is Health.SUSPECT:
-            self._suspect(attrs.evolve(status, accuser=status.accuser or sender))
+            self._suspect(status)
         elif status.health is Health.DEAD and entry.health is Health.ALIVE:
             # After a cut heals, the other side's view says "dead" of every member on this side.
             # Believed at once, it would empty this side's list of backend servers until each one
@@ -449,12 +461,12 @@
     def _hear_settings(self, settings: AppliedSettings, keys: tuple[int, ...]) -> None:
         for key in keys:
             known = key != self.key and key in self.view.entries
-            if known and self.view.merge_settings(key, settings, self._now()):
+            if known and self.view.merge_settings(key, settings, self._now()) and not self.learning:
                 self.news.revisions.put(key)
 
     def _hear_record(self, record: Record, sender: int, address: str) -> None:
         if record.status.key in self.view.entries:
-            self._hear_status(record.status, sender, [])
+            self._hear_status(record.status, [])
             self._hear_settings(record.settings, (record.status.key,))
             return
         if record.status.health.is_gone:
@@ -472,7 +484,9 @@
         alive = attrs.evolve(record.status, health=Health.ALIVE)
         self.view.add(member, alive, self._now())
         self._hear_settings(record.settings, (record.status.key,))
-        self.news.statuses.put(record.status.key)
+        # What a joining node pulls is news to itself alone.
+        if not self.learning:
+            self.news.statuses.put(record.status.key)
         if record.status.health is Health.SUSPECT:
             self._suspect(record.status)
 
--- a/src/marjoramtide/membership/_swim_options.py
+++ b/src/marjoramtide/membership/_swim_options.py
@@ -14,8 +14,9 @@
     """
 
     tick_s: float = 0.1
-    probe_interval_s: float = 1.0
+    probe_interval_s: float = 0.5
     probe_timeout_s: float = 0.3
+    probe_limit_s: float = 1.0
     indirect_probes: int = 3
     awareness_limit: int = 8
     suspicion_factor: float = 1.2
@@ -23,8 +24,8 @@
     suspicion_spread: float = 3.0
     suspicion_confirmations: int = 3
     gossip_fanout: int = 2
-    gossip_copies: float = 3.0
-    revision_copies: float = 2.0
+    gossip_copies: float = 4.0
+    revision_copies: float = 4.0
     gossip_bytes_per_s: float = 8_000.0
     gossip_burst_bytes: float = 60_000.0
     answer_bytes_per_s: float = 24_000.0
@@ -40,7 +41,7 @@
 
     def suspicion_minimum_s(self, members: int) -> float:
         """Return the shortest time a suspicion lasts; it grows with the logarithm of the fleet."""
-        scaled = self.suspicion_factor * math.log10(members + 1) * self.probe_interval_s
+        scaled = self.suspicion_factor * math.log10(members + 1) * self.probe_limit_s
         return max(self.suspicion_floor_s, scaled)
 
     def copies(self, factor: float, members: int) -> int:
