--- a/src/marjoramtide/membership/_failure_detector.py
+++ b/src/marjoramtide/membership/_failure_detector.py
@@ -59,6 +59,12 @@
         self.next_probe_at = now
         self.awareness.score = self.awareness.limit
 
+    def postpone(self, gap: float) -> None:
+        """Give the probes under way more time."""
+        for probe in self.probes.values():
+            probe.indirect_at += gap
+            probe.fails_at += gap
+
     def tick(self, now: float) -> None:
         """Bring probes under way on and start the next one."""
         self._expire_relays(now)
--- a/src/marjoramtide/membership/_swim_core.py
+++ b/src/marjoramtide/membership/_swim_core.py
@@ -23,6 +23,7 @@
 from marjoramtide.membership._suspicion import Suspicion
 from marjoramtide.membership._swim_options import SwimOptions
 
+STALL_S = 0.5
 LEARNING_FLOOR_S = 1.0
 LEARNING_S = 5.0
 SEEDS_TRIED = 3
@@ -97,7 +98,7 @@
 
     def set_state(self, state: MemberState) -> None:
         """Change this node's own state and tell some members at once."""
-        if self.own.declared is state or self.left:
+        if self.own.declared is state or self.left or self.superseded:
             return
         self._set_own(self.own.member.incarnation + 1, state, self.own.health)
         self.news.gossip(self._now(), URGENT_FANOUT)
@@ -164,9 +165,19 @@
             self.started = self.last_match = self.last_housekeeping = now
         elif now - self.now > self.options.freeze_gap_s and not self.left:
             self._thaw(now - self.now, now)
+        elif now - self.now > STALL_S:
+            self._postpone(now - self.now)
         self.now = now
         self.wall = self.sender.wall = wall
 
+    def _postpone(self, gap: float) -> None:
+        # A busy loop that came round late has answers waiting in its socket: a probe judged before
+        # they are read would accuse a healthy member.
+        self.detector.postpone(gap)
+        for entry in self.view.suspects.values():
+            if entry.suspicion is not None:
+                entry.suspicion.started += gap
+
     def _thaw(self, gap: float, now: float) -> None:
         # A process that was stopped missed every answer sent to it meanwhile, and its timers all
         # look expired at once: acting on them, it would declare healthy members dead. So it drops
