Membership: newcomers are passed on by nodes that are still learning

Cause: nodes that start together held back all they learned, so that the word of a newcomer stopped at its neighbours. Records asked for after gossip named a new member are passed on again; pulled ones are not.

--- a/src/marjoramtide/membership/_disseminator.py
+++ b/src/marjoramtide/membership/_disseminator.py
@@ -140,14 +140,25 @@
         return sorted(entries, key=lambda entry: entry.health.is_gone)
 
     def send_records(
-        self, address: str, destination: int, entries: Iterable[MemberEntry], now: float
+        self,
+        address: str,
+        destination: int,
+        entries: Iterable[MemberEntry],
+        now: float,
+        *,
+        asked_for: bool = False,
     ) -> None:
-        """Send whole records in a bounded number of datagrams, within the budget of answers."""
+        """Send whole records in a bounded number of datagrams, within the budget of answers.
+
+        ``asked_for`` marks the answer to a request for these very records.
+        """
         batches = _batches([entry.record() for entry in entries])
         for _, batch in zip(range(self.options.sync_datagrams), batches, strict=False):
             if not self.answer_budget.take(sum(map(record_size, batch)) + 150, now):
                 return
-            self.sender.send(Kind.GOSSIP, address, destination, records=batch)
+            self.sender.send(
+                Kind.GOSSIP, address, destination, number=int(asked_for), records=batch
+            )
 
 
 def _batches(records: list[Record]) -> Iterator[list[Record]]:
--- a/src/marjoramtide/membership/_swim_core.py
+++ b/src/marjoramtide/membership/_swim_core.py
@@ -387,7 +387,7 @@
         for settings, keys in packet.revisions:
             self._hear_settings(settings, keys)
         for record in packet.records:
-            self._hear_record(record, packet.sender, address)
+            self._hear_record(record, packet, address)
         self._act(packet, address, now)
         self._want(missing, packet.sender, address, now)
         if packet.kind in (Kind.PING, Kind.ACK):
@@ -417,7 +417,7 @@
                 self._answer_sync(packet, address, now)
             case Kind.WANT:
                 known = [self.view.entries[key] for key in packet.keys if key in self.view.entries]
-                self.news.send_records(address, packet.sender, known, now)
+                self.news.send_records(address, packet.sender, known, now, asked_for=True)
 
     def _answer_sync(self, packet: Packet, address: str, now: float) -> None:
         if not packet.buckets:
@@ -475,7 +475,7 @@
             if known and self.view.merge_settings(key, settings, self._now()) and not self.learning:
                 self.news.revisions.put(key)
 
-    def _hear_record(self, record: Record, sender: int, address: str) -> None:
+    def _hear_record(self, record: Record, packet: Packet, address: str) -> None:
         if record.status.key in self.view.entries:
             self._hear_status(record.status, [])
             self._hear_settings(record.settings, (record.status.key,))
@@ -488,15 +488,16 @@
             raise PacketError(DropCode.MALFORMED, f"identity: {error}") from error
         if member_key(member.node) != record.status.key:
             raise PacketError(DropCode.MALFORMED, "identity and key differ")
-        if self._takes_address(member, record.status, address, sender):
-            self._admit(member, record)
+        if self._takes_address(member, record.status, address, packet.sender):
+            # What a joining node pulls is news to itself alone, unless it asked for this record
+            # after hearing of a member that is itself new.
+            self._admit(member, record, pass_on=not self.learning or packet.number > 0)
 
-    def _admit(self, member: Member, record: Record) -> None:
+    def _admit(self, member: Member, record: Record, pass_on: bool) -> None:
         alive = attrs.evolve(record.status, health=Health.ALIVE)
         self.view.add(member, alive, self._now())
         self._hear_settings(record.settings, (record.status.key,))
-        # What a joining node pulls is news to itself alone.
-        if not self.learning:
+        if pass_on:
             self.news.statuses.put(record.status.key)
         if record.status.health is Health.SUSPECT:
             self._suspect(record.status)
