Membership scenarios: cuts, freezes, replaced processes, bad datagrams

A newcomer whose clock is behind is told of the dead record for its address too: before, that record was skipped as gone and the newcomer was never admitted (found by its scenario).

--- a/features/membership/detection.feature
+++ b/features/membership/detection.feature
@@ -9,7 +9,7 @@
     When 5 seconds of membership pass
     Then every running node holds the same 20 members
     When membership node 3 stops without a word
-    And 15 seconds of membership pass
+    And 10 seconds of membership pass
     Then every running node holds the same 19 members
     And no membership node had to refute anything
 
@@ -22,3 +22,53 @@
     And 1 second of membership pass
     Then every running node sees membership node 7 as "draining"
     And membership node 7 is not offered for its service
+
+  Scenario: Every node learns which settings the others have in force
+    # The operator sees: apply ends when all report the revision. Each node reports its own, and
+    # reports travel grouped; what a lost datagram left out is pulled by comparing digests.
+    Given a membership network with seed 3 and 50 nodes
+    And one in 10 membership datagrams is lost
+    When 10 seconds of membership pass
+    And every node puts settings revision 12 in force
+    And 5 seconds of membership pass
+    Then every running node knows of all that they have revision 12
+
+  Scenario: A lossy network kills nobody
+    # The caller sees: nothing. One datagram in five is lost, so one probe in three fails; helpers
+    # reach the target over other paths, and who is suspected all the same refutes it in time.
+    Given a membership network with seed 4 and 20 nodes
+    And one in 5 membership datagrams is lost
+    When 120 seconds of membership pass
+    Then no running member was ever believed dead
+
+  Scenario: A node that can hardly hear accuses few others
+    # The caller sees: other nodes keep their share of the work. A node loses most of what is sent
+    # to it and takes that for the failure of others. Its helpers' answers are missing as well, so
+    # it holds itself to be the slow one, waits longer and probes less often.
+    Given a membership network with seed 5 and 20 nodes
+    When 5 seconds of membership pass
+    And membership node 2 loses nine in ten of the datagrams sent to it
+    And 60 seconds of membership pass
+    Then membership node 2 has failed at most 25 probes
+
+  Scenario: A refused connection makes a member suspect at once, an answer clears it
+    # The caller sees: the next choice avoids the node whose connection was refused. The ingress
+    # reports it, the member is suspect here at once and probed now; it answers and is ready again.
+    Given a membership network with seed 6 and 10 nodes
+    When 5 seconds of membership pass
+    And membership node 1 reports a refused connection to node 4
+    Then membership node 1 sees membership node 4 as "suspect"
+    When 1 second of membership pass
+    Then membership node 1 sees membership node 4 as "ready"
+    And no membership node had to refute anything
+
+  Scenario: A draining member stays draining under suspicion
+    # The caller sees: no request goes to a server that is leaving. Its node drains and then hangs;
+    # a suspect takes work, so suspicion must not make it look ready.
+    Given a membership network with seed 7 and 10 nodes
+    When 5 seconds of membership pass
+    And membership node 4 starts draining
+    And 1 second of membership pass
+    And membership node 1 reports a refused connection to node 4
+    Then membership node 1 sees membership node 4 as "draining"
+    And membership node 4 is not offered for its service
--- /dev/null
+++ b/features/membership/hostile.feature
@@ -0,0 +1,46 @@
+Feature: Datagrams that this fleet did not send, or sent before
+
+  Background:
+    # The operator sees: one log line for each kind of bad datagram, with a code and a count, and
+    # nothing else. Anyone on the network can send to the port; nothing of it reaches the protocol.
+    Given a membership network with seed 31 and 5 nodes
+    When 5 seconds of membership pass
+
+  Scenario Outline: A bad datagram is dropped and counted
+    When membership node 1 receives <datagram>
+    Then membership node 1 has dropped it as "<code>" and its view is unchanged
+
+    Examples:
+      | datagram                                    | code      |
+      | 300 random bytes                            | bad-mac   |
+      | an empty datagram                           | bad-mac   |
+      | a ping made with another fleet's key        | bad-mac   |
+      | a ping with one bit changed                 | bad-mac   |
+      | a datagram of 1300 bytes                    | oversized |
+      | an authentic datagram that is not CBOR      | malformed |
+      | an authentic datagram that is not a list    | malformed |
+      | an authentic ping with a negative sequence  | malformed |
+      | a record whose key is another member's      | malformed |
+      | a datagram that it has received before      | replayed  |
+      | its own datagram                            | replayed  |
+      | a ping meant for another member             | misaddressed |
+
+  Scenario: A datagram recorded long ago says nothing to a process that never saw its sender
+    # A recorded goodbye is sent again, minutes later, to a process that started since and so has no
+    # list of sequence numbers of that sender.
+    When a ping of membership node 2 is recorded and sent to a new process after 400 seconds
+    Then the new process has dropped it as "out-of-time"
+
+  Scenario: A flood of garbage writes few log lines
+    When 1000 garbage datagrams arrive at the log of a node within 5 seconds
+    Then 1 line is written for them
+    When 1 garbage datagram arrives 10 seconds later
+    Then the next line counts 1000 datagrams
+
+  Scenario: Every datagram stays within 1200 bytes
+    Given a membership network with seed 32 and 120 nodes
+    When 10 seconds of membership pass
+    And every node puts settings revision 12 in force
+    And the data centre "sanand" is lost
+    And 15 seconds of membership pass
+    Then no datagram was larger than 1200 bytes
--- a/src/marjoramtide/membership/_packet_codec.py
+++ b/src/marjoramtide/membership/_packet_codec.py
@@ -37,7 +37,8 @@
     def __init__(self, key: str) -> None:
         self.key = hashlib.blake2b(key.encode(), digest_size=32, person=b"mt-membership").digest()
 
-    def _mac(self, body: bytes) -> bytes:
+    def mac(self, body: bytes) -> bytes:
+        """Return the authentication code of ``body``."""
         return hashlib.blake2b(body, digest_size=MAC_BYTES, key=self.key).digest()
 
     def encode(self, packet: Packet) -> bytes:
@@ -45,14 +46,14 @@
         body = cbor2.dumps(_to_wire(packet))
         if len(body) + MAC_BYTES > MAX_DATAGRAM_BYTES:
             raise ValueError(f"datagram of {len(body) + MAC_BYTES} bytes")
-        return self._mac(body) + body
+        return self.mac(body) + body
 
     def decode(self, data: bytes) -> Packet:
         """Return the packet; raises ``PacketError`` for all that this fleet did not send."""
         if len(data) > MAX_DATAGRAM_BYTES:
             raise PacketError(DropCode.OVERSIZED, f"{len(data)} bytes")
         mac, body = data[:MAC_BYTES], data[MAC_BYTES:]
-        if not hmac.compare_digest(mac, self._mac(body)):
+        if not hmac.compare_digest(mac, self.mac(body)):
             raise PacketError(DropCode.BAD_MAC, "not authenticated with this fleet's key")
         try:
             return _from_wire(cbor2.loads(body))
--- a/src/marjoramtide/membership/_swim_core.py
+++ b/src/marjoramtide/membership/_swim_core.py
@@ -480,15 +480,12 @@
             self._hear_status(record.status, [])
             self._hear_settings(record.settings, (record.status.key,))
             return
-        if record.status.health.is_gone:
-            return
-        try:
-            member = decode_identity(record.identity)
-        except Exception as error:
-            raise PacketError(DropCode.MALFORMED, f"identity: {error}") from error
-        if member_key(member.node) != record.status.key:
-            raise PacketError(DropCode.MALFORMED, "identity and key differ")
-        if self._takes_address(member, record.status, address, packet.sender):
+        member = _identity_of(record)
+        if member.gossip_address == self.own.member.gossip_address:
+            self._defend_address(member, record.status)
+        elif not record.status.health.is_gone and self._takes_address(
+            member, record.status, address, packet.sender
+        ):
             # What a joining node pulls is news to itself alone, unless it asked for this record
             # after hearing of a member that is itself new.
             self._admit(member, record, pass_on=not self.learning or packet.number > 0)
@@ -511,9 +508,6 @@
         holder = self.view.entries.get(self.view.by_address.get(member.gossip_address, 0))
         if holder is None:
             return True
-        if holder is self.own:
-            self._defend_address(member, status)
-            return False
         if status.incarnation <= holder.member.incarnation:
             self.news.send_records(address, sender, [holder], self._now())
             return False
@@ -532,5 +526,15 @@
         self.news.statuses.put(status.key)
 
 
+def _identity_of(record: Record) -> Member:
+    try:
+        member = decode_identity(record.identity)
+    except Exception as error:  # whatever the decoder raises, the datagram is at fault
+        raise PacketError(DropCode.MALFORMED, f"identity: {error}") from error
+    if member_key(member.node) != record.status.key:
+        raise PacketError(DropCode.MALFORMED, "identity and key differ")
+    return member
+
+
 def _is_answered(entry: MemberEntry, claim: Status) -> bool:
     return entry.health.is_gone or entry.member.incarnation > claim.incarnation
