--- a/features/membership/detection.feature
+++ b/features/membership/detection.feature
@@ -13,6 +13,30 @@
     Then every running node holds the same 19 members
     And no membership node had to refute anything
 
+  Scenario Outline: The smallest fleets notice a dead member too
+    # The caller sees: in a fleet of <count>, requests stop going to the dead node. There is nobody
+    # else to confirm a suspicion, so the shortest time for it applies.
+    Given a membership network with seed 8 and <count> nodes
+    When 5 seconds of membership pass
+    And membership node 0 stops without a word
+    And 10 seconds of membership pass
+    Then every running node holds the same <left> members
+
+    Examples:
+      | count | left |
+      | 2     | 1    |
+      | 3     | 2    |
+      | 4     | 3    |
+
+  Scenario: A broken path between two nodes accuses neither
+    # The caller sees: both nodes keep their work. Nodes 2 and 5 can't reach each other, all others
+    # can; helpers reach the target over other paths, so the probe does not count as failed.
+    Given a membership network with seed 9 and 10 nodes
+    When 5 seconds of membership pass
+    And the path between membership nodes 2 and 5 breaks
+    And 60 seconds of membership pass
+    Then no membership node had to refute anything
+
   Scenario: A drain is known everywhere in about a second
     # The caller sees: no request is sent to a draining node any more. The member raises its own
     # incarnation with the new state and tells some members at once, which pass it on.
--- a/features/membership/failures.feature
+++ b/features/membership/failures.feature
@@ -48,6 +48,29 @@
     Then every running node holds the same 20 members
     And only membership node 5 had to refute anything
 
+  Scenario: A frozen process does not believe its old suspicions when it wakes
+    # The caller sees: node 8 keeps its work everywhere. Node 8 hangs for a moment and is suspected;
+    # node 5 hears of it, freezes, and misses the refutation, its socket being full. When it wakes,
+    # the suspicion's time is long over.
+    Given a membership network with seed 17 and 20 nodes
+    When 10 seconds of membership pass
+    And membership node 8 is frozen for 3 seconds
+    And membership node 5 freezes with a full socket
+    And membership node 8 thaws
+    And 20 seconds of membership pass
+    And membership node 5 thaws
+    And 5 seconds of membership pass
+    Then membership node 5 never believed anybody dead
+    And every running node holds the same 20 members
+
+  Scenario: A busy process reads the waiting answers before it judges its probes
+    # The caller sees: no server falls out of use because one node was busy. Its event loop comes
+    # round two seconds late; the answers to its probes wait in the socket, but the timers fire first.
+    Given a membership network with seed 18 and 10 nodes
+    When 10 seconds of membership pass
+    And membership node 5 probes all others, is busy for 2 seconds and its timers fire first
+    Then membership node 5 has failed no probe
+
   Scenario: A node that was frozen for long does not bring back what others have forgotten
     # The caller sees: no request goes to a node long gone. Node 3 ends while node 5 is frozen, and
     # after an hour the others forget it. Node 5 still holds it as ready and must not tell anyone.
@@ -72,3 +95,11 @@
     And 15 seconds of membership pass
     Then every running node holds the same 20 members
     And no member but node 9 was ever believed dead by the others
+
+  Scenario: News of a whole fleet at once stays within the budget of bytes
+    # The operator sees: a burst of 60 kB at most, then 8 kB a second. All 800 members change at once
+    # (a restart of everything, a heal); what does not fit waits, the least told first.
+    Given a lone membership core that knows 800 members
+    When it has news of all of them and ticks for 10 seconds
+    Then it has sent at most 145000 bytes
+    And none of its datagrams was larger than 1200 bytes
--- a/features/membership/hostile.feature
+++ b/features/membership/hostile.feature
@@ -36,11 +36,3 @@
     Then 1 line is written for them
     When 1 garbage datagram arrives 10 seconds later
     Then the next line counts 1000 datagrams
-
-  Scenario: Every datagram stays within 1200 bytes
-    Given a membership network with seed 32 and 120 nodes
-    When 10 seconds of membership pass
-    And every node puts settings revision 12 in force
-    And the data centre "sanand" is lost
-    And 15 seconds of membership pass
-    Then no datagram was larger than 1200 bytes
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -17,6 +17,7 @@
     SwimOptions,
 )
 from marjoramtide.membership._drop_log import DropLog
+from marjoramtide.membership._packet import AppliedSettings
 
 DATA_CENTRES = ("nadi-hall", "lautoka-hall", "sigatoka-hall", "navrangpura", "sanand")
 
@@ -155,6 +156,40 @@
     context.network.run(seconds)
 
 
+@when("membership node {number:d} freezes with a full socket")
+def freeze_deaf(context: Any, number: int) -> None:
+    frozen = node_of(context, number)
+    frozen.frozen = True
+    context.network.blocked = lambda sender, receiver: receiver is frozen and frozen.frozen
+
+
+@when(
+    "membership node {number:d} probes all others, is busy for {seconds:d} seconds"
+    " and its timers fire first"
+)
+def stall(context: Any, number: int, seconds: int) -> None:
+    network, node = context.network, node_of(context, number)
+    for entry in node.core.view.live():
+        if entry is not node.core.own:
+            node.core.detector.probe(entry, network.clock.now)
+    network.flush(node)
+    freeze(context, number, seconds)
+    node.core.tick(network.clock.monotonic(), network.clock.wall())
+    network.flush(node)
+    network.thaw(node)
+
+
+@then("membership node {number:d} has failed no probe")
+def no_failed_probe(context: Any, number: int) -> None:
+    assert node_of(context, number).core.counters.failed_probes == 0
+
+
+@when("the path between membership nodes {one:d} and {other:d} breaks")
+def break_path(context: Any, one: int, other: int) -> None:
+    ends = {f"node-{one}", f"node-{other}"}
+    context.network.blocked = lambda sender, receiver: {sender.name, receiver.name} == ends
+
+
 @when("membership node {number:d} thaws")
 def thaw(context: Any, number: int) -> None:
     mark(context)
@@ -299,6 +334,12 @@
     assert not dead, dead
 
 
+@then("membership node {number:d} never believed anybody dead")
+def never_believed(context: Any, number: int) -> None:
+    dead = believed([node_of(context, number)], MemberState.DEAD)
+    assert not dead, dead
+
+
 @then("no member was ever believed dead within its own region")
 def none_dead_in_region(context: Any) -> None:
     def inside(name: str) -> bool:
@@ -501,6 +542,40 @@
     assert [line["count"] for line in context.lines] == [count], context.lines
 
 
-@then("no datagram was larger than {limit:d} bytes")
+# One core by itself
+
+
+@given("a lone membership core that knows {count:d} members")
+def lone_core(context: Any, count: int) -> None:
+    network = Network(41)
+    context.lone = network.start_node("lone", address="10.200.0.1:7100").core
+    for number in range(count):
+        name = f"an-instance-with-a-long-name-in-navrangpura-{number}~0123456789ab"
+        address = f"10.100.{number // 250}.{number % 250 + 1}:65535"
+        member = network.start_node(name, address=address, service="claims-ledger").core.own
+        context.lone.view.add(member.member, member.status(), network.clock.now)
+
+
+@when("it has news of all of them and ticks for {seconds:d} seconds")
+def tick_alone(context: Any, seconds: int) -> None:
+    core = context.lone
+    core.learning = False
+    for entry in core.view.live():
+        settings = AppliedSettings(2**40 + entry.key % 3, "f" * 64)
+        core.view.merge_settings(entry.key, settings, 0.0)
+        core.news.revisions.put(entry.key)
+        core.news.statuses.put(entry.key, entry.key)
+    context.sizes = []
+    for tick in range(10 * seconds):
+        core.tick(2000 + tick / 10, 2000 + tick / 10)
+        context.sizes += [len(data) for _, data in core.drain()]
+
+
+@then("it has sent at most {limit:d} bytes")
+def sent_at_most(context: Any, limit: int) -> None:
+    assert 0 < sum(context.sizes) <= limit, sum(context.sizes)
+
+
+@then("none of its datagrams was larger than {limit:d} bytes")
 def bounded_datagrams(context: Any, limit: int) -> None:
-    assert 0 < context.network.largest <= limit, context.network.largest
+    assert max(context.sizes) <= limit, max(context.sizes)
--- a/src/marjoramtide/membership/_membership_service.py
+++ b/src/marjoramtide/membership/_membership_service.py
@@ -130,8 +130,11 @@
 
     async def _tick(self) -> None:
         while True:
-            self.core.tick(self.clock.monotonic(), self.clock.wall())
-            self._flush()
+            try:
+                self.core.tick(self.clock.monotonic(), self.clock.wall())
+                self._flush()
+            except Exception:  # a node that stops probing would be believed dead by all others
+                log.exception("tick-failed", code=ErrorCode.INTERNAL, step="membership.tick")
             await self.clock.sleep(self.core.options.tick_s)
 
     def _receive(self, data: bytes, address: str) -> None:
--- a/src/marjoramtide/membership/_suspicion.py
+++ b/src/marjoramtide/membership/_suspicion.py
@@ -28,6 +28,9 @@
 
     @property
     def deadline(self) -> float:
+        """Return when the suspicion is believed, in seconds of the monotonic clock."""
+        if self.confirmations < 1:  # too few members for a second accuser
+            return self.started + self.shortest_s
         extra = max(0, len(self.accusers) - 1)
         share = math.log(extra + 1) / math.log(self.confirmations + 1)
         wait = self.longest_s - (self.longest_s - self.shortest_s) * share
