--- a/features/membership/service.feature
+++ b/features/membership/service.feature
@@ -38,12 +38,16 @@
 
   Scenario: An announcement whose write answer was lost is not written twice
     # The operator sees: one announcement for each node. The write takes effect, its answer is lost;
-    # the key holds the run's own number, so what is found there is this node's own.
+    # the key holds the run's own number, so what is found there is this node's own, and the node
+    # can remove it when it stops.
     Given a store in memory for membership
     And the membership store loses the answer to the next write
     And 2 membership services that use it
     Then within 5 seconds each membership service offers 2 nodes
     And the store holds 2 announcements
+    When 2 seconds of real time pass
+    And membership service 0 stops as planned
+    Then the store holds 1 announcements
 
   Scenario: The announcement of an earlier process is removed by its replacement
     # The operator sees: no list of dead announcements grows. A process ends without removing its own;
@@ -64,11 +68,12 @@
     Then within 5 seconds each membership service offers 2 nodes
     And membership service 1 has dropped some datagrams as "bad-mac"
 
-  Scenario: A fault in a listener does not stop the failure detector
-    # The operator sees: an error line; the node goes on probing and is not believed dead.
+  Scenario: A fault in one listener keeps no news from the others
+    # The operator sees: an error line; the node goes on, and its other parts hear of each change.
     Given a store in memory for membership
     And 2 membership services that use it
     And a listener of membership service 0 that always fails
     Then within 5 seconds each membership service offers 2 nodes
     When membership service 1 starts draining
     Then within 5 seconds each membership service offers 1 node
+    And the other listener of membership service 0 has heard of it
--- a/features/steps/membership_service_steps.py
+++ b/features/steps/membership_service_steps.py
@@ -126,6 +126,7 @@
 
 
 @when("{seconds:d} second of real time passes")
+@when("{seconds:d} seconds of real time pass")
 def real_time(context: Any, seconds: int) -> None:
     run(context, asyncio.sleep(seconds))
 
@@ -169,7 +170,9 @@
     def fail(member: Member) -> None:
         raise RuntimeError("a fault in another part")
 
+    context.heard = []
     context.services[number].on_change(fail)
+    context.services[number].on_change(context.heard.append)
 
 
 @given("within {seconds:d} seconds each membership service offers {count:d} nodes")
@@ -208,5 +211,11 @@
     wait_for(context, lambda: counters.dropped[DropCode(code)] > 0, 5)
 
 
+@then("the other listener of membership service {number:d} has heard of it")
+def other_heard(context: Any, number: int) -> None:
+    states = {(member.node, member.state) for member in context.heard}
+    assert (context.services[1].self_member.node, MemberState.DRAINING) in states, states
+
+
 async def _in_loop(action: Callable[[], None]) -> None:
     action()
