--- a/features/membership/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Scenarios of membership, and the network in memory that they run on."""
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -8,7 +8,6 @@
 from behave import given, then, when
 from structlog.testing import capture_logs
 
-from features.membership.network import KEY, Network, Node
 from marjoramtide.membership import (
     DropCode,
     EventKind,
@@ -18,6 +17,7 @@
 )
 from marjoramtide.membership._drop_log import DropLog
 from marjoramtide.membership._packet import AppliedSettings
+from standins.gossip_network import KEY, Network, Node
 
 DATA_CENTRES = ("nadi-hall", "lautoka-hall", "sigatoka-hall", "navrangpura", "sanand")
 
--- a/features/membership/network.py
+++ b/standins/gossip_network.py
@@ -1,4 +1,4 @@
-"""A network in memory for the pure protocol core."""
+"""A network in memory for the pure protocol core, for scenarios and measurements."""
 
 import heapq
 import itertools
