--- /dev/null
+++ b/features/policy/budgets.feature
@@ -0,0 +1,25 @@
+Feature: Budgets of second tries, of measuring, and of returning callers
+
+  Scenario: A retry storm can't feed itself
+    # Callers see a failure outlast its cause: each request is tried three times, and the threefold
+    # load keeps the servers failing. A quiet day before must not have saved up tries for it.
+    Given a retry budget with a share of 0.1 after an hour of 100 requests a second
+    When each of 100 requests a second wants 2 retries for 60 s
+    Then at most 15% as many retries as requests are granted
+    And a service of 1 request a minute may still retry
+
+  Scenario: Refused callers don't return at the same moment
+    # Callers refused together come back together and are refused again: the service swings between
+    # idle and overloaded.
+    Given 200 callers are refused at the same moment by a service of 100 answers a second
+    Then no tenth of a second sees more than 30 of them return
+    And all of them are told to return within 5 s
+
+  Scenario: Measuring stays within its budget and follows the traffic
+    # A small pool loses capacity to being measured: each read occupies a slot that case work needs.
+    Given a measuring budget of 1 read a second and 0.005 of 10 slots
+    Then it reads at most 60 times in 60 s whatever happens
+    And with steady traffic it reads at most 31 times in 60 s
+    And when idle it reads between 20 and 40 times in 60 s
+    And a failed request brings the next read forward to 1 s after the last
+    And with reads of 2000 ms it reads at most 4 times in 120 s
--- /dev/null
+++ b/features/policy/selection.feature
@@ -0,0 +1,87 @@
+Feature: The choice of a serving node when what is known of it is wrong or old
+
+  Scenario: A straggler without warning is avoided before its first slow answer
+    # The caller sees one lookup in six take ten times longer. A server slows down at once; every
+    # report of it was written while it was quick, and the next comes with the first slow answer.
+    # Until then it looks as good as the others and gets its full share.
+    Given a predicting ingress node knows 6 serving nodes that answer in 20 ms
+    When 3 requests to "n1" stay unanswered for 80 ms while the others go on
+    Then less than 2% of 500 next choices fall on "n1"
+
+  Scenario: A server that fails fast repels requests
+    # The caller sees half of its lookups fail. A server returns errors after 1 ms; it is never
+    # busy, so by load and latency it is the best of all, and draws ever more requests. With two
+    # servers the ejection cap leaves it in the choice, so the score alone has to repel it.
+    Given a predicting ingress node knows 2 serving nodes that answer in 20 ms
+    When "n1" answers 10 requests with errors after 1 ms
+    Then no serving node is ejected
+    And less than 5% of 500 next choices fall on "n1"
+
+  Scenario: Many ingress nodes don't run after one report of an idle server
+    # The caller sees a burst of refusals. One server reports that it is idle while the others are
+    # half full; all 40 ingress nodes hear it and send their next request there at the same moment.
+    Given 40 predicting ingress nodes heard that "n1" is idle and 9 others are half full
+    When each of them chooses once
+    Then "n1" is chosen by some of them but at most by 20
+
+  Scenario: One ingress node counts what it sent since the report
+    # The caller sees its requests queue at one server while others idle. Between two reports of a
+    # server the ingress node goes on believing the first, and sends it everything.
+    Given 1 predicting ingress nodes heard that "n1" is idle and 9 others are half full
+    When it sends 60 requests before the next report
+    Then "n1" gets at most 15 of them
+
+  Scenario: A late report doesn't replace a newer one
+    # The caller is sent to a full server. Two answers overtake each other on their connections;
+    # the older report, from before a burst, arrives last and makes the server look idle.
+    Given a predicting ingress node knows 6 serving nodes that answer in 20 ms
+    When "n1" reports 30 queued and then an older report of "n1" arrives that says idle
+    Then less than 2% of 500 next choices fall on "n1"
+
+  Scenario: An old report counts for less than a new one
+    # The caller waits behind a burst. A server reported that it was idle 2 s ago; since then other
+    # ingress nodes filled it, as they filled all the others.
+    Given a predicting ingress node knows 6 serving nodes that answer in 20 ms
+    When "n1" reported idle 2 s ago, "n2" idle just now and the others 9 of 10 slots in use
+    Then between 42% and 55% of 500 next choices fall on "n2"
+    And between 0% and 35% of 500 next choices fall on "n1"
+
+  Scenario: A server that has just started gets a growing share
+    # The caller sees a slow answer after each replacement. A new server is idle, so everyone sends
+    # to it at once, while its caches are empty and each execution is slow.
+    Given a predicting ingress node knows 6 serving nodes that answer in 20 ms
+    When "new" joins and reports an uptime of 1 s
+    Then between 0.1% and 8% of 500 next choices fall on "new"
+    And after 10 s more between 10% and 50% of 500 next choices fall on "new"
+
+  Scenario: Ejection leaves most of a service in place
+    # The caller sees every request refused or one server collapse. A shared dependency makes 4 of
+    # 6 servers fail; if each failing one were ejected, the last two would get everything.
+    Given a predicting ingress node knows 6 serving nodes that answer in 20 ms
+    When "n1,n2,n3,n4" answer 20 requests each with errors after 1 ms
+    Then 2 serving nodes are ejected
+
+  Scenario: An ejected server comes back after good answers to probes
+    # Operators see a server idle for ever. It was ejected, nobody asks it, so nobody learns that
+    # it has recovered. A request that must not run twice is never spent on finding out.
+    Given a predicting ingress node knows 6 serving nodes that answer in 20 ms
+    When "n1" answers 10 requests with errors after 1 ms
+    Then 1 serving nodes are ejected
+    And no non-idempotent request of the next 60 s is sent to "n1"
+    And idempotent requests of the next 60 s bring "n1" back
+
+  Scenario: A straggler that recovered is found again
+    # Operators see one server idle for ever. Its last answer was slow, so nobody asks it, and so
+    # nobody hears that it is quick again.
+    Given a predicting ingress node knows 6 serving nodes that answer in 20 ms
+    When "n1" answers 10 requests after 400 ms and is then quick again
+    Then within 30 s of ordinary traffic "n1" gets its share again
+
+  Scenario: A draining server gets nothing, a full one less for a while
+    # The caller's request is sent to a server that must refuse it, over and over, and uses up its
+    # tries. A refusal says for how long.
+    Given a predicting ingress node knows 6 serving nodes that answer in 20 ms
+    When "n1" refuses because it drains and "n2" refuses for 300 ms because it is full
+    Then no choice of the next 500 falls on "n1"
+    And less than 2% of 500 next choices fall on "n2"
+    And after 1 s more between 5% and 30% of 500 next choices fall on "n2"
--- a/src/marjoramtide/policy/_completion_model.py
+++ b/src/marjoramtide/policy/_completion_model.py
@@ -12,6 +12,7 @@
 REPORT_TRUST_AT_LEAST_MS = 20.0
 OWN_TIME_DOUBT = 0.25
 CONTENTION = 0.5
+NOISE = 2.0
 LOWEST_SUCCESS = 0.02
 SUSPECT_FACTOR = 2.0
 
@@ -44,7 +45,7 @@
         elsewhere and a place in the retry budget; with success rate p, 1/p tries are needed for
         a good answer, so the score of a server that only fails tends to infinity.
         """
-        success = max(LOWEST_SUCCESS, view.success_rate())
+        success = max(LOWEST_SUCCESS, view.success_rate(now))
         if view.member.state is MemberState.SUSPECT:
             success /= SUSPECT_FACTOR
         predicted = self.predict_ms(view, urgent, now)
@@ -68,6 +69,10 @@
         typical = self.usual.service_ms or self.typical_ms()
         if view.report is None or not view.report.service_time_ms:
             return typical
+        # Smoothed times of equal servers differ by chance. Preferring the luckiest one unbalances a
+        # busy service, so differences below a factor of NOISE count as none.
+        if typical / NOISE < view.report.service_time_ms < typical * NOISE:
+            return typical
         belief = view.belief(view.reported_at, now)
         return typical + (view.report.service_time_ms - typical) * belief
 
--- a/src/marjoramtide/policy/_edf_admission.py
+++ b/src/marjoramtide/policy/_edf_admission.py
@@ -39,6 +39,7 @@
     profiles: dict[int, CallProfile] = attrs.Factory(dict)
     sequence: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(1))
     routine_running: int = 0
+    stall_seen: float | None = None
     recheck_at: float | None = None
 
     @property
@@ -103,12 +104,12 @@
         return Decision(Verdict.QUEUE)
 
     def finished(self, ticket: int, now: float, duration_ms: float, succeeded: bool) -> list[int]:
-        in_use = self.in_use
+        pressed = self._is_pressed()
         if self._end(ticket, now) is None:
             return []
         self.times.learn(duration_ms, succeeded)
         before = self.limit
-        self.limiter.observe(duration_ms, in_use, succeeded)
+        self.limiter.observe(duration_ms, pressed, succeeded)
         if self.limit < before and self.profiles:
             self.recheck_at = now
         return self._start_queued(now)
@@ -124,6 +125,10 @@
     def expire(self, now: float) -> list[int]:
         service_ms = self.times.expected_ms(now)
         late = self._too_late(self.urgent, now) + self._too_late(self.routine, now)
+        stalls_at = self._next_stall()
+        if stalls_at is not None and stalls_at <= now:
+            self.stall_seen = stalls_at
+            late += self._first_attempts()
         if self.recheck_at is not None:
             self.recheck_at = None
             late += self._pushed_back(service_ms, now)
@@ -134,6 +139,9 @@
         times = [self._latest_start(deadline) for deadline in first if deadline is not None]
         if self.recheck_at is not None and times:
             times.append(self.recheck_at)
+        stalls_at = self._next_stall()
+        if stalls_at is not None:
+            times.append(stalls_at)
         return min(times, default=None)
 
     def report(self, now: float) -> LoadReport:
@@ -163,6 +171,13 @@
             return False
         return urgent or self.routine_running < self.routine_limit
 
+    def _is_pressed(self) -> bool:
+        """Tell whether a higher limit would be used: at half of it, or with anything waiting.
+
+        Routine requests alone never reach the limit, since some slots aren't theirs.
+        """
+        return self.in_use * 2 >= self.limit or len(self.profiles) > self.in_use
+
     def _wait_ms(self, ahead: int, urgent: bool, service_ms: float) -> float:
         """Return the expected wait behind ``ahead`` others: a slot frees once in a share of the
         service time, as many times as there are slots."""
@@ -207,6 +222,25 @@
             del self.profiles[ticket]
         return late
 
+    def _next_stall(self) -> float | None:
+        """Return when the queue is to be handed back unless an execution ends before."""
+        stalls_at = self.times.stalls_at()
+        waiting = len(self.urgent) + len(self.routine)
+        return stalls_at if waiting and stalls_at != self.stall_seen else None
+
+    def _first_attempts(self) -> list[int]:
+        """Drop and return the queued requests that no other node has refused yet.
+
+        Failure: a neighbour takes the processor for a moment, and all that waits here waits on,
+        although others have room. Handed back as not run, each costs one hop. Second attempts
+        stay: they come from a service of which more than this node is slow.
+        """
+        queued = [ticket for _, ticket in self.urgent.entries + self.routine.entries]
+        first = [ticket for ticket in queued if self.profiles[ticket].attempt == 1]
+        for ticket in first:
+            self._drop_queued(ticket)
+        return first
+
     def _pushed_back(self, service_ms: float, now: float) -> list[int]:
         """Drop and return the routine requests that no longer finish in time where they stand.
 
--- a/src/marjoramtide/policy/_execution_times.py
+++ b/src/marjoramtide/policy/_execution_times.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from marjoramtide.policy._silence import silence_ms
+from marjoramtide.policy._silence import patience_ms, silence_ms
 from marjoramtide.policy._smoothed import Smoothed
 
 
@@ -61,3 +61,11 @@
         """Return for how long the running ones have been owed beyond what is usual."""
         oldest = next(iter(self.running.values()), None)
         return silence_ms(oldest, self.last_end, len(self.running), self.mean.value, now)
+
+    def stalls_at(self) -> float | None:
+        """Return when the running ones become overdue if none of them ends, in seconds."""
+        if not self.running or not self.mean.value:
+            return None
+        oldest = next(iter(self.running.values()))
+        patience = patience_ms(len(self.running), self.mean.value) / 1000
+        return max(oldest, self.last_end) + patience
--- a/src/marjoramtide/policy/_fixed_limiter.py
+++ b/src/marjoramtide/policy/_fixed_limiter.py
@@ -15,5 +15,5 @@
     def limit(self) -> int:
         return max(1, self.slots)
 
-    def observe(self, duration_ms: float, in_use: int, succeeded: bool) -> None:
+    def observe(self, duration_ms: float, pressed: bool, succeeded: bool) -> None:
         """Learn nothing."""
--- a/src/marjoramtide/policy/_limiter.py
+++ b/src/marjoramtide/policy/_limiter.py
@@ -12,5 +12,5 @@
         """Return the limit at this moment, at least 1."""
 
     @abstractmethod
-    def observe(self, duration_ms: float, in_use: int, succeeded: bool) -> None:
-        """Learn from an execution that ended while ``in_use`` were running, itself included."""
+    def observe(self, duration_ms: float, pressed: bool, succeeded: bool) -> None:
+        """Learn from an execution that ended; ``pressed`` tells if the limit was being used."""
--- a/src/marjoramtide/policy/_measuring_budget.py
+++ b/src/marjoramtide/policy/_measuring_budget.py
@@ -27,7 +27,7 @@
     per_s: float
     share: float
     slots: int
-    read_ms: Smoothed = attrs.Factory(lambda: Smoothed(0.3, 0.3, ASSUMED_READ_MS, 1))
+    read_ms: Smoothed = attrs.Factory(lambda: Smoothed(1.0, 0.3, ASSUMED_READ_MS, 1))
     last_read_at: float | None = None
     last_traffic_at: float | None = None
     in_doubt: bool = True
--- a/src/marjoramtide/policy/_node_view.py
+++ b/src/marjoramtide/policy/_node_view.py
@@ -9,8 +9,8 @@
 from marjoramtide.policy._silence import silence_ms
 from marjoramtide.policy._smoothed import Smoothed
 
-SLOW_IS_BELIEVED_S = 0.2
-SLOW_IS_BELIEVED_AT_MOST_S = 20.0
+BELIEVED_S = 0.2
+BELIEVED_AT_MOST_S = 20.0
 SLOW = 3.0
 
 
@@ -22,10 +22,10 @@
     counts own requests that the held report can't know of. ``closed_until`` and ``back_off_until``
     come from refusals: closed while the node takes nothing, back-off while it is full.
 
-    What was learned of a slow node fades, because a node that isn't asked can't tell that it is
-    quick again. It is believed for ``believed_s``: short at first, since a neighbour's burst ends
-    within milliseconds, and twice as long each time that the node is found to be slow still, so
-    that a lasting straggler is tried ever more rarely.
+    What was learned of a slow or failing node fades, because a node that isn't asked can't tell
+    that it is well again. It is believed for ``believed_s``: short at first, since a neighbour's
+    burst ends within milliseconds, and twice as long each time that the node is found to be no
+    better, so that a lasting straggler is tried ever more rarely.
     """
 
     member: Member
@@ -47,7 +47,7 @@
     ejections: int = 0
     probes_passed: int = 0
     results: int = 0
-    believed_s: float = SLOW_IS_BELIEVED_S
+    believed_s: float = BELIEVED_S
 
     def __attrs_post_init__(self) -> None:
         self.network = Smoothed(0.05, 0.3, self.distance_ms, 1)
@@ -87,21 +87,31 @@
         self.closed_until = 0.0 if report.accepts else self.closed_until
 
     def note_answer_time(self, elapsed_ms: float, typical_ms: float, now: float) -> None:
-        """Take in how long an answer took, and with it how long slowness is believed."""
+        """Take in how long an answer took."""
         self.elapsed.add(elapsed_ms)
-        if elapsed_ms <= SLOW * typical_ms:
-            self.believed_s = SLOW_IS_BELIEVED_S
+        self.note_outcome(elapsed_ms <= SLOW * typical_ms, now)
+
+    def note_outcome(self, good: bool, now: float) -> None:
+        """Adapt how long trouble with this node is believed.
+
+        A bad answer after a pause doubles it; bad answers in a row are one finding, not many.
+        """
+        if good:
+            self.believed_s = max(self.believed_s / 2, BELIEVED_S)
         elif now - self.last_answer_at > self.believed_s:
-            self.believed_s = min(self.believed_s * 2, SLOW_IS_BELIEVED_AT_MOST_S)
+            self.believed_s = min(self.believed_s * 2, BELIEVED_AT_MOST_S)
 
     def belief(self, since: float, now: float) -> float:
         """Return the share (1 to 0) to which what was learned at ``since`` is still believed."""
         return 1 / (1 + ((now - since) / self.believed_s) ** 2)
 
-    def success_rate(self) -> float:
+    def success_rate(self, now: float) -> float:
         """Return the lower of what this node saw and what the serving node reports."""
-        reported = self.report.success_rate if self.report is not None else 1.0
-        return min(self.success.value, reported)
+        failing = (1 - self.success.value) * self.belief(self.last_answer_at, now)
+        if self.report is not None and self.report.success_rate < 1:
+            reported = (1 - self.report.success_rate) * self.belief(self.reported_at, now)
+            failing = max(failing, reported)
+        return 1 - failing
 
     def silence_ms(self, usual_ms: float, now: float) -> float:
         """Return for how long own requests have been owed an answer beyond what is usual."""
--- a/src/marjoramtide/policy/_predicted_selector.py
+++ b/src/marjoramtide/policy/_predicted_selector.py
@@ -19,6 +19,7 @@
 DISTANCES_MS = (0.7, 2.7, 20.0)
 OWN_DISTANCE_MS = 0.0
 RESAMPLE_ABOVE = 2.0
+TIE = 0.95
 CLOSED_AT_LEAST_MS = 1000.0
 SHORTEST_HEDGE_MS = 1.0
 
@@ -125,15 +126,21 @@
         return best, best_ms
 
     def _best(self, sample: list[NodeView], urgent: bool, now: float) -> tuple[NodeView, float]:
-        scored = [(self.model.score(view, urgent, now), view) for view in sample]
-        score, best = min(scored, key=lambda pair: pair[0])
-        return best, score
+        best, best_ms = sample[0], self.model.score(sample[0], urgent, now)
+        for view in sample[1:]:
+            score = self.model.score(view, urgent, now)
+            # Scores that differ by less than TIE are equal, and the order of the draw decides.
+            # Without it a node with one failure in 200 requests would get nothing at all while the
+            # others are as idle as it is.
+            if score < best_ms * TIE:
+                best, best_ms = view, score
+        return best, best_ms
 
     def _sample(self, pool: list[NodeView], now: float) -> list[NodeView]:
         drawn = self.rng.sample(pool, min(self.choices, len(pool)))
         own = self.views.get(self.self_member.node)
         if own is not None and own in pool and own not in drawn:
-            drawn.append(own)
+            drawn.insert(0, own)
         # Failure: a server that has just started is idle, so everyone sends to it, and it is slow
         # while its caches are empty. It takes part only in a share of the draws that grows with
         # its uptime; that holds over all ingress nodes together, which counts of own requests
@@ -168,6 +175,8 @@
             view.note_answer_time(elapsed_ms, self.model.typical_ms(), now)
             self.model.latency.add(elapsed_ms)
             self._count_answer(now)
+        else:
+            view.note_outcome(False, now)
         self._settle(view, report, elapsed_ms, now)
         view.last_answer_at = now
         if served_ms is not None:
@@ -196,6 +205,8 @@
     def lost(self, node: str, now: float, *, elapsed_ms: float | None = None) -> None:
         view = self.views.get(node)
         if view is not None:
+            view.note_outcome(False, now)
+            view.last_answer_at = now
             self._settle(view, None, elapsed_ms, now)
             self.ejection.note(view, False, self.views.values(), now)
 
@@ -241,7 +252,7 @@
                 "predicted_ms": round(self.model.predict_ms(view, False, now), 3),
                 "network_ms": round(view.network.value, 3),
                 "own_mean_ms": round(view.elapsed.value, 3),
-                "success_rate": round(view.success_rate(), 3),
+                "success_rate": round(view.success_rate(now), 3),
                 "outstanding": len(view.outstanding),
                 "sent_since_report": view.sent_since,
                 "report_age_s": None if view.report is None else round(now - view.reported_at, 3),
--- a/src/marjoramtide/policy/_service_mean.py
+++ b/src/marjoramtide/policy/_service_mean.py
@@ -7,7 +7,6 @@
 
 from marjoramtide.policy._node_view import NodeView
 
-RENEW_EVERY = 16
 LOAD_AT_MOST = 0.7
 
 
@@ -17,8 +16,9 @@
 
     Counting each answer instead would weigh the busy nodes most, and a node of which nothing was
     heard for a while would be taken for as full as those. The load is at most ``LOAD_AT_MOST``: a
-    queue from which nothing is heard is drained rather than grown. Renewed with every
-    ``RENEW_EVERY`` reports.
+    queue from which nothing is heard is drained rather than grown. Renewed
+    once for half as many reports as there are nodes, so that the cost of a report doesn't grow with
+    the service.
     """
 
     load: float = 0.0
@@ -27,7 +27,7 @@
 
     def note(self, views: Collection[NodeView]) -> None:
         """Note that a report came in to one of ``views``."""
-        if self.reports % RENEW_EVERY == 0 or self.reports < RENEW_EVERY:
+        if self.reports % max(1, len(views) // 2) == 0:
             self._renew(views)
         self.reports += 1
 
--- a/src/marjoramtide/policy/_silence.py
+++ b/src/marjoramtide/policy/_silence.py
@@ -10,7 +10,8 @@
     """Return for how many milliseconds a server has owed an answer, 0 where that is usual.
 
     ``oldest`` is when the oldest of ``running`` unanswered requests began, ``None`` where there is
-    none; ``last_answer`` is when any answer last came. Both are in seconds.
+    none; ``last_answer`` is when any answer last came. Both are in seconds. While the usual time is
+    unknown (0), no silence is unusual.
 
     Failure: a server turns ten times slower without warning. Everything known of it was told by
     quick answers, so it looks as good as ever and gets its full share until the first slow answer
@@ -19,8 +20,12 @@
     long request among others that are answered isn't: each answer ends the silence, so uneven work
     doesn't look like a slow server.
     """
-    if oldest is None:
+    if oldest is None or usual_ms <= 0:
         return 0.0
     silence = (now - max(oldest, last_answer)) * 1000
-    patience = max(USUAL_TIMES_AT_LEAST, USUAL_TIMES / running)
-    return silence if silence > patience * usual_ms else 0.0
+    return silence if silence > patience_ms(running, usual_ms) else 0.0
+
+
+def patience_ms(running: int, usual_ms: float) -> float:
+    """Return after how long a silence is unusual while ``running`` requests are unanswered."""
+    return usual_ms * max(USUAL_TIMES_AT_LEAST, USUAL_TIMES / running)
