--- /dev/null
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -0,0 +1,211 @@
+"""Keeps one node's settings level with what is in force."""
+
+import asyncio
+import random
+
+import attrs
+import structlog
+
+from marjoramtide.clock import Clock
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.membership import Directory, Member
+from marjoramtide.settings._envelope import decode_envelope
+from marjoramtide.settings._freshness import Freshness
+from marjoramtide.settings._tree_view import TreeSettingsView
+from marjoramtide.settings.sync._adopter import Adopter
+from marjoramtide.settings.sync._backoff import backoff
+from marjoramtide.settings.sync._peer_settings import PeerSettings
+from marjoramtide.settings.sync._tree_store import TREE_KEY, TreeStore
+from marjoramtide.settings.sync._watchers import choose_watchers
+
+CHECKS_IN_BOUND = 4
+CATCH_UP_PEERS = 3
+DOUBTFUL_ROUNDS = 3
+WATCH_WAIT_S = 30.0
+ROLE_CHECK_S = 1.0
+PULL_MOST_S = 5.0
+
+log = structlog.get_logger()
+
+
+@attrs.define(slots=True)
+class Follower:
+    """Three loops: catch up and stay fresh, watch the store where chosen, pull what gossip names.
+
+    ``missed`` is true while the last round found nobody, ``peers_answered`` where any peer answered
+    it; ``doubtful_rounds`` counts rounds whose answers weren't enough to go on.
+    """
+
+    view: TreeSettingsView
+    adopter: Adopter
+    trees: TreeStore
+    peers: PeerSettings
+    directory: Directory
+    clock: Clock
+    rng: random.Random
+    missed: bool = False
+    peers_answered: bool = False
+    doubtful_rounds: int = 0
+    gossiped: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @property
+    def freshness(self) -> Freshness:
+        return self.view.freshness
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.stay_fresh())
+            tasks.create_task(self.watch())
+            tasks.create_task(self.pull_gossiped())
+
+    def member_changed(self, member: Member) -> None:
+        """Take note of a member that reports more than this node has."""
+        if member.revision > self.view.revision:
+            self.gossiped.set()
+
+    # Staying fresh
+
+    async def stay_fresh(self) -> None:
+        """Ask someone several times within the bound; while not current, at short intervals."""
+        waits = backoff(self.rng)
+        while True:
+            if await self.check():
+                waits = backoff(self.rng)
+                wait = self.freshness.bound_s / CHECKS_IN_BOUND
+                await self.clock.sleep(wait * (0.75 + self.rng.random() / 4))
+            else:
+                await self.clock.sleep(next(waits))
+
+    async def check(self) -> bool:
+        """Make one round of questions; return whether this node has caught up by it.
+
+        While fresh, one peer is asked, several after a round that found nobody, and the store only
+        if none answers. A node that isn't current (at start, cut off, frozen) asks the store and
+        several peers, those that report most first.
+        """
+        asked_at = self.clock.monotonic()
+        count = CATCH_UP_PEERS if self.missed else 1
+        if self.view.is_current:
+            found = await self._ask_peers(count) or await self._ask_store()
+        else:
+            found = await self._catch_up()
+        self.missed = not found
+        if found:
+            self.doubtful_rounds = 0
+            self.freshness.caught_up(asked_at)
+        return found
+
+    async def _catch_up(self) -> bool:
+        """Ask the store and several peers; return whether their answers are enough to go on.
+
+        A node that starts may get an old tree from a stale store, a node that wakes an old one from
+        another that was frozen with it. Going on with that, it would serve callers by settings
+        replaced long ago. So both sides are asked, the highest revision counts, and an answer is
+        not enough while only nodes give it that aren't current themselves, or while gossip tells of
+        a higher revision.
+
+        But where a whole region was stopped, or started while the store is down, nobody is current,
+        and a node that reported a higher revision may be gone: waiting would never end. After
+        several such rounds, each with other peers, the node goes on with the highest it has.
+        """
+        store_answered, peer_is_current = await asyncio.gather(
+            self._ask_store(), self._ask_peers(CATCH_UP_PEERS)
+        )
+        somebody = store_answered or peer_is_current or self.peers_answered
+        if (store_answered or peer_is_current) and not self.peers.ahead(self.view.revision):
+            return True
+        self.doubtful_rounds += somebody
+        if self.doubtful_rounds < DOUBTFUL_ROUNDS or not self.view.revision:
+            return False
+        log.warning("settings.going_on", revision=self.view.revision)
+        return True
+
+    async def _ask_store(self) -> bool:
+        """Read the tree; return whether the answer shows what is in force."""
+        try:
+            stored = await self.trees.read()
+        except MarjoramtideError as error:
+            log.info("settings.store", error=str(error), code=error.code)
+            return False
+        if stored is None:
+            # No tree: true of a fleet that has none yet, but also what a stale read says.
+            return self.view.revision == 0
+        level = self.adopter.adopt(stored.envelope, "store")
+        # An answer older than what is in force here is a stale one: it proves nothing.
+        return level and stored.envelope.revision >= self.view.revision
+
+    async def _ask_peers(self, count: int) -> bool:
+        """Pull from ``count`` peers; return whether one that is current answered."""
+        candidates = self.peers.others()
+        candidates.sort(key=lambda member: member.revision <= self.view.revision)
+        answers = await self.peers.pull_from(candidates[:count], self.view.revision)
+        level = [
+            answer
+            for answer in answers
+            if answer.envelope is None or self.adopter.adopt(answer.envelope, answer.node)
+        ]
+        self.peers_answered = bool(level)
+        return any(answer.current for answer in level)
+
+    # Watching the store
+
+    def is_watcher(self) -> bool:
+        """Tell whether this node is one of those of its data centre that watch the store."""
+        here = self.directory.self_member
+        neighbours = [
+            member
+            for member in self.directory.members()
+            if (member.region, member.data_centre) == (here.region, here.data_centre)
+        ]
+        return here.node in choose_watchers(neighbours, self.view.node_values["watchers"])
+
+    async def watch(self) -> None:
+        """Watch the store while chosen; the choice is looked at again after each watch."""
+        waits = backoff(self.rng)
+        while True:
+            if not self.is_watcher():
+                await self.clock.sleep(ROLE_CHECK_S)
+                continue
+            try:
+                await self.watch_once()
+                waits = backoff(self.rng)
+            except MarjoramtideError as error:
+                log.info("settings.watch", error=str(error), code=error.code)
+                await self.clock.sleep(next(waits))
+
+    async def watch_once(self) -> None:
+        """Read the tree, then take changes as they come until the watch ends.
+
+        Each watch begins with a read, so that what a watch missed without saying so (a lapsed one,
+        or a gap in its history) is missed for one watch at most.
+        """
+        stored = await self.trees.read()
+        if stored:
+            self.adopter.adopt(stored.envelope, "store")
+        since = stored.version if stored else 0
+        try:
+            async for event in self.trees.store.watch(TREE_KEY, since, wait=WATCH_WAIT_S):
+                if event.stored and event.key == TREE_KEY:
+                    self.adopter.adopt(decode_envelope(event.stored.value), "watch")
+        except MarjoramtideError as error:
+            if error.code is not ErrorCode.NOT_FOUND:
+                raise
+            log.info("settings.watch_gap", since=since)
+
+    # Pulling what gossip names
+
+    async def pull_gossiped(self) -> None:
+        """Pull from a peer whenever gossip tells of a higher revision."""
+        while True:
+            await self.gossiped.wait()
+            self.gossiped.clear()
+            for wait in backoff(self.rng, most_s=PULL_MOST_S):
+                ahead = self.peers.ahead(self.view.revision)
+                if not ahead:
+                    break
+                for answer in await self.peers.pull_from(ahead[:1], self.view.revision):
+                    if answer.envelope:
+                        self.adopter.adopt(answer.envelope, answer.node)
+                if self.peers.ahead(self.view.revision):
+                    await self.clock.sleep(wait)
--- /dev/null
+++ b/standins/mesh/_mesh_node.py
@@ -0,0 +1,109 @@
+"""A backend server stand-in and the node beside it, as processes."""
+
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import attrs
+import tomlkit
+
+from standins.free_port import free_port
+from standins.mesh._plan import NodePlan
+from standins.mesh._process import ManagedProcess, start_process
+
+KEY = "a key for meshes on loopback only"
+
+
+@attrs.define(slots=True, eq=False)
+class MeshNode:
+    """The addresses of a pair, and its processes while they run."""
+
+    name: str
+    plan: NodePlan
+    callers: str
+    peers: str
+    gossip: str
+    operators: str
+    backend: str
+    folder: Path
+    store: str
+    extra: dict[str, Any] = attrs.Factory(dict)
+    process: ManagedProcess | None = None
+    server: ManagedProcess | None = None
+
+    @property
+    def settings_file(self) -> Path:
+        return self.folder / f"{self.name}.toml"
+
+    @property
+    def journal_file(self) -> Path:
+        return self.folder / f"{self.name}.journal"
+
+    def executions(self) -> tuple[Counter[str], Counter[str]]:
+        """Return executions by request id and by key, also of a server that was killed."""
+        text = self.journal_file.read_text() if self.journal_file.exists() else ""
+        rows = [line.split("\t") for line in text.splitlines()]
+        requests = Counter(request for request, _ in rows if request)
+        return requests, Counter(key.strip('"') for _, key in rows if key)
+
+    def write_settings(self) -> None:
+        """Write the node's own settings file."""
+        values = {
+            "name": self.name,
+            "service": self.plan.service,
+            "region": "viti-west",
+            "data_centre": self.plan.data_centre,
+            "callers": self.callers,
+            "peers": self.peers,
+            "gossip": self.gossip,
+            "operators": self.operators,
+            "backend": self.backend,
+            "store": self.store,
+            "key": KEY,
+            **self.extra,
+        }
+        self.settings_file.write_text(tomlkit.dumps(values))
+
+    async def start_server(self) -> None:
+        """Start the backend server stand-in."""
+        plan = self.plan
+        arguments = ["standins.backend", "--listen", self.backend, "--slots", str(plan.slots)]
+        arguments += ["--service-ms", str(plan.service_ms), "--seed", str(plan.seed)]
+        arguments += ["--journal", str(self.journal_file)]
+        arguments += ["--connections", str(plan.connections)]
+        self.server = await start_process(f"{self.name}-backend", arguments, self.folder)
+
+    async def start_node(self) -> None:
+        """Start the node."""
+        self.write_settings()
+        arguments = ["marjoramtide.daemon.main", "--settings", str(self.settings_file)]
+        self.process = await start_process(self.name, arguments, self.folder)
+
+    async def kill(self) -> None:
+        """End backend server and node at once, as the loss of their instance would."""
+        for process in (self.process, self.server):
+            if process is not None:
+                await process.kill()
+
+    async def set_faults(self, **faults: Any) -> None:
+        """Tell the backend server stand-in how to fail."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(f"http://{self.backend}/_admin/faults", json=faults) as response,
+        ):
+            response.raise_for_status()
+
+    async def server_json(self, path: str) -> Any:
+        """Read one of the stand-in's own pages (``executions``, ``stats``)."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{self.backend}/_admin/{path}") as response,
+        ):
+            return await response.json(content_type=None)
+
+
+def make_mesh_node(name: str, plan: NodePlan, host: str, store: str, folder: Path) -> MeshNode:
+    """Return a pair with addresses of its own; nothing is started yet."""
+    addresses = [f"{host}:{free_port(host)}" for _ in range(5)]
+    return MeshNode(name, plan, *addresses, folder=folder, store=store)
