Tell unreadable answers from answers, and give way once for refusals that come together

An answer without a version, or a page of a proxy, decided a write as done; a redirect would have sent it elsewhere. Both are told as undecided or as a fault now. Waiting for a connection is told apart from waiting for an answer. Twenty calls refused in one moment cut the node's rate to its floor for seconds; refusals within 0.1 s now count once.

Two safeguards of claims had no scenario that fails without them: a stale read while a key is freed, and a late update that takes over a released claim. They have now.

--- a/features/claims/claims.feature
+++ b/features/claims/claims.feature
@@ -60,12 +60,21 @@
       | before |
       | after  |
 
+  Scenario: A stale read while a key is being freed
+    The claim of a refused attempt has taken effect. The node that frees the key finds it taken, and
+    its read of it shows nothing.
+    Given two nodes with claims
+    When the store holds every write back and node A claims "booking-1"
+    And the next 1 reads of claims are stale
+    And the writes held back arrive before node A settles its claims
+    Then node B's claim of "booking-1" is "held"
+
   Scenario: A late take-over of a released claim
     A key is free again after a release. Node A's update that takes it over is held back, A refuses
     the request, and the update arrives after A has freed the key.
     Given two nodes with claims
     And node B has claimed and released "booking-1"
-    When the store holds every write back and node A claims "booking-1"
+    When the store holds every update back and node A claims "booking-1"
     Then node A's result is "unavailable"
     When the writes held back arrive after node A settles its claims
     Then node B's claim of "booking-1" is "held"
--- a/features/platform/object_store.feature
+++ b/features/platform/object_store.feature
@@ -91,13 +91,25 @@
       | error  | store-ambiguous   |
       | drop   | store-ambiguous   |
 
+  Scenario: An answer that is not the store's decides nothing
+    A proxy on the way answers 200 with a page of its own.
+    Given an object store
+    When the store is in mode "garbage"
+    And the node creates "settings/tree" as "mine"
+    Then the call fails as "store-ambiguous"
+    When the node reads 1 times with a timeout of 0.5 s
+    Then every read failed as "store-unavailable"
+
   Scenario: A node gives way when the store refuses over its rate
     The limit holds for the whole fleet. A node that only repeated what was refused would take the
     calls that others need.
     Given an object store that refuses every call over its rate
     When the node creates "settings/tree" as "mine"
     Then the call fails as "store-throttled"
-    And the node's write budget is below 20 calls a second
+    And the store has seen at most 4 writes
+    And the node's write budget is at most 60 calls a second
+    When 30 s have passed
+    Then the node's write budget is 100 calls a second
 
   Scenario: A node keeps its own budget
     A fault in a node, or a storm of its callers, asks for far more calls than the node may make.
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -114,6 +114,13 @@
     context.store.server.faults.late_writes = 0
 
 
+@when('the store holds every update back and node {name:w} claims "{key}"')
+def when_take_over_late(context: Any, name: str, key: str) -> None:
+    context.store.server.faults.late_updates = -1
+    claim(context, name, key)
+    context.store.server.faults.late_updates = 0
+
+
 @when('the store holds one write back and node {name:w} claims "{key}"')
 def when_first_copy_late(context: Any, name: str, key: str) -> None:
     context.store.server.faults.late_writes = 1
--- a/features/steps/settings_fleet_steps.py
+++ b/features/steps/settings_fleet_steps.py
@@ -5,8 +5,8 @@
 
 import attrs
 from behave import given, then, when
-from features.settings_fakes import STEP_S, Fleet, Node
 
+from features.settings_fakes import STEP_S, Fleet, Node
 from marjoramtide.errors import MarjoramtideError
 from marjoramtide.settings import Edit, EditAction, Envelope, decode_envelope
 from marjoramtide.settings.sync import ChangeOutcome, ChangeRequest, Progress
--- a/src/marjoramtide/platform/_call_budget.py
+++ b/src/marjoramtide/platform/_call_budget.py
@@ -3,13 +3,17 @@
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 
+HALVING_INTERVAL_S = 0.1
+LOWEST_SHARE = 1 / 64
+RECOVERY_S = 20.0
+
 
 class CallBudget:
     """A token bucket whose rate gives way to the store's own limit.
 
     The store's limits hold for the whole fleet and no node knows the others' rates, so each halves
-    its own when the store says 429 and takes a twentieth of ``per_s`` back for each second without
-    one: additive increase, multiplicative decrease (Chiu and Jain, 1989).
+    its own when the store says 429 and takes ``per_s`` back evenly over ``RECOVERY_S``: additive
+    increase, multiplicative decrease (Chiu and Jain, 1989). Refusals that come together count once.
     """
 
     def __init__(self, clock: Clock, per_s: float, burst: float) -> None:
@@ -19,6 +23,7 @@
         self.rate = per_s
         self.tokens = burst
         self.at = clock.monotonic()
+        self.halved_at = -HALVING_INTERVAL_S
 
     async def take(self, deadline: float, step: str) -> None:
         """Wait for a token.
@@ -42,8 +47,11 @@
 
     def throttled(self) -> None:
         """Halve the rate after the store refused a call as too many."""
-        self.refill()
-        self.rate = max(self.rate / 2, self.per_s / 64)
+        now = self.refill()
+        if now - self.halved_at < HALVING_INTERVAL_S:
+            return
+        self.halved_at = now
+        self.rate = max(self.rate / 2, self.per_s * LOWEST_SHARE)
         self.tokens = min(self.tokens, 0.0)
 
     def refill(self) -> float:
@@ -51,5 +59,5 @@
         passed = max(0.0, now - self.at)
         self.at = now
         self.tokens = min(self.burst, self.tokens + passed * self.rate)
-        self.rate = min(self.per_s, self.rate + passed * self.per_s / 20)
+        self.rate = min(self.per_s, self.rate + passed * self.per_s / RECOVERY_S)
         return now
--- a/src/marjoramtide/platform/_http_object_store.py
+++ b/src/marjoramtide/platform/_http_object_store.py
@@ -3,7 +3,8 @@
 import base64
 import json
 import random
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Iterator, Mapping
+from contextlib import AbstractAsyncContextManager, contextmanager
 from http import HTTPStatus
 from urllib.parse import quote
 
@@ -23,11 +24,19 @@
 from marjoramtide.platform._watch_event import WatchEvent
 
 MAX_TRIES = 4
+MAX_VALUE_BYTES = 1024 * 1024
 MAX_LINE_BYTES = 2 * 1024 * 1024
 WATCH_GRACE_S = 2.0
 CONNECTIONS = 16
 RETRIED = (ErrorCode.STORE_UNAVAILABLE, ErrorCode.STORE_THROTTLED)
 
+FOUND_OR_NOT = frozenset({HTTPStatus.OK, HTTPStatus.NOT_FOUND})
+LISTED = frozenset({HTTPStatus.OK})
+WATCHED_OR_GAP = frozenset({HTTPStatus.OK, HTTPStatus.GONE})
+WRITTEN_OR_LOST = frozenset(
+    {HTTPStatus.OK, HTTPStatus.CREATED, HTTPStatus.NO_CONTENT, HTTPStatus.PRECONDITION_FAILED}
+)
+
 
 @attrs.frozen(slots=True)
 class Answer:
@@ -44,11 +53,15 @@
 
 @attrs.frozen(slots=True)
 class Call:
-    """One call to the store, as it may be made several times."""
+    """One call to the store, as it may be made several times.
+
+    ``answers`` are the statuses that say something of the object.
+    """
 
     step: str
     method: str
     path: str
+    answers: frozenset[HTTPStatus]
     params: Mapping[str, str] = attrs.field(factory=dict)
     headers: Mapping[str, str] = attrs.field(factory=dict)
     body: bytes | None = None
@@ -76,32 +89,32 @@
         self.session: aiohttp.ClientSession | None = None
 
     async def get(self, key: str, *, timeout: float = 2.0) -> StoredObject:
-        answer = await self.call(Call("store.get", "GET", object_path(key)), timeout)
+        step = "store.get"
+        answer = await self.call(Call(step, "GET", object_path(key), FOUND_OR_NOT), timeout)
         if answer.status == HTTPStatus.NOT_FOUND:
-            raise self.error(ErrorCode.NOT_FOUND, key, "store.get")
-        return StoredObject(key, answer.body, answer.version)
+            raise self.error(ErrorCode.NOT_FOUND, key, step)
+        with self.parsing(ErrorCode.STORE_UNAVAILABLE, step):
+            return StoredObject(key, answer.body, answer.version)
 
     async def list(self, prefix: str, *, timeout: float = 2.0) -> Listing:
-        call = Call("store.list", "GET", "/v1/objects", {"prefix": prefix})
+        call = Call("store.list", "GET", "/v1/objects", LISTED, params={"prefix": prefix})
         answer = await self.call(call, timeout)
-        listed = json.loads(answer.body)
-        return Listing(map(stored_object, listed["objects"]), listed["version"])
+        with self.parsing(ErrorCode.STORE_UNAVAILABLE, call.step):
+            listed = json.loads(answer.body)
+            return Listing(map(stored_object, listed["objects"]), int(listed["version"]))
 
     async def create(self, key: str, value: bytes, *, timeout: float = 2.0) -> StoredObject:
-        headers = {"If-None-Match": "*"}
-        call = Call("store.create", "PUT", object_path(key), headers=headers, body=value)
-        return StoredObject(key, value, (await self.write(call, key, timeout)).version)
+        return await self.put("store.create", key, value, {"If-None-Match": "*"}, timeout)
 
     async def update(
         self, key: str, value: bytes, version: int, *, timeout: float = 2.0
     ) -> StoredObject:
-        headers = {"If-Match": f'"{version}"'}
-        call = Call("store.update", "PUT", object_path(key), headers=headers, body=value)
-        return StoredObject(key, value, (await self.write(call, key, timeout)).version)
+        return await self.put("store.update", key, value, {"If-Match": f'"{version}"'}, timeout)
 
     async def delete(self, key: str, version: int, *, timeout: float = 2.0) -> None:
         headers = {"If-Match": f'"{version}"'}
-        call = Call("store.delete", "DELETE", object_path(key), headers=headers)
+        path = object_path(key)
+        call = Call("store.delete", "DELETE", path, WRITTEN_OR_LOST, headers=headers)
         await self.write(call, key, timeout)
 
     async def watch(
@@ -111,30 +124,43 @@
         await self.reads.take(self.clock.monotonic() + wait, step)
         self.circuit.enter(step, self.url)
         params = {"prefix": prefix, "since": str(since), "wait": f"{wait:g}"}
-        timeout = aiohttp.ClientTimeout(total=wait + WATCH_GRACE_S, sock_connect=WATCH_GRACE_S)
+        timeout = aiohttp.ClientTimeout(total=wait + WATCH_GRACE_S, connect=WATCH_GRACE_S)
+        call = Call(step, "GET", "/v1/watch", WATCHED_OR_GAP, params=params)
+        has_answered = False
         try:
-            async with self.opened().get(
-                f"{self.url}/v1/watch", params=params, timeout=timeout
-            ) as response:
-                self.settle(step, response.status)
-                self.circuit.succeeded()
+            async with self.request(call, timeout) as response:
+                has_answered = True
+                self.settle(call, response.status, response.headers)
                 if response.status == HTTPStatus.GONE:
                     raise self.error(ErrorCode.NOT_FOUND, f"no history since {since}", step)
                 async for line in response.content:
-                    yield watch_event(json.loads(line))
-        except MarjoramtideError:
-            raise
+                    with self.parsing(ErrorCode.STORE_UNAVAILABLE, step):
+                        event = watch_event(json.loads(line))
+                    yield event
         except (AnswerLostError, CallNotSentError, aiohttp.ClientError, TimeoutError) as error:
             self.circuit.failed()
             raise self.error(ErrorCode.STORE_UNAVAILABLE, describe(error), step) from error
         finally:
-            self.circuit.abandoned()
+            if not has_answered:
+                self.circuit.abandoned()
 
     async def close(self) -> None:
         if self.session is not None:
             await self.session.close()
             self.session = None
 
+    async def put(
+        self, step: str, key: str, value: bytes, condition: Mapping[str, str], timeout: float
+    ) -> StoredObject:
+        if len(value) > MAX_VALUE_BYTES:
+            message = f"{key}: {len(value)} bytes; at most {MAX_VALUE_BYTES} are allowed"
+            raise self.error(ErrorCode.BAD_REQUEST, message, step)
+        path = object_path(key)
+        call = Call(step, "PUT", path, WRITTEN_OR_LOST, headers=condition, body=value)
+        answer = await self.write(call, key, timeout)
+        with self.parsing(ErrorCode.STORE_AMBIGUOUS, step):
+            return StoredObject(key, value, answer.version)
+
     async def write(self, call: Call, key: str, timeout: float) -> Answer:
         answer = await self.call(call, timeout)
         if answer.status == HTTPStatus.PRECONDITION_FAILED:
@@ -174,50 +200,46 @@
         except BaseException:
             self.circuit.abandoned()
             raise
-        self.settle(call.step, answer.status, answer.headers, is_write=call.is_write)
+        self.settle(call, answer.status, answer.headers)
         return answer
 
     async def exchange(self, call: Call, left: float) -> Answer:
-        timeout = aiohttp.ClientTimeout(total=left, sock_connect=left * 0.9)
-        async with self.opened().request(
+        # Waiting for a connection ends sooner than the whole, so that a call that never left is
+        # told apart from one whose answer did not come.
+        timeout = aiohttp.ClientTimeout(total=left, connect=left * 0.9)
+        async with self.request(call, timeout) as response:
+            return Answer(response.status, response.headers, await response.read())
+
+    def request(
+        self, call: Call, timeout: aiohttp.ClientTimeout
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        return self.opened().request(
             call.method,
             self.url + call.path,
             params=call.params,
             headers=call.headers,
             data=call.body,
             timeout=timeout,
-        ) as response:
-            return Answer(response.status, response.headers, await response.read())
+            allow_redirects=False,
+        )
 
-    def settle(
-        self,
-        step: str,
-        status: int,
-        headers: Mapping[str, str] | None = None,
-        *,
-        is_write: bool = False,
-    ) -> None:
+    def settle(self, call: Call, status: int, headers: Mapping[str, str]) -> None:
         """Raise what a status means that says nothing of the object; the others pass."""
-        if status == HTTPStatus.TOO_MANY_REQUESTS:
-            self.circuit.succeeded()
-            (self.writes if is_write else self.reads).throttled()
-            raise self.error(ErrorCode.STORE_THROTTLED, "the store's rate is used up", step)
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self.circuit.failed()
             # A gateway may answer 5xx for a write that the store behind it applied. Only the
             # store's own word that it did not look at the write makes a 5xx a certain refusal.
-            refused = (headers or {}).get("Write-Applied") == "no"
-            unsure = is_write and not refused
+            refused = headers.get("Write-Applied") == "no"
+            unsure = call.is_write and not refused
             code = ErrorCode.STORE_AMBIGUOUS if unsure else ErrorCode.STORE_UNAVAILABLE
-            raise self.error(code, f"status {status}", step)
+            raise self.error(code, f"status {status}", call.step)
         self.circuit.succeeded()
-        known = (
-            HTTPStatus.NOT_FOUND,
-            HTTPStatus.PRECONDITION_FAILED,
-            HTTPStatus.GONE,
-        )
-        if status >= HTTPStatus.BAD_REQUEST and status not in known:
-            raise self.error(ErrorCode.BAD_REQUEST, f"status {status}", step)
+        if status == HTTPStatus.TOO_MANY_REQUESTS:
+            (self.writes if call.is_write else self.reads).throttled()
+            message = "the store's rate is used up"
+            raise self.error(ErrorCode.STORE_THROTTLED, message, call.step)
+        if status not in call.answers:
+            raise self.error(ErrorCode.BAD_REQUEST, f"status {status}", call.step)
 
     def opened(self) -> aiohttp.ClientSession:
         """Return the session; made on first use, since it belongs to the running loop."""
@@ -231,6 +253,14 @@
             )
         return self.session
 
+    @contextmanager
+    def parsing(self, code: ErrorCode, step: str) -> Iterator[None]:
+        """Raise ``code`` where the answer is not what the object API gives."""
+        try:
+            yield
+        except (KeyError, TypeError, ValueError) as error:
+            raise self.error(code, f"unreadable answer: {error!r}", step) from error
+
     def error(self, code: ErrorCode, message: str, step: str) -> MarjoramtideError:
         return MarjoramtideError(code, message, step=step, peer=self.url)
 
--- a/standins/object_store/_app.py
+++ b/standins/object_store/_app.py
@@ -69,6 +69,8 @@
             return self.cut(request)
         if self.faults.mode == "error":
             return web.Response(status=500)
+        if self.faults.mode == "garbage":
+            return web.Response(text="<html>Welcome</html>")
         if self.faults.mode == "refuse":
             return web.Response(status=503, headers={**NO_EFFECT, "Retry-After": "1"})
         rate = self.writes if kind == "writes" else self.reads
@@ -128,7 +130,8 @@
         self, request: web.Request, apply: Callable[[], Record | None]
     ) -> web.StreamResponse:
         """Apply a write, or play the faults that hit it."""
-        if self.faults.take("late_writes"):
+        is_update = "If-Match" in request.headers
+        if self.faults.take("late_writes") or (is_update and self.faults.take("late_updates")):
             self.late.append(apply)
             return self.cut(request)
         record = apply()
@@ -149,7 +152,7 @@
         await response.prepare(request)
         while True:
             changed = self.state.changed
-            if self.state.has_gap(prefix, since) or self.faults.mode in ("drop", "error", "refuse"):
+            if self.state.has_gap(prefix, since) or self.faults.mode not in ("up", "hang"):
                 return self.cut(request)
             for record in self.state.changes(prefix, since):
                 await response.write(json.dumps(as_json(record)).encode() + b"\n")
