Add the operators' API and the command line

A change streams its progress as JSON lines; a command whose node goes away while the change is in doubt says so with the change id, and asking again with it tells the end. A node's file is checked key by key, with the value and what is allowed.

--- /dev/null
+++ b/features/steps/cli_steps.py
@@ -0,0 +1,216 @@
+"""Steps for the command line, run as a process against a live operators' API."""
+
+import asyncio
+import json
+import os
+import shlex
+import subprocess
+import sys
+import tempfile
+import threading
+from pathlib import Path
+from typing import Any
+
+import attrs
+from aiohttp import web
+from behave import given, then, when
+
+from features.settings_fakes import Fleet, Node
+from marjoramtide.clock import SystemClock
+from marjoramtide.membership import MemberState
+from marjoramtide.operators import NodeHandle, make_operators_app
+
+COMMAND_TIMEOUT_S = 30
+GOSSIP_S = 0.05
+
+
+class LiveFleet(Fleet):
+    """A fleet in real time, in a loop of its own thread, with an operators' API for each node."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = SystemClock()
+        self.runners: list[web.AppRunner] = []
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+
+    def call(self, work: Any) -> Any:
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result(COMMAND_TIMEOUT_S)
+
+    async def open(self, names: list[str]) -> None:
+        self.gossiping = asyncio.create_task(self.gossip_on())
+        for name in names:
+            self.start(self.add(name))
+        await self.listen()
+
+    async def listen(self) -> None:
+        for node in self.nodes.values():
+            runner = web.AppRunner(make_operators_app(self.handle(node)), access_log=None)
+            await runner.setup()
+            _, _, port = node.member.operators_address.partition(":")
+            await web.TCPSite(runner, "127.0.0.1", int(port or 0), shutdown_timeout=0.1).start()
+            address = f"127.0.0.1:{runner.addresses[0][1]}"
+            node.member = attrs.evolve(node.member, operators_address=address)
+            self.runners.append(runner)
+
+    async def hang_up(self) -> None:
+        for runner in self.runners:
+            await runner.cleanup()
+        self.runners.clear()
+
+    async def gossip_on(self) -> None:
+        while True:
+            self.gossip()
+            await asyncio.sleep(GOSSIP_S)
+
+    async def shut(self) -> None:
+        self.gossiping.cancel()
+        await self.hang_up()
+        tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def finish(self) -> None:
+        self.call(self.shut())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+    @staticmethod
+    def handle(node: Node) -> NodeHandle:
+        def drain(drained: bool) -> None:
+            state = MemberState.DRAINING if drained else MemberState.READY
+            node.member = attrs.evolve(node.member, state=state)
+
+        directory = node.service.maker.directory
+        return NodeHandle(
+            settings=node.service,
+            directory=directory,
+            status=lambda: {"in_progress": 0},
+            explain=lambda service: [{"member": "a", "score": 1.0}],
+            trace=lambda trace_id: [{"trace_id": trace_id, "name": "ingress", "start": 1.0}],
+            drain=drain,
+        )
+
+
+def folder(context: Any) -> Path:
+    """Return the scenario's own folder, made when first asked for."""
+    if "folder" not in context:
+        context.folder = Path(context.cleanup.enter_context(tempfile.TemporaryDirectory()))
+    return context.folder
+
+
+@given("a live settings fleet of nodes {names}")
+def given_live(context: Any, names: str) -> None:
+    context.live = LiveFleet()
+    context.cleanup.callback(context.live.finish)
+    context.live.call(context.live.open(names.split(", ")))
+
+
+@given("the operators' file {name} holds")
+def given_file(context: Any, name: str) -> None:
+    (folder(context) / name).write_text(context.text + "\n")
+
+
+@given('in {name} "{old}" is replaced by "{new}"')
+def given_replaced(context: Any, name: str, old: str, new: str) -> None:
+    file = folder(context) / name
+    file.write_text(file.read_text().replace(old, new))
+
+
+@given('the editor replaces "{old}" by "{new}"')
+def given_editor(context: Any, old: str, new: str) -> None:
+    context.editor = f"sed -i 's/{old}/{new}/'"
+
+
+@given('the file {name} is what the command "{command}" prints with "{old}" replaced by "{new}"')
+def given_printed(context: Any, name: str, command: str, old: str, new: str) -> None:
+    printed = run(context, command).stdout
+    (folder(context) / name).write_text(printed.replace(old, new))
+
+
+@given("the live settings node {name} is cut off from all")
+def given_cut(context: Any, name: str) -> None:
+    node = context.live.nodes[name]
+    node.store_cut, node.group = True, 99
+
+
+@given("the live settings store is down")
+def given_live_down(context: Any) -> None:
+    context.live.store.down = True
+
+
+@given("the live store loses the answer to the next write and goes down")
+def given_lost(context: Any) -> None:
+    store = context.live.store
+    context.written = asyncio.Event()
+
+    async def hook() -> None:
+        store.faults = ["applied"]
+        store.down = True
+        context.written.set()
+
+    store.before_write = hook
+
+
+@when("the operators' addresses close once the change is in doubt")
+def when_close(context: Any) -> None:
+    live = context.live
+
+    async def close() -> None:
+        await context.written.wait()
+        await asyncio.sleep(GOSSIP_S)
+        await live.hang_up()
+
+    context.closing = asyncio.run_coroutine_threadsafe(close(), live.loop)
+
+
+@when("the operators' addresses and the store are back")
+def when_back(context: Any) -> None:
+    context.closing.result(COMMAND_TIMEOUT_S)
+    context.live.store.down = False
+    context.live.call(context.live.listen())
+
+
+def run(context: Any, command: str) -> "subprocess.CompletedProcess[str]":
+    address = context.live.nodes["a"].member.operators_address if "live" in context else ""
+    editor = context.editor if "editor" in context else "false"
+    return subprocess.run(
+        [sys.executable, "-m", "marjoramtide.cli.main", *shlex.split(command)],
+        cwd=folder(context),
+        env={**os.environ, "MARJORAMTIDE_NODE": address, "EDITOR": editor},
+        capture_output=True,
+        text=True,
+        timeout=COMMAND_TIMEOUT_S,
+    )
+
+
+@given('the command "{command}" ends with {status:d}')
+@when('the command "{command}" ends with {status:d}')
+def command_ends(context: Any, command: str, status: int) -> None:
+    done = run(context, command)
+    assert done.returncode == status, (done.returncode, done.stdout, done.stderr)
+
+
+@then('the command "{command}" ends with {status:d} and prints "{words}"')
+def then_prints(context: Any, command: str, status: int, words: str) -> None:
+    done = run(context, command)
+    assert done.returncode == status, (done.returncode, done.stdout, done.stderr)
+    assert words in done.stdout + done.stderr, (done.stdout, done.stderr)
+
+
+@then('the command "{command}" says what to do next')
+def then_next(context: Any, command: str) -> None:
+    assert "\nnext: " in run(context, command).stderr
+
+
+@then('the command "{command}" prints JSON with revision {revision:d}')
+def then_json(context: Any, command: str, revision: int) -> None:
+    assert json.loads(run(context, command).stdout)["revision"] == revision
+
+
+@then('the command "{command}" prints JSON with error {code}')
+def then_json_error(context: Any, command: str, code: str) -> None:
+    error = json.loads(run(context, command).stdout)["error"]
+    assert error["code"] == code and error["next"] and error["step"], error
--- a/src/marjoramtide/cli/__init__.py
+++ b/src/marjoramtide/cli/__init__.py
@@ -1,1 +1,1 @@
-"""TODO"""
+"""The operators' command line."""
--- /dev/null
+++ b/src/marjoramtide/cli/_commands.py
@@ -0,0 +1,139 @@
+"""``marjoramtide``: every command."""
+
+import tomllib
+from typing import Any
+
+from fire.decorators import SetParseFns
+
+from marjoramtide.cli._node_client import NodeClient, ask_all
+from marjoramtide.cli._output import format_table
+from marjoramtide.cli._service_commands import ServiceCommands
+from marjoramtide.cli._session import Session
+from marjoramtide.cli._settings_commands import HEAD_PATTERN, SettingsCommands, read_file
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.settings import load_node_settings, parse_tree
+
+MEMBER_COLUMNS = (
+    "node",
+    "service",
+    "region",
+    "data_centre",
+    "state",
+    "revision",
+    "operators_address",
+)
+ONLY_IN_NODE_FILES = {"callers", "peers", "gossip", "backend", "store", "key"}
+
+
+class Commands:
+    """Drives a fleet of marjoramtide nodes.
+
+    Every command takes --node IP:PORT, the operators address of any node (or MARJORAMTIDE_NODE),
+    and --json for programs. Exit statuses: 0 done, 1 fault of the program, 2 wrong usage,
+    3 rejected (nothing changed), 4 accepted but not in force everywhere, 5 node or store not
+    reachable (nothing changed), 6 not known whether accepted.
+    """
+
+    def __init__(self, session: Session) -> None:
+        self._session = session
+        self.settings = SettingsCommands(session)
+        self.service = ServiceCommands(session)
+
+    def nodes(self) -> None:
+        """Print the members that the asked node knows."""
+        found = self._session.node.get("/members")["members"]
+        rows = [[member[column] for column in MEMBER_COLUMNS] for member in found]
+        heads = [column.replace("_", " ") for column in MEMBER_COLUMNS]
+        self._session.output.table(found, rows, heads)
+
+    def status(self) -> None:
+        """Print the state of the asked node."""
+        found = self._session.node.get("/status")
+        self._session.output.result(found, format_fields(found))
+
+    def drain(self, name: str = "") -> None:
+        """Let a node take no new work: the asked one, or the member NAME."""
+        self._steer(name, "/drain")
+
+    def undrain(self, name: str = "") -> None:
+        """Let a drained node take work again: the asked one, or the member NAME."""
+        self._steer(name, "/undrain")
+
+    def explain(self, service: str) -> None:
+        """Print what the asked node believes of each member of SERVICE and how it scores them."""
+        found = self._session.node.get("/explain", service=service)["members"]
+        columns = list(dict.fromkeys(key for one in found for key in one))
+        rows = [[one.get(column, "") for column in columns] for one in found]
+        text = format_table(rows, columns) if found else f"nothing is known of {service} yet"
+        self._session.output.result(found, text)
+
+    @SetParseFns(trace_id=str)
+    def trace(self, trace_id: str) -> None:
+        """Print the spans of a trace, collected from all members, in the order of their starts."""
+        members = self._session.node.get("/members")["members"]
+        addresses = [member["operators_address"] for member in members]
+        answers = ask_all(addresses, "/trace", id=trace_id)
+        spans = [span for answer in answers if isinstance(answer, dict) for span in answer["spans"]]
+        spans.sort(key=lambda span: span.get("start", 0))
+        silent = [error.peer for error in answers if isinstance(error, MarjoramtideError)]
+        lines = [format_fields(span, separator="  ") for span in spans]
+        lines += [f"no answer from {', '.join(silent)}"] if silent else []
+        told = {"spans": spans, "silent": silent}
+        self._session.output.result(told, "\n".join(lines) or "no spans kept of this trace")
+
+    def check(self, file: str) -> None:
+        """Check a node's file or a settings tree without any node."""
+        text = read_file(file)
+        if ONLY_IN_NODE_FILES & first_keys(text).keys():
+            load_node_settings(file)
+            kind = "node file"
+        else:
+            parse_tree(HEAD_PATTERN.sub("", text, count=1))
+            kind = "settings tree"
+        self._session.output.result({"file": file, "kind": kind}, f"{file}: {kind} is right")
+
+    def _steer(self, name: str, path: str) -> None:
+        client = self._session.node
+        if name:
+            client = NodeClient(self._operators_address(name))
+        found = client.post(path)
+        self._session.output.result(found, f"{found['node']}: {found['state']}")
+
+    def _operators_address(self, name: str) -> str:
+        members = self._session.node.get("/members")["members"]
+        found = [
+            member["operators_address"]
+            for member in members
+            if name in (member["node"], member["node"].partition("~")[0])
+        ]
+        if len(found) != 1:
+            raise MarjoramtideError(
+                ErrorCode.NOT_FOUND,
+                f"{len(found)} members are named {name!r}; see `marjoramtide nodes`",
+                step="cli.member",
+            )
+        return str(found[0])
+
+
+def first_keys(text: str) -> dict[str, Any]:
+    """Return what a TOML text holds; nothing where it isn't TOML, which its own check tells."""
+    try:
+        return tomllib.loads(text)
+    except tomllib.TOMLDecodeError:
+        return {}
+
+
+def format_fields(fields: dict[str, Any], separator: str = "\n") -> str:
+    """Return ``name: value`` pairs; what is nested is named by its path."""
+    return separator.join(f"{name}: {value}" for name, value in flatten("", fields))
+
+
+def flatten(prefix: str, value: Any) -> list[tuple[str, Any]]:
+    """Return the leaves of nested maps with their dotted paths."""
+    if not isinstance(value, dict):
+        return [(prefix, value)]
+    return [
+        leaf
+        for name, inner in value.items()
+        for leaf in flatten(f"{prefix}.{name}" if prefix else name, inner)
+    ]
--- a/src/marjoramtide/operators/__init__.py
+++ b/src/marjoramtide/operators/__init__.py
@@ -1,1 +1,6 @@
-"""TODO"""
+"""The operators' API of a node, over HTTP."""
+
+from marjoramtide.operators._app import make_operators_app
+from marjoramtide.operators._node_handle import NodeHandle
+
+__all__ = ["NodeHandle", "make_operators_app"]
--- /dev/null
+++ b/src/marjoramtide/operators/_app.py
@@ -0,0 +1,135 @@
+"""The operators' API of a node."""
+
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.membership import Member
+from marjoramtide.operators._answers import errors_as_json
+from marjoramtide.operators._change_stream import stream_change
+from marjoramtide.operators._node_handle import NodeHandle
+from marjoramtide.settings import Envelope
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
+
+@attrs.frozen(slots=True)
+class OperatorsApi:
+    """Answers operators from what the node knows."""
+
+    node: NodeHandle
+
+    async def status(self, _: web.Request) -> web.Response:
+        settings = self.node.settings.view
+        members = self.node.directory.members()
+        own = self.node.directory.self_member
+        told = {
+            "node": own.node,
+            "service": own.service,
+            "region": own.region,
+            "data_centre": own.data_centre,
+            "state": str(own.state),
+            "settings": {
+                "revision": settings.revision,
+                "digest": settings.digest,
+                "current": settings.is_current,
+                "unreadable": settings.freshness.unreadable,
+                "watcher": self.node.settings.follower.is_watcher(),
+            },
+            "members": len(members),
+        }
+        return web.json_response(told | self.node.status())
+
+    async def members(self, _: web.Request) -> web.Response:
+        members = sorted(self.node.directory.members(), key=lambda member: member.node)
+        return web.json_response({"members": [describe_member(member) for member in members]})
+
+    async def settings(self, _: web.Request) -> web.Response:
+        view = self.node.settings.view
+        if view.envelope is None:
+            return web.json_response({"revision": 0, "digest": "", "text": "", "recent": []})
+        return web.json_response(describe_envelope(view.envelope))
+
+    async def revision(self, http: web.Request) -> web.Response:
+        text = argument(http, "revision")
+        if not text.isdecimal():
+            raise bad_argument(f"revision = {text!r}; allowed: a whole number")
+        return web.json_response(describe_envelope(await self.node.settings.envelope_at(int(text))))
+
+    async def resolved(self, http: web.Request) -> web.Response:
+        service, path = argument(http, "service"), http.query.get("path", "/")
+        route, resolved = self.node.settings.view.resolved(service, path)
+        return web.json_response(
+            {
+                "service": service,
+                "route": route,
+                "values": resolved.values,
+                "origins": resolved.origins,
+            }
+        )
+
+    async def change(self, http: web.Request) -> web.StreamResponse:
+        return await stream_change(self.node.settings, http)
+
+    async def explain(self, http: web.Request) -> web.Response:
+        return web.json_response({"members": self.node.explain(argument(http, "service"))})
+
+    async def trace(self, http: web.Request) -> web.Response:
+        return web.json_response({"spans": self.node.trace(argument(http, "id"))})
+
+    async def drain(self, _: web.Request) -> web.Response:
+        return self._set_drained(True)
+
+    async def undrain(self, _: web.Request) -> web.Response:
+        return self._set_drained(False)
+
+    def _set_drained(self, drained: bool) -> web.Response:
+        self.node.drain(drained)
+        own = self.node.directory.self_member
+        return web.json_response({"node": own.node, "state": str(own.state)})
+
+
+def describe_member(member: Member) -> dict[str, Any]:
+    """Return a member as plain values."""
+    return attrs.asdict(member) | {"state": str(member.state)}
+
+
+def describe_envelope(envelope: Envelope) -> dict[str, Any]:
+    """Return a revision as plain values."""
+    return attrs.asdict(envelope) | {"digest": envelope.digest}
+
+
+def argument(http: web.Request, name: str) -> str:
+    """Return a query argument; raises ``bad-request`` where it is missing."""
+    value = http.query.get(name, "")
+    if not value:
+        raise bad_argument(f"{http.path} needs ?{name}=...")
+    return value
+
+
+def bad_argument(message: str) -> MarjoramtideError:
+    """Return the error for a query argument that can't be used."""
+    return MarjoramtideError(ErrorCode.BAD_REQUEST, message, step="operators.argument")
+
+
+def make_operators_app(node: NodeHandle) -> web.Application:
+    """Return the aiohttp application that answers operators; the daemon gives it an address."""
+    api = OperatorsApi(node)
+    app = web.Application(middlewares=[errors_as_json], client_max_size=MAX_BODY_BYTES)
+    app.add_routes(
+        [
+            web.get("/status", api.status),
+            web.get("/members", api.members),
+            web.get("/settings", api.settings),
+            web.get("/settings/revision", api.revision),
+            web.get("/settings/resolved", api.resolved),
+            web.post("/settings/change", api.change),
+            web.get("/explain", api.explain),
+            web.get("/trace", api.trace),
+            web.post("/drain", api.drain),
+            web.post("/undrain", api.undrain),
+        ]
+    )
+    return app
--- a/src/marjoramtide/settings/_node_settings.py
+++ b/src/marjoramtide/settings/_node_settings.py
@@ -1,14 +1,22 @@
 """The settings file of one node."""
 
+import difflib
 import ipaddress
 import tomllib
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import attrs
-import cattrs
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.settings._branch import NAME, NAME_RULE
+
+PLACE_KEYS = ("service", "region", "data_centre")
+ADDRESS_KEYS = ("callers", "peers", "gossip", "operators", "backend")
+LOG_LEVELS = ("debug", "info", "warning", "error")
+MIN_KEY_CHARACTERS = 16
+MAX_STOP_GRACE_S = 3600
 
 
 def parse_address(text: str) -> tuple[str, int]:
@@ -53,20 +61,59 @@
 
     @key.validator
     def _check_key(self, attribute: "attrs.Attribute[Any]", value: str) -> None:
-        if len(value) < 16:
-            raise ValueError("key: at least 16 characters")
+        if len(value) < MIN_KEY_CHARACTERS:
+            raise ValueError(f"key: at least {MIN_KEY_CHARACTERS} characters")
 
 
 def load_node_settings(path: str) -> NodeSettings:
-    """Read and check a node's TOML file; raises ``bad-settings`` naming the key and the value."""
+    """Read and check a node's TOML file.
+
+    Raises ``bad-settings`` that names every key that is wrong, its value and what is allowed.
+    """
     step = "settings.load"
     try:
         raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise MarjoramtideError(ErrorCode.BAD_SETTINGS, f"{path}: {error}", step=step) from error
-    try:
-        converter = cattrs.Converter(forbid_extra_keys=True)
-        return converter.structure(raw, NodeSettings)
-    except cattrs.BaseValidationError as error:
-        reasons = "; ".join(cattrs.transform_error(error))
-        raise MarjoramtideError(ErrorCode.BAD_SETTINGS, f"{path}: {reasons}", step=step) from error
+    if problems := list(_problems(raw)):
+        raise MarjoramtideError(ErrorCode.BAD_SETTINGS, f"{path}: {'; '.join(problems)}", step=step)
+    return NodeSettings(**raw)
+
+
+def _problems(raw: dict[str, Any]) -> Iterator[str]:
+    """Yield what is wrong with the values of a node's file."""
+    known = {field.name: field for field in attrs.fields(NodeSettings)}
+    for name in raw.keys() - known.keys():
+        close = difflib.get_close_matches(name, known, n=1)
+        hint = f"; did you mean {close[0]!r}?" if close else ""
+        yield f"unknown key {name!r}{hint}"
+    for name, field in known.items():
+        if name not in raw:
+            if field.default is attrs.NOTHING:
+                yield f"{name} is missing"
+        elif problem := _problem(name, raw[name]):
+            yield problem
+
+
+def _problem(name: str, value: Any) -> str:
+    """Return what is wrong with one value, if anything; the key itself is never printed."""
+    if name == "stop_grace_s":
+        number = isinstance(value, int | float) and not isinstance(value, bool)
+        right = number and 0 <= value <= MAX_STOP_GRACE_S
+        return "" if right else f"{name} = {value!r}; allowed: seconds from 0 to {MAX_STOP_GRACE_S}"
+    if not isinstance(value, str):
+        return f"{name}{'' if name == 'key' else f' = {value!r}'}; allowed: a string"
+    if name in PLACE_KEYS and not NAME.fullmatch(value):
+        return f"{name} = {value!r}; allowed: {NAME_RULE}"
+    if name in ADDRESS_KEYS or (name == "statsd" and value):
+        try:
+            parse_address(value)
+        except ValueError as error:
+            return f"{name} = {value!r} is not IP:PORT ({error})"
+    if name == "key" and len(value) < MIN_KEY_CHARACTERS:
+        return f"key: at least {MIN_KEY_CHARACTERS} characters"
+    if name == "store" and not value.startswith(("http://", "https://")):
+        return f"{name} = {value!r}; allowed: a URL that begins with http:// or https://"
+    if name == "log_level" and value not in LOG_LEVELS:
+        return f"{name} = {value!r}; allowed: one of {', '.join(LOG_LEVELS)}"
+    return ""
