--- a/bench/replay/__main__.py
+++ b/bench/replay/__main__.py
@@ -18,7 +18,8 @@
 from marjoramtide.policy import SELECTORS
 
 DEFAULT_POLICIES = ("predicted", "round-robin", "two-choices", "least-outstanding")
-DEFAULT_SECONDS = 6.0
+DEFAULT_SECONDS = 10.0
+DEFAULT_JOBS = 2
 
 
 def parse() -> argparse.Namespace:
@@ -35,6 +36,9 @@
     parser.add_argument(
         "--seconds", type=float, default=DEFAULT_SECONDS, help="length of each run; 0 for its own"
     )
+    parser.add_argument(
+        "--jobs", type=int, default=DEFAULT_JOBS, help="policies that are played at the same time"
+    )
     parser.add_argument("--logs", type=Path, help="keep the logs of all processes here")
     return parser.parse_args()
 
@@ -60,18 +64,29 @@
     return verdicts
 
 
+def policies_for(trace: Trace, options: argparse.Namespace) -> list[str]:
+    """Return the policies to play ``trace`` under, each once."""
+    return list(dict.fromkeys(options.policy or [*DEFAULT_POLICIES, *trace.policies]))
+
+
 async def replay(options: argparse.Namespace) -> list[Verdict]:
-    names = options.trace or trace_names()
-    policies = options.policy or DEFAULT_POLICIES
-    progress = Progress(total=len(names) * len(policies))
+    traces = [
+        load_trace(TRACES / f"{name}.toml").scaled(options.seconds or None)
+        for name in options.trace or trace_names()
+    ]
+    progress = Progress(total=sum(len(policies_for(trace, options)) for trace in traces))
+    turns = asyncio.Semaphore(options.jobs)
+
+    async def run(trace: Trace, policy: str) -> Figures:
+        async with turns:
+            progress.begin(trace.name, policy)
+            return await run_trace(trace, policy, options.logs)
+
     verdicts: list[Verdict] = []
-    for name in names:
-        trace = load_trace(TRACES / f"{name}.toml").scaled(options.seconds or None)
-        runs = {}
-        for policy in policies:
-            progress.begin(name, policy)
-            runs[policy] = await run_trace(trace, policy, options.logs)
-        verdicts += report(trace, runs)
+    for trace in traces:
+        policies = policies_for(trace, options)
+        figures = await asyncio.gather(*(run(trace, policy) for policy in policies))
+        verdicts += report(trace, dict(zip(policies, figures, strict=True)))
     return verdicts
 
 
--- a/bench/replay/_arrivals.py
+++ b/bench/replay/_arrivals.py
@@ -40,6 +40,7 @@
             answer_bytes=phase.answer_bytes,
             body_bytes=phase.body_bytes,
             key=f"key-{name}" if phase.booking and phase.keyed else "",
+            service_ms=phase.service_ms,
             retries=phase.retries,
             retry_wait_ms=phase.retry_wait_ms,
         )
--- a/bench/replay/_fleet.py
+++ b/bench/replay/_fleet.py
@@ -5,10 +5,11 @@
 from pathlib import Path
 from typing import Any, Self
 
+from standins.mesh import Mesh, NodePlan
+
 from bench.load import Backends, Caller, Outcome, PlannedCall, StandInReport
 from bench.replay._seat import Seat
 from bench.replay._site import Service, Site
-from standins.mesh import Mesh, NodePlan
 
 DIRECT = "direct"  # callers go straight to a random backend server: what no balancer would give
 READY_TIMEOUT_S = 30
@@ -95,7 +96,6 @@
             service=service,
             label="warm-up",
             timeout_ms=2000,
-            service_ms=1,
             retries=int(READY_TIMEOUT_S / WARM_UP_WAIT_S),
             retry_wait_ms=WARM_UP_WAIT_S * 1000,
         )
--- a/bench/replay/_phase.py
+++ b/bench/replay/_phase.py
@@ -8,7 +8,8 @@
     """Arrivals of one class of calls to one service, as a Poisson process.
 
     Times are in seconds of the trace, ``rate`` in calls a second. Bookings are non-idempotent and
-    carry an idempotency key unless ``keyed`` is false.
+    carry an idempotency key unless ``keyed`` is false. ``service_ms`` is the median of their service
+    time where it is not that of the service.
     """
 
     service: str
@@ -22,5 +23,6 @@
     timeout_ms: int = 2000
     answer_bytes: int = 2048
     body_bytes: int = 0
+    service_ms: float | None = None
     retries: int = 0
     retry_wait_ms: float = 0.0
--- a/bench/replay/_trace.py
+++ b/bench/replay/_trace.py
@@ -16,7 +16,11 @@
 
 @attrs.frozen(slots=True)
 class Trace:
-    """Arrivals and faults, from a TOML file; ``origin`` says where its rates come from."""
+    """Arrivals and faults, from a TOML file.
+
+    ``origin`` says where the rates come from. ``service_factor`` makes every backend server slower
+    from the beginning; ``policies`` are compared in this trace besides those of every trace.
+    """
 
     name: str
     description: str
@@ -26,10 +30,17 @@
     seconds: float
     phases: list[Phase]
     events: list[Event] = attrs.field(factory=list)
+    service_factor: float = 1.0
+    policies: list[str] = attrs.field(factory=list)
 
     @property
     def site(self) -> Site:
-        return SITES[self.site_name]
+        site = SITES[self.site_name]
+        services = (
+            attrs.evolve(service, service_ms=service.service_ms * self.service_factor)
+            for service in site.services
+        )
+        return attrs.evolve(site, services=tuple(services))
 
     def scaled(self, seconds: float | None) -> "Trace":
         """Return the trace at another length: rates stay, the times of the timeline move."""
