--- a/bench/load/_audit.py
+++ b/bench/load/_audit.py
@@ -62,7 +62,14 @@
         unrun=ids(
             attempt
             for attempt in attempts
-            if attempt.outcome is Outcome.COMPLETED and not by_request[attempt.request_id]
+            if attempt.outcome is Outcome.COMPLETED
+            and not attempt.replayed
+            and not by_request[attempt.request_id]
+        )
+        + tuple(
+            result.call.key
+            for result in calls
+            if result.attempts[-1].replayed and not by_key[result.call.key]
         ),
         executions=executions,
         wasted=executions - sum(attempt.outcome is Outcome.COMPLETED for attempt in attempts),
