--- a/bench/replay/__main__.py
+++ b/bench/replay/__main__.py
@@ -8,8 +8,8 @@
 
 from bench.replay._expectation import load_expectations, promises
 from bench.replay._figures import Figures
-from bench.replay._fleet import DIRECT
 from bench.replay._plot import plot_tails
+from bench.replay._policies import DEFAULT_POLICIES, DIRECT
 from bench.replay._progress import Progress
 from bench.replay._run import run_trace
 from bench.replay._table import table
@@ -17,7 +17,6 @@
 from bench.replay._verdict import Verdict
 from marjoramtide.policy import SELECTORS
 
-DEFAULT_POLICIES = ("predicted", "round-robin", "two-choices", "least-outstanding")
 DEFAULT_SECONDS = 10.0
 DEFAULT_JOBS = 2
 
--- a/bench/replay/_expectation.py
+++ b/bench/replay/_expectation.py
@@ -8,6 +8,7 @@
 import cattrs
 
 from bench.replay._figures import METRICS, WHOLE, Figures
+from bench.replay._policies import DIRECT
 from bench.replay._trace import OUTCOMES_SUFFIX, TRACES
 from bench.replay._verdict import Verdict
 
@@ -20,8 +21,9 @@
     """What a run is held to, as a count or as a ratio to another figure of the same run.
 
     ``policy`` is the one held to it. The bound is ``at_most`` or ``at_least``, times the same
-    metric of the policy ``of`` (``best-baseline``: the best of all others in the run) and of
-    ``of_window`` where one of these is given. Windows are in shares of the trace.
+    metric of the policy ``of`` and of ``of_window`` where one of these is given; for ``of``,
+    ``best-baseline`` stands for the best of all other selectors. Windows are in shares of the
+    trace.
     """
 
     name: str
@@ -60,7 +62,8 @@
     def references(self, runs: dict[str, Figures]) -> list[Figures] | None:
         """Return the runs to compare with; ``None`` where there are none."""
         if self.of == BEST:
-            return [run for policy, run in runs.items() if policy != self.policy] or None
+            others = [run for policy, run in runs.items() if policy not in (self.policy, DIRECT)]
+            return others or None
         named = runs.get(self.of or self.policy)
         return None if named is None else [named]
 
--- a/bench/replay/_fleet.py
+++ b/bench/replay/_fleet.py
@@ -5,13 +5,12 @@
 from pathlib import Path
 from typing import Any, Self
 
-from standins.mesh import Mesh, NodePlan
-
 from bench.load import Backends, Caller, Outcome, PlannedCall, StandInReport
+from bench.replay._policies import DIRECT
 from bench.replay._seat import Seat
 from bench.replay._site import Service, Site
+from standins.mesh import Mesh, NodePlan
 
-DIRECT = "direct"  # callers go straight to a random backend server: what no balancer would give
 READY_TIMEOUT_S = 30
 WARM_UP_WAIT_S = 0.1
 
--- a/bench/replay/_phase.py
+++ b/bench/replay/_phase.py
@@ -8,8 +8,8 @@
     """Arrivals of one class of calls to one service, as a Poisson process.
 
     Times are in seconds of the trace, ``rate`` in calls a second. Bookings are non-idempotent and
-    carry an idempotency key unless ``keyed`` is false. ``service_ms`` is the median of their service
-    time where it is not that of the service.
+    carry an idempotency key unless ``keyed`` is false. ``service_ms`` is the median service time
+    where it is not the usual one of the service.
     """
 
     service: str
--- a/bench/replay/_seat.py
+++ b/bench/replay/_seat.py
@@ -4,11 +4,11 @@
 import json
 
 import attrs
-from standins.mesh import MeshNode
 
 from bench.load import StandInReport, stand_in_report
 from bench.replay._processor_time import processor_time_s
 from bench.replay._site import Service
+from standins.mesh import MeshNode
 
 
 @attrs.define(slots=True, eq=False)
