--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -9,9 +9,11 @@
 
 from marjoramtide.claims import make_claims
 from marjoramtide.clock import FreezeDetector, SystemClock
+from marjoramtide.daemon._operators import make_node_handle
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.ingress import Dispatcher, Ingress
 from marjoramtide.membership import Member, MemberState, make_membership
+from marjoramtide.operators import OperatorsServer, make_operators_app
 from marjoramtide.peers import PeerClient, PeerControlChannel, PeerServer
 from marjoramtide.platform import open_object_store
 from marjoramtide.serving import (
@@ -87,6 +89,7 @@
         )
         self.backend_state: BackendState | None = None
         self.drained_by_operator = False
+        self.operators = OperatorsServer(make_operators_app(make_node_handle(self)))
         self.stopping = False
         self.tasks: set[asyncio.Task[Any]] = set()
         self.view.on_change(self.settings_changed)
@@ -98,6 +101,7 @@
         try:
             await self.peer_server.start(*parse_address(settings.peers))
             await self.membership.start()
+            await self.operators.start(*parse_address(settings.operators))
             await self.ingress.start(*parse_address(settings.callers))
         except OSError as error:
             raise MarjoramtideError(
@@ -209,6 +213,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self.operators.close()
         await self.peer_server.close()
         await self.peer_client.close()
         await self.serving.close()
--- /dev/null
+++ b/src/marjoramtide/daemon/_operators.py
@@ -0,0 +1,45 @@
+"""What a node shows to its operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from marjoramtide import __version__
+from marjoramtide.operators import NodeHandle
+
+if TYPE_CHECKING:
+    from marjoramtide.daemon._node import Node
+
+
+def make_node_handle(node: Node) -> NodeHandle:
+    """Return the view of a node that the operators' API is given."""
+    return NodeHandle(
+        settings=node.settings_service,
+        directory=node.membership,
+        status=lambda: node_status(node),
+        explain=lambda service: explain_service(node, service),
+        trace=lambda trace_id: [attrs.asdict(span) for span in node.tracer.spans_of(trace_id)],
+        drain=node.drain,
+    )
+
+
+def node_status(node: Node) -> dict[str, Any]:
+    """Return what the parts of a node tell of themselves."""
+    report = node.serving.admission.report(node.clock.monotonic())
+    return {
+        "version": __version__,
+        "backend": str(node.backend_state or "unknown"),
+        "drained_by_operator": node.drained_by_operator,
+        "callers_requests": node.ingress.in_progress,
+        "load": attrs.asdict(report),
+        "freezes": node.freeze.count,
+        "totals": dict(node.metrics.totals),
+        "gossip": attrs.asdict(node.membership.counters),
+    }
+
+
+def explain_service(node: Node, service: str) -> list[dict[str, Any]]:
+    """Return what this node believes of each member of a service; raises ``unknown-service``."""
+    return node.dispatcher.state(service).selector.explain(node.clock.monotonic())
