Keep urgent requests served amid long routine ones when an instance dies

Seen: urgent lookups of 20 ms refused or sent to a dead instance while surveys of 1.5 s filled three servers and one of them died; 15 of 30 not completed. Ruled out: a busy event loop (processor time of the nodes stayed under 5%).

--- a/features/path/urgent.feature
+++ b/features/path/urgent.feature
@@ -1,5 +1,31 @@
 Feature: Urgent requests don't wait behind routine ones
 
+  Scenario: Dispatch asks amid a surge of long routine requests, and an instance dies
+    # Routine requests of a second and a half fill every slot they may have and the queues. Urgent
+    # lookups have half a second: one that waited for a routine one to end would be too late.
+    Given a mesh of 3 mapdesk nodes
+      """
+      [services.mapdesk]
+      slots = 4
+      urgent_slots = 2
+      """
+    And traffic: 15 surveys a second of mapdesk for 4 s
+      | key        | value |
+      | service_ms | 1500  |
+      | timeout_ms | 8000  |
+    And traffic: 10 alarms a second of mapdesk for 3 s
+      | key        | value |
+      | from       | 1     |
+      | urgent     | true  |
+      | service_ms | 20    |
+      | timeout_ms | 700   |
+      | retries    | 2     |
+    When while traffic enters by mapdesk-1 and mapdesk-2
+      | at  | what | whom      |
+      | 2.5 | kill | mapdesk-3 |
+    Then every promise is kept
+    And all alarms completed
+
   Scenario: Urgent lookups while large routine bodies fill the connections
     # Routine uploads and answers of megabytes keep the connections between two nodes full. Urgent
     # lookups travel on connections of their own.
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -61,6 +61,7 @@
             settings.service,
             self.transport,
             self.claim_gate,
+            self.view,
             self.clock,
             self.metrics,
             self.tracer,
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -6,6 +6,7 @@
 
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, UnknownOutcomeError
+from marjoramtide.ingress._class_budgets import ClassBudgets
 from marjoramtide.ingress._service_state import ServiceState
 from marjoramtide.settings import RouteSettings
 
@@ -31,6 +32,10 @@
     refused: NotRunError | None = None
     answer: Answer | None = None
 
+    @property
+    def budgets(self) -> ClassBudgets:
+        return self.state.budgets[self.request.urgent]
+
     def note(self, error: NotRunError | UnknownOutcomeError) -> None:
         """Remember how a try failed."""
         if isinstance(error, UnknownOutcomeError):
@@ -74,8 +79,8 @@
         if not self.body.repeatable:
             return False
         if isinstance(error, NotRunError):
-            return self.state.rejections.withdraw(now)
-        return self.request.idempotent and self.state.retries.withdraw(now)
+            return self.budgets.rejections.withdraw(now)
+        return self.request.idempotent and self.budgets.retries.withdraw(now)
 
     def final_error(self, now: float) -> NotRunError | UnknownOutcomeError:
         """Return what the caller is told when there is no answer."""
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -68,12 +68,12 @@
         """Return the answer; raises ``NotRunError`` or ``UnknownOutcomeError`` as soon as known."""
         attempts = Attempts(request, body, settings, self.state(request.service))
         now = self.clock.monotonic()
-        attempts.state.retries.deposit(now)
-        attempts.state.rejections.deposit(now)
+        attempts.budgets.retries.deposit(now)
+        attempts.budgets.rejections.deposit(now)
         try:
             async with asyncio.timeout(max(0.0, request.deadline - now)):
                 if request.idempotent and body.inline is not None:
-                    attempts.state.hedges.deposit(now)
+                    attempts.budgets.hedges.deposit(now)
                     return await self.try_hedged(attempts)
                 return await self.try_in_turn(attempts)
         except TimeoutError as error:
@@ -116,7 +116,7 @@
                 now = self.clock.monotonic()
                 if not done:
                     delay_s = None
-                    if attempts.state.hedges.withdraw(now):
+                    if attempts.budgets.hedges.withdraw(now):
                         self.metrics.count("ingress.hedges")
                         self.start_another(attempts, running)
                     continue
@@ -199,7 +199,7 @@
         elapsed_ms = (now - started) * 1000
         match error:
             case NotRunError(code=ErrorCode.CONNECT_FAILED | ErrorCode.PEER_LOST):
-                selector.lost(node, now, elapsed_ms=elapsed_ms)
+                selector.lost(node, now, elapsed_ms=elapsed_ms, unreachable=True)
                 self.directory.report_failure(node)
             case NotRunError():
                 attempts.rejected_by.add(node)
--- a/src/marjoramtide/ingress/_service_state.py
+++ b/src/marjoramtide/ingress/_service_state.py
@@ -4,20 +4,22 @@
 
 import attrs
 
+from marjoramtide.ingress._class_budgets import ClassBudgets, make_class_budgets
 from marjoramtide.membership import Directory, Member
-from marjoramtide.policy import RetryBudget, Selector, make_selector
+from marjoramtide.policy import Selector, make_selector
 from marjoramtide.settings import RouteSettings
 
 
 @attrs.define(slots=True)
 class ServiceState:
-    """The selector and the budgets of one service, made from one revision of its settings."""
+    """The selector and the budgets of one service, made from one revision of its settings.
+
+    ``budgets`` are those of routine (``False``) and urgent (``True``) requests.
+    """
 
     settings: RouteSettings
     selector: Selector
-    retries: RetryBudget
-    rejections: RetryBudget
-    hedges: RetryBudget
+    budgets: dict[bool, ClassBudgets]
     members: list[Member] = attrs.Factory(list)
 
     def refresh(self, directory: Directory, now: float) -> None:
@@ -35,7 +37,5 @@
     return ServiceState(
         settings,
         make_selector(settings, self_member, rng),
-        RetryBudget(settings.retry_budget),
-        RetryBudget(settings.rejection_budget, min_per_s=10.0),
-        RetryBudget(settings.hedge_budget, min_per_s=0.2),
+        {urgent: make_class_budgets(settings) for urgent in (False, True)},
     )
--- a/src/marjoramtide/policy/_call_profile.py
+++ b/src/marjoramtide/policy/_call_profile.py
@@ -7,10 +7,12 @@
 class CallProfile:
     """The part of a request that decisions depend on.
 
-    ``deadline`` is in seconds of the monotonic clock; ``attempt`` counts from 1.
+    ``deadline`` is in seconds of the monotonic clock; ``attempt`` counts from 1. ``kind`` names the
+    requests that take about as long as this one: those of its route and class.
     """
 
     urgent: bool
     idempotent: bool
     deadline: float
     attempt: int = 1
+    kind: str = ""
--- a/src/marjoramtide/policy/_class_queue.py
+++ b/src/marjoramtide/policy/_class_queue.py
@@ -31,9 +31,6 @@
         position = bisect.bisect_left(self.entries, (deadline, ticket))
         del self.entries[position]
 
-    def first_deadline(self) -> float | None:
-        return self.entries[0][0] if self.entries else None
-
     def pop(self) -> int:
         """Remove and return the ticket with the earliest deadline."""
         return self.entries.pop(0)[1]
--- a/src/marjoramtide/policy/_counting_selector.py
+++ b/src/marjoramtide/policy/_counting_selector.py
@@ -61,7 +61,14 @@
     ) -> None:
         self.settled(node)
 
-    def lost(self, node: str, now: float, *, elapsed_ms: float | None = None) -> None:
+    def lost(
+        self,
+        node: str,
+        now: float,
+        *,
+        elapsed_ms: float | None = None,
+        unreachable: bool = False,
+    ) -> None:
         self.settled(node)
 
     def cancelled(self, node: str, now: float, *, elapsed_ms: float | None = None) -> None:
--- a/src/marjoramtide/policy/_edf_admission.py
+++ b/src/marjoramtide/policy/_edf_admission.py
@@ -90,7 +90,7 @@
         # Where nothing runs, one is let in whatever was measured before. Otherwise a server that
         # was slow once would refuse everything as too late, never run anything, and so never find
         # out that it is quick again.
-        if self.in_use and remaining_ms < self.times.quick.value:
+        if self.in_use and remaining_ms < self.times.kind(profile.kind).quick.value:
             return _reject(ErrorCode.DEADLINE, 0.0)
         self._start(ticket, profile, now)
         return Decision(Verdict.START)
@@ -100,10 +100,15 @@
     ) -> Decision:
         service_ms = self.times.expected_ms(now)
         wait_ms = self._wait_ms(self._ahead(profile), profile.urgent, service_ms)
+        own_ms = self._own_ms(profile, now)
+        if profile.urgent and self.urgent_slots and own_ms:
+            # Slots that only urgent requests use free at their pace, not at that of the rest.
+            ahead = self._ahead(profile)
+            wait_ms = min(wait_ms, (ahead + 1) * own_ms / min(self.urgent_slots, self.limit))
         queue = self._queue(profile.urgent)
         if len(queue) >= self.queue_limit:
             return _reject(ErrorCode.OVERLOADED, wait_ms)
-        lateness_ms = wait_ms + service_ms - remaining_ms
+        lateness_ms = wait_ms + own_ms - remaining_ms
         if lateness_ms > 0:
             # Failure: a request waits its whole deadline in a queue that could never have served
             # it, and the caller is told at the end. Refused now, the caller can go elsewhere.
@@ -116,11 +121,13 @@
 
     def finished(self, ticket: int, now: float, duration_ms: float, succeeded: bool) -> list[int]:
         pressed = self._is_pressed()
+        kind = self.profiles[ticket].kind if ticket in self.profiles else ""
         if self._end(ticket, now) is None:
             return []
-        self.times.learn(duration_ms, succeeded)
+        comparable_ms = self.times.comparable_ms(duration_ms, kind)
+        self.times.learn(duration_ms, succeeded, kind)
         before = self.limit
-        self.limiter.observe(duration_ms, pressed, succeeded)
+        self.limiter.observe(comparable_ms, pressed, succeeded)
         if self.limit < before and self.profiles:
             self.recheck_at = now
         return self._start_queued(now)
@@ -146,8 +153,7 @@
         return late
 
     def next_expiry(self) -> float | None:
-        first = (self.urgent.first_deadline(), self.routine.first_deadline())
-        times = [self._latest_start(deadline) for deadline in first if deadline is not None]
+        times = [self._latest_start(queue) for queue in (self.urgent, self.routine) if len(queue)]
         if self.recheck_at is not None and times:
             times.append(self.recheck_at)
         stalls_at = self._next_stall()
@@ -178,6 +184,10 @@
         return len(self.urgent) + self.routine.ahead_of(profile.deadline)
 
     def _may_start(self, urgent: bool) -> bool:
+        if urgent and self.in_use - self.routine_running < self.urgent_slots:
+            # Also where the limit has fallen so low that routine requests fill it: an urgent one
+            # would otherwise wait for a long routine one to end.
+            return True
         if self.in_use >= self.limit:
             return False
         return urgent or self.routine_running < self.routine_limit
@@ -195,7 +205,7 @@
         return (ahead + 1) * service_ms / (self.limit if urgent else self.routine_limit)
 
     def _start(self, ticket: int, profile: CallProfile, now: float) -> None:
-        self.times.start(ticket, now)
+        self.times.start(ticket, now, profile.kind)
         self.profiles[ticket] = profile
         if not profile.urgent:
             self.routine_running += 1
@@ -221,13 +231,20 @@
         if profile is not None:
             self._queue(profile.urgent).remove(profile.deadline, ticket)
 
-    def _latest_start(self, deadline: float) -> float:
-        return deadline - self.times.mean.value / 1000
+    def _own_ms(self, profile: CallProfile, now: float) -> float:
+        """Return how long this request itself is expected to run, 0 while its kind is new."""
+        own_ms = self.times.kind(profile.kind).mean.value
+        return max(own_ms, self.times.silence_ms(now)) if own_ms else 0.0
+
+    def _latest_start(self, queue: ClassQueue) -> float:
+        """Return until when the first of a queue must start to end in time."""
+        deadline, ticket = queue.entries[0]
+        return deadline - self.times.kind(self.profiles[ticket].kind).mean.value / 1000
 
     def _too_late(self, queue: ClassQueue, now: float) -> list[int]:
         """Drop and return what could not finish even if it started now."""
         late = []
-        while len(queue) and self._latest_start(queue.entries[0][0]) <= now:
+        while len(queue) and self._latest_start(queue) <= now:
             late.append(queue.pop())
         for ticket in late:
             del self.profiles[ticket]
--- a/src/marjoramtide/policy/_execution_times.py
+++ b/src/marjoramtide/policy/_execution_times.py
@@ -2,36 +2,48 @@
 
 import attrs
 
+from marjoramtide.policy._kind_times import KindTimes
 from marjoramtide.policy._silence import patience_ms, silence_ms
 from marjoramtide.policy._smoothed import Smoothed
 
+UNKNOWN = KindTimes()
+
 
 @attrs.define(slots=True)
 class ExecutionTimes:
     """The smoothed time of executions, and the tickets that run now.
 
-    ``quick`` follows the low end of the times: what less than
-    this remains for can't finish even when the server is at its best.
+    ``mean`` is over all of them and tells how soon slots free; ``kinds`` holds the times of each
+    kind of request. Failure without them: surveys of two seconds make the only estimate, so an
+    urgent lookup of twenty milliseconds is refused as too long for its deadline.
     """
 
     mean: Smoothed = attrs.Factory(lambda: Smoothed(0.2, 0.2))
-    quick: Smoothed = attrs.Factory(lambda: Smoothed(0.01, 0.3))
+    kinds: dict[str, KindTimes] = attrs.Factory(dict)
     success: Smoothed = attrs.Factory(lambda: Smoothed(0.1, 0.1, 1.0, 1))
     running: dict[int, float] = attrs.Factory(dict)
+    usual: dict[int, float] = attrs.Factory(dict)
+    reference: KindTimes | None = None
     last_end: float = 0.0
 
-    def start(self, ticket: int, now: float) -> None:
+    def kind(self, name: str) -> KindTimes:
+        """Return the times of a kind, empty where it is new."""
+        return self.kinds.get(name) or UNKNOWN
+
+    def start(self, ticket: int, now: float, kind: str) -> None:
         self.running[ticket] = now
+        self.usual[ticket] = self.kind(kind).mean.value
 
     def end(self, ticket: int, now: float) -> float | None:
         """Forget a ticket; return the milliseconds it ran, or ``None`` if it didn't run."""
+        self.usual.pop(ticket, None)
         started = self.running.pop(ticket, None)
         if started is None:
             return None
         self.last_end = now
         return (now - started) * 1000
 
-    def learn(self, duration_ms: float, succeeded: bool) -> None:
+    def learn(self, duration_ms: float, succeeded: bool, kind: str) -> None:
         """Take in an execution that came to its end."""
         self.success.add(1.0 if succeeded else 0.0)
         # Quick errors aren't speed: a server that fails fast would otherwise report the shortest
@@ -39,7 +51,20 @@
         if succeeded or duration_ms > self.mean.value:
             self.mean.add(duration_ms)
         if succeeded:
-            self.quick.add(duration_ms)
+            times = self.kinds.setdefault(kind, KindTimes())
+            self.reference = self.reference or times
+            times.learn(duration_ms)
+
+    def comparable_ms(self, duration_ms: float, kind: str) -> float:
+        """Return what the duration would be for the first kind seen, from their long-run times.
+
+        Failure without it: after a run of short requests a few long ones look like a server that
+        has turned slow, and its limit is cut.
+        """
+        base = self.kind(kind).base.value
+        if self.reference is None or base <= 0:
+            return duration_ms
+        return duration_ms * self.reference.base.value / base
 
     def learn_at_least(self, duration_ms: float) -> None:
         """Take in an execution that was cancelled: it would have taken longer than this.
@@ -60,12 +85,17 @@
     def silence_ms(self, now: float) -> float:
         """Return for how long the running ones have been owed beyond what is usual."""
         oldest = next(iter(self.running.values()), None)
-        return silence_ms(oldest, self.last_end, len(self.running), self.mean.value, now)
+        return silence_ms(oldest, self.last_end, len(self.running), self.usual_ms(), now)
+
+    def usual_ms(self) -> float:
+        """Return how long the oldest running one may well take."""
+        ticket = next(iter(self.running), None)
+        return max(self.mean.value, self.usual.get(ticket, 0.0) if ticket is not None else 0.0)
 
     def stalls_at(self) -> float | None:
         """Return when the running ones become overdue if none of them ends, in seconds."""
         if not self.running or not self.mean.value:
             return None
         oldest = next(iter(self.running.values()))
-        patience = patience_ms(len(self.running), self.mean.value) / 1000
+        patience = patience_ms(len(self.running), self.usual_ms()) / 1000
         return max(oldest, self.last_end) + patience
--- a/src/marjoramtide/policy/_predicted_selector.py
+++ b/src/marjoramtide/policy/_predicted_selector.py
@@ -21,6 +21,7 @@
 RESAMPLE_ABOVE = 2.0
 TIE = 0.95
 CLOSED_AT_LEAST_MS = 1000.0
+UNREACHABLE_MS = 500.0
 SHORTEST_HEDGE_MS = 1.0
 
 
@@ -202,9 +203,21 @@
         else:
             view.back_off_until = now + retry_after_ms / 1000
 
-    def lost(self, node: str, now: float, *, elapsed_ms: float | None = None) -> None:
+    def lost(
+        self,
+        node: str,
+        now: float,
+        *,
+        elapsed_ms: float | None = None,
+        unreachable: bool = False,
+    ) -> None:
         view = self.views.get(node)
         if view is not None:
+            if unreachable:
+                # Failure: an instance dies while the others are full. It looks idle, so each
+                # request is sent there first, and those whose second try finds the others full are
+                # refused. Nobody listens there; until membership has found out, it is left alone.
+                view.closed_until = now + UNREACHABLE_MS / 1000
             view.note_outcome(False, now)
             view.last_answer_at = now
             self._settle(view, None, elapsed_ms, now)
--- a/src/marjoramtide/policy/_selector.py
+++ b/src/marjoramtide/policy/_selector.py
@@ -59,8 +59,15 @@
         """Note a refusal by the serving node: the request did not run there."""
 
     @abstractmethod
-    def lost(self, node: str, now: float, *, elapsed_ms: float | None = None) -> None:
-        """Note that nothing will come back: the connection broke."""
+    def lost(
+        self,
+        node: str,
+        now: float,
+        *,
+        elapsed_ms: float | None = None,
+        unreachable: bool = False,
+    ) -> None:
+        """Note that nothing will come back: the connection broke, or could not be made at all."""
 
     @abstractmethod
     def cancelled(self, node: str, now: float, *, elapsed_ms: float | None = None) -> None:
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -19,7 +19,7 @@
 from marjoramtide.serving._claim_gate import ClaimGate
 from marjoramtide.serving._execution import Execution
 from marjoramtide.serving._measurer import Measurer
-from marjoramtide.settings import RouteSettings
+from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, TraceContext, Tracer, read_trace
 
 STEP = "serving.send"
@@ -38,6 +38,7 @@
         service: str,
         transport: BackendTransport,
         claim_gate: ClaimGate,
+        view: SettingsView,
         clock: Clock,
         metrics: Metrics,
         tracer: Tracer,
@@ -50,6 +51,7 @@
         self.admission.set_accepting(False)
         self.transport = transport
         self.claim_gate = claim_gate
+        self.view = view
         self.clock = clock
         self.metrics = metrics
         self.tracer = tracer
@@ -94,7 +96,13 @@
     async def admit(self, execution: Execution) -> None:
         """Return when the request may start; raise ``NotRunError`` where it may not."""
         request, ticket = execution.request, execution.ticket
-        profile = CallProfile(request.urgent, request.idempotent, request.deadline, request.attempt)
+        profile = CallProfile(
+            request.urgent,
+            request.idempotent,
+            request.deadline,
+            request.attempt,
+            self.kind(request),
+        )
         now = self.clock.monotonic()
         decision = self.admission.offer(ticket, profile, now)
         if decision.verdict is Verdict.REJECT:
@@ -110,6 +118,11 @@
             await self.wait_for_slot(ticket)
         execution.started = self.clock.monotonic()
 
+    def kind(self, request: Request) -> str:
+        """Name the requests that take about as long as this one."""
+        route = self.view.route(request.service, request.target).route
+        return f"{route} urgent" if request.urgent else route
+
     async def wait_for_slot(self, ticket: int) -> None:
         waiter = self.waiting[ticket] = asyncio.get_running_loop().create_future()
         self.schedule_expiry()
