--- a/src/marjoramtide/policy/_predicted_selector.py
+++ b/src/marjoramtide/policy/_predicted_selector.py
@@ -76,23 +76,20 @@
     def choose(
         self, profile: CallProfile, now: float, excluded: Collection[str] = ()
     ) -> str | None:
+        candidates = [
+            view
+            for node, view in self.views.items()
+            if view.closed_until <= now and node not in excluded
+        ]
+        if not candidates:
+            return None
         if profile.idempotent and not profile.urgent and profile.attempt == 1:
-            explored = self.explorer.pick(self._open(excluded, now), now)
+            explored = self.explorer.pick(candidates, now)
             if explored is not None:
                 return explored.node
-        pool = [view for view in self._open(excluded, now) if not view.ejected]
+        pool = [view for view in candidates if not view.ejected]
         # Where all that is left is ejected, asking it is still better than refusing unasked.
-        pool = pool or self._open(excluded, now)
-        if not pool:
-            return None
-        return self._choose_from(pool, profile.urgent, now).node
-
-    def _open(self, excluded: Collection[str], now: float) -> list[NodeView]:
-        return [
-            view
-            for view in self.views.values()
-            if view.closed_until <= now and view.member.node not in excluded
-        ]
+        return self._choose_from(pool or candidates, profile.urgent, now).node
 
     def _choose_from(self, pool: list[NodeView], urgent: bool, now: float) -> NodeView:
         near_tier = min(view.tier for view in pool)
