Judge the end of claims by the store's clock

The store's Date on each answer gives all nodes one clock. An answer that took longer than 5 s does not count: a cleaner stopped in the middle of a list took live claims for ended ones.

Seen failing: with the node's own clock in place of the store's, both scenarios of a wrong clock; without the first read, the one of the clock behind; without the 5 s bound, the stopped cleaner's.

--- a/features/claims/claims.feature
+++ b/features/claims/claims.feature
@@ -149,6 +149,36 @@
     When 100 s pass on every clock
     Then node B's claim of "booking-1" is "conflict"
 
+  Scenario Outline: A node whose own clock is wrong
+    Node <wrong>'s clock is <seconds> s off. By it, the claim that node A holds would have ended long
+    ago, and the request would run a second time beside the first.
+    Given two nodes with claims
+    And node <wrong>'s clock is <seconds> s off
+    And node A has claimed "booking-1"
+    Then node B's claim of "booking-1" is "conflict"
+
+    Examples:
+      | wrong | seconds |
+      | A     | -200000 |
+      | B     | 200000  |
+
+  Scenario: A cleaner that was stopped in the middle of a call does not mistake the time
+    The cleaner notes its own clock, is stopped for two days, and then gets the store's time with the
+    list. By the difference it would take today's claims for ended ones and free keys that run.
+    Given two nodes with claims
+    When a cleaner lists the slice of "booking-1", stopped for 200000 s while node A claims it
+    Then the cleaners have deleted 0 claims
+    And node B's claim of "booking-1" is "conflict"
+
+  Scenario Outline: A key that cannot be one
+    Given two nodes with claims
+    Then a claim of a key of <count> characters fails as "bad-request"
+
+    Examples:
+      | count |
+      | 0     |
+      | 256   |
+
   Scenario: A key is used again with another request
     A caller's fault: the answer of the first request must not be given for the second.
     Given two nodes with claims
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -8,9 +8,10 @@
 import attrs
 from behave import given, step, then, when
 
-from features.store_harness import SEED, start_harness, start_process
+from features.store_harness import SEED, LeapingClock, start_harness, start_process
 from marjoramtide.claims import ClaimState, make_claim_cleaner, make_claims
 from marjoramtide.claims._claim_keys import claim_key
+from marjoramtide.errors import MarjoramtideError
 from marjoramtide.settings import RouteSettings
 
 WITHIN_S = 0.6
@@ -209,6 +210,34 @@
 @when("{seconds:d} s pass on every clock")
 def when_clocks_pass(context: Any, seconds: int) -> None:
     context.store.clock.added += seconds
+    context.store.server.clock_ahead_s += seconds
+
+
+@given("node {name:w}'s clock is {seconds:d} s off")
+def given_wrong_clock(context: Any, name: str, seconds: int) -> None:
+    clock = LeapingClock()
+    clock.added_wall = seconds
+    node = context.nodes[name]
+    node.clock = node.store.clock = node.unsettled.clock = clock
+
+
+@when(
+    'a cleaner lists the slice of "{key}", stopped for {seconds:d} s while node {name:w} claims it'
+)
+def when_cleaner_stopped(context: Any, key: str, seconds: int, name: str) -> None:
+    harness = context.store
+    cleaner, number = cleaner_of(context, key)
+    exchange = cleaner.store.exchange
+
+    async def stopped_exchange(call: Any, left: float) -> Any:
+        cleaner.store.exchange = exchange
+        harness.clock.added += seconds
+        harness.server.clock_ahead_s += seconds
+        await acquire(context, name, key)
+        return await exchange(call, left)
+
+    cleaner.store.exchange = stopped_exchange
+    context.deleted += harness.run(cleaner.clean_slice(number))
 
 
 def cleaner_of(context: Any, key: str) -> tuple[Any, int]:
@@ -303,6 +332,12 @@
     assert not context.handles[name, key].may_dispatch(context.store.clock.monotonic())
 
 
+@then('a claim of a key of {count:d} characters fails as "{code}"')
+def then_bad_key(context: Any, count: int, code: str) -> None:
+    error = context.store.outcome(acquire(context, "A", "k" * count))
+    assert isinstance(error, MarjoramtideError) and error.code == code, error
+
+
 @then("the cleaners have deleted {count:d} claim")
 @then("the cleaners have deleted {count:d} claims")
 def then_deleted(context: Any, count: int) -> None:
--- a/features/store_harness.py
+++ b/features/store_harness.py
@@ -24,12 +24,13 @@
 
     def __init__(self) -> None:
         self.added = 0.0
+        self.added_wall = 0.0
 
     def monotonic(self) -> float:
         return super().monotonic() + self.added
 
     def wall(self) -> float:
-        return super().wall() + self.added
+        return super().wall() + self.added + self.added_wall
 
 
 class StoreHarness:
--- a/src/marjoramtide/claims/_claim_cleaner.py
+++ b/src/marjoramtide/claims/_claim_cleaner.py
@@ -5,6 +5,7 @@
 
 from marjoramtide.claims._claim_keys import SLICES, slice_prefix
 from marjoramtide.claims._claim_record import decode_record
+from marjoramtide.claims._retention import store_time
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.platform import ObjectStore, StoredObject
@@ -51,7 +52,7 @@
 
     def is_expired(self, claim: StoredObject) -> bool:
         record = decode_record(claim.value)
-        return record is not None and record.is_expired(self.clock.wall())
+        return record is not None and record.is_expired(store_time(self.store, self.clock))
 
     async def delete(self, claim: StoredObject) -> bool:
         """Delete the claim as it was listed.
--- a/src/marjoramtide/claims/_claim_record.py
+++ b/src/marjoramtide/claims/_claim_record.py
@@ -21,7 +21,8 @@
     """Which attempt claimed an idempotency key, and what became of it.
 
     ``attempt`` is unique to one call of ``acquire``. ``digest`` stands for the request that the key
-    was first used with. ``expires`` is in seconds since the Unix epoch. ``status``, ``headers`` and
+    was first used with. ``expires`` is in seconds since the Unix epoch, by the store's
+    clock. ``status``, ``headers`` and
     ``body`` are the answer of a completed request; ``body`` is ``None`` where it was too large.
     """
 
@@ -37,13 +38,13 @@
     def encode(self) -> bytes:
         return cbor2.dumps({**attrs.asdict(self), "state": self.state.value})
 
-    def has_ended(self, wall: float) -> bool:
-        """Tell whether another attempt may take the key over; ``wall`` is this node's time."""
-        return self.state == ClaimState.RELEASED or self.is_expired(wall)
+    def has_ended(self, now: float) -> bool:
+        """Tell whether another attempt may take the key over, at the store's time ``now``."""
+        return self.state == ClaimState.RELEASED or self.is_expired(now)
 
-    def is_expired(self, wall: float) -> bool:
-        """Tell whether the retention has ended on every node's clock."""
-        return wall > self.expires + CLOCK_SKEW_S
+    def is_expired(self, now: float) -> bool:
+        """Tell whether the retention has ended, whoever judges it."""
+        return now > self.expires + CLOCK_SKEW_S
 
     def supersedes(self, state: ClaimState) -> bool:
         """Tell whether the same attempt may go from ``state`` to this record's."""
--- a/src/marjoramtide/claims/_claims.py
+++ b/src/marjoramtide/claims/_claims.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Sequence
+from contextlib import suppress
 from functools import partial
 
 import attrs
@@ -14,7 +15,7 @@
 from marjoramtide.claims._claim_result import ClaimResult
 from marjoramtide.claims._claim_state import ClaimState
 from marjoramtide.claims._conflict_reason import ConflictReason
-from marjoramtide.claims._retention import DISPATCH_WINDOW_S, retention_s
+from marjoramtide.claims._retention import DISPATCH_WINDOW_S, retention_s, store_time
 from marjoramtide.claims._unsettled import Unsettled
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
@@ -53,14 +54,15 @@
         ``deadline`` is in seconds of the monotonic clock. Raises ``bad-request`` where the key is
         empty or too long.
         """
-        started = self.clock.monotonic()
         stored_key = claim_key(service, key)
+        await self.learn_time(stored_key, deadline)
+        started = self.clock.monotonic()
         record = ClaimRecord(
             attempt=f"{self.node_id}/{self.rng.getrandbits(128):032x}",
             node=self.node_id,
             digest=request_digest,
             state=ClaimState.HELD,
-            expires=self.clock.wall() + retention_s(settings),
+            expires=store_time(self.store, self.clock) + retention_s(settings),
         )
         try:
             resolution = await self.claim(stored_key, record, deadline)
@@ -77,6 +79,15 @@
             return ClaimResult(ClaimOutcome.HELD, handle=handle)
         return self.judge(decode_record(resolution.stored.value), record)
 
+    async def learn_time(self, key: str, deadline: float) -> None:
+        """Ask the store for anything where it has not told its time yet.
+
+        A claim written by a node's own clock, when that is behind, would end early on all others.
+        """
+        if self.store.time(self.clock.wall()) is None:
+            with suppress(MarjoramtideError):
+                await self.store.get(key, timeout=max(0.001, deadline - self.clock.monotonic()))
+
     async def claim(self, key: str, record: ClaimRecord, deadline: float) -> Resolution:
         """Create the claim, or take over one that has ended: released, or past its retention.
 
@@ -100,7 +111,7 @@
 
     def has_ended(self, value: bytes) -> bool:
         record = decode_record(value)
-        return record is not None and record.has_ended(self.clock.wall())
+        return record is not None and record.has_ended(store_time(self.store, self.clock))
 
     def judge(self, found: ClaimRecord | None, wanted: ClaimRecord) -> ClaimResult:
         """Tell what another attempt's claim means for this one."""
@@ -181,19 +192,23 @@
         )
         return await self.store_last(handle, record)
 
-    async def release(self, handle: ClaimHandle) -> bool:
+    async def release(self, handle: ClaimHandle, *, timeout: float = RECORD_TIMEOUT_S) -> bool:
         """Let the key be used again; only where the request certainly was never sent.
 
+        Tries for ``timeout`` seconds; where that does not do, ``run`` goes on.
+
         Marks the claim rather than deleting it: a copy of the create that is still on its way would
         take effect on a free key and hold it for nobody.
         """
         handle.is_released = True
-        return await self.store_last(handle, self.released(handle.record))
+        return await self.store_last(handle, self.released(handle.record), timeout)
 
-    async def store_last(self, handle: ClaimHandle, record: ClaimRecord) -> bool:
+    async def store_last(
+        self, handle: ClaimHandle, record: ClaimRecord, timeout: float = RECORD_TIMEOUT_S
+    ) -> bool:
         self.running.pop(handle.key, None)
         self.unsettled.add(ClaimEntry(handle.key, record, handle.version))
-        deadline = self.clock.monotonic() + RECORD_TIMEOUT_S
+        deadline = self.clock.monotonic() + timeout
         return await self.unsettled.settle(record.attempt, deadline)
 
     async def run(self) -> None:
--- a/src/marjoramtide/claims/_unsettled.py
+++ b/src/marjoramtide/claims/_unsettled.py
@@ -3,13 +3,18 @@
 import asyncio
 import itertools
 
+import structlog
+
 from marjoramtide.claims._claim_entry import ClaimEntry
 from marjoramtide.claims._claim_record import ClaimRecord, decode_record
 from marjoramtide.claims._claim_state import ClaimState
+from marjoramtide.claims._retention import store_time
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.platform import ObjectStore
 
+log = structlog.get_logger()
+
 MAX_ENTRIES = 5000
 MAX_ROUNDS = 6
 
@@ -41,6 +46,7 @@
         if len(self.entries) > MAX_ENTRIES:
             self.remove(next(iter(self.entries)))
             self.dropped += 1
+            log.warning("claims.unsettled.dropped", dropped=self.dropped, limit=MAX_ENTRIES)
 
     def remove(self, attempt: str) -> None:
         entry = self.entries.pop(attempt)
@@ -133,4 +139,4 @@
         # An attempt that was given up may have been taking over this ended claim; its update is
         # still good for the version just read, so that version must not stay.
         given_up = entry.record.state == ClaimState.RELEASED
-        return not (given_up and record.has_ended(self.clock.wall()))
+        return not (given_up and record.has_ended(store_time(self.store, self.clock)))
--- a/src/marjoramtide/platform/_circuit.py
+++ b/src/marjoramtide/platform/_circuit.py
@@ -2,9 +2,13 @@
 
 import random
 
+import structlog
+
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 
+log = structlog.get_logger()
+
 FAILURES_TO_OPEN = 5
 FIRST_PAUSE_S = 0.2
 LONGEST_PAUSE_S = 5.0
@@ -48,6 +52,8 @@
 
     def succeeded(self) -> None:
         """Close: the store answered, whatever it said."""
+        if self.is_open:
+            log.info("store.circuit.closed", failures=self.failures)
         self.failures = 0
         self.pause = FIRST_PAUSE_S
         self.trying = False
@@ -56,6 +62,8 @@
         """Count a call without an answer."""
         self.failures += 1
         self.trying = False
+        if self.failures == FAILURES_TO_OPEN:
+            log.warning("store.circuit.opened", failures=self.failures)
         if self.is_open:
             self.open_until = self.clock.monotonic() + self.pause * self.rng.uniform(0.5, 1)
             self.pause = min(self.pause * 2, LONGEST_PAUSE_S)
--- a/src/marjoramtide/platform/_http_object_store.py
+++ b/src/marjoramtide/platform/_http_object_store.py
@@ -4,7 +4,8 @@
 import json
 import random
 from collections.abc import AsyncIterator, Iterator, Mapping
-from contextlib import AbstractAsyncContextManager, contextmanager
+from contextlib import AbstractAsyncContextManager, contextmanager, suppress
+from email.utils import parsedate_to_datetime
 from http import HTTPStatus
 from urllib.parse import quote
 
@@ -28,6 +29,7 @@
 MAX_LINE_BYTES = 2 * 1024 * 1024
 WATCH_GRACE_S = 2.0
 CONNECTIONS = 16
+LONGEST_TIMING_S = 5.0
 RETRIED = (ErrorCode.STORE_UNAVAILABLE, ErrorCode.STORE_THROTTLED)
 
 FOUND_OR_NOT = frozenset({HTTPStatus.OK, HTTPStatus.NOT_FOUND})
@@ -86,6 +88,7 @@
         self.writes = CallBudget(clock, limits.writes_per_s, limits.write_burst)
         self.reads = CallBudget(clock, limits.reads_per_s, limits.read_burst)
         self.circuit = Circuit(clock, rng)
+        self.offset: float | None = None
         self.session: aiohttp.ClientSession | None = None
 
     async def get(self, key: str, *, timeout: float = 2.0) -> StoredObject:
@@ -144,6 +147,19 @@
             if not has_answered:
                 self.circuit.abandoned()
 
+    def time(self, wall: float) -> float | None:
+        return None if self.offset is None else wall + self.offset
+
+    def note_time(self, date: str, wall: float, took: float) -> None:
+        """Learn from an answer's ``Date``, where the call began at ``wall`` and took ``took`` s.
+
+        A node that is stopped between reading its clock and the answer would take the store to be
+        ahead by as long, and claims to have ended that are still held. Such an answer took long.
+        """
+        if took <= LONGEST_TIMING_S:
+            with suppress(ValueError):
+                self.offset = parsedate_to_datetime(date).timestamp() - wall
+
     async def close(self) -> None:
         if self.session is not None:
             await self.session.close()
@@ -187,7 +203,8 @@
         budget = self.writes if call.is_write else self.reads
         await budget.take(deadline, call.step)
         self.circuit.enter(call.step, self.url)
-        left = max(0.001, deadline - self.clock.monotonic())
+        began, wall = self.clock.monotonic(), self.clock.wall()
+        left = max(0.001, deadline - began)
         unsure = ErrorCode.STORE_AMBIGUOUS if call.is_write else ErrorCode.STORE_UNAVAILABLE
         try:
             answer = await self.exchange(call, left)
@@ -200,6 +217,7 @@
         except BaseException:
             self.circuit.abandoned()
             raise
+        self.note_time(answer.headers.get("Date", ""), wall, self.clock.monotonic() - began)
         self.settle(call, answer.status, answer.headers)
         return answer
 
--- a/src/marjoramtide/platform/_object_store.py
+++ b/src/marjoramtide/platform/_object_store.py
@@ -51,6 +51,14 @@
         (a gap): the reader lists anew.
         """
 
+    def time(self, wall: float) -> float | None:
+        """Return the store's time where this node's is ``wall``, both in seconds since the epoch.
+
+        ``None`` while the store has not told it. Every node reads the same clock through it,
+        however wrong its own is. A store that tells no time is taken to have the node's.
+        """
+        return wall
+
     @abstractmethod
     async def close(self) -> None:
         """Close the connections to the store."""
--- a/standins/object_store/_app.py
+++ b/standins/object_store/_app.py
@@ -3,8 +3,10 @@
 import asyncio
 import base64
 import json
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from email.utils import formatdate
 
 import attrs
 from aiohttp import web
@@ -34,6 +36,7 @@
         self.writes = Rate(writes_per_s)
         self.reads = Rate(reads_per_s)
         self.counts: Counter[str] = Counter()
+        self.clock_ahead_s = 0.0
         self.late: list[Callable[[], object]] = []
         self.mode_changed = asyncio.Event()
         self.hung = asyncio.Event()
@@ -41,6 +44,7 @@
     def app(self) -> web.Application:
         """Return the application."""
         app = web.Application(client_max_size=2 * MAX_VALUE_BYTES, middlewares=[self.fail])
+        app.on_response_prepare.append(self.tell_time)
         app.router.add_get("/v1/objects", self.list_objects)
         app.router.add_get("/v1/objects/{key:.+}", self.get)
         app.router.add_put("/v1/objects/{key:.+}", self.put)
@@ -79,6 +83,10 @@
             return web.Response(status=429, headers={**NO_EFFECT, "Retry-After": "1"})
         return await handler(request)
 
+    async def tell_time(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Put the store's time on every answer, as HTTP servers do."""
+        response.headers["Date"] = formatdate(time.time() + self.clock_ahead_s, usegmt=True)
+
     def cut(self, request: web.Request) -> web.Response:
         """Close the connection without an answer."""
         if request.transport is not None:
