Stop serving after any freeze, and tell in force only when lost members have stopped

A member that was found dead a moment ago may only be cut off and serve by the old settings until its bound is over; a change is told to be in force only after that. Seen on 13 real nodes: one that was stopped by a signal was found dead 2.8 s after the change was asked for, and the change was told to be in force then. A node that was frozen, for however short, refuses callers until it has asked again, which it does at once. Peers are asked before the store when a node starts.

--- a/features/settings/following.feature
+++ b/features/settings/following.feature
@@ -84,6 +84,24 @@
     And within 5 s the settings node c is current, and then has slots 11
     And every settings node has slots 11 for mapdesk
 
+  Scenario: A short freeze, within the bound
+    The node sleeps less than the bound, but long enough for a change to pass it by. It refuses
+    callers from its first look at the clock until it has asked again.
+    Given the settings node c is frozen right after it asked
+    And 1 s pass for the settings nodes
+    When the settings node c wakes
+    Then the settings node c is not current
+    And in less than 1 s the settings node c is current
+
+  Scenario: A member is found dead that is only cut off
+    Its callers still reach it, and for some seconds it takes itself for current and serves by the
+    old settings. The operator is told "in force" only when it has stopped.
+    Given the settings node c is cut off from all
+    And the settings node c is found dead
+    When an operator at a sets slots = 11 in /services/mapdesk and waits 30 s
+    Then the change is accepted as revision 2
+    And the change is in force and the settings node c is not current
+
   Scenario: A frozen node finds an answer from before in its socket
     It freezes between a question and the answer. Dated by its arrival, the old answer would pass
     for news: the node would serve callers by settings replaced minutes ago.
@@ -150,6 +168,19 @@
     Then no settings node is current
     And within 10 s every settings node is current
 
+  Scenario: Many nodes were frozen at once, and ask each other when they wake
+    None of them knows of the change. One that takes another's word for it would serve callers by
+    the old settings.
+    Given settings nodes d, e, f, g, h join
+    And the settings nodes c, d, e, f, g, h are frozen
+    And 20 s pass for the settings nodes
+    And an operator at a insists on slots = 11 in /services/mapdesk
+    And the settings store is down
+    And no settings gossip
+    When every settings node wakes
+    Then for 10 s no settings node is current but by slots 11
+    And every settings node is current
+
   Scenario: A node that can't read the revision in force stops taking callers' requests
     A newer program wrote a key that this one doesn't know. Serving on would be by settings that
     are no longer in force.
--- a/features/steps/settings_fleet_steps.py
+++ b/features/steps/settings_fleet_steps.py
@@ -8,6 +8,7 @@
 
 from features.settings_fakes import STEP_S, Fleet, Node
 from marjoramtide.errors import MarjoramtideError
+from marjoramtide.membership import MemberState
 from marjoramtide.settings import Edit, EditAction, Envelope, decode_envelope
 from marjoramtide.settings.sync import ChangeOutcome, ChangeRequest, Progress
 
@@ -16,15 +17,14 @@
 
 
 def ask(
-    context: Any, node: Node, *edits: Edit, rollback_to: int | None = None, insist: bool = False
+    context: Any, node: Node, *edits: Edit, wait_s: float = WAIT_S, **options: Any
 ) -> ChangeRequest:
     return ChangeRequest(
         author=f"operator at {node.member.node}",
         base=node.service.view.revision,
         edits=edits,
-        rollback_to=rollback_to,
-        insist=insist,
-        wait_s=WAIT_S,
+        wait_s=wait_s,
+        **options,
     )
 
 
@@ -248,6 +248,28 @@
     context.fleet.nodes[name].running.clear()
 
 
+@given("the settings node {name} is found dead")
+def given_found_dead(context: Any, name: str) -> None:
+    for other in nodes(context):
+        found = other.known.pop(name, None)
+        for listener in other.listeners if found else ():
+            listener(attrs.evolve(found, state=MemberState.DEAD))
+
+
+@given("the settings nodes {names} are frozen")
+def given_nodes_frozen(context: Any, names: str) -> None:
+    for name in names.split(", "):
+        context.fleet.nodes[name].running.clear()
+
+
+@given("the settings node {name} is frozen right after it asked")
+def given_frozen_after(context: Any, name: str) -> None:
+    node = context.fleet.nodes[name]
+    asked_at = node.service.view.freshness.caught_up_at
+    within(context, 9, lambda: node.service.view.freshness.caught_up_at > asked_at)
+    node.running.clear()
+
+
 @given("the settings node {name} is frozen while a peer's answer is on its way")
 def given_frozen_mid_answer(context: Any, name: str) -> None:
     node = context.fleet.nodes[name]
@@ -337,11 +359,19 @@
     write_tree(context, text.replace("\\n", "\n"))
 
 
-@when("an operator at {name} sets {key} = {value:d} in {branch}")
+@when("an operator at {name:w} sets {key:w} = {value:d} in {branch:S}")
 def when_sets(context: Any, name: str, key: str, value: int, branch: str) -> None:
     change(context, name, set_slots(branch, value, key))
 
 
+@when("an operator at {name:w} sets {key:w} = {value:d} in {branch:S} and waits {seconds:d} s")
+def when_sets_waiting(
+    context: Any, name: str, key: str, value: int, branch: str, seconds: int
+) -> None:
+    change(context, name, set_slots(branch, value, key), wait_s=seconds)
+
+
+@given("an operator at {name} insists on {key} = {value:d} in {branch}")
 @when("an operator at {name} insists on {key} = {value:d} in {branch}")
 def when_insists(context: Any, name: str, key: str, value: int, branch: str) -> None:
     change(context, name, set_slots(branch, value, key), insist=True)
@@ -497,6 +527,19 @@
     assert all(node.service.view.is_current for node in nodes(context))
 
 
+@then("in less than 1 s the settings node {name} is current")
+def then_current_soon(context: Any, name: str) -> None:
+    within(context, 0.5, lambda: context.fleet.nodes[name].service.view.is_current)
+
+
+@then("for {seconds:d} s no settings node is current but by slots {value:d}")
+def then_current_by(context: Any, seconds: int, value: int) -> None:
+    for _ in range(round(seconds / STEP_S)):
+        wrong = [node for node in nodes(context) if slots(node) != value]
+        assert not any(node.service.view.is_current for node in wrong), wrong
+        context.fleet.pass_time(STEP_S)
+
+
 @then("within {seconds:d} s every settings node is current")
 def then_all_current_within(context: Any, seconds: int) -> None:
     within(context, seconds, lambda: all(node.service.view.is_current for node in nodes(context)))
@@ -512,6 +555,12 @@
     assert all(seen == sorted(seen) for seen in context.history.values()), context.history
 
 
+@then("the change is in force and the settings node {name} is not current")
+def then_in_force(context: Any, name: str) -> None:
+    assert context.told.in_force, context.told
+    assert not context.fleet.nodes[name].service.view.is_current
+
+
 @then("all of that took less than {seconds:d} s")
 def then_took(context: Any, seconds: int) -> None:
     assert context.took < seconds, context.took
--- a/features/steps/settings_tree_steps.py
+++ b/features/steps/settings_tree_steps.py
@@ -6,7 +6,7 @@
 import attrs
 from behave import given, then
 
-from marjoramtide.clock import ManualClock
+from marjoramtide.clock import FreezeDetector, ManualClock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.policy import LIMITERS, SELECTORS
 from marjoramtide.settings import (
@@ -24,7 +24,9 @@
 
 
 def view_of(text: str, region: str = "r", data_centre: str = "d") -> TreeSettingsView:
-    view = TreeSettingsView(Place(region, data_centre), Freshness(ManualClock()))
+    clock = ManualClock()
+    freshness = Freshness(clock, FreezeDetector(clock))
+    view = TreeSettingsView(Place(region, data_centre), freshness)
     view.install(Envelope(1, "lineage", "change", "author", 0.0, "", [], text), parse_tree(text))
     return view
 
--- a/src/marjoramtide/cli/_session.py
+++ b/src/marjoramtide/cli/_session.py
@@ -12,6 +12,8 @@
 from marjoramtide.cli._output import Output
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 
+NAMED = 5
+
 
 @attrs.frozen(slots=True)
 class Session:
@@ -56,7 +58,8 @@
 
     def _show_progress(self, progress: dict[str, Any]) -> None:
         nodes = progress.get("nodes") or []
-        waiting = f"; waiting for {', '.join(nodes)}" if nodes else ""
+        more = f" and {len(nodes) - NAMED} more" if len(nodes) > NAMED else ""
+        waiting = f"; waiting for {', '.join(nodes[:NAMED])}{more}" if nodes else ""
         message = progress.get("message", "")
         self.output.progress(message + waiting if message else "")
 
--- a/src/marjoramtide/operators/_app.py
+++ b/src/marjoramtide/operators/_app.py
@@ -36,6 +36,7 @@
                 "digest": settings.digest,
                 "current": settings.is_current,
                 "unreadable": settings.freshness.unreadable,
+                "store_answers": self.node.settings.follower.store_answers,
                 "watcher": self.node.settings.follower.is_watcher(),
             },
             "members": len(members),
--- a/src/marjoramtide/settings/_freshness.py
+++ b/src/marjoramtide/settings/_freshness.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from marjoramtide.clock import Clock
+from marjoramtide.clock import Clock, FreezeDetector
 
 DEFAULT_BOUND_S = 8.0
 
@@ -12,10 +12,11 @@
     """Remembers when this node last caught up with the store or another node.
 
     ``bound_s`` is how long, in seconds, that holds good. ``unreadable`` is a revision known to be
-    in force that this node couldn't read.
+    in force that this node couldn't read. ``freeze`` must be ticking (``FreezeDetector.run``).
     """
 
     clock: Clock
+    freeze: FreezeDetector
     bound_s: float = DEFAULT_BOUND_S
     caught_up_at: float | None = None
     unreadable: int = 0
@@ -31,11 +32,15 @@
 
     @property
     def is_current(self) -> bool:
-        """Tell whether the last catching up is within the bound.
+        """Tell whether the last catching up is within the bound, and since the last freeze.
 
-        The age is computed at each call, not set by a task: a process that was frozen must answer
+        Both are computed at each call, not set by a task: a process that was frozen must answer
         False to the first request after it wakes, before any of its tasks has run.
         """
+        now = self.clock.monotonic()
+        self.freeze.was_frozen(now)
         if self.caught_up_at is None or self.unreadable:
             return False
-        return self.clock.monotonic() - self.caught_up_at <= self.bound_s
+        if self.caught_up_at < self.freeze.thawed_at:
+            return False
+        return now - self.caught_up_at <= self.bound_s
--- a/src/marjoramtide/settings/sync/_change_maker.py
+++ b/src/marjoramtide/settings/sync/_change_maker.py
@@ -34,6 +34,14 @@
     peers: PeerSettings
     directory: Directory
     clock: Clock
+    lost_at: dict[str, float] = attrs.field(factory=dict)
+
+    def member_changed(self, member: Member) -> None:
+        """Remember when a member was found dead; one that comes back or leaves is no matter."""
+        if member.state is MemberState.DEAD:
+            self.lost_at.setdefault(member.node, self.clock.monotonic())
+        else:
+            self.lost_at.pop(member.node, None)
 
     async def make(self, request: ChangeRequest, report: Report) -> ChangeOutcome:
         """Make a change; returns once it is in force, or ``wait_s`` after it was accepted.
@@ -157,14 +165,21 @@
         )
 
     async def _wait_in_force(self, revision: int, wait_s: float, report: Report) -> list[str]:
-        """Wait until every live member reports the revision; return the ones that don't."""
+        """Wait until the revision is in force everywhere; return the members where it isn't.
+
+        Live members report it. A member that was found dead a moment ago may only be frozen or cut
+        off: it could wake and serve callers by the old settings, after the operator was told that
+        the new ones are in force. It stops by itself once its last catching up is older than the
+        bound, so nothing is told before that much time has passed since it was lost.
+        """
         until = self.clock.monotonic() + wait_s
         told: list[str] | None = None
         while True:
             members = [member for member in self.directory.members() if _counts(member)]
-            laggards = [member.node for member in members if member.revision < revision]
+            behind = [member.node for member in members if member.revision < revision]
+            laggards = [*behind, *self._lately_lost()]
             if laggards != told:
-                level = len(members) - len(laggards)
+                level = len(members) - len(behind)
                 message = f"in force on {level} of {len(members)} members"
                 report(Progress("in-force", message, tuple(laggards[:NODES_NAMED])))
                 told = laggards
@@ -172,6 +187,12 @@
                 return laggards
             await self.clock.sleep(IN_FORCE_CHECK_S)
 
+    def _lately_lost(self) -> list[str]:
+        """Return the members found dead that may still take themselves for current."""
+        oldest = self.clock.monotonic() - self.view.freshness.bound_s
+        self.lost_at = {node: lost for node, lost in self.lost_at.items() if lost > oldest}
+        return list(self.lost_at)
+
 
 def _counts(member: Member) -> bool:
     return member.state not in (MemberState.LEAVING, MemberState.DEAD)
--- a/src/marjoramtide/settings/sync/_follower.py
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -22,6 +22,7 @@
 CATCH_UP_PEERS = 3
 DOUBTFUL_ROUNDS = 3
 WATCH_WAIT_S = 30.0
+PAUSE_STEP_S = 0.2
 ROLE_CHECK_S = 1.0
 PULL_MOST_S = 5.0
 
@@ -33,7 +34,8 @@
     """Three loops: catch up and stay fresh, watch the store where chosen, pull what gossip names.
 
     ``missed`` is true while the last round found nobody, ``peers_answered`` where any peer answered
-    it; ``doubtful_rounds`` counts rounds whose answers weren't enough to go on.
+    it; ``doubtful_rounds`` counts rounds whose answers weren't enough to go on. ``store_answers``
+    is ``None`` on a node that had no reason to ask the store yet.
     """
 
     view: TreeSettingsView
@@ -46,6 +48,7 @@
     missed: bool = False
     peers_answered: bool = False
     doubtful_rounds: int = 0
+    store_answers: bool | None = None
     gossiped: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
@@ -73,49 +76,50 @@
             if await self.check():
                 waits = backoff(self.rng)
                 wait = self.freshness.bound_s / CHECKS_IN_BOUND
-                await self.clock.sleep(wait * (0.75 + self.rng.random() / 4))
+                await self._pause(wait * (0.75 + self.rng.random() / 4))
             else:
                 await self.clock.sleep(next(waits))
 
+    async def _pause(self, seconds: float) -> None:
+        """Wait in short steps, at most until this node finds that it isn't current any more.
+
+        A node that was frozen refuses callers until it has asked again, so it asks at once. Looking
+        at the clock in each step is also what finds a freeze in which no request arrived.
+        """
+        until = self.clock.monotonic() + seconds
+        while self.clock.monotonic() < until and self.view.is_current:
+            await self.clock.sleep(PAUSE_STEP_S)
+
     async def check(self) -> bool:
         """Make one round of questions; return whether this node has caught up by it.
 
-        While fresh, one peer is asked, several after a round that found nobody, and the store only
-        if none answers. A node that isn't current (at start, cut off, frozen) asks the store and
-        several peers, those that report most first.
+        While fresh, one peer is asked, several after a round that found nobody. A node that isn't
+        current (at start, cut off, frozen) asks several, those that report most first. The store is
+        asked only if no peer that is current answers, so that neither a fleet that restarts nor one
+        that lost its other region falls upon it.
         """
         asked_at = self.clock.monotonic()
-        count = CATCH_UP_PEERS if self.missed else 1
-        if self.view.is_current:
-            found = await self._ask_peers(count) or await self._ask_store()
-        else:
-            found = await self._catch_up()
+        was_current = self.view.is_current
+        count = 1 if was_current and not self.missed else CATCH_UP_PEERS
+        found = await self._ask_peers(count) or await self._ask_store()
+        if not (found or was_current):
+            found = self._goes_on()
         self.missed = not found
         if found:
             self.doubtful_rounds = 0
             self.freshness.caught_up(asked_at)
         return found
 
-    async def _catch_up(self) -> bool:
-        """Ask the store and several peers; return whether their answers are enough to go on.
-
-        A node that starts may get an old tree from a stale store, a node that wakes an old one from
-        another that was frozen with it. Going on with that, it would serve callers by settings
-        replaced long ago. So both sides are asked, the highest revision counts, and an answer is
-        not enough while only nodes give it that aren't current themselves, or while gossip tells of
-        a higher revision.
+    def _goes_on(self) -> bool:
+        """Tell whether a node goes on by the answers of peers that aren't current themselves.
 
-        But where a whole region was stopped, or started while the store is down, nobody is current,
-        and a node that reported a higher revision may be gone: waiting would never end. After
-        several such rounds, each with other peers, the node goes on with the highest it has.
+        A node that was frozen must not be told that all is well by another that was frozen with it:
+        it would serve callers by settings replaced long ago. So such answers are not enough. But
+        where a whole region was stopped, or started while the store is down, nobody is current, and
+        waiting for someone who is would never end: after several rounds, each with other peers, the
+        node goes on with the highest revision that it was given.
         """
-        store_answered, peer_is_current = await asyncio.gather(
-            self._ask_store(), self._ask_peers(CATCH_UP_PEERS)
-        )
-        somebody = store_answered or peer_is_current or self.peers_answered
-        if (store_answered or peer_is_current) and not self.peers.ahead(self.view.revision):
-            return True
-        self.doubtful_rounds += somebody
+        self.doubtful_rounds += self.peers_answered
         if self.doubtful_rounds < DOUBTFUL_ROUNDS or not self.view.revision:
             return False
         log.warning("settings.going_on", revision=self.view.revision)
@@ -126,8 +130,10 @@
         try:
             stored = await self.trees.read()
         except MarjoramtideError as error:
+            self.store_answers = False
             log.info("settings.store", error=str(error), code=error.code)
             return False
+        self.store_answers = True
         if stored is None:
             # No tree: true of a fleet that has none yet, but also what a stale read says.
             return self.view.revision == 0
@@ -171,6 +177,7 @@
                 await self.watch_once()
                 waits = backoff(self.rng)
             except MarjoramtideError as error:
+                self.store_answers = False
                 log.info("settings.watch", error=str(error), code=error.code)
                 await self.clock.sleep(next(waits))
 
@@ -181,6 +188,7 @@
         or a gap in its history) is missed for one watch at most.
         """
         stored = await self.trees.read()
+        self.store_answers = True
         if stored:
             self.adopter.adopt(stored.envelope, "store")
         since = stored.version if stored else 0
--- a/src/marjoramtide/settings/sync/_service.py
+++ b/src/marjoramtide/settings/sync/_service.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from marjoramtide.clock import Clock
+from marjoramtide.clock import Clock, FreezeDetector
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.membership import Directory
 from marjoramtide.peers import ControlChannel
@@ -51,12 +51,16 @@
     view: TreeSettingsView
     follower: Follower
     maker: ChangeMaker
+    own_freeze: FreezeDetector | None = None
     changes: set["asyncio.Task[ChangeOutcome]"] = attrs.field(factory=set)
 
     async def run(self) -> None:
         """Follow the tree until cancelled."""
         try:
-            await self.follower.run()
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self.follower.run())
+                if self.own_freeze:
+                    tasks.create_task(self.own_freeze.run())
         finally:
             for change in self.changes:
                 change.cancel()
@@ -110,18 +114,24 @@
     control_channel: ControlChannel,
     clock: Clock,
     rng: random.Random | None = None,
+    freeze: FreezeDetector | None = None,
 ) -> SettingsService:
-    """Return the settings part of the node that ``node_settings`` describes."""
+    """Return the settings part of the node that ``node_settings`` describes.
+
+    A ``freeze`` that is handed in is run by its owner; without one the service runs its own.
+    """
     rng = rng or random.Random()
+    detector = freeze or FreezeDetector(clock)
     place = Place(node_settings.region, node_settings.data_centre)
-    view = TreeSettingsView(place, Freshness(clock))
+    view = TreeSettingsView(place, Freshness(clock, detector))
     trees = TreeStore(store, clock, rng)
     peers = PeerSettings(directory, control_channel, rng)
     adopter = Adopter(view, directory)
     follower = Follower(view, adopter, trees, peers, directory, clock, rng)
     maker = ChangeMaker(view, adopter, trees, peers, directory, clock)
-    service = SettingsService(view, follower, maker)
+    service = SettingsService(view, follower, maker, None if freeze else detector)
     control_channel.answer(PULL, service.answer_pull)
     control_channel.answer(PREPARE, service.answer_prepare)
     directory.on_change(follower.member_changed)
+    directory.on_change(maker.member_changed)
     return service
