Prove the stand-in and the verdicts; a policy without an answer is not a fast one

A policy that completed nothing had a p99 of 0 ms and met every bound: found by the scenario written for it. Without completed calls a percentile is now endless and any bound on it missed. Closing a stand-in ends what still runs, instead of leaving it to a loop that is gone.

--- a/bench/replay/_expectation.py
+++ b/bench/replay/_expectation.py
@@ -45,7 +45,8 @@
         value = METRICS[self.metric](own, self.label, self.window)
         reference = self.reference(references)
         if self.at_most is not None:
-            bound, met = self.at_most * reference, value <= self.at_most * reference
+            bound = self.at_most * reference
+            met = value <= bound and value < float("inf")
         else:
             least = self.at_least or 0.0
             bound, met = least * reference, value >= least * reference
--- a/bench/replay/_figures.py
+++ b/bench/replay/_figures.py
@@ -80,9 +80,9 @@
 Metric = Callable[[Figures, str, tuple[float, float]], float]
 
 METRICS: dict[str, Metric] = {
-    "p50_ms": lambda figures, label, window: figures.tally(label, window).latency_ms(50),
-    "p99_ms": lambda figures, label, window: figures.tally(label, window).latency_ms(99),
-    "p99.9_ms": lambda figures, label, window: figures.tally(label, window).latency_ms(99.9),
+    "p50_ms": lambda figures, label, window: tail_ms(figures.tally(label, window), 50),
+    "p99_ms": lambda figures, label, window: tail_ms(figures.tally(label, window), 99),
+    "p99.9_ms": lambda figures, label, window: tail_ms(figures.tally(label, window), 99.9),
     "goodput": lambda figures, label, window: figures.goodput(label, window),
     "completed_share": lambda figures, label, window: share_of(
         figures.tally(label, window), Outcome.COMPLETED
@@ -113,6 +113,11 @@
 }
 
 
+def tail_ms(counts: Tally, percent: float) -> float:
+    """Return a percentile of latency; without a completed call it is endless, not 0."""
+    return counts.latency_ms(percent) if counts.latency.total_count else float("inf")
+
+
 def share_of(counts: Tally, outcome: Outcome) -> float:
     return counts.outcomes[outcome] / max(1, counts.calls)
 
--- a/standins/backend/_connection.py
+++ b/standins/backend/_connection.py
@@ -91,6 +91,8 @@
         self.task = None
         if self.pending:
             self.task = asyncio.create_task(self.answer(self.pending.popleft()))
+            self.server.answering.add(self.task)
+            self.task.add_done_callback(self.server.answering.discard)
 
     async def answer(self, request: Request) -> None:
         self.begun_unsafe = False
--- a/standins/backend/_server.py
+++ b/standins/backend/_server.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import time
 from collections import deque
 
 import attrs
@@ -36,6 +37,7 @@
         self.ledger = Ledger()
         self.journal: int | None = None
         self.connections: set[Connection] = set()
+        self.answering: set[asyncio.Task[None]] = set()
         self.thawed = asyncio.Event()
         self.thawed.set()
         self.cold_since = self.now()
@@ -46,7 +48,7 @@
 
     @staticmethod
     def now() -> float:
-        return asyncio.get_running_loop().time()
+        return time.monotonic()
 
     def happens(self, share: float) -> bool:
         return share > 0 and self.random.random() < share
@@ -216,14 +218,16 @@
         self.snapshots.clear()
 
     async def close(self) -> None:
-        """Stop listening and break every connection."""
+        """Stop listening, break every connection and end what still runs."""
         if self.listener is not None:
             self.listener.close()
-        if self.sampler is not None:
-            self.sampler.cancel()
         for connection in list(self.connections):
             if connection.transport is not None:
                 connection.transport.abort()
+        tasks = [*self.answering, *([self.sampler] if self.sampler is not None else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 async def start_backend(
