--- a/bench/replay/__main__.py
+++ b/bench/replay/__main__.py
@@ -4,7 +4,9 @@
 import asyncio
 import itertools
 import sys
+import tomllib
 from pathlib import Path
+from typing import Any
 
 from bench.replay._expectation import load_expectations, promises
 from bench.replay._figures import Figures
@@ -21,6 +23,11 @@
 DEFAULT_JOBS = 2
 
 
+def setting(text: str) -> dict[str, Any]:
+    """Read one ``key = value``; raises ``ValueError``, which argparse reports with the text."""
+    return tomllib.loads(text)
+
+
 def parse() -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="python -m bench.replay", description=__doc__)
     parser.add_argument(
@@ -38,6 +45,14 @@
     parser.add_argument(
         "--jobs", type=int, default=DEFAULT_JOBS, help="policies that are played at the same time"
     )
+    parser.add_argument(
+        "--set",
+        action="append",
+        default=[],
+        type=setting,
+        metavar="KEY=VALUE",
+        help="a value for the settings' root branch, as in TOML, under every policy",
+    )
     parser.add_argument("--logs", type=Path, help="keep the logs of all processes here")
     return parser.parse_args()
 
@@ -75,11 +90,12 @@
     ]
     progress = Progress(total=sum(len(policies_for(trace, options)) for trace in traces))
     turns = asyncio.Semaphore(options.jobs)
+    changes = dict(itertools.chain.from_iterable(each.items() for each in options.set))
 
     async def run(trace: Trace, policy: str) -> Figures:
         async with turns:
             progress.begin(trace.name, policy)
-            return await run_trace(trace, policy, options.logs)
+            return await run_trace(trace, policy, changes=changes, logs=options.logs)
 
     verdicts: list[Verdict] = []
     for trace in traces:
--- a/bench/replay/_fleet.py
+++ b/bench/replay/_fleet.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 from typing import Any, Self
 
+import tomlkit
+
 from bench.load import Backends, Caller, Outcome, PlannedCall, StandInReport
 from bench.replay._policies import DIRECT
 from bench.replay._seat import Seat
@@ -30,22 +32,24 @@
     ]
 
 
-def settings_text(site: Site, policy: str) -> str:
+def settings_text(site: Site, policy: str, changes: dict[str, Any]) -> str:
     """Return the settings tree of ``site``: the users differ by it alone."""
-    services = "".join(
-        f"[services.{service.name}]\nslots = {service.slots}\nconnections = {service.connections}\n"
+    services = {
+        service.name: {"slots": service.slots, "connections": service.connections}
         for service in site.services
-    )
-    return f'selector = "{policy}"\n{site.settings}{services}'
+    }
+    return tomlkit.dumps({**site.settings, "selector": policy, **changes, "services": services})
 
 
 class Fleet:
-    """A site that runs, under one selector of the settings."""
+    """A site that runs, under one selector and ``changes`` of the settings' root branch."""
 
-    def __init__(self, site: Site, policy: str, folder: Path, seed: int) -> None:
+    def __init__(
+        self, site: Site, policy: str, folder: Path, seed: int, changes: dict[str, Any]
+    ) -> None:
         self.site = site
         self.policy = policy
-        self.mesh = Mesh(folder, make_plans(site, seed), settings_text(site, policy))
+        self.mesh = Mesh(folder, make_plans(site, seed), settings_text(site, policy, changes))
         self.seats = [
             Seat(service, number, pair, with_node=policy != DIRECT)
             for (service, number, _), pair in zip(site.places(), self.mesh.nodes, strict=True)
--- a/bench/replay/_run.py
+++ b/bench/replay/_run.py
@@ -4,6 +4,7 @@
 import tempfile
 import time
 from pathlib import Path
+from typing import Any
 
 from bench.load import audit, play_in_workers
 from bench.replay._arrivals import arrivals
@@ -16,22 +17,25 @@
 WORKERS_START_S = 1.5
 
 
-async def run_trace(trace: Trace, policy: str, logs: Path | None = None) -> Figures:
+async def run_trace(
+    trace: Trace, policy: str, *, changes: dict[str, Any], logs: Path | None = None
+) -> Figures:
     """Start the site, play the trace, and return what was measured.
 
-    Logs of the processes go to a folder below ``logs``, or are dropped.
+    ``changes`` replaces values of the settings' root branch. Logs of the processes go to a folder
+    below ``logs``, or are dropped.
     """
     if logs is None:
         with tempfile.TemporaryDirectory() as dropped:
-            return await run_in(trace, policy, Path(dropped))
+            return await run_in(trace, policy, changes, Path(dropped))
     folder = logs / trace.name / policy
     folder.mkdir(parents=True, exist_ok=True)
-    return await run_in(trace, policy, folder)
+    return await run_in(trace, policy, changes, folder)
 
 
-async def run_in(trace: Trace, policy: str, folder: Path) -> Figures:
+async def run_in(trace: Trace, policy: str, changes: dict[str, Any], folder: Path) -> Figures:
     calls = arrivals(trace)
-    async with Fleet(trace.site, policy, folder, trace.seed) as fleet:
+    async with Fleet(trace.site, policy, folder, trace.seed, changes) as fleet:
         cpu_before_s = fleet.node_cpu_s()
         start = time.monotonic() + WORKERS_START_S
         timeline = asyncio.create_task(Timeline(trace.events, fleet).run(start))
--- a/bench/replay/_site.py
+++ b/bench/replay/_site.py
@@ -1,6 +1,7 @@
 """The users' sites of today, at their real sizes."""
 
 import itertools
+from typing import Any
 
 import attrs
 
@@ -18,13 +19,13 @@
 
 @attrs.frozen(slots=True)
 class Site:
-    """A user's services, its region and data centres, and what its settings set for the whole."""
+    """A user's services, its region and data centres, and what its settings set at the root."""
 
     name: str
     region: str
     data_centres: tuple[str, ...]
     services: tuple[Service, ...]
-    settings: str
+    settings: dict[str, Any]
 
     def places(self) -> list[tuple[Service, int, str]]:
         """Return service, number and data centre of each backend server, spread in turn."""
@@ -43,7 +44,7 @@
         Service("mapdesk", backends=10, slots=10, connections=250, service_ms=80),
         Service("licencehub", backends=3, slots=10, connections=250, service_ms=80),
     ),
-    settings="measuring_per_s = 1.0\nhedge_budget = 0.05\n",
+    settings={"measuring_per_s": 1.0, "hedge_budget": 0.05},
 )
 SABARMATI = Site(
     name="sabarmati",
@@ -53,6 +54,6 @@
         Service("case-desk", backends=6, slots=20, connections=200, service_ms=100),
         Service("claims-ledger", backends=3, slots=20, connections=200, service_ms=100),
     ),
-    settings="measuring_per_s = 0.5\nmeasuring_share = 0.004\nhedge_budget = 0.02\n",
+    settings={"measuring_per_s": 0.5, "measuring_share": 0.004, "hedge_budget": 0.02},
 )
 SITES = {site.name: site for site in (VATULELE, SABARMATI)}
