--- a/bench/load/_caller.py
+++ b/bench/load/_caller.py
@@ -40,9 +40,9 @@
             await self.session.close()
 
     async def attempt(self, call: PlannedCall, number: int) -> Attempt:
-        """Make one attempt, at up to three entries where the first can't be reached."""
+        """Make one attempt, at other entries where the first can't be reached."""
         addresses = self.entries[call.service]
-        chosen = self.random.sample(list(addresses), min(3, len(addresses)))
+        chosen = self.random.sample(list(addresses), len(addresses))
         request_id = call.request_id if number == 1 else f"{call.request_id}~{number}"
         sent = time.monotonic()
         for address in chosen:
--- a/bench/replay/_figures.py
+++ b/bench/replay/_figures.py
@@ -41,8 +41,12 @@
         return self.tally(label, window).completed_in_time / seconds
 
     def measuring_per_s(self) -> float:
-        """Return reads of health and load endpoints a second, at the server with the most."""
-        return max(reads(report) for report in self.reports) / self.played_s
+        """Return reads of health and load endpoints a second, at the server with the most.
+
+        One read less than were counted: a stretch of ``n`` seconds holds ``n + 1`` reads where they
+        come once a second.
+        """
+        return max(reads(report) - 1 for report in self.reports) / self.played_s
 
     def measuring_share(self) -> float:
         """Return the largest share of a server's capacity that reads of its endpoints took.
@@ -50,7 +54,7 @@
         A read is counted as a whole request, which overstates it.
         """
         return max(
-            reads(report) / self.played_s / capacity_per_s(self.services[report.address])
+            (reads(report) - 1) / self.played_s / capacity_per_s(self.services[report.address])
             for report in self.reports
         )
 
--- a/bench/replay/_table.py
+++ b/bench/replay/_table.py
@@ -14,6 +14,8 @@
     *("reads/s", "reads % cap.", "CPU ms/call", "load tool lag ms"),
 )
 
+REASONS_SHOWN = 4
+
 
 def align(rows: Sequence[Sequence[str]]) -> str:
     """Return rows as a table; the first column is flush left, the others right."""
@@ -68,7 +70,23 @@
     )
 
 
+def reason_lines(run: Figures) -> Iterator[str]:
+    """Yield why attempts did not complete, the most frequent reasons first."""
+    for reason, count in run.tally().reasons.most_common(REASONS_SHOWN):
+        yield f"{run.policy}: {count} x {reason}"
+
+
+def broken_lines(run: Figures) -> Iterator[str]:
+    """Yield the first broken promises by name, for a look into the logs."""
+    found = run.audit
+    for kind in ("duplicates", "false_not_run", "wrong", "unrun"):
+        names = getattr(found, kind)[:REASONS_SHOWN]
+        if names:
+            yield f"{run.policy}: {kind}: {', '.join(names)}"
+
+
 def table(runs: Sequence[Figures]) -> str:
-    """Return both tables of one trace; times are in milliseconds."""
+    """Return both tables of one trace and the reasons; times are in milliseconds."""
     classes = align([CLASS_COLUMNS, *class_rows(runs)])
-    return f"{classes}\n\n{align([RUN_COLUMNS, *map(run_row, runs)])}"
+    lines = (line for run in runs for line in (*reason_lines(run), *broken_lines(run)))
+    return "\n\n".join([classes, align([RUN_COLUMNS, *map(run_row, runs)]), "\n".join(lines)])
