Keep the client library from sending a lookup twice in the load tool

A data centre's loss showed 3 false "not run": the library had sent lookups whose connection broke a second time by itself, to the dead entry, and the load tool took that for "nothing was sent" and asked another entry, which refused. Ruled out: the ingress node's own retries, which keep an unknown first try in mind. The new scenario fails with the safeguard taken out (the lookup ran twice).

--- a/bench/load/_caller.py
+++ b/bench/load/_caller.py
@@ -33,6 +33,9 @@
     async def __aenter__(self) -> Self:
         connector = aiohttp.TCPConnector(limit=0, ttl_dns_cache=None, keepalive_timeout=10)
         self.session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        # The library sends a GET a second time by itself when a kept connection breaks. The first
+        # sending may have run, so a refusal of the second would look like a false "not run".
+        self.session._retry_connection = False
         return self
 
     async def __aexit__(self, *_: object) -> None:
--- a/features/bench/load_tool.feature
+++ b/features/bench/load_tool.feature
@@ -42,6 +42,13 @@
     Then the load tool counts 3 calls as "unknown"
     And the audit finds no broken promise
 
+  Scenario: The load tool never sends a request twice by itself
+    # The first lookup leaves a kept connection. The second is run, and the connection breaks before
+    # its answer: a client library that sends it again would hide the loss and blame the balancer.
+    Given a load-tool backend server that loses every answer after the first
+    When the load tool makes two lookups over one connection
+    Then the second lookup ran once and is "unknown"
+
   Scenario: Every planned call is sent while the server stalls
     # The server accepts and answers nothing. A tool that waits for answers would send a handful and
     # leave the stall out of its percentiles; this one sends the whole plan regardless.
--- a/features/steps/bench_steps.py
+++ b/features/steps/bench_steps.py
@@ -6,9 +6,20 @@
 
 from behave import given, then, when
 
-from bench.load import Attempt, Audit, Backends, OpenLoop, Outcome, PlannedCall, audit, play, tally
+from bench.load import (
+    Attempt,
+    Audit,
+    Backends,
+    Caller,
+    OpenLoop,
+    Outcome,
+    PlannedCall,
+    audit,
+    play,
+    tally,
+)
 from marjoramtide.clock import ManualClock
-from standins.backend import BackendServer, start_backend
+from standins.backend import BackendServer, Faults, start_backend
 
 SERVICE = "mapdesk"
 
@@ -69,6 +80,31 @@
     context.faults = {fault: 1.0}
 
 
+async def look_up_twice(calls: list[PlannedCall]) -> tuple[Attempt, int]:
+    server = await start({})
+    async with Caller({SERVICE: [server.name]}) as caller:
+        await caller.attempt(calls[0], 1)
+        server.set_faults(Faults(close_before_answer=1.0))
+        attempt = await caller.attempt(calls[1], 1)
+    await server.close()
+    return attempt, server.ledger.requests[calls[1].request_id]
+
+
+@given("a load-tool backend server that loses every answer after the first")
+def step_loses(context: Any) -> None:
+    context.calls = planned(2, "GET")
+
+
+@when("the load tool makes two lookups over one connection")
+def step_two(context: Any) -> None:
+    context.second, context.runs = asyncio.run(look_up_twice(context.calls))
+
+
+@then('the second lookup ran once and is "{outcome}"')
+def step_second(context: Any, outcome: str) -> None:
+    assert (context.runs, context.second.outcome) == (1, outcome), (context.runs, context.second)
+
+
 @given("a load-tool backend server that is frozen")
 def step_frozen(context: Any) -> None:
     context.faults = {"freeze": True}
