Refuse bad HTTP with our own answer and one log line; bound slow heads and broken bodies

The library answered what it could not parse with a bare 400 and an error line without the reason: no Request-Outcome, oversized heads as 400, HTTP/0.9, fragments, codings before chunked and a chunked HTTP/1.0 body were served.

A chunk that breaks the protocol amid a body was only queued as the next request: whoever read the body waited until the deadline with a slot in hand. The reader is told at once now. A body that trickles is bounded by the deadline, a head by 5 s, all lines of a head by 32 KiB.

A body that the caller breaks off is no longer counted against the node that was to read it.

--- a/src/marjoramtide/errors/_codes.py
+++ b/src/marjoramtide/errors/_codes.py
@@ -15,6 +15,7 @@
     DEPTH_EXCEEDED = "depth-exceeded"
     BODY_TOO_LARGE = "body-too-large"
     HEAD_TOO_LARGE = "head-too-large"
+    SLOW_CALLER = "slow-caller"
     DEADLINE = "deadline"
     OVERLOADED = "overloaded"
     DRAINING = "draining"
--- a/src/marjoramtide/exchange/__init__.py
+++ b/src/marjoramtide/exchange/__init__.py
@@ -7,6 +7,7 @@
 from marjoramtide.exchange._outcome import Outcome
 from marjoramtide.exchange._request import Request
 from marjoramtide.exchange._request_body import INLINE_BYTES, RequestBody, inline_body, stream_body
+from marjoramtide.exchange._target import is_origin_form
 
 __all__ = [
     "INLINE_BYTES",
@@ -21,5 +22,6 @@
     "UnknownOutcomeError",
     "end_to_end",
     "inline_body",
+    "is_origin_form",
     "stream_body",
 ]
--- a/src/marjoramtide/exchange/_request_body.py
+++ b/src/marjoramtide/exchange/_request_body.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from marjoramtide.errors import MarjoramtideError
+
 INLINE_BYTES = 64 * 1024
 
 
@@ -13,13 +15,15 @@
 
     A body of up to ``INLINE_BYTES`` is held in memory and may be sent to a second node. A larger
     one is read from the caller only when a serving node has admitted the request; from then on
-    ``opened`` is true and no other node can be given it.
+    ``opened`` is true and no other node can be given it. ``error`` tells how the caller's stream
+    broke off, so that its fault is not taken for the backend server's.
     """
 
     inline: bytes | None = None
     stream: AsyncIterator[bytes] | None = None
     length: int | None = None
     opened: bool = False
+    error: MarjoramtideError | None = None
 
     @property
     def repeatable(self) -> bool:
--- /dev/null
+++ b/src/marjoramtide/ingress/_caller_connection.py
@@ -0,0 +1,147 @@
+"""One connection of a caller."""
+
+import asyncio
+from typing import Any
+
+import structlog
+from aiohttp import web
+from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError, LineTooLong
+from aiohttp.web_protocol import RequestHandler, _ErrInfo
+
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.exchange import UnknownOutcomeError
+from marjoramtide.ingress._refusal import refusal
+from marjoramtide.telemetry import Metrics
+
+log = structlog.get_logger()
+
+STEP = "ingress.parse"
+HEAD_TIMEOUT_S = 5.0
+TOO_MANY_HEADERS = "Too many headers received"
+MAX_REASON_CHARACTERS = 100
+
+
+class CallerConnection(RequestHandler):
+    """The library's connection, with a bound on the time of a head and our own refusals."""
+
+    __slots__ = ("head_timer", "metrics", "node")
+
+    def __init__(self, node: str, metrics: Metrics, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.node = node
+        self.metrics = metrics
+        self.head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        # The library's own timer only ends connections that have answered a request before.
+        self.start_head_timer(self.keepalive_timeout)
+
+    def data_received(self, data: bytes) -> None:
+        # A caller that sends a byte now and then would hold a connection, and a file descriptor of
+        # this process, for ever; enough of them and nobody else can connect. The timer starts with
+        # the first byte of a head and is not moved by later ones.
+        waiting = self._waiter is not None and not self._messages
+        super().data_received(data)
+        if self._messages or not waiting:
+            self.stop_head_timer()
+        else:
+            self.start_head_timer(HEAD_TIMEOUT_S)
+        self.fail_broken_body()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self.stop_head_timer()
+        super().connection_lost(exc)
+
+    def fail_broken_body(self) -> None:
+        """Tell whoever reads a body that what follows in it breaks the protocol.
+
+        The library only queues the error as the next request. The reader of the body would wait
+        for the rest until its deadline, with a slot of the backend server in its hands.
+        """
+        errors = [message.exc for message, _ in self._messages if isinstance(message, _ErrInfo)]
+        if not errors:
+            return
+        bodies = [body for _, body in self._messages]
+        if self._current_request is not None:
+            bodies.append(self._current_request.content)
+        for body in bodies:
+            if not body.is_eof():
+                body.set_exception(errors[0])
+                self._lingering_time = 0.0  # nothing sensible follows
+
+    def start_head_timer(self, seconds: float) -> None:
+        """End the connection after ``seconds`` unless a head is complete, or the timer sooner."""
+        loop = asyncio.get_running_loop()
+        due = loop.time() + seconds
+        if self.head_timer is not None:
+            if self.head_timer.when() <= due:
+                return
+            self.head_timer.cancel()
+        self.head_timer = loop.call_at(due, self.end_slow_head)
+
+    def stop_head_timer(self) -> None:
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+            self.head_timer = None
+
+    def end_slow_head(self) -> None:
+        """Close the connection: its head took too long."""
+        self.head_timer = None
+        caller = self.peername
+        log.info(
+            "ingress.refused",
+            code=ErrorCode.SLOW_CALLER,
+            step=STEP,
+            peer="",
+            reason="no whole request head in time",
+            caller=caller[0] if isinstance(caller, tuple) else "",
+            outcome="not-run",
+        )
+        self.metrics.count(f"ingress.refused.{ErrorCode.SLOW_CALLER}")
+        self.force_close()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer what the library could not parse, or what our own code let escape."""
+        error = parse_error(exc)
+        caller = request.remote
+        if isinstance(error, UnknownOutcomeError):
+            log.error("ingress.failed", **fields(error, caller), exc_info=exc)
+        else:
+            log.info("ingress.refused", **fields(error, caller))
+        self.metrics.count(f"ingress.refused.{error.code}")
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun; the connection is broken off")
+        response = refusal(error, self.node)
+        response.force_close()
+        return response
+
+
+def fields(error: MarjoramtideError, caller: str | None) -> dict[str, Any]:
+    """Return what the log tells of a refusal."""
+    return {
+        "code": error.code,
+        "step": error.step,
+        "peer": error.peer,
+        "reason": error.message,
+        "caller": caller,
+        "outcome": "unknown" if isinstance(error, UnknownOutcomeError) else "not-run",
+    }
+
+
+def parse_error(exc: BaseException | None) -> MarjoramtideError:
+    """Return our error for what the library raised."""
+    if not isinstance(exc, HttpProcessingError):
+        return UnknownOutcomeError(ErrorCode.INTERNAL, "the node failed", step="ingress.handle")
+    too_many = isinstance(exc, BadHttpMessage) and exc.message == TOO_MANY_HEADERS
+    if too_many or isinstance(exc, LineTooLong):
+        return MarjoramtideError(ErrorCode.HEAD_TOO_LARGE, "the head is too large", step=STEP)
+    # The first line says what is wrong; the rest quotes the caller's bytes.
+    reason = exc.message.partition("\n")[0].rstrip(":")[:MAX_REASON_CHARACTERS]
+    return MarjoramtideError(ErrorCode.BAD_REQUEST, reason, step=STEP)
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -198,6 +198,9 @@
         now = self.clock.monotonic()
         elapsed_ms = (now - started) * 1000
         match error:
+            case _ if attempts.body.error is not None:
+                # The caller's body broke off; the node that was to read it is not to blame.
+                selector.cancelled(node, now, elapsed_ms=elapsed_ms)
             case NotRunError(code=ErrorCode.CONNECT_FAILED | ErrorCode.PEER_LOST):
                 selector.lost(node, now, elapsed_ms=elapsed_ms)
                 self.directory.report_failure(node)
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -8,13 +8,15 @@
 
 from marjoramtide.clock import Clock, FreezeDetector
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.exchange import Answer, NotRunError, Outcome, Request, UnknownOutcomeError
+from marjoramtide.exchange import Answer, NotRunError, Outcome, Request, RequestBody
+from marjoramtide.ingress._caller_connection import fields
+from marjoramtide.ingress._caller_server import CallerServer
 from marjoramtide.ingress._dispatcher import Dispatcher
 from marjoramtide.ingress._library_log import LibraryLog
 from marjoramtide.ingress._read_body import read_body
 from marjoramtide.ingress._read_request import read_request
 from marjoramtide.ingress._refusal import refusal
-from marjoramtide.settings import SettingsView
+from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, Tracer, read_trace
 
 log = structlog.get_logger()
@@ -22,6 +24,9 @@
 MAX_LINE_BYTES = 8190
 MAX_HEADERS = 100
 KEEP_ALIVE_S = 75.0
+# After a refusal the rest of a body is read and dropped for so long: a connection that is closed
+# with bytes unread is reset, and the caller might lose the answer.
+LINGER_S = 2.0
 COME_BACK_MS = 1000
 
 
@@ -53,7 +58,9 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen on the callers' address."""
-        server = web.Server(
+        server = CallerServer(
+            self.node,
+            self.metrics,
             self.handle,
             handler_cancellation=True,
             access_log=None,
@@ -63,6 +70,7 @@
             max_headers=MAX_HEADERS,
             auto_decompress=False,
             keepalive_timeout=KEEP_ALIVE_S,
+            lingering_time=LINGER_S,
         )
         self.runner = web.ServerRunner(server, shutdown_timeout=0.5)
         await self.runner.setup()
@@ -75,6 +83,17 @@
         started = self.clock.monotonic()
         try:
             response = await self.answer(http, started)
+        except asyncio.CancelledError:
+            if not http.content.is_eof():
+                self.metrics.count("ingress.caller_left")
+                log.info(
+                    "ingress.caller_left",
+                    code=ErrorCode.TRUNCATED,
+                    step="ingress.read_body",
+                    peer="",
+                    caller=http.remote,
+                )
+            raise
         finally:
             self.in_progress -= 1
             if not self.in_progress:
@@ -83,10 +102,11 @@
         return response
 
     async def answer(self, http: web.BaseRequest, now: float) -> web.StreamResponse:
+        body: RequestBody | None = None
         try:
             self.check_open(now)
             request, settings = read_request(http, self.view, self.tracer, now)
-            body = await read_body(http, settings.max_body_bytes)
+            body = await self.read_body(http, request, settings)
             trace = read_trace(request.trace)
             assert trace is not None
             with self.tracer.span("ingress", trace) as span:
@@ -95,7 +115,24 @@
                 answer = await self.dispatcher.dispatch(request, body, settings)
             return await self.send(http, request, answer)
         except MarjoramtideError as error:
-            return self.refuse(http, error)
+            broken = body.error if body is not None else None
+            return self.refuse(http, broken or error)
+
+    async def read_body(
+        self, http: web.BaseRequest, request: Request, settings: RouteSettings
+    ) -> RequestBody:
+        """Read the body, or its beginning, within the deadline."""
+        remaining = request.deadline - self.clock.monotonic()
+        try:
+            async with asyncio.timeout(max(0.0, remaining)):
+                return await read_body(http, settings.max_body_bytes)
+        except TimeoutError as error:
+            # Without this a body that trickles holds its connection and its memory for ever.
+            raise NotRunError(
+                ErrorCode.SLOW_CALLER,
+                "the body did not arrive before the deadline",
+                step="ingress.read_body",
+            ) from error
 
     def check_open(self, now: float) -> None:
         """Refuse where this node must not take callers' requests."""
@@ -116,15 +153,7 @@
 
     def refuse(self, http: web.BaseRequest, error: MarjoramtideError) -> web.Response:
         self.metrics.count(f"ingress.refused.{error.code}")
-        log.info(
-            "ingress.refused",
-            code=error.code,
-            step=error.step,
-            peer=error.peer,
-            reason=error.message,
-            caller=http.remote,
-            outcome="unknown" if isinstance(error, UnknownOutcomeError) else "not-run",
-        )
+        log.info("ingress.refused", **fields(error, http.remote))
         response = refusal(error, self.node)
         if self.stopping or not http.content.at_eof():
             # The rest of a body that was not read would be taken for the next request.
--- a/src/marjoramtide/ingress/_read_request.py
+++ b/src/marjoramtide/ingress/_read_request.py
@@ -1,12 +1,11 @@
 """Reading and checking what a caller sends."""
 
-import math
 import re
 
-from aiohttp import web
+from aiohttp import HttpVersion10, HttpVersion11, web
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.exchange import OWN_REQUEST, Request, end_to_end
+from marjoramtide.exchange import OWN_REQUEST, Request, end_to_end, is_origin_form
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Tracer
 
@@ -18,6 +17,11 @@
 # RFC 9218: a structured dictionary; only the urgency matters here.
 PRIORITY_PATTERN = re.compile(r"(?:^|,)\s*u=([^,;]*)")
 MAX_KEY_CHARACTERS = 255
+# The library bounds each line and their number; the product of both is far more than any backend
+# server takes, and would be copied to it for each try.
+MAX_HEAD_BYTES = 32 * 1024
+TIMEOUT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,3})?")
+VERSIONS = (HttpVersion10, HttpVersion11)
 
 
 def bad(message: str) -> MarjoramtideError:
@@ -36,15 +40,11 @@
 def read_timeout(http: web.BaseRequest, settings: RouteSettings) -> float:
     """Return the seconds that the caller gives, bounded by the settings."""
     text = single(http, "Request-Timeout-Ms")
-    if not text:
+    if "Request-Timeout-Ms" not in http.headers:
         return settings.timeout_ms / 1000
-    try:
-        value = float(text)
-    except ValueError:
-        value = math.nan
-    if not 0 < value < math.inf:
+    if not TIMEOUT_PATTERN.fullmatch(text) or not float(text):
         raise bad(f"Request-Timeout-Ms {text[:40]!r}; allowed: a number above 0")
-    return min(value, settings.max_timeout_ms) / 1000
+    return min(float(text), settings.max_timeout_ms) / 1000
 
 
 def read_urgent(http: web.BaseRequest, settings: RouteSettings) -> bool:
@@ -93,23 +93,44 @@
     return key
 
 
+def check_head(http: web.BaseRequest) -> None:
+    """Raise where the head is too large, or leaves open where the body ends."""
+    if http.version not in VERSIONS:
+        raise bad("HTTP version; allowed: 1.0 and 1.1")
+    size = len(http.raw_path) + sum(len(name) + len(value) for name, value in http.raw_headers)
+    if size > MAX_HEAD_BYTES:
+        raise MarjoramtideError(
+            ErrorCode.HEAD_TOO_LARGE, f"the head is over {MAX_HEAD_BYTES} bytes", step=STEP
+        )
+    codings = http.headers.getall("Transfer-Encoding", ())
+    if not codings:
+        return
+    # A body whose end two hops see at different places lets a caller hide a request in it, which
+    # is then taken for another caller's (RFC 9112, sections 6.1 and 11.2). The library refuses
+    # most of these too; stating them here keeps it true of any other. A coding before "chunked"
+    # is refused since the header that names it does not travel on: the backend server would take
+    # the coded bytes for the plain ones.
+    if "Content-Length" in http.headers:
+        raise bad("both Content-Length and Transfer-Encoding")
+    if len(codings) > 1 or codings[0].strip().lower() != "chunked":
+        raise bad("Transfer-Encoding; allowed: chunked")
+    if http.version != HttpVersion11:
+        raise bad("Transfer-Encoding needs HTTP/1.1")
+
+
 def read_request(
     http: web.BaseRequest, view: SettingsView, tracer: Tracer, now: float
 ) -> tuple[Request, RouteSettings]:
     """Return the request with the settings of its route; raises what the caller is to be told."""
+    check_head(http)
     target = http.raw_path
-    if not target.startswith("/"):
-        raise bad("the request target must be a path")
+    if not is_origin_form(target):
+        raise bad("the request target; allowed: a path with its query, without a fragment")
     if http.method in REFUSED_METHODS:
         raise bad(f"method {http.method} is not served")
     host = single(http, "Host")
     if not host:
         raise bad("no Host header")
-    if "Transfer-Encoding" in http.headers and "Content-Length" in http.headers:
-        # Two lengths let two hops disagree where a request ends, so that the rest is taken for
-        # another caller's request (RFC 9112, section 6.1). The library refuses it too; stating it
-        # here keeps it true of any other.
-        raise bad("both Content-Length and Transfer-Encoding")
     service = view.service_for_host(host)
     if service is None:
         raise MarjoramtideError(
--- a/src/marjoramtide/ingress/_refusal.py
+++ b/src/marjoramtide/ingress/_refusal.py
@@ -14,6 +14,7 @@
     ErrorCode.DEPTH_EXCEEDED: (508, "proxy_loop_detected"),
     ErrorCode.BODY_TOO_LARGE: (413, "http_request_error"),
     ErrorCode.HEAD_TOO_LARGE: (431, "http_request_error"),
+    ErrorCode.SLOW_CALLER: (408, "http_request_error"),
     ErrorCode.KEY_REUSED: (422, "http_request_denied"),
     ErrorCode.OVERLOADED: (503, "connection_limit_reached"),
     ErrorCode.DEADLINE: (503, "connection_limit_reached"),
@@ -24,6 +25,9 @@
     ErrorCode.STALE_SETTINGS: (503, "proxy_internal_error"),
 }
 UNKNOWN_STATUSES = {
+    ErrorCode.BAD_REQUEST: (400, "http_request_error"),
+    ErrorCode.BODY_TOO_LARGE: (413, "http_request_error"),
+    ErrorCode.INTERNAL: (500, "proxy_internal_error"),
     ErrorCode.DEADLINE: (504, "http_response_timeout"),
     ErrorCode.TRUNCATED: (502, "http_response_incomplete"),
     ErrorCode.DUPLICATE_KEY: (409, "http_request_denied"),
--- a/src/marjoramtide/serving/_aiohttp_transport.py
+++ b/src/marjoramtide/serving/_aiohttp_transport.py
@@ -61,11 +61,12 @@
             data = body.open()
             if body.length is not None:
                 headers.append(("Content-Length", str(body.length)))
+        url = URL(f"http://{self.address}{request.target}", encoded=True)
         begun()
         try:
             response = await self.session.request(
                 request.method,
-                URL(f"http://{self.address}{request.target}", encoded=True),
+                url,
                 headers=headers,
                 data=data,
                 allow_redirects=False,
@@ -75,7 +76,7 @@
                 ErrorCode.CONNECT_FAILED, str(error), step="serving.connect", peer=self.address
             ) from error
         except (aiohttp.ClientError, OSError) as error:
-            raise self.broken(error) from error
+            raise body.error or self.broken(error) from error
         return await self.read_answer(request, response)
 
     async def read_answer(self, request: Request, response: aiohttp.ClientResponse) -> Answer:
