Read nothing large before the key is proved, and nothing out of place after

Seen over a real peer port: a nonce that is text ended the handshake's task with a TypeError and no line of ours; a message number of -1 was read as the last type; empty chunks piled up without a bound; a negative or overlarge credit was taken as it came; chunks were buffered for requests that never asked for a body; a request target "@other:80/" would have led to another server; a header value of no valid UTF-8 could not be encoded, so that the request failed with 500.

Until the handshake is over a frame may have 512 bytes.

--- a/src/marjoramtide/peers/_byte_stream.py
+++ b/src/marjoramtide/peers/_byte_stream.py
@@ -27,9 +27,10 @@
         self.arrived = asyncio.Event()
 
     def feed(self, data: bytes, last: bool) -> None:
-        """Take a chunk off the connection."""
+        """Take a chunk off the connection; raises ``bad-frame`` where it may not come."""
         self.size += len(data)
-        if self.size > WINDOW_BYTES + CHUNK_BYTES:
+        # Empty chunks cost no window, so that any number of them could pile up here.
+        if self.ended or not (data or last) or self.size > WINDOW_BYTES + CHUNK_BYTES:
             raise MarjoramtideError(
                 ErrorCode.BAD_FRAME, "the peer sent more than it may", step="peers.stream"
             )
--- a/src/marjoramtide/peers/_codec.py
+++ b/src/marjoramtide/peers/_codec.py
@@ -1,5 +1,6 @@
 """One CBOR codec for all messages between nodes."""
 
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -23,6 +24,7 @@
     messages.ReplyMessage,
 ]
 TYPE_NUMBERS = {cls: number for number, cls in enumerate(MESSAGE_TYPES)}
+NUMBERS = range(len(MESSAGE_TYPES))
 FIELD_NAMES = {cls: tuple(field.name for field in attrs.fields(cls)) for cls in MESSAGE_TYPES}
 FIELD_TYPES = {
     str: str,
@@ -51,6 +53,8 @@
     """Return the message in a frame; raises ``bad-frame`` for anything else."""
     try:
         number, *fields = cbor2.loads(frame)
+        if number not in NUMBERS:
+            raise ValueError("no such message")
         checks = CHECKS[number]
         if len(fields) != len(checks) or not all(map(isinstance, fields, checks)):
             raise ValueError("fields do not match the message")
@@ -61,6 +65,33 @@
         ) from error
 
 
+def pack_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[str, Any]]:
+    """Return headers as they travel: a value that is no valid UTF-8 goes as its bytes.
+
+    HTTP allows any byte above 127 in a value (RFC 9110, section 5.5); the HTTP library keeps such
+    bytes as lone surrogates, which CBOR text can't carry.
+    """
+    return [
+        (name, value if value.isascii() else value.encode("utf-8", "surrogateescape"))
+        for name, value in headers
+    ]
+
+
+def unpack_headers(fields: list[Any]) -> tuple[tuple[str, str], ...]:
+    """Return the headers of a message; raises ``bad-frame`` where they are none."""
+    try:
+        return tuple((str(name), unpack_value(value)) for name, value in fields)
+    except (TypeError, ValueError, AttributeError) as error:
+        raise MarjoramtideError(
+            ErrorCode.BAD_FRAME, "headers that are none", step="peers.decode"
+        ) from error
+
+
+def unpack_value(value: str | bytes) -> str:
+    """Return one header value as the HTTP library holds it."""
+    return value if isinstance(value, str) else value.decode("utf-8", "surrogateescape")
+
+
 def pack_report(report: LoadReport | None) -> list[Any] | None:
     """Return a load report as the plain list that travels in a message."""
     return None if report is None else list(attrs.astuple(report))
--- a/src/marjoramtide/peers/_limits.py
+++ b/src/marjoramtide/peers/_limits.py
@@ -2,6 +2,8 @@
 
 # Head fields and an inline body fit; a settings tree of 1 MB with its envelope fits too.
 MAX_FRAME_BYTES = 2 * 1024 * 1024
+# Before the handshake anybody may send; a nonce, a proof and the name of a lane are far smaller.
+MAX_HANDSHAKE_BYTES = 512
 PING_INTERVAL_S = 2.0
 PING_TIMEOUT_S = 2.0
 MAX_OPEN_PER_SESSION = 4096
--- a/src/marjoramtide/peers/_link.py
+++ b/src/marjoramtide/peers/_link.py
@@ -12,7 +12,13 @@
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, UnknownOutcomeError
 from marjoramtide.peers._byte_stream import ByteStream
-from marjoramtide.peers._codec import decode, encode, unpack_report
+from marjoramtide.peers._codec import (
+    decode,
+    encode,
+    pack_headers,
+    unpack_headers,
+    unpack_report,
+)
 from marjoramtide.peers._messages import (
     AnswerChunk,
     AnswerMessage,
@@ -57,7 +63,7 @@
             service=request.service,
             method=request.method,
             target=request.target,
-            headers=list(request.headers),
+            headers=pack_headers(request.headers),
             urgent=request.urgent,
             idempotent=request.idempotent,
             remaining_ms=remaining_ms,
@@ -125,7 +131,15 @@
             async for frame in self.socket:
                 self.take(decode(frame))  # type: ignore[arg-type]
         except MarjoramtideError as error:
-            log.warning("peers.bad_frame", code=error.code, peer=self.peer, reason=error.message)
+            log.warning(
+                "peers.bad_frame",
+                code=error.code,
+                step=error.step,
+                peer=self.peer,
+                reason=error.message,
+            )
+            # Left open, it would stay with its peer's session until one of both ends.
+            self.socket.transport.abort()
         except ConnectionClosed:
             pass
         finally:
@@ -186,7 +200,7 @@
         number = message.id
         answer = Answer(
             status=message.status,
-            headers=tuple((name, value) for name, value in message.headers),
+            headers=unpack_headers(message.headers),
             body=message.body,
             length=None if message.length < 0 else message.length,
             report=unpack_report(message.report),
--- a/src/marjoramtide/peers/_send_window.py
+++ b/src/marjoramtide/peers/_send_window.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 
+from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.peers._byte_stream import CHUNK_BYTES, WINDOW_BYTES
 
 
@@ -14,7 +15,14 @@
         self.changed = asyncio.Event()
 
     def credit(self, size: int) -> None:
-        """Note that the reader has taken ``size`` bytes."""
+        """Note that the reader has taken ``size`` bytes; raises ``bad-frame`` for more than sent.
+
+        A credit beyond that would lift the bound on what waits here for a slow reader.
+        """
+        if not 0 < size <= WINDOW_BYTES - self.room:
+            raise MarjoramtideError(
+                ErrorCode.BAD_FRAME, f"a credit of {size} bytes", step="peers.stream"
+            )
         self.room += size
         self.changed.set()
 
--- a/src/marjoramtide/peers/_server.py
+++ b/src/marjoramtide/peers/_server.py
@@ -1,7 +1,6 @@
 """The port on which peers reach this node."""
 
 import asyncio
-import logging
 
 import structlog
 from websockets.asyncio.server import Server, ServerConnection, serve
@@ -11,16 +10,16 @@
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import RequestHandler
 from marjoramtide.peers._handshake import HANDSHAKE_TIMEOUT_S, open_as_server
-from marjoramtide.peers._lanes import LANES
-from marjoramtide.peers._limits import MAX_FRAME_BYTES, PING_INTERVAL_S, PING_TIMEOUT_S
+from marjoramtide.peers._library_log import make_logger
+from marjoramtide.peers._limits import (
+    MAX_HANDSHAKE_BYTES,
+    PING_INTERVAL_S,
+    PING_TIMEOUT_S,
+)
 from marjoramtide.peers._session import QuestionHandler, Session
 
 log = structlog.get_logger()
 
-# What the library says of broken handshakes is told in our own log, with a code.
-quiet = logging.getLogger("marjoramtide.peers.websockets")
-quiet.setLevel(logging.CRITICAL)
-
 
 class PeerServer:
     """Accepts connections of nodes that hold the fleet's key."""
@@ -41,11 +40,12 @@
             host,
             port,
             compression=None,
-            max_size=MAX_FRAME_BYTES,
+            max_size=MAX_HANDSHAKE_BYTES,
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
             server_header=None,
-            logger=quiet,
+            logger=make_logger(),
+            open_timeout=HANDSHAKE_TIMEOUT_S,
         )
 
     async def accept(self, socket: ServerConnection) -> None:
@@ -53,18 +53,16 @@
         peer = "{}:{}".format(*socket.remote_address[:2])
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                lane = await open_as_server(socket, self.key, peer)
-            if lane not in LANES:
-                raise MarjoramtideError(
-                    ErrorCode.BAD_FRAME, f"no lane {lane!r}", step="peers.accept", peer=peer
-                )
+                await open_as_server(socket, self.key, peer)
         except MarjoramtideError as error:
-            log.warning("peers.refused", code=error.code, peer=peer, reason=error.message)
-            await socket.close(1008, "refused")
+            await self.refuse(socket, error)
             return
-        except (TimeoutError, ConnectionClosed):
-            log.warning("peers.refused", code=ErrorCode.BAD_KEY, peer=peer, reason="no handshake")
-            await socket.close(1008, "refused")
+        except (TimeoutError, ConnectionClosed) as error:
+            reason = f"no handshake: {type(error).__name__}"
+            await self.refuse(
+                socket,
+                MarjoramtideError(ErrorCode.BAD_KEY, reason, step="peers.handshake", peer=peer),
+            )
             return
         assert self.handler is not None
         session = Session(socket, peer, self.handler, self.questions, self.clock, self.freeze)
@@ -74,6 +72,17 @@
         finally:
             self.sessions.discard(session)
 
+    async def refuse(self, socket: ServerConnection, error: MarjoramtideError) -> None:
+        """Close a connection that did not prove the key."""
+        log.warning(
+            "peers.refused",
+            code=error.code,
+            step=error.step,
+            peer=error.peer,
+            reason=error.message,
+        )
+        await socket.close(1008, "refused")
+
     async def drained(self) -> None:
         """Wait until no request of a peer is in progress, its answer's last byte included."""
         for session in list(self.sessions):
--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
@@ -19,10 +20,11 @@
     RequestHandler,
     UnknownOutcomeError,
     inline_body,
+    is_origin_form,
     stream_body,
 )
 from marjoramtide.peers._byte_stream import ByteStream
-from marjoramtide.peers._codec import decode, encode, pack_report
+from marjoramtide.peers._codec import decode, encode, pack_headers, pack_report, unpack_headers
 from marjoramtide.peers._limits import MAX_OPEN_PER_SESSION
 from marjoramtide.peers._messages import (
     AnswerChunk,
@@ -45,9 +47,11 @@
 
 @attrs.define(slots=True, eq=False)
 class Served:
-    """A request of the peer that is being served."""
+    """A request of the peer that is being served; ``invited`` once its body was asked for."""
 
     body: ByteStream
+    headers: tuple[tuple[str, str], ...]
+    invited: bool = False
     window: SendWindow = attrs.Factory(SendWindow)
     task: "asyncio.Task[None] | None" = None
 
@@ -83,7 +87,13 @@
         except ConnectionClosed:
             pass
         except MarjoramtideError as error:
-            log.warning("peers.bad_frame", code=error.code, peer=self.peer, reason=error.message)
+            log.warning(
+                "peers.bad_frame",
+                code=error.code,
+                step=error.step,
+                peer=self.peer,
+                reason=error.message,
+            )
             await self.socket.close(1002, "bad frame")
         finally:
             for task in list(self.tasks):
@@ -93,8 +103,10 @@
         match message:
             case RequestMessage():
                 self.take_request(message)
-            case QuestionMessage():
+            case QuestionMessage() if len(self.tasks) < MAX_OPEN_PER_SESSION:
                 self.start(self.reply(message))
+            case QuestionMessage():
+                raise self.bad_frame("too many questions are open")
             case _:
                 served = self.served.get(message.id)
                 if served is not None:
@@ -102,7 +114,7 @@
 
     def take_for(self, served: Served, message: Any) -> None:
         match message:
-            case RequestChunk():
+            case RequestChunk() if served.invited:
                 served.body.feed(message.data, message.last)
             case CreditMessage():
                 served.window.credit(message.size)
@@ -110,24 +122,24 @@
                 if served.task is not None:
                     served.task.cancel()
             case _:
-                raise MarjoramtideError(
-                    ErrorCode.BAD_FRAME,
-                    f"{type(message).__name__} is out of place",
-                    step="peers.session",
-                    peer=self.peer,
-                )
+                raise self.bad_frame(f"{type(message).__name__} is out of place")
+
+    def bad_frame(self, reason: str) -> MarjoramtideError:
+        return MarjoramtideError(ErrorCode.BAD_FRAME, reason, step="peers.session", peer=self.peer)
 
     def take_request(self, message: RequestMessage) -> None:
         number = message.id
         if number in self.served or len(self.served) >= MAX_OPEN_PER_SESSION:
-            raise MarjoramtideError(
-                ErrorCode.BAD_FRAME,
-                "a request number is used twice, or too many are open",
-                step="peers.session",
-                peer=self.peer,
-            )
+            raise self.bad_frame("a request number is used twice, or too many are open")
+        if not is_origin_form(message.target):
+            # It is put behind the backend server's address: "@other:80/" would lead elsewhere.
+            raise self.bad_frame("a request target that is no path")
+        if not 0 <= message.remaining_ms < math.inf:
+            raise self.bad_frame(f"a deadline in {message.remaining_ms} ms")
+        headers = unpack_headers(message.headers)
+        body = ByteStream(lambda size: self.grant(number, size))
         self.idle.clear()
-        served = self.served[number] = Served(ByteStream(lambda size: self.grant(number, size)))
+        served = self.served[number] = Served(body, headers)
         served.task = self.start(self.serve(message, served))
 
     def start(self, work: Any) -> "asyncio.Task[None]":
@@ -169,7 +181,7 @@
             service=message.service,
             method=message.method,
             target=message.target,
-            headers=tuple((name, value) for name, value in message.headers),
+            headers=served.headers,
             urgent=message.urgent,
             idempotent=message.idempotent,
             deadline=now + message.remaining_ms / 1000,
@@ -181,20 +193,21 @@
         if not message.more:
             return await self.handler.handle(request, inline_body(message.body))
         length = None if message.length < 0 else message.length
-        chunks = self.body_chunks(message.id, served.body)
+        chunks = self.body_chunks(message.id, served)
         return await self.handler.handle(request, stream_body(chunks, length))
 
-    async def body_chunks(self, number: int, stream: ByteStream) -> Any:
+    async def body_chunks(self, number: int, served: Served) -> Any:
         """Ask for the body when the backend server is ready to take it."""
+        served.invited = True
         await self.send(ContinueMessage(number))
-        async for data in stream:
+        async for data in served.body:
             yield data
 
     async def send_answer(self, number: int, answer: Answer, window: SendWindow) -> None:
         message = AnswerMessage(
             id=number,
             status=answer.status,
-            headers=list(answer.headers),
+            headers=pack_headers(answer.headers),
             body=answer.body,
             more=answer.stream is not None,
             length=-1 if answer.length is None else answer.length,
--- a/src/marjoramtide/telemetry/_trace_context.py
+++ b/src/marjoramtide/telemetry/_trace_context.py
@@ -5,7 +5,10 @@
 
 import attrs
 
-PATTERN = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})")
+# A later version may add fields at the end; ff is no version.
+PATTERN = re.compile(
+    r"(?:00|(?!00|ff)[0-9a-f]{2}(?=.{52}(?:-|$)))-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})(?:-.*)?"
+)
 SAMPLED = 0x01
 
 
