--- a/bench/load/_attempt.py
+++ b/bench/load/_attempt.py
@@ -16,3 +16,4 @@
     reason: str = ""
     retry_after_ms: float | None = None
     backend: str = ""
+    replayed: bool = False
--- a/standins/backend/_server.py
+++ b/standins/backend/_server.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import time
 from collections import deque
 
 import attrs
@@ -36,6 +37,7 @@
         self.ledger = Ledger()
         self.journal: int | None = None
         self.connections: set[Connection] = set()
+        self.answering: set[asyncio.Task[None]] = set()
         self.thawed = asyncio.Event()
         self.thawed.set()
         self.cold_since = self.now()
@@ -46,7 +48,7 @@
 
     @staticmethod
     def now() -> float:
-        return asyncio.get_running_loop().time()
+        return time.monotonic()
 
     def happens(self, share: float) -> bool:
         return share > 0 and self.random.random() < share
@@ -101,6 +103,8 @@
     async def run(self, request: Request, connection: Connection) -> None:
         """Execute: from here on the request counts as run, whatever becomes of its caller."""
         connection.begun_unsafe = not request.idempotent
+        if self.faults.drain:
+            self.ledger.last_run_after_drain_s = self.now() - self.drain_since
         key = request.headers.get("idempotency-key", "").strip('"')
         for _ in range(2 if self.happens(self.faults.run_twice) else 1):
             self.ledger.began(request.request_id, key)
@@ -118,7 +122,7 @@
     def write_journal(self, request_id: str, key: str) -> None:
         """Write the execution down at once, where it outlasts this process."""
         if self.journal is not None:
-            os.write(self.journal, f"{request_id}\t{key}\n".encode())
+            os.write(self.journal, f"{time.time():.3f}\t{request_id}\t{key}\n".encode())
 
     def outcome(self, request: Request) -> Answer:
         """Return the answer to a request that was run."""
@@ -161,7 +165,7 @@
         """Answer the endpoints by which tests and the replay drive the stand-in."""
         match request.method, request.path:
             case "GET", "/_admin/executions":
-                return json_answer({"requests": self.ledger.requests, "keys": self.ledger.keys})
+                return json_answer(self.report())
             case "GET", "/_admin/stats":
                 return json_answer(self.stats())
             case "GET", "/_admin/faults":
@@ -174,6 +178,11 @@
                 return json_answer({})
         return json_answer({"error": f"no {request.method} {request.path} here"}, 404)
 
+    def report(self) -> dict[str, object]:
+        """Return executions by request id and by key, with the statistics."""
+        counts = {"requests": self.ledger.requests, "keys": self.ledger.keys}
+        return {**counts, "stats": self.stats()}
+
     def stats(self) -> dict[str, object]:
         counts = attrs.asdict(
             self.ledger, filter=lambda field, _: field.name not in ("requests", "keys")
@@ -209,14 +218,16 @@
         self.snapshots.clear()
 
     async def close(self) -> None:
-        """Stop listening and break every connection."""
+        """Stop listening, break every connection and end what still runs."""
         if self.listener is not None:
             self.listener.close()
-        if self.sampler is not None:
-            self.sampler.cancel()
         for connection in list(self.connections):
             if connection.transport is not None:
                 connection.transport.abort()
+        tasks = [*self.answering, *([self.sampler] if self.sampler is not None else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 async def start_backend(
