--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -25,7 +25,7 @@
 )
 from marjoramtide.settings import NodeSettings, parse_address
 from marjoramtide.settings.sync import make_settings_service
-from marjoramtide.telemetry import Metrics, Tracer
+from marjoramtide.telemetry import Metrics, Tracer, summarise_logs
 
 log = structlog.get_logger()
 
@@ -46,7 +46,7 @@
         self.membership = make_membership(settings, self.store, self.clock, random.SystemRandom())
         self.name = self.membership.self_member.node
         self.metrics = Metrics(settings.statsd)
-        self.tracer = Tracer(self.name, self.clock, rng)
+        self.tracer = Tracer(self.name, self.clock, rng, settings.trace_file)
         self.transport = AiohttpTransport(settings.backend, MAX_CONNECTIONS)
         self.claims = make_claims(self.store, self.clock, self.name)
         self.peer_client = PeerClient(settings.key, self.clock)
@@ -112,6 +112,7 @@
             self.settings_service.run(),
             self.measurer.run(),
             self.metrics.run(),
+            summarise_logs(),
             self.claims.run(),
         ):
             self.spawn(work)
--- a/src/marjoramtide/daemon/main.py
+++ b/src/marjoramtide/daemon/main.py
@@ -49,7 +49,7 @@
             return 0
         configure_logs(
             settings.log_level,
-            node_name=settings.name or settings.peers,
+            node=settings.name or settings.peers,
             data_centre=settings.data_centre,
         )
         asyncio.run(run(settings))
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+import attrs
 import structlog
 from aiohttp import web
 
@@ -112,6 +113,9 @@
             with self.tracer.span("ingress", trace) as span:
                 if span is not None:
                     span.attributes |= {"method": request.method, "service": request.service}
+                    if read_trace(http.headers.get("Traceparent", "")) is None:
+                        span.parent_id = ""
+                    request = attrs.evolve(request, trace=span.header())
                 answer = await self.dispatcher.dispatch(request, body, settings)
             return await self.send(http, request, answer)
         except MarjoramtideError as error:
--- a/src/marjoramtide/membership/_membership_service.py
+++ b/src/marjoramtide/membership/_membership_service.py
@@ -163,7 +163,7 @@
             try:
                 listener(member)
             except Exception:  # a fault in another part must not stop the failure detector
-                log.exception("listener-failed", code=ErrorCode.INTERNAL, node=member.node)
+                log.exception("listener-failed", code=ErrorCode.INTERNAL, member=member.node)
 
     def _found(self, announcements: list[Announcement]) -> None:
         addresses = [item.gossip_address for item in announcements]
--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -42,6 +42,9 @@
 
 log = structlog.get_logger()
 
+# What the library closes with when it can't read a frame: protocol error, no UTF-8, too large.
+BAD_FRAME_CLOSES = frozenset((1002, 1007, 1009))
+
 QuestionHandler = Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]
 
 
@@ -84,21 +87,25 @@
         try:
             async for frame in self.socket:
                 self.take(decode(frame))  # type: ignore[arg-type]
-        except ConnectionClosed:
-            pass
+        except ConnectionClosed as error:
+            if error.sent is not None and error.sent.code in BAD_FRAME_CLOSES:
+                self.log_bad_frame(self.bad_frame(error.sent.reason or str(error)))
         except MarjoramtideError as error:
-            log.warning(
-                "peers.bad_frame",
-                code=error.code,
-                step=error.step,
-                peer=self.peer,
-                reason=error.message,
-            )
+            self.log_bad_frame(error)
             await self.socket.close(1002, "bad frame")
         finally:
             for task in list(self.tasks):
                 task.cancel()
 
+    def log_bad_frame(self, error: MarjoramtideError) -> None:
+        log.warning(
+            "peers.bad_frame",
+            code=error.code,
+            step=error.step,
+            peer=self.peer,
+            reason=error.message,
+        )
+
     def take(self, message: Any) -> None:
         match message:
             case RequestMessage():
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -4,6 +4,8 @@
 import itertools
 from collections.abc import AsyncIterator
 
+import attrs
+
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import (
@@ -153,6 +155,9 @@
         streaming = False
         try:
             with self.tracer.span("serving", read_trace(request.trace) or NO_TRACE) as span:
+                if span is not None:
+                    # What the backend server does for this request is this span's child.
+                    execution.request = attrs.evolve(request, trace=span.header())
                 answer = await self.send(execution)
                 if span is not None:
                     span.attributes |= {"status": answer.status, "urgent": request.urgent}
--- a/src/marjoramtide/settings/_node_settings.py
+++ b/src/marjoramtide/settings/_node_settings.py
@@ -54,7 +54,9 @@
     store: str
     key: str = attrs.field(repr=False)
     name: str = ""
-    statsd: str = ""
+    statsd: str = attrs.field(
+        default="", validator=attrs.validators.or_(attrs.validators.in_([""]), _address)
+    )
     log_level: str = "info"
     trace_file: str = ""
     stop_grace_s: float = 30.0
--- a/src/marjoramtide/telemetry/__init__.py
+++ b/src/marjoramtide/telemetry/__init__.py
@@ -1,6 +1,6 @@
 """Logs, metrics and spans."""
 
-from marjoramtide.telemetry._logs import configure_logs
+from marjoramtide.telemetry._logs import configure_logs, summarise_logs
 from marjoramtide.telemetry._metrics import Metrics
 from marjoramtide.telemetry._span import Span
 from marjoramtide.telemetry._trace_context import TraceContext, new_trace, read_trace
@@ -14,4 +14,5 @@
     "configure_logs",
     "new_trace",
     "read_trace",
+    "summarise_logs",
 ]
--- a/src/marjoramtide/telemetry/_trace_context.py
+++ b/src/marjoramtide/telemetry/_trace_context.py
@@ -5,10 +5,9 @@
 
 import attrs
 
-# A later version may add fields at the end; ff is no version.
-PATTERN = re.compile(
-    r"(?:00|(?!00|ff)[0-9a-f]{2}(?=.{52}(?:-|$)))-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})(?:-.*)?"
-)
+PATTERN = re.compile(r"([0-9a-f]{2})-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})(-.*)?")
+NO_VERSION = "ff"
+VERSION = "00"
 SAMPLED = 0x01
 
 
@@ -32,9 +31,15 @@
 def read_trace(header: str) -> TraceContext | None:
     """Return the context in a ``traceparent`` header, or ``None`` where it is not valid."""
     match = PATTERN.fullmatch(header)
-    if match is None or not int(match[1], 16) or not int(match[2], 16):
+    if match is None:
         return None
-    return TraceContext(match[1], match[2], bool(int(match[3], 16) & SAMPLED))
+    version, trace_id, span_id, flags, more = match.groups()
+    # Later versions may add fields at the end; ours has none.
+    if version == NO_VERSION or (version == VERSION and more):
+        return None
+    if not int(trace_id, 16) or not int(span_id, 16):
+        return None
+    return TraceContext(trace_id, span_id, bool(int(flags, 16) & SAMPLED))
 
 
 def new_trace(rng: random.Random, sampled: bool) -> TraceContext:
--- a/src/marjoramtide/telemetry/_tracer.py
+++ b/src/marjoramtide/telemetry/_tracer.py
@@ -1,18 +1,22 @@
 """Spans of the requests that pass through this node."""
 
+import json
 import random
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import attrs
 import structlog
 
 from marjoramtide.clock import Clock
+from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.telemetry._span import Span
 from marjoramtide.telemetry._trace_context import TraceContext, new_trace, read_trace
 
 KEPT_SPANS = 2048
+# A caller may ask for a trace of each of its requests; what that may cost a node is bounded here.
+MAX_TRACES_PER_S = 50
 
 log = structlog.get_logger()
 
@@ -20,19 +24,38 @@
 class Tracer:
     """Writes one JSON line for each span of a sampled trace and keeps the last for ``trace``.
 
+    The lines go to ``trace_file`` where one is named, else among the logs.
+
     Whether a trace is sampled is decided where it begins, by the caller's ``traceparent`` or by the
     share in the settings, and travels with the request: a trace is whole or absent.
     """
 
-    def __init__(self, node: str, clock: Clock, rng: random.Random) -> None:
+    def __init__(self, node: str, clock: Clock, rng: random.Random, trace_file: str = "") -> None:
         self.node = node
         self.clock = clock
         self.rng = rng
         self.kept: deque[Span] = deque(maxlen=KEPT_SPANS)
+        self.sink = open_sink(trace_file) if trace_file else log_span
+        self.second = 0
+        self.begun = 0
 
     def begin(self, header: str, share: float) -> TraceContext:
-        """Return the context of a caller's request, new where it brings none."""
-        return read_trace(header) or new_trace(self.rng, self.rng.random() < share)
+        """Return the context of a caller's request, new where it brings none.
+
+        Beyond ``MAX_TRACES_PER_S`` it is not sampled, whatever the caller or the share says.
+        """
+        context = read_trace(header) or new_trace(self.rng, self.rng.random() < share)
+        if context.sampled and not self.may_begin():
+            return attrs.evolve(context, sampled=False)
+        return context
+
+    def may_begin(self) -> bool:
+        """Count a trace that begins at this node."""
+        second = int(self.clock.monotonic())
+        if second != self.second:
+            self.second, self.begun = second, 0
+        self.begun += 1
+        return self.begun <= MAX_TRACES_PER_S
 
     @contextmanager
     def span(self, name: str, parent: TraceContext) -> Iterator[Span | None]:
@@ -58,8 +81,28 @@
         finally:
             span.duration_ms = round((self.clock.monotonic() - started) * 1000, 3)
             self.kept.append(span)
-            log.info("span", **attrs.asdict(span))
+            self.sink(span)
 
     def spans_of(self, trace_id: str) -> list[Span]:
         """Return the spans kept of one trace."""
         return [span for span in self.kept if span.trace_id == trace_id]
+
+
+def log_span(span: Span) -> None:
+    """Write a span among the logs."""
+    log.info("span", **attrs.asdict(span))
+
+
+def open_sink(path: str) -> Callable[[Span], None]:
+    """Return what appends spans to a file; raises ``bad-settings`` where it can't be opened."""
+    try:
+        file = open(path, "a", encoding="utf-8", buffering=1)  # noqa: SIM115 - open to the end
+    except OSError as error:
+        raise MarjoramtideError(
+            ErrorCode.BAD_SETTINGS, f"trace_file: {error}", step="telemetry.open"
+        ) from error
+
+    def write(span: Span) -> None:
+        file.write(json.dumps({"event": "span", **attrs.asdict(span)}) + "\n")
+
+    return write
--- a/standins/backend/_answer.py
+++ b/standins/backend/_answer.py
@@ -15,13 +15,13 @@
     body: bytes = b""
     sent_bytes: int | None = None
 
-    def encode(self, *, close: bool) -> bytes:
+    def encode(self, *, close: bool, head_only: bool = False) -> bytes:
         """Return the bytes for the wire; ``Content-Length`` always states the whole body."""
         connection = "close" if close else "keep-alive"
         fields = {**self.headers, "Content-Length": str(len(self.body)), "Connection": connection}
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         head = f"HTTP/1.1 {self.status} {HTTPStatus(self.status).phrase}\r\n{lines}\r\n"
-        return head.encode() + self.body[: self.sent_bytes]
+        return head.encode() + (b"" if head_only else self.body[: self.sent_bytes])
 
 
 def json_answer(value: object, status: int = 200) -> Answer:
--- a/standins/backend/_connection.py
+++ b/standins/backend/_connection.py
@@ -104,7 +104,7 @@
             return
         cut = answer.sent_bytes is not None
         close = cut or not request.keep_alive or self.server.faults.drain
-        self.transport.write(answer.encode(close=close))
+        self.transport.write(answer.encode(close=close, head_only=request.method == "HEAD"))
         if close:
             self.transport.close()
         else:
