--- a/src/marjoramtide/serving/_execution.py
+++ b/src/marjoramtide/serving/_execution.py
@@ -4,21 +4,33 @@
 
 from marjoramtide.exchange import Request, RequestBody
 
+ANSWER_MARGIN_S = 0.01
+ANSWER_MARGIN_SHARE = 0.05
+
 
 @attrs.define(slots=True, eq=False)
 class Execution:
     """One request at the backend server; ``begun`` once a byte of it may have left.
 
-    ``arrived`` and ``started`` are in seconds of the monotonic clock.
+    ``arrived``, ``started`` and ``deadline`` are in seconds of the monotonic clock. The deadline is
+    a little before the request's own, so that the word of the serving node, which alone knows
+    whether the request ran, reaches the caller before the ingress node gives up with "unknown".
     """
 
     ticket: int
     request: Request
     body: RequestBody
     arrived: float
+    deadline: float
     started: float = 0.0
     begun: bool = False
 
     def begin(self) -> None:
         """Note that from here on nobody can say that the request did not run."""
         self.begun = True
+
+
+def make_execution(ticket: int, request: Request, body: RequestBody, now: float) -> Execution:
+    """Return the execution of a request that arrived just now."""
+    margin = min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * (request.deadline - now))
+    return Execution(ticket, request, body, now, request.deadline - max(0.0, margin))
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -19,7 +19,7 @@
 from marjoramtide.policy import Admission, CallProfile, Verdict, make_admission
 from marjoramtide.serving._backend_transport import BackendTransport
 from marjoramtide.serving._claim_gate import ClaimGate
-from marjoramtide.serving._execution import Execution
+from marjoramtide.serving._execution import Execution, make_execution
 from marjoramtide.serving._measurer import Measurer
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, TraceContext, Tracer, read_trace
@@ -85,7 +85,7 @@
         ticket = next(self.tickets)
         self.in_progress.add(ticket)
         self.idle.clear()
-        execution = Execution(ticket, request, body, self.clock.monotonic())
+        execution = make_execution(ticket, request, body, self.clock.monotonic())
         try:
             await self.admit(execution)
         except BaseException:
@@ -101,7 +101,7 @@
         profile = CallProfile(
             request.urgent,
             request.idempotent,
-            request.deadline,
+            execution.deadline,
             request.attempt,
             self.kind(request),
         )
@@ -192,7 +192,7 @@
 
     async def send(self, execution: Execution) -> Answer:
         request = execution.request
-        remaining = request.deadline - self.clock.monotonic()
+        remaining = execution.deadline - self.clock.monotonic()
         if remaining <= 0:
             raise NotRunError(ErrorCode.DEADLINE, "no time is left", step=STEP)
         try:
@@ -211,7 +211,7 @@
 
     async def dispatch(self, execution: Execution) -> Answer:
         """Hand the request to the backend server."""
-        remaining = execution.request.deadline - self.clock.monotonic()
+        remaining = execution.deadline - self.clock.monotonic()
         return await self.transport.send(
             execution.request, execution.body, remaining * 1000, execution.begin
         )
@@ -221,7 +221,7 @@
     ) -> AsyncIterator[bytes]:
         """Pass the stream on; the slot is free when it ends, within the deadline."""
         whole = False
-        remaining = max(0.0, execution.request.deadline - self.clock.monotonic())
+        remaining = max(0.0, execution.deadline - self.clock.monotonic())
         try:
             async with asyncio.timeout(remaining):
                 async for data in stream:
@@ -255,6 +255,9 @@
         self.metrics.timing("serving.execution", duration_ms)
         self.start(self.admission.finished(execution.ticket, now, duration_ms, succeeded))
         self.done(execution.ticket)
+        if self.waiting:
+            # What ended may have changed how long the others will take, or the limit.
+            self.schedule_expiry()
 
     def done(self, ticket: int) -> None:
         self.in_progress.discard(ticket)
