Give each request of the claims' measurement a key of its own

Keys were made of due times, and two in one microsecond were the same request: the second was answered from the record of the first and counted as refused.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import itertools
 import json
 import random
 import subprocess
@@ -77,14 +78,14 @@
     clock = SystemClock()
     stores = [open_object_store(url, clock=clock) for _ in range(nodes)]
     members = [make_claims(store, clock, f"node-{i}") for i, store in enumerate(stores)]
-    result = Round(per_s)
+    result, numbers = Round(per_s), itertools.count()
     before, cpu = await writes_seen(url), time.process_time()
     began = due = clock.monotonic()
     async with asyncio.TaskGroup() as group:
         background = [asyncio.create_task(member.run()) for member in members]
         while due < began + seconds:
             await asyncio.sleep(max(0.0, due - clock.monotonic()))
-            key = f"{name}-{due:.6f}"
+            key = f"{name}-{next(numbers)}"
             group.create_task(one_request(rng.choice(members), key, result))
             due += rng.expovariate(per_s)
     result.cpu_ms = (time.process_time() - cpu) * 1000
