Count the urgent share in a routine wait, and steer urgent requests by the urgent queue

Two failures in a surge of urgent requests (trial in virtual time, urgent load 0.8, routine 0.8 of capacity): routine refusals made every node but a few back off for urgent requests as well, which ran after those few; and routine requests queued for slots that urgent ones took.

--- a/src/marjoramtide/policy/_completion_model.py
+++ b/src/marjoramtide/policy/_completion_model.py
@@ -61,7 +61,10 @@
         # node's requests took is misleading or out of date.
         own_ms = view.elapsed.value * view.belief(view.last_answer_at, now)
         predicted = max(predicted, OWN_TIME_DOUBT * own_ms)
-        if view.back_off_until > now:
+        # A refusal tells when a routine request would be taken. Urgent ones go by the urgent queue
+        # that the report shows: else a surge of routine refusals would drive them all to the few
+        # nodes that haven't refused anything yet.
+        if view.back_off_until > now and (view.report is None or not urgent):
             predicted = max(predicted, (view.back_off_until - now) * 1000 + service_ms)
         return max(predicted, view.silence_ms(predicted, now))
 
--- a/src/marjoramtide/policy/_edf_admission.py
+++ b/src/marjoramtide/policy/_edf_admission.py
@@ -12,10 +12,12 @@
 from marjoramtide.policy._limiter import Limiter
 from marjoramtide.policy._limiters import make_limiter
 from marjoramtide.policy._load_report import LoadReport
+from marjoramtide.policy._smoothed import Smoothed
 from marjoramtide.settings import RouteSettings
 
 DRAINING_RETRY_MS = 1000
 RECHECK_SLACK = 1.25
+LEAST_LEFT_FOR_ROUTINE = 0.02
 
 
 @attrs.define(slots=True)
@@ -40,6 +42,7 @@
     routine: ClassQueue = attrs.Factory(ClassQueue)
     profiles: dict[int, CallProfile] = attrs.Factory(dict)
     sequence: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(1))
+    urgent_share: Smoothed = attrs.Factory(lambda: Smoothed(0.05, 0.05, 0.0, 1))
     routine_running: int = 0
     stall_seen: float | None = None
     limited_by: tuple[str, int, int] = ("", 0, 0)
@@ -190,13 +193,22 @@
         return self.in_use * 2 >= self.limit or len(self.profiles) > self.in_use
 
     def _wait_ms(self, ahead: int, urgent: bool, service_ms: float) -> float:
-        """Return the expected wait behind ``ahead`` others: a slot frees once in a share of the
-        service time, as many times as there are slots."""
-        return (ahead + 1) * service_ms / (self.limit if urgent else self.routine_limit)
+        """Return the expected wait behind ``ahead`` others, in milliseconds.
+
+        A slot frees ``limit`` times in a service time. Of those that a routine request could get,
+        the urgent ones that arrive while it waits take the share that they had lately. Failure
+        without that: in a surge routine requests are queued that never get a slot, and are refused
+        only when it is too late for them.
+        """
+        if urgent:
+            return (ahead + 1) * service_ms / self.limit
+        left = max(LEAST_LEFT_FOR_ROUTINE, 1 - self.urgent_share.value)
+        return (ahead + 1) * service_ms / (self.routine_limit * left)
 
     def _start(self, ticket: int, profile: CallProfile, now: float) -> None:
         self.times.start(ticket, now)
         self.profiles[ticket] = profile
+        self.urgent_share.add(1.0 if profile.urgent else 0.0)
         if not profile.urgent:
             self.routine_running += 1
 
