--- a/src/marjoramtide/policy/_edf_admission.py
+++ b/src/marjoramtide/policy/_edf_admission.py
@@ -12,10 +12,12 @@
 from marjoramtide.policy._limiter import Limiter
 from marjoramtide.policy._limiters import make_limiter
 from marjoramtide.policy._load_report import LoadReport
+from marjoramtide.policy._smoothed import Smoothed
 from marjoramtide.settings import RouteSettings
 
 DRAINING_RETRY_MS = 1000
-RECHECK_SLACK = 1.25
+RECHECK_SLACK = 3.0
+LEAST_LEFT_FOR_ROUTINE = 0.02
 
 
 @attrs.define(slots=True)
@@ -40,6 +42,7 @@
     routine: ClassQueue = attrs.Factory(ClassQueue)
     profiles: dict[int, CallProfile] = attrs.Factory(dict)
     sequence: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(1))
+    urgent_share: Smoothed = attrs.Factory(lambda: Smoothed(0.05, 0.05, 0.0, 1))
     routine_running: int = 0
     stall_seen: float | None = None
     limited_by: tuple[str, int, int] = ("", 0, 0)
@@ -200,13 +203,23 @@
         return self.in_use * 2 >= self.limit or len(self.profiles) > self.in_use
 
     def _wait_ms(self, ahead: int, urgent: bool, service_ms: float) -> float:
-        """Return the expected wait behind ``ahead`` others: a slot frees once in a share of the
-        service time, as many times as there are slots."""
-        return (ahead + 1) * service_ms / (self.limit if urgent else self.routine_limit)
+        """Return the expected wait behind ``ahead`` others, in milliseconds.
+
+        A slot frees ``limit`` times in a service time. Of those that a routine request could get,
+        the urgent ones that arrive while it waits take the share that they had lately, and more in
+        a burst. Failure without that: in a surge routine requests are queued that never get a slot,
+        and are refused only when it is too late for them.
+        """
+        if urgent:
+            return (ahead + 1) * service_ms / self.limit
+        left = max(LEAST_LEFT_FOR_ROUTINE, 1 - self.urgent_share.value)
+        bursts = 1 + self.urgent_share.value
+        return (ahead + 1) * service_ms * bursts / (self.routine_limit * left)
 
     def _start(self, ticket: int, profile: CallProfile, now: float) -> None:
         self.times.start(ticket, now, profile.kind)
         self.profiles[ticket] = profile
+        self.urgent_share.add(1.0 if profile.urgent else 0.0)
         if not profile.urgent:
             self.routine_running += 1
 
@@ -273,8 +286,9 @@
         """Drop and return the routine requests that no longer finish in time where they stand.
 
         Failure: a surge of urgent requests, or a limit that fell, leaves routine ones waiting for
-        a slot that comes too late, and their callers hear of it only at the deadline. The slack
-        keeps a small error of the estimate from dropping what would have been served.
+        a slot that comes too late, and their callers hear of it only at the deadline. The wide
+        slack is there because a burst of urgent work passes: dropping at the first sign refused in
+        the middle of their wait many that would have been served.
         """
         late: list[int] = []
         for deadline, ticket in list(self.routine.entries):
