--- a/src/marjoramtide/settings/sync/_tree_store.py
+++ b/src/marjoramtide/settings/sync/_tree_store.py
@@ -84,10 +84,10 @@
                 return True
             except MarjoramtideError as error:
                 if error.code is ErrorCode.VERSION_CONFLICT:
-                    return await self._find(prior, envelope, doubt)
-                no_effect = error.code in CERTAINLY_NO_EFFECT
-                doubtful = doubtful or not no_effect
-                if not doubtful and attempt >= ATTEMPTS:
+                    return doubtful and await self._find(prior, envelope, doubt)
+                doubtful = doubtful or error.code is ErrorCode.STORE_AMBIGUOUS
+                again = error.code in CERTAINLY_NO_EFFECT and attempt < ATTEMPTS
+                if not (doubtful or again):
                     raise
                 doubt(str(error))
             await self.clock.sleep(wait)
