--- a/features/steps/settings_fleet_steps.py
+++ b/features/steps/settings_fleet_steps.py
@@ -68,7 +68,7 @@
 def join(context: Any, names: str, region: str = "west", data_centre: str = "north") -> None:
     for name in names.split(", "):
         context.fleet.start(context.fleet.add(name, region, data_centre))
-    context.fleet.pass_time(3)
+    context.fleet.pass_time(4)
 
 
 def nodes(context: Any) -> list[Node]:
--- a/src/marjoramtide/settings/sync/_follower.py
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -24,6 +24,7 @@
 WATCH_WAIT_S = 30.0
 PAUSE_STEP_S = 0.2
 ROLE_CHECK_S = 1.0
+FIRST_WATCH_S = 3.0
 PULL_MOST_S = 5.0
 
 log = structlog.get_logger()
@@ -167,7 +168,12 @@
         return here.node in choose_watchers(neighbours, self.view.node_values["watchers"])
 
     async def watch(self) -> None:
-        """Watch the store while chosen; the choice is looked at again after each watch."""
+        """Watch the store while chosen; the choice is looked at again after each watch.
+
+        A node that has just started knows no others yet and would choose itself. It waits first,
+        so that a fleet that restarts doesn't hold a watch for each of its nodes.
+        """
+        await self.clock.sleep(FIRST_WATCH_S)
         waits = backoff(self.rng)
         while True:
             if not self.is_watcher():
