--- a/features/settings/changes.feature
+++ b/features/settings/changes.feature
@@ -60,6 +60,21 @@
     When an operator at a sets slots = 11 in /services/mapdesk
     Then what the operator was told is what the tree says
 
+  Scenario Outline: The answer is lost while another operator changes the same branch
+    The fate of the first write is open when the other one's write comes. Whichever the store
+    applied first, each operator is told what became of his own.
+    Given the store's next tree writes end as <fate>
+    And another operator at b sets slots to 12 in /services/mapdesk once the next write is lost
+    When an operator at a sets slots = 11 in /services/mapdesk
+    Then what both operators were told is what the tree says
+    And the tree was written 2 times
+
+    Examples:
+      | fate    |
+      | applied |
+      | lost    |
+      | late    |
+
   Scenario: The answer is lost, and the read that follows is stale
     The write was applied. The repetition conflicts with it, and the store then answers reads with
     the tree from before. Taken at its word, it would make "accepted" into "rejected".
--- a/features/settings/tree.feature
+++ b/features/settings/tree.feature
@@ -71,3 +71,6 @@
 
   Scenario: Every value that the parts of a node read can be set, and names only what there is
     Then the schema has every key of a route, and the selectors and limiters of the policies
+
+  Scenario: Every error code has its place in the incident guide
+    Then the incident guide has a section for each error code and for nothing else
--- a/features/steps/settings_fleet_steps.py
+++ b/features/steps/settings_fleet_steps.py
@@ -174,6 +174,29 @@
     context.fleet.store.before_write = hook
 
 
+@given("another operator at {name} sets slots to {value:d} in {branch} once the next write is lost")
+def given_race_with_lost(context: Any, name: str, value: int, branch: str) -> None:
+    other = context.fleet.nodes[name]
+    context.other_request = ask(context, other, set_slots(branch, value))
+
+    async def hook() -> None:
+        context.other = asyncio.ensure_future(outcome_of(context, other, context.other_request))
+
+    context.fleet.store.before_write = hook
+
+
+@then("what both operators were told is what the tree says")
+def then_both_true(context: Any) -> None:
+    context.fleet.pass_time(10)
+    for request, told in (
+        (context.request, context.told),
+        (context.other_request, context.other.result()),
+    ):
+        accepted = isinstance(told, ChangeOutcome)
+        assert accepted == bool(stored(context).contains(request.change)), (request, told)
+        assert accepted or told.code == "branch-conflict", told
+
+
 @given("reads are stale {count:d} times after the next tree write")
 def given_stale_after(context: Any, count: int) -> None:
     store = context.fleet.store
--- a/features/steps/settings_tree_steps.py
+++ b/features/steps/settings_tree_steps.py
@@ -20,7 +20,7 @@
 )
 from marjoramtide.settings.reference import reference_page
 
-PAGE = Path(__file__).parents[2] / "docs" / "operators" / "settings-reference.md"
+PAGES = Path(__file__).parents[2] / "docs" / "operators"
 
 
 def view_of(text: str, region: str = "r", data_centre: str = "d") -> TreeSettingsView:
@@ -70,7 +70,9 @@
 
 @then("the settings reference page is current")
 def then_page(context: Any) -> None:
-    assert PAGE.read_text() == reference_page(), "run python -m marjoramtide.settings.reference"
+    assert (
+        PAGES / "settings-reference.md"
+    ).read_text() == reference_page(), "run python -m marjoramtide.settings.reference"
 
 
 @then("the schema has every key of a route, and the selectors and limiters of the policies")
@@ -79,3 +81,10 @@
     assert not fields - SCHEMA.keys(), fields - SCHEMA.keys()
     assert all(SCHEMA["selector"].accepts(name) for name in SELECTORS)
     assert all(SCHEMA["limiter"].accepts(name) for name in LIMITERS)
+
+
+@then("the incident guide has a section for each error code and for nothing else")
+def then_guide(context: Any) -> None:
+    lines = (PAGES / "incident-guide.md").read_text().splitlines()
+    sections = {line.removeprefix("### ") for line in lines if line.startswith("### ")}
+    assert sections == set(ErrorCode), sections ^ set(ErrorCode)
