--- a/bench/replay/__main__.py
+++ b/bench/replay/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import itertools
+import signal
 import sys
 import tomllib
 from pathlib import Path
@@ -21,6 +22,7 @@
 
 DEFAULT_SECONDS = 10.0
 DEFAULT_JOBS = 2
+ENDED_BY_SIGNAL = 130
 
 
 def setting(text: str) -> dict[str, Any]:
@@ -83,6 +85,14 @@
     return list(dict.fromkeys(options.policy or [*DEFAULT_POLICIES, *trace.policies]))
 
 
+async def replay_until_told(options: argparse.Namespace) -> list[Verdict]:
+    """Replay; a signal to end cancels it, so that no process that it started is left behind."""
+    task = asyncio.ensure_future(replay(options))
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await task
+
+
 async def replay(options: argparse.Namespace) -> list[Verdict]:
     traces = [
         load_trace(TRACES / f"{name}.toml").scaled(options.seconds or None)
@@ -106,7 +116,10 @@
 
 
 def main() -> int:
-    verdicts = asyncio.run(replay(parse()))
+    try:
+        verdicts = asyncio.run(replay_until_told(parse()))
+    except asyncio.CancelledError:
+        return ENDED_BY_SIGNAL
     missed = [verdict for verdict in verdicts if verdict.met is False]
     unchecked = [verdict for verdict in verdicts if verdict.met is None]
     print(
