--- a/src/marjoramtide/membership/_failure_detector.py
+++ b/src/marjoramtide/membership/_failure_detector.py
@@ -59,6 +59,12 @@
         self.next_probe_at = now
         self.awareness.score = self.awareness.limit
 
+    def postpone(self, gap: float) -> None:
+        """Give the probes under way more time."""
+        for probe in self.probes.values():
+            probe.indirect_at += gap
+            probe.fails_at += gap
+
     def tick(self, now: float) -> None:
         """Bring probes under way on and start the next one."""
         self._expire_relays(now)
@@ -82,11 +88,11 @@
         if entry.key in self.probed or len(self.probes) >= MAX_PROBES:
             return
         patience = self.awareness.multiplier
-        number = self._number()
+        number = self.next_number()
         self.probes[number] = Probe(
             target=entry.key,
             indirect_at=now + self.options.probe_timeout_s * patience,
-            fails_at=now + self.options.probe_interval_s * patience,
+            fails_at=now + self.options.probe_limit_s * patience,
         )
         self.probed.add(entry.key)
         self.counters.probes += 1
@@ -104,6 +110,11 @@
             revisions=revisions,
         )
 
+    def next_number(self) -> int:
+        """Return a number for a probe; numbers rise, so that an old answer can be told."""
+        self.last_number += 1
+        return self.last_number
+
     def on_ack(self, packet: Packet, now: float) -> bool:
         """Take a confirmation; return whether it answers a probe of this node."""
         relay = self.relays.pop(packet.number, None)
@@ -131,7 +142,7 @@
         entry = self.view.entries.get(packet.keys[0]) if packet.keys else None
         if entry is None or len(self.relays) >= MAX_RELAYS:
             return
-        number = self._number()
+        number = self.next_number()
         self.relays[number] = Relay(
             requester=packet.sender,
             number=packet.number,
@@ -140,10 +151,6 @@
         )
         self.ping(entry, number)
 
-    def _number(self) -> int:
-        self.last_number += 1
-        return self.last_number
-
     def _next_target(self) -> MemberEntry | None:
         live = self.view.live()
         if len(live) < 2:
@@ -163,7 +170,7 @@
         # single answer lets the two sides compare their views.
         dead = [entry for entry in self.view.gone.values() if entry.is_tried()]
         if dead:
-            self.ping(self.rng.choice(dead), self._number())
+            self.ping(self.rng.choice(dead), self.next_number())
 
     def _ask_helpers(self, number: int, probe: Probe) -> None:
         probe.asked_helpers = True
