--- /dev/null
+++ b/features/edge/peer_attacks.py
@@ -0,0 +1,198 @@
+"""What a stranger, or a node gone wrong, may do to a peer port."""
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import cbor2
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.exceptions import ConnectionClosed
+
+from marjoramtide.peers._codec import encode
+from marjoramtide.peers._handshake import open_as_client, proof
+from marjoramtide.peers._messages import (
+    CancelMessage,
+    ContinueMessage,
+    CreditMessage,
+    RequestChunk,
+    RequestMessage,
+)
+from standins.mesh._mesh_node import KEY
+
+Attack = Callable[[str], Awaitable[None]]
+CLOSE_TIMEOUT_S = 4.0
+
+
+def request(number: int = 1, **changes: Any) -> bytes:
+    """Return the frame of a request."""
+    values: dict[str, Any] = {
+        "id": number,
+        "service": "mapdesk",
+        "method": "POST",
+        "target": "/attack",
+        "headers": [("Host", "mapdesk")],
+        "urgent": False,
+        "idempotent": False,
+        "remaining_ms": 1000.0,
+        "depth": 1,
+        "key": "",
+        "trace": "",
+        "attempt": 1,
+        "body": b"",
+        "more": False,
+        "length": -1,
+    }
+    return encode(RequestMessage(**{**values, **changes}))
+
+
+async def open_socket(address: str) -> ClientConnection:
+    """Open a connection that has proved nothing yet."""
+    return await connect(f"ws://{address}/", compression=None, max_size=None, proxy=None)
+
+
+async def open_peer(address: str, key: str = KEY) -> ClientConnection:
+    """Open a connection as a node does."""
+    socket = await open_socket(address)
+    await open_as_client(socket, key, "routine", address)
+    return socket
+
+
+async def closed(socket: ClientConnection) -> None:
+    """Wait until the other end closes."""
+    async with asyncio.timeout(CLOSE_TIMEOUT_S):
+        try:
+            while True:
+                await socket.recv()
+        except ConnectionClosed:
+            return
+
+
+def frames(*wanted: bytes) -> Attack:
+    """Return the attack that sends these frames after a sound handshake."""
+
+    async def attack(address: str) -> None:
+        socket = await open_peer(address)
+        for frame in wanted:
+            await socket.send(frame)
+        await closed(socket)
+
+    return attack
+
+
+def first_frame(frame: bytes | str) -> Attack:
+    """Return the attack that sends this in place of a handshake."""
+
+    async def attack(address: str) -> None:
+        socket = await open_socket(address)
+        await socket.send(frame)
+        await closed(socket)
+
+    return attack
+
+
+def bytes_only(data: bytes) -> Attack:
+    """Return the attack that does not even speak WebSocket."""
+
+    async def attack(address: str) -> None:
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            while await reader.read(65536):
+                pass
+        writer.close()
+
+    return attack
+
+
+async def silent(address: str) -> None:
+    await closed(await open_socket(address))
+
+
+async def wrong_key(address: str) -> None:
+    """Answer the server's nonce with a proof made from another key."""
+    socket = await open_socket(address)
+    mine = secrets.token_bytes(16)
+    await socket.send(cbor2.dumps([mine, "routine"]))
+    theirs, _ = cbor2.loads(await socket.recv())
+    await socket.send(cbor2.dumps([proof("another key of 16+", "client", mine, theirs, "routine")]))
+    await closed(socket)
+
+
+async def replay(address: str) -> None:
+    """Send a node's recorded half of a handshake a second time, with a request behind it."""
+    mine = secrets.token_bytes(16)
+    first = await open_socket(address)
+    await first.send(cbor2.dumps([mine, "routine"]))
+    theirs, _ = cbor2.loads(await first.recv())
+    recorded = cbor2.dumps([proof(KEY, "client", mine, theirs, "routine")])
+    await first.send(recorded)
+    await first.recv()
+    second = await open_socket(address)
+    await second.send(cbor2.dumps([mine, "routine"]))
+    await second.recv()
+    await second.send(recorded)
+    await second.send(request())
+    await closed(second)
+    await first.close()
+
+
+async def invited(address: str, *wanted: bytes) -> None:
+    """Begin a request with a body, wait until it is asked for, then send these frames."""
+    socket = await open_peer(address)
+    await socket.send(request(more=True))
+    assert await socket.recv() == encode(ContinueMessage(1))
+    for frame in wanted:
+        await socket.send(frame)
+    await closed(socket)
+
+
+def invited_with(*wanted: bytes) -> Attack:
+    return lambda address: invited(address, *wanted)
+
+
+ATTACKS: dict[str, Attack] = {
+    "bytes that are no HTTP": bytes_only(secrets.token_bytes(64) + b"\r\n\r\n"),
+    "plain HTTP": bytes_only(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+    "no handshake": silent,
+    "a handshake of text": first_frame("hello"),
+    "a handshake of garbage": first_frame(b"\xff\x00garbage"),
+    "a nonce that is text": first_frame(cbor2.dumps(["a" * 16, "routine"])),
+    "a nonce that is empty": first_frame(cbor2.dumps([b"", "routine"])),
+    "an unknown lane": first_frame(cbor2.dumps([b"a" * 16, "express"])),
+    "a lane that is no text": first_frame(cbor2.dumps([b"a" * 16, 7])),
+    "a handshake of 100 KB": first_frame(b"\x5a\x00\x01\x86\xa0" + b"a" * 100000),
+    "another key": wrong_key,
+    "a replayed handshake": replay,
+    "garbage after the handshake": frames(b"\xff\xfe garbage"),
+    "deep nesting": frames(b"\x81" * 100000 + b"\x00"),
+    "a huge array's head": frames(b"\x9b\x7f\xff\xff\xff\xff\xff\xff\xff"),
+    "an unknown message": frames(cbor2.dumps([99, 1])),
+    "a negative message number": frames(cbor2.dumps([-1, 1, {}, "", ""])),
+    "too few fields": frames(cbor2.dumps([0, 1])),
+    "a frame of 3 MB": frames(cbor2.dumps(b"a" * 3_000_000)),
+    "a request number used twice": frames(request(), request()),
+    "a target that leads elsewhere": frames(request(target="@127.0.0.1:9/")),
+    "a target with a line break": frames(request(target="/ HTTP/1.1\r\nX: y\r\n\r\n")),
+    "a deadline that is no number": frames(request(remaining_ms=float("nan"))),
+    "headers that are none": frames(request(headers=[1, 2])),
+    "a chunk nobody asked for": frames(request(), encode(RequestChunk(1, b"a", False))),
+    "an answer to nothing asked": frames(request(more=True), encode(ContinueMessage(1))),
+    "an empty chunk": invited_with(encode(RequestChunk(1, b"", False))),
+    "a credit of a gigabyte": invited_with(encode(CreditMessage(1, 1 << 30))),
+    "a negative credit": invited_with(encode(CreditMessage(1, -5))),
+}
+
+
+async def unknown_ids(address: str) -> Any:
+    """Send frames for requests that are not there, then a request; return its answer's frame."""
+    socket = await open_peer(address)
+    for stray in (RequestChunk(77, b"a" * 1000, False), CreditMessage(78, 5), CancelMessage(79)):
+        await socket.send(encode(stray))
+    await socket.send(request(number=2, method="GET", idempotent=True))
+    try:
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            return cbor2.loads(await socket.recv())
+    finally:
+        await socket.close()
--- /dev/null
+++ b/features/edge/raw_caller.py
@@ -0,0 +1,66 @@
+"""A caller that writes bytes of its own choice."""
+
+import asyncio
+import re
+
+import attrs
+
+STATUS_LINE = re.compile(rb"^HTTP/[019.]+ (\d{3}) ", re.MULTILINE)
+RUN = re.compile(r"<(\d+)>")
+SILENCE_S = 0.3
+
+
+@attrs.frozen(slots=True)
+class RawAnswer:
+    """All that came back on the connection, and whether it was closed."""
+
+    data: bytes
+    closed: bool
+
+    @property
+    def statuses(self) -> list[int]:
+        """Return the final statuses of the answers, in order."""
+        found = [int(text) for text in STATUS_LINE.findall(self.data)]
+        return [status for status in found if status >= 200]
+
+
+def spell(text: str) -> bytes:
+    r"""Return the bytes of a form: ``\r\n`` escapes, and ``<900>`` for so many letters."""
+    plain = RUN.sub(lambda match: "a" * int(match[1]), text)
+    return plain.encode("latin-1").decode("unicode_escape").encode("latin-1")
+
+
+async def read_answer(reader: asyncio.StreamReader, silence_s: float) -> RawAnswer:
+    """Read until the end of the connection, or until nothing comes for ``silence_s``."""
+    data = b""
+    while True:
+        try:
+            async with asyncio.timeout(silence_s):
+                piece = await reader.read(65536)
+        except TimeoutError:
+            return RawAnswer(data, closed=False)
+        except ConnectionError:
+            return RawAnswer(data, closed=True)
+        if not piece:
+            return RawAnswer(data, closed=True)
+        data += piece
+
+
+async def send_raw(
+    address: str, *pieces: bytes, pause_s: float = 0.05, silence_s: float = SILENCE_S
+) -> RawAnswer:
+    """Send the pieces one after the other, and read what comes back."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        for number, piece in enumerate(pieces):
+            if number:
+                await asyncio.sleep(pause_s)
+            writer.write(piece)
+            await writer.drain()
+    except ConnectionError:
+        pass
+    try:
+        return await read_answer(reader, silence_s)
+    finally:
+        writer.close()
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -13,7 +13,6 @@
 from marjoramtide.ingress._caller_connection import fields
 from marjoramtide.ingress._caller_server import CallerServer
 from marjoramtide.ingress._dispatcher import Dispatcher
-from marjoramtide.ingress._library_log import LibraryLog
 from marjoramtide.ingress._read_body import read_body
 from marjoramtide.ingress._read_request import read_request
 from marjoramtide.ingress._refusal import refusal
@@ -65,7 +64,7 @@
             self.handle,
             handler_cancellation=True,
             access_log=None,
-            logger=LibraryLog(logging.getLogger("marjoramtide.ingress.aiohttp")),
+            logger=logging.getLogger("marjoramtide.ingress.aiohttp"),
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
             max_headers=MAX_HEADERS,
@@ -174,7 +173,7 @@
             response = web.Response(status=answer.status, body=answer.body or None)
             self.add_headers(response, answer)
             if request.method == "HEAD" and answer.length is not None:
-                response.content_length = answer.length
+                response.headers["Content-Length"] = str(answer.length)
             return response
         response = web.StreamResponse(status=answer.status)
         self.add_headers(response, answer)
--- a/src/marjoramtide/ingress/_read_request.py
+++ b/src/marjoramtide/ingress/_read_request.py
@@ -93,6 +93,24 @@
     return key
 
 
+def check_values(http: web.BaseRequest) -> None:
+    """Raise for a header that the library could not send on as it is."""
+    for name, value in http.headers.items():
+        # The library keeps bytes that are no UTF-8 as lone surrogates, and leaves those out
+        # without a word when it writes them: the backend server would get another value.
+        if not value.isascii() and not is_text(value):
+            raise bad(f"{name[:40]}; allowed: ASCII or UTF-8")
+
+
+def is_text(value: str) -> bool:
+    """Tell whether a value can be written as UTF-8."""
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def check_head(http: web.BaseRequest) -> None:
     """Raise where the head is too large, or leaves open where the body ends."""
     if http.version not in VERSIONS:
@@ -123,6 +141,7 @@
 ) -> tuple[Request, RouteSettings]:
     """Return the request with the settings of its route; raises what the caller is to be told."""
     check_head(http)
+    check_values(http)
     target = http.raw_path
     if not is_origin_form(target):
         raise bad("the request target; allowed: a path with its query, without a fragment")
--- a/src/marjoramtide/peers/_codec.py
+++ b/src/marjoramtide/peers/_codec.py
@@ -1,6 +1,5 @@
 """One CBOR codec for all messages between nodes."""
 
-from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -65,31 +64,12 @@
         ) from error
 
 
-def pack_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[str, Any]]:
-    """Return headers as they travel: a value that is no valid UTF-8 goes as its bytes.
-
-    HTTP allows any byte above 127 in a value (RFC 9110, section 5.5); the HTTP library keeps such
-    bytes as lone surrogates, which CBOR text can't carry.
-    """
-    return [
-        (name, value if value.isascii() else value.encode("utf-8", "surrogateescape"))
-        for name, value in headers
-    ]
-
-
 def unpack_headers(fields: list[Any]) -> tuple[tuple[str, str], ...]:
     """Return the headers of a message; raises ``bad-frame`` where they are none."""
-    try:
-        return tuple((str(name), unpack_value(value)) for name, value in fields)
-    except (TypeError, ValueError, AttributeError) as error:
-        raise MarjoramtideError(
-            ErrorCode.BAD_FRAME, "headers that are none", step="peers.decode"
-        ) from error
-
-
-def unpack_value(value: str | bytes) -> str:
-    """Return one header value as the HTTP library holds it."""
-    return value if isinstance(value, str) else value.decode("utf-8", "surrogateescape")
+    pairs = tuple(tuple(field) if isinstance(field, list) else () for field in fields)
+    if not all(len(pair) == 2 and all(isinstance(part, str) for part in pair) for pair in pairs):
+        raise MarjoramtideError(ErrorCode.BAD_FRAME, "headers that are none", step="peers.decode")
+    return pairs  # type: ignore[return-value]
 
 
 def pack_report(report: LoadReport | None) -> list[Any] | None:
--- a/src/marjoramtide/peers/_link.py
+++ b/src/marjoramtide/peers/_link.py
@@ -15,7 +15,6 @@
 from marjoramtide.peers._codec import (
     decode,
     encode,
-    pack_headers,
     unpack_headers,
     unpack_report,
 )
@@ -63,7 +62,7 @@
             service=request.service,
             method=request.method,
             target=request.target,
-            headers=pack_headers(request.headers),
+            headers=list(request.headers),
             urgent=request.urgent,
             idempotent=request.idempotent,
             remaining_ms=remaining_ms,
--- /dev/null
+++ b/src/marjoramtide/peers/_peer_connection.py
@@ -0,0 +1,30 @@
+"""The server's end of a connection before anything is known of the other end."""
+
+from typing import Any
+
+import structlog
+from websockets.asyncio.server import ServerConnection
+
+from marjoramtide.errors import ErrorCode
+
+log = structlog.get_logger()
+
+MAX_REASON_CHARACTERS = 200
+
+
+class PeerConnection(ServerConnection):
+    """The library's connection, which tells in our log whom it turned away, and why."""
+
+    async def handshake(self, *args: Any, **kwargs: Any) -> None:
+        try:
+            await super().handshake(*args, **kwargs)
+        finally:
+            error = self.protocol.handshake_exc
+            if error is not None:
+                log.warning(
+                    "peers.refused",
+                    code=ErrorCode.BAD_FRAME,
+                    step="peers.accept",
+                    peer="{}:{}".format(*(self.remote_address or ("", ""))[:2]),
+                    reason=f"{type(error).__name__}: {error}"[:MAX_REASON_CHARACTERS],
+                )
--- a/src/marjoramtide/peers/_server.py
+++ b/src/marjoramtide/peers/_server.py
@@ -1,6 +1,7 @@
 """The port on which peers reach this node."""
 
 import asyncio
+import logging
 
 import structlog
 from websockets.asyncio.server import Server, ServerConnection, serve
@@ -10,16 +11,20 @@
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import RequestHandler
 from marjoramtide.peers._handshake import HANDSHAKE_TIMEOUT_S, open_as_server
-from marjoramtide.peers._library_log import make_logger
 from marjoramtide.peers._limits import (
     MAX_HANDSHAKE_BYTES,
     PING_INTERVAL_S,
     PING_TIMEOUT_S,
 )
+from marjoramtide.peers._peer_connection import PeerConnection
 from marjoramtide.peers._session import QuestionHandler, Session
 
 log = structlog.get_logger()
 
+# At its lower levels the library tells of each connection.
+library_log = logging.getLogger("marjoramtide.peers.websockets")
+library_log.setLevel(logging.ERROR)
+
 
 class PeerServer:
     """Accepts connections of nodes that hold the fleet's key."""
@@ -44,7 +49,8 @@
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
             server_header=None,
-            logger=make_logger(),
+            logger=library_log,
+            create_connection=PeerConnection,
             open_timeout=HANDSHAKE_TIMEOUT_S,
         )
 
--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -24,7 +24,7 @@
     stream_body,
 )
 from marjoramtide.peers._byte_stream import ByteStream
-from marjoramtide.peers._codec import decode, encode, pack_headers, pack_report, unpack_headers
+from marjoramtide.peers._codec import decode, encode, pack_report, unpack_headers
 from marjoramtide.peers._limits import MAX_OPEN_PER_SESSION
 from marjoramtide.peers._messages import (
     AnswerChunk,
@@ -171,6 +171,13 @@
             failure = UnknownOutcomeError(ErrorCode.INTERNAL, str(error), step="peers.serve")
             await self.fail(message.id, failure, not_run=False)
         finally:
+            # A booking goes on without its caller, but the rest of its body will not come: left
+            # waiting for it, it would hold a slot of the backend server until its deadline.
+            served.body.fail(
+                UnknownOutcomeError(
+                    ErrorCode.TRUNCATED, "the body broke off", step="peers.serve", peer=self.peer
+                )
+            )
             self.served.pop(message.id, None)
             if not self.served:
                 self.idle.set()
@@ -214,7 +221,7 @@
         message = AnswerMessage(
             id=number,
             status=answer.status,
-            headers=pack_headers(answer.headers),
+            headers=list(answer.headers),
             body=answer.body,
             more=answer.stream is not None,
             length=-1 if answer.length is None else answer.length,
--- a/src/marjoramtide/serving/_aiohttp_transport.py
+++ b/src/marjoramtide/serving/_aiohttp_transport.py
@@ -82,7 +82,10 @@
     async def read_answer(self, request: Request, response: aiohttp.ClientResponse) -> Answer:
         """Read a small answer whole; hand on a large one as a stream."""
         try:
-            answer = Answer(response.status, end_to_end(response.headers.items(), OWN_ANSWER))
+            headers = end_to_end(response.headers.items(), OWN_ANSWER)
+            answer = Answer(
+                response.status, tuple((name, readable(value)) for name, value in headers)
+            )
             answer.length = response.content_length
             if request.method == "HEAD":
                 response.close()
@@ -160,3 +163,18 @@
 
     async def close(self) -> None:
         await self.session.close()
+
+
+def readable(value: str) -> str:
+    """Return a header value that can be written as UTF-8.
+
+    The library keeps bytes that are no UTF-8 as lone surrogates, which neither it nor CBOR can
+    write. They are read as Latin-1, the charset of HTTP/1.0, and travel on as UTF-8.
+    """
+    if value.isascii():
+        return value
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return value.encode("utf-8", "surrogateescape").decode("latin-1")
+    return value
