A fuzz run that stops by itself: make fuzz

Frame decoder, handshake, gossip codec with and without a sound signature, settings tree, envelopes and a real node's HTTP port; the same seed gives the same inputs.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint behave bench bench-hop bench-control clean
+.PHONY: setup demo test lint behave bench bench-hop bench-control fuzz clean
 
 setup: $(STAMP)
 
@@ -30,6 +30,9 @@
 bench-hop: $(STAMP)
 	$(PY) -m bench.hop
 
+fuzz: $(STAMP)
+	$(PY) -m bench.fuzz
+
 bench-control: $(STAMP)
 	$(PY) -m bench.control
 
--- /dev/null
+++ b/bench/fuzz.py
@@ -0,0 +1,260 @@
+"""Feeds broken input to whatever reads bytes from outside, and stops by itself.
+
+``python -m bench.fuzz --count 2000 --seed 1``: the frame decoder, the peers' handshake, the gossip
+codec, the settings tree and a real node's HTTP port each get ``count`` inputs (the port a tenth of
+them), half of them sound ones with a few bytes changed. An input must be taken or refused with an
+error of ours within ``SLOW_S``; anything else is a fault. The same seed gives the same inputs. The
+exit status is 0 only without faults.
+"""
+
+import argparse
+import asyncio
+import itertools
+import random
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import attrs
+import cbor2
+
+from marjoramtide.errors import MarjoramtideError
+from marjoramtide.membership._member_state import MemberState
+from marjoramtide.membership._packet import AppliedSettings, Kind, Packet, Status
+from marjoramtide.membership._packet_codec import PacketCodec
+from marjoramtide.membership._packet_error import PacketError
+from marjoramtide.peers._codec import decode, encode, unpack_headers
+from marjoramtide.peers._handshake import open_as_client, open_as_server
+from marjoramtide.peers._messages import CreditMessage, RequestMessage
+from marjoramtide.settings import decode_envelope, parse_tree
+from standins.mesh import Mesh, MeshNode, make_plan
+from standins.raw_caller import read_answer
+
+KEY = "a key for fuzzing on loopback only"
+SLOW_S = 0.5
+LIMIT_S = 50.0
+HTTP_SHARE = 10
+PARALLEL = 5
+SILENCE_S = 0.15
+REFUSED = (MarjoramtideError, PacketError)
+# Pieces that parsers are known to trip over.
+PIECES = (
+    b"\x00", b"\xff", b"\x9f", b"\x81" * 500, b"\x9b" + b"\xff" * 8, b"\xc2\x41\xff", b"\xd8\x1c",
+    b"\r\n", b"\n", b"\r", b" ", b"\t", b":", b"0", b"-1", b"chunked", b"Content-Length: 3\r\n",
+    b"Transfer-Encoding: chunked\r\n", b"Host: other\r\n", b"Expect: 100-continue\r\n",
+    b"[services]", b"nan", b"inf", b"\"", b"'''", b"=", b"{", b"1e999", b"\xed\xa0\x80",
+)  # fmt: skip
+REQUEST = RequestMessage(
+    1, "mapdesk", "POST", "/x?y=1", [("Host", "mapdesk")], False, False, 900.0, 1, "k", "", 1,
+    b"body", False, 4,
+)  # fmt: skip
+PACKET = Packet(
+    kind=Kind.PING,
+    sender=1,
+    sequence=2,
+    sent_ms=3,
+    destination=4,
+    number=5,
+    view_digest=6,
+    status=Status(1, 1, MemberState.READY),
+    settings=AppliedSettings(1, "abc"),
+    statuses=[Status(2, 1, MemberState.READY)],
+    keys=(7, 8),
+)
+TREE = (
+    b"[services.mapdesk]\ntimeout_ms = 500\n[services.mapdesk.routes.\"/a\"]\nidempotent = 'no'\n"
+)
+HTTP = (
+    b"GET /a?b=1 HTTP/1.1\r\nHost: mapdesk\r\nX-A: b\r\n\r\n",
+    b"POST /a HTTP/1.1\r\nHost: mapdesk\r\nContent-Length: 5\r\nIdempotency-Key: k\r\n\r\nhello",
+    b"PUT / HTTP/1.1\r\nHost: mapdesk\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    b"HEAD / HTTP/1.1\r\nHost: mapdesk\r\nPriority: u=1\r\nRequest-Timeout-Ms: 300\r\n\r\n",
+)
+
+
+@attrs.define(slots=True)
+class Tally:
+    """What became of the inputs of one target."""
+
+    name: str
+    seen: Counter[str] = attrs.Factory(Counter)
+    faults: list[str] = attrs.Factory(list)
+
+    def fault(self, data: bytes, what: str) -> None:
+        """Keep an input that was neither taken nor refused."""
+        self.faults.append(f"{self.name}: {what}: {data[:120]!r}")
+
+    def line(self) -> str:
+        return (
+            f"{self.name:10} {self.seen['taken']:6} taken {self.seen['refused']:6} refused "
+            f"{len(self.faults):3} faults"
+        )
+
+
+def change(rng: random.Random, data: bytes) -> bytes:
+    """Return ``data`` with a few places cut out, replaced or filled up."""
+    changed = bytearray(data)
+    for _ in range(rng.randint(1, 4)):
+        start = rng.randrange(len(changed) + 1)
+        piece = rng.choice(PIECES) if rng.random() < 0.6 else rng.randbytes(rng.randint(0, 4))
+        changed[start : start + rng.choice((0, 0, 1, 2, 8))] = piece
+    return bytes(changed)
+
+
+def inputs(rng: random.Random, count: int, *sound: bytes) -> Iterator[bytes]:
+    """Return changed sound inputs and plain noise in turn."""
+    for number in range(count):
+        if number % 2:
+            yield rng.randbytes(rng.randint(0, 200))
+        else:
+            yield change(rng, rng.choice(sound))
+
+
+def try_all(name: str, data: Iterator[bytes], read: Callable[[bytes], Any], end: float) -> Tally:
+    """Give each input to ``read``."""
+    tally = Tally(name)
+    for item in data:
+        started = time.monotonic()
+        if started > end:
+            break
+        try:
+            read(item)
+            tally.seen["taken"] += 1
+        except REFUSED:
+            tally.seen["refused"] += 1
+        except Exception as error:
+            tally.fault(item, repr(error))
+        if time.monotonic() - started > SLOW_S:
+            tally.fault(item, "slow")
+    return tally
+
+
+def read_frame(data: bytes) -> None:
+    message = decode(data)
+    if isinstance(message, RequestMessage):
+        unpack_headers(message.headers)
+
+
+@attrs.define(slots=True)
+class Script:
+    """A socket whose other end says what was written down before."""
+
+    frames: list[bytes]
+
+    async def recv(self) -> bytes:
+        return self.frames.pop(0) if self.frames else b""
+
+    async def send(self, data: bytes) -> None:
+        """Drop what this end says."""
+
+
+def read_handshake(data: bytes) -> None:
+    """Have each end of a handshake hear ``data`` and nothing more; both must refuse it."""
+    ends: tuple[Callable[[Any], Awaitable[Any]], ...] = (
+        lambda socket: open_as_server(socket, KEY, "peer"),
+        lambda socket: open_as_client(socket, KEY, "urgent", "peer"),
+    )
+    refusals = []
+    for end in ends:
+        try:
+            asyncio.run(end(Script([data])))  # type: ignore[arg-type]
+        except MarjoramtideError as error:
+            refusals.append(error)
+    if len(refusals) < len(ends):
+        raise RuntimeError("a handshake without the key was taken")
+    raise refusals[0]
+
+
+def read_signed(data: bytes) -> Packet:
+    """Read a datagram that a node with the key has signed, whatever is in it."""
+    codec = PacketCodec(KEY)
+    return codec.decode(codec._mac(data) + data)
+
+
+def read_tree(data: bytes) -> None:
+    parse_tree(data.decode(errors="replace"))
+
+
+async def send(address: str, data: bytes) -> bytes:
+    """Send one input; return what came back until the end, or until nothing more comes."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(data)
+        answer = await read_answer(reader, SILENCE_S)
+        return answer.data
+    finally:
+        writer.close()
+
+
+async def serves(node: MeshNode) -> bool:
+    return (await send(node.callers, HTTP[0])).startswith(b"HTTP/1.1 200 ")
+
+
+async def try_http(data: Iterator[bytes], end: float) -> Tally:
+    """Give each input to the callers' port of a real node, and see that it serves on."""
+    tally = Tally("http")
+    with tempfile.TemporaryDirectory() as folder:
+        async with Mesh(Path(folder), make_plan({"mapdesk": 1})) as mesh:
+            await mesh.ready()
+            (node,) = mesh.nodes
+            while time.monotonic() < end and (batch := list(itertools.islice(data, PARALLEL))):
+                answers = await asyncio.gather(*(send(node.callers, item) for item in batch))
+                for item, answer in zip(batch, answers, strict=True):
+                    tally.seen["taken" if b" 200 OK" in answer else "refused"] += 1
+                    if b'details="internal"' in answer:
+                        tally.fault(item, "internal error")
+            await asyncio.sleep(1.0)  # requests that were left half sent end by their deadline
+            if not await serves(node):
+                tally.fault(b"", "the node does not serve any more")
+            assert node.process is not None
+            errors = [line for line in node.process.text().splitlines() if '"error"' in line]
+            for line in errors[:5]:
+                tally.fault(line.encode(), "an error in the log")
+    return tally
+
+
+def run(count: int, seed: int) -> list[Tally]:
+    """Fuzz each target; the inputs depend on ``seed`` alone."""
+    end = time.monotonic() + LIMIT_S
+    packet = PacketCodec(KEY).encode(PACKET)
+    frames = (encode(REQUEST), encode(CreditMessage(1, 2)))
+    envelope = cbor2.dumps({"revision": 1, "text": TREE.decode()})
+
+    def rng(name: str) -> random.Random:
+        return random.Random(f"{seed} {name}")
+
+    hello = cbor2.dumps([b"a" * 16, "urgent"])
+    tallies = [
+        try_all("frames", inputs(rng("frames"), count, *frames), read_frame, end),
+        try_all("handshake", inputs(rng("handshake"), count, hello), read_handshake, end),
+        try_all("datagrams", inputs(rng("gossip"), count, packet), PacketCodec(KEY).decode, end),
+        try_all("gossip", inputs(rng("signed"), count, packet[16:]), read_signed, end),
+        try_all("settings", inputs(rng("settings"), count, TREE), read_tree, end),
+        try_all("envelopes", inputs(rng("envelopes"), count, envelope), decode_envelope, end),
+    ]
+    http = inputs(rng("http"), max(1, count // HTTP_SHARE), *HTTP)
+    return [*tallies, asyncio.run(try_http(http, end))]
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--count", type=int, default=2000)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    tallies = run(options.count, options.seed)
+    for tally in tallies:
+        print(tally.line())
+    faults = [fault for tally in tallies for fault in tally.faults]
+    print(*faults[:20], sep="\n", end="\n" if faults else "")
+    total = sum(sum(tally.seen.values()) for tally in tallies)
+    print(f"fuzz: seed {options.seed}, {total} inputs, {len(faults)} faults")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/features/edge/peer_attacks.py
+++ b/features/edge/peer_attacks.py
@@ -59,13 +59,16 @@
 
 
 async def closed(socket: ClientConnection) -> None:
-    """Wait until the other end closes."""
-    async with asyncio.timeout(CLOSE_TIMEOUT_S):
-        try:
+    """Wait until the other end closes; raises ``TimeoutError`` with what it sent instead."""
+    came = []
+    try:
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
             while True:
-                await socket.recv()
-        except ConnectionClosed:
-            return
+                came.append(await socket.recv())
+    except ConnectionClosed:
+        return
+    except TimeoutError as error:
+        raise TimeoutError(f"the connection stayed open; it brought {came}") from error
 
 
 def frames(*wanted: bytes) -> Attack:
@@ -142,7 +145,8 @@
     """Begin a request with a body, wait until it is asked for, then send these frames."""
     socket = await open_peer(address)
     await socket.send(request(more=True))
-    assert await socket.recv() == encode(ContinueMessage(1))
+    frame = await socket.recv()
+    assert frame == encode(ContinueMessage(1)), frame
     for frame in wanted:
         await socket.send(frame)
     await closed(socket)
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -15,8 +15,8 @@
 
 from bench.load import play
 from features.edge.peer_attacks import ATTACKS, unknown_ids
-from features.edge.raw_caller import read_answer, send_raw, spell
 from features.edge.recorder import Recorder
+from standins.raw_caller import read_answer, send_raw, spell
 
 use_step_matcher("parse")
 
@@ -247,8 +247,8 @@
         seen = len(lines(node, "peers.refused", "peers.bad_frame", "peers.failed"))
         try:
             await ATTACKS[row["attack"]](node.peers)
-        except TimeoutError:
-            wrong.append(f"{row['attack']}: the connection stayed open")
+        except TimeoutError as error:
+            wrong.append(f"{row['attack']}: {error}")
         told = await one_line(node, seen, ("peers.refused", "peers.bad_frame", "peers.failed"))
         found = [(line["event"], line["code"], bool(line.get("step"))) for line in told]
         if found != [(row["event"], row["code"], True)]:
