End an answer at its deadline also where nobody reads it

A caller that read nothing of a large answer through two nodes held its connection, and the serving node's session for it, without an end: the timeout spanned a yield, so that the deadline cancelled the task that waited for credit and nobody was told (seen over real processes: connection open 4 s after a deadline of 1 s, no line). The timeout is around each read now, and the peer's session and the ingress have an end of their own.

--- a/features/edge/bad_http.feature
+++ b/features/edge/bad_http.feature
@@ -131,6 +131,16 @@
     When a caller sends mapdesk-1 one byte a second
     Then its connection is closed within 7 s with one line of slow-caller
 
+  Scenario: A caller that stops reading holds nothing beyond its deadline
+    # A caller asks for 30 MB with a deadline of a second and reads none of it. Buffers fill up on the
+    # way, here and behind a second node, and everybody waits for room. At the deadline the node
+    # breaks the connection, with a line; the caller finds a part and an end. Nothing is in progress
+    # any more: both nodes can be stopped within their grace of two seconds, cutting nothing off.
+    Given a mixed mesh of 1 mapdesk and 1 licencehub nodes
+    When callers ask mapdesk-1 for 30000000 bytes of mapdesk and licencehub and read nothing for 2 s
+    Then each finds a part, an end, and a line of deadline at mapdesk-1
+    And mapdesk-1 and licencehub-2 stop without cutting anything off
+
   Scenario: Only what belongs to the request travels
     # A caller and a backend server send headers that belong to one connection, also ones that only
     # their Connection header names, and claim to be a node. The other end gets none of them; a
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -165,6 +165,48 @@
     assert len(found) == 1 and found[0]["step"], found
 
 
+async def ask_and_wait(address: str, service: str, size: int, seconds: float) -> Any:
+    """Ask for a large answer, read nothing for some seconds, then read on to the end."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    target = f"/?bytes={size}"
+    writer.write(get(service, "Request-Timeout-Ms: 1000", target=target))
+    await asyncio.sleep(seconds)
+    answer = await read_answer(reader, 1.0)
+    writer.close()
+    return answer
+
+
+@when(
+    "callers ask {name} for {size:d} bytes of {one} and {other} and read nothing for {seconds:g} s"
+)
+def stop_reading(context: Any, name: str, size: int, one: str, other: str, seconds: float) -> None:
+    address = find(context, name).callers
+    context.size = size
+
+    async def both() -> Any:
+        calls = [ask_and_wait(address, service, size, seconds) for service in (one, other)]
+        return await asyncio.gather(*calls)
+
+    context.answers = context.runner.run(both())
+
+
+@then("each finds a part, an end, and a line of {code} at {name}")
+def part_and_end(context: Any, code: str, name: str) -> None:
+    for answer in context.answers:
+        assert answer.closed and len(answer.data) < context.size, (answer.closed, len(answer.data))
+    found = lines(find(context, name), "ingress.broken_off")
+    assert [line["code"] for line in found] == [code, code], found
+
+
+@then("{one} and {other} stop without cutting anything off")
+def stop_both(context: Any, one: str, other: str) -> None:
+    for node in (find(context, one), find(context, other)):
+        assert context.runner.run(node.process.stop()) == 0
+        events = [line["event"] for line in lines(node)]
+        assert "daemon.stopped" in events and "daemon.stop_cut" not in events, events[-5:]
+
+
 @when("raw requests are answered by recorders through {name}")
 def through_recorders(context: Any, name: str) -> None:
     node = find(context, name)
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -9,7 +9,14 @@
 
 from marjoramtide.clock import Clock, FreezeDetector
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.exchange import Answer, NotRunError, Outcome, Request, RequestBody
+from marjoramtide.exchange import (
+    Answer,
+    NotRunError,
+    Outcome,
+    Request,
+    RequestBody,
+    UnknownOutcomeError,
+)
 from marjoramtide.ingress._caller_connection import fields
 from marjoramtide.ingress._caller_server import CallerServer
 from marjoramtide.ingress._dispatcher import Dispatcher
@@ -181,22 +188,35 @@
             response.content_length = answer.length
         else:
             response.enable_chunked_encoding()
+        remaining = max(0.0, request.deadline - self.clock.monotonic())
         try:
-            await response.prepare(http)
-            async for data in answer.stream:
-                await response.write(data)
-            answer.cancel = None
-            await response.write_eof()
+            # A caller that reads slowly, or not at all, holds what is behind it until the deadline.
+            async with asyncio.timeout(remaining):
+                await response.prepare(http)
+                async for data in answer.stream:
+                    await response.write(data)
+                answer.cancel = None
+                await response.write_eof()
         except MarjoramtideError as error:
-            # The head is out; a broken connection is the only way left to say that this is not all.
-            log.warning("ingress.broken_off", code=error.code, step=error.step, peer=error.peer)
-            self.metrics.count("ingress.broken_off")
-            if http.transport is not None:
-                http.transport.abort()
+            self.break_off(http, error)
+        except TimeoutError:
+            self.break_off(
+                http,
+                UnknownOutcomeError(
+                    ErrorCode.DEADLINE, "the deadline passed amid the answer", step="ingress.send"
+                ),
+            )
         finally:
             await answer.close()
         return response
 
+    def break_off(self, http: web.BaseRequest, error: MarjoramtideError) -> None:
+        """Break the connection: the head is out, nothing else can tell that this is not all."""
+        log.warning("ingress.broken_off", **fields(error, http.remote))
+        self.metrics.count("ingress.broken_off")
+        if http.transport is not None:
+            http.transport.abort()
+
     def add_headers(self, response: web.StreamResponse, answer: Answer) -> None:
         for name, value in answer.headers:
             response.headers.add(name, value)
--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -55,6 +55,7 @@
     body: ByteStream
     headers: tuple[tuple[str, str], ...]
     invited: bool = False
+    deadline: float = 0.0
     window: SendWindow = attrs.Factory(SendWindow)
     task: "asyncio.Task[None] | None" = None
 
@@ -159,7 +160,7 @@
         """Serve one request and send its answer, or why there is none."""
         try:
             answer = await self.handle(message, served)
-            await self.send_answer(message.id, answer, served.window)
+            await self.send_answer(message.id, answer, served)
         except NotRunError as error:
             await self.fail(message.id, error, not_run=True)
         except UnknownOutcomeError as error:
@@ -191,6 +192,7 @@
             raise NotRunError(
                 ErrorCode.DEADLINE, "the node was stopped meanwhile", step="peers.serve"
             )
+        served.deadline = now + message.remaining_ms / 1000
         request = Request(
             service=message.service,
             method=message.method,
@@ -198,7 +200,7 @@
             headers=served.headers,
             urgent=message.urgent,
             idempotent=message.idempotent,
-            deadline=now + message.remaining_ms / 1000,
+            deadline=served.deadline,
             depth=message.depth,
             key=message.key,
             trace=message.trace,
@@ -217,7 +219,7 @@
         async for data in served.body:
             yield data
 
-    async def send_answer(self, number: int, answer: Answer, window: SendWindow) -> None:
+    async def send_answer(self, number: int, answer: Answer, served: Served) -> None:
         message = AnswerMessage(
             id=number,
             status=answer.status,
@@ -235,8 +237,16 @@
         try:
             await self.send(message)
             if answer.stream is not None:
-                await window.send_all(answer.stream, send)
+                # A caller that stops reading gives no credit: without an end of its own the wait
+                # for it would hold a slot of the backend server for ever.
+                remaining = served.deadline - self.clock.monotonic()
+                async with asyncio.timeout(max(0.0, remaining)):
+                    await served.window.send_all(answer.stream, send)
                 answer.cancel = None
+        except TimeoutError as error:
+            raise UnknownOutcomeError(
+                ErrorCode.DEADLINE, "the deadline passed amid the answer", step="peers.answer"
+            ) from error
         finally:
             await answer.close()
 
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -208,11 +208,16 @@
     ) -> AsyncIterator[bytes]:
         """Pass the stream on; the slot is free when it ends, within the deadline."""
         whole = False
-        remaining = max(0.0, execution.request.deadline - self.clock.monotonic())
         try:
-            async with asyncio.timeout(remaining):
-                async for data in stream:
-                    yield data
+            while True:
+                # Around the read alone: a timeout that spans the yield would cancel whoever takes
+                # the data, amid something else, and nobody would be told of the deadline.
+                remaining = max(0.0, execution.request.deadline - self.clock.monotonic())
+                async with asyncio.timeout(remaining):
+                    data = await anext(stream, None)
+                if data is None:
+                    break
+                yield data
             whole = True
         except TimeoutError as error:
             raise UnknownOutcomeError(
