--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -23,6 +23,7 @@
 # Ten lines a second of one kind are written; slower than that, each refusal has a line of its own.
 PAUSE_S = 0.12
 TRACE = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
+ATTACK_TIMEOUT_S = 6.0
 REFUSALS = ("ingress.refused", "peers.refused", "peers.bad_frame", "ingress.caller_left")
 METRIC = re.compile(r"[\w.-]+:[-+]?[\d.e-]+\|(c|ms|g)")
 
@@ -288,7 +289,8 @@
     for row in rows:
         seen = len(lines(node, "peers.refused", "peers.bad_frame", "peers.failed"))
         try:
-            await ATTACKS[row["attack"]](node.peers)
+            async with asyncio.timeout(ATTACK_TIMEOUT_S):
+                await ATTACKS[row["attack"]](node.peers)
         except TimeoutError as error:
             wrong.append(f"{row['attack']}: {error}")
         told = await one_line(node, seen, ("peers.refused", "peers.bad_frame", "peers.failed"))
--- a/src/marjoramtide/ingress/_caller_connection.py
+++ b/src/marjoramtide/ingress/_caller_connection.py
@@ -112,9 +112,9 @@
         error = parse_error(exc)
         caller = request.remote
         if isinstance(error, UnknownOutcomeError):
-            log.error("ingress.failed", **fields(error, caller), exc_info=exc)
+            log.error("ingress.failed", **log_fields(error, caller), exc_info=exc)
         else:
-            log.info("ingress.refused", **fields(error, caller))
+            log.info("ingress.refused", **log_fields(error, caller))
         self.metrics.count(f"ingress.refused.{error.code}")
         if request.writer.output_size > 0:
             raise ConnectionError("the answer has begun; the connection is broken off")
@@ -123,7 +123,7 @@
         return response
 
 
-def fields(error: MarjoramtideError, caller: str | None) -> dict[str, Any]:
+def log_fields(error: MarjoramtideError, caller: str | None) -> dict[str, Any]:
     """Return what the log tells of a refusal."""
     return {
         "code": error.code,
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -17,7 +17,7 @@
     RequestBody,
     UnknownOutcomeError,
 )
-from marjoramtide.ingress._caller_connection import fields
+from marjoramtide.ingress._caller_connection import log_fields
 from marjoramtide.ingress._caller_server import CallerServer
 from marjoramtide.ingress._dispatcher import Dispatcher
 from marjoramtide.ingress._read_body import read_body
@@ -163,7 +163,7 @@
 
     def refuse(self, http: web.BaseRequest, error: MarjoramtideError) -> web.Response:
         self.metrics.count(f"ingress.refused.{error.code}")
-        log.info("ingress.refused", **fields(error, http.remote))
+        log.info("ingress.refused", **log_fields(error, http.remote))
         response = refusal(error, self.node)
         if self.stopping or not http.content.at_eof():
             # The rest of a body that was not read would be taken for the next request.
@@ -212,7 +212,7 @@
 
     def break_off(self, http: web.BaseRequest, error: MarjoramtideError) -> None:
         """Break the connection: the head is out, nothing else can tell that this is not all."""
-        log.warning("ingress.broken_off", **fields(error, http.remote))
+        log.warning("ingress.broken_off", **log_fields(error, http.remote))
         self.metrics.count("ingress.broken_off")
         if http.transport is not None:
             http.transport.abort()
