--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -8,12 +8,14 @@
 import attrs
 from behave import given, step, then, when
 
-from features.store_harness import SEED, start_harness, start_process
+from features.store_harness import SEED, LeapingClock, start_harness, start_process
 from marjoramtide.claims import ClaimState, make_claim_cleaner, make_claims
 from marjoramtide.claims._claim_keys import claim_key
+from marjoramtide.errors import MarjoramtideError
 from marjoramtide.settings import RouteSettings
 
-WITHIN_S = 0.6
+WITHIN_S = 2.0
+LATE_WITHIN_S = 1.0
 
 
 def make_nodes(context: Any, url: str = "") -> None:
@@ -28,13 +30,15 @@
     context.handles, context.results, context.listed, context.deleted = {}, [], [], 0
 
 
-async def acquire(context: Any, name: str, key: str, digest: str = "request-1") -> Any:
-    deadline = context.store.clock.monotonic() + WITHIN_S
+async def acquire(
+    context: Any, name: str, key: str, digest: str = "request-1", within: float = WITHIN_S
+) -> Any:
+    deadline = context.store.clock.monotonic() + within
     return await context.nodes[name].acquire("mapdesk", key, digest, context.settings, deadline)
 
 
-def claim(context: Any, name: str, key: str, digest: str = "request-1") -> Any:
-    context.result = context.store.run(acquire(context, name, key, digest))
+def claim(context: Any, name: str, key: str, **options: Any) -> Any:
+    context.result = context.store.run(acquire(context, name, key, **options))
     if context.result.handle is not None:
         context.handles[name, key] = context.result.handle
     return context.result
@@ -104,20 +108,20 @@
 
 @when('node {name:w} claims "{key}" for another request')
 def when_claims_other(context: Any, name: str, key: str) -> None:
-    claim(context, name, key, "request-2")
+    claim(context, name, key, digest="request-2")
 
 
 @when('the store holds every write back and node {name:w} claims "{key}"')
 def when_claim_late(context: Any, name: str, key: str) -> None:
     context.store.server.faults.late_writes = -1
-    claim(context, name, key)
+    claim(context, name, key, within=LATE_WITHIN_S)
     context.store.server.faults.late_writes = 0
 
 
 @when('the store holds every update back and node {name:w} claims "{key}"')
 def when_take_over_late(context: Any, name: str, key: str) -> None:
     context.store.server.faults.late_updates = -1
-    claim(context, name, key)
+    claim(context, name, key, within=LATE_WITHIN_S)
     context.store.server.faults.late_updates = 0
 
 
@@ -209,6 +213,34 @@
 @when("{seconds:d} s pass on every clock")
 def when_clocks_pass(context: Any, seconds: int) -> None:
     context.store.clock.added += seconds
+    context.store.server.clock_ahead_s += seconds
+
+
+@given("node {name:w}'s clock is {seconds:d} s off")
+def given_wrong_clock(context: Any, name: str, seconds: int) -> None:
+    clock = LeapingClock()
+    clock.added_wall = seconds
+    node = context.nodes[name]
+    node.clock = node.store.clock = node.unsettled.clock = clock
+
+
+@when(
+    'a cleaner lists the slice of "{key}", stopped for {seconds:d} s while node {name:w} claims it'
+)
+def when_cleaner_stopped(context: Any, key: str, seconds: int, name: str) -> None:
+    harness = context.store
+    cleaner, number = cleaner_of(context, key)
+    exchange = cleaner.store.exchange
+
+    async def stopped_exchange(call: Any, left: float) -> Any:
+        cleaner.store.exchange = exchange
+        harness.clock.added += seconds
+        harness.server.clock_ahead_s += seconds
+        await acquire(context, name, key)
+        return await exchange(call, left)
+
+    cleaner.store.exchange = stopped_exchange
+    context.deleted += harness.run(cleaner.clean_slice(number))
 
 
 def cleaner_of(context: Any, key: str) -> tuple[Any, int]:
@@ -303,6 +335,12 @@
     assert not context.handles[name, key].may_dispatch(context.store.clock.monotonic())
 
 
+@then('a claim of a key of {count:d} characters fails as "{code}"')
+def then_bad_key(context: Any, count: int, code: str) -> None:
+    error = context.store.outcome(acquire(context, "A", "k" * count))
+    assert isinstance(error, MarjoramtideError) and error.code == code, error
+
+
 @then("the cleaners have deleted {count:d} claim")
 @then("the cleaners have deleted {count:d} claims")
 def then_deleted(context: Any, count: int) -> None:
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -19,9 +19,9 @@
 from marjoramtide.policy import Admission, CallProfile, Verdict, make_admission
 from marjoramtide.serving._backend_transport import BackendTransport
 from marjoramtide.serving._claim_gate import ClaimGate
-from marjoramtide.serving._execution import Execution
+from marjoramtide.serving._execution import Execution, make_execution
 from marjoramtide.serving._measurer import Measurer
-from marjoramtide.settings import RouteSettings
+from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, TraceContext, Tracer, read_trace
 
 STEP = "serving.send"
@@ -40,6 +40,7 @@
         service: str,
         transport: BackendTransport,
         claim_gate: ClaimGate,
+        view: SettingsView,
         clock: Clock,
         metrics: Metrics,
         tracer: Tracer,
@@ -52,6 +53,7 @@
         self.admission.set_accepting(False)
         self.transport = transport
         self.claim_gate = claim_gate
+        self.view = view
         self.clock = clock
         self.metrics = metrics
         self.tracer = tracer
@@ -83,7 +85,7 @@
         ticket = next(self.tickets)
         self.in_progress.add(ticket)
         self.idle.clear()
-        execution = Execution(ticket, request, body, self.clock.monotonic())
+        execution = make_execution(ticket, request, body, self.clock.monotonic())
         try:
             await self.admit(execution)
         except BaseException:
@@ -96,7 +98,13 @@
     async def admit(self, execution: Execution) -> None:
         """Return when the request may start; raise ``NotRunError`` where it may not."""
         request, ticket = execution.request, execution.ticket
-        profile = CallProfile(request.urgent, request.idempotent, request.deadline, request.attempt)
+        profile = CallProfile(
+            request.urgent,
+            request.idempotent,
+            execution.deadline,
+            request.attempt,
+            self.kind(request),
+        )
         now = self.clock.monotonic()
         decision = self.admission.offer(ticket, profile, now)
         if decision.verdict is Verdict.REJECT:
@@ -112,6 +120,11 @@
             await self.wait_for_slot(ticket)
         execution.started = self.clock.monotonic()
 
+    def kind(self, request: Request) -> str:
+        """Name the requests that take about as long as this one."""
+        route = self.view.route(request.service, request.target).route
+        return f"{route} urgent" if request.urgent else route
+
     async def wait_for_slot(self, ticket: int) -> None:
         waiter = self.waiting[ticket] = asyncio.get_running_loop().create_future()
         self.schedule_expiry()
@@ -179,7 +192,7 @@
 
     async def send(self, execution: Execution) -> Answer:
         request = execution.request
-        remaining = request.deadline - self.clock.monotonic()
+        remaining = execution.deadline - self.clock.monotonic()
         if remaining <= 0:
             raise NotRunError(ErrorCode.DEADLINE, "no time is left", step=STEP)
         try:
@@ -198,7 +211,7 @@
 
     async def dispatch(self, execution: Execution) -> Answer:
         """Hand the request to the backend server."""
-        remaining = execution.request.deadline - self.clock.monotonic()
+        remaining = execution.deadline - self.clock.monotonic()
         return await self.transport.send(
             execution.request, execution.body, remaining * 1000, execution.begin
         )
@@ -212,7 +225,7 @@
             while True:
                 # Around the read alone: a timeout that spans the yield would cancel whoever takes
                 # the data, amid something else, and nobody would be told of the deadline.
-                remaining = max(0.0, execution.request.deadline - self.clock.monotonic())
+                remaining = max(0.0, execution.deadline - self.clock.monotonic())
                 async with asyncio.timeout(remaining):
                     data = await anext(stream, None)
                 if data is None:
@@ -247,6 +260,9 @@
         self.metrics.timing("serving.execution", duration_ms)
         self.start(self.admission.finished(execution.ticket, now, duration_ms, succeeded))
         self.done(execution.ticket)
+        if self.waiting:
+            # What ended may have changed how long the others will take, or the limit.
+            self.schedule_expiry()
 
     def done(self, ticket: int) -> None:
         self.in_progress.discard(ticket)
