--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -24,7 +24,7 @@
     stream_body,
 )
 from marjoramtide.peers._byte_stream import ByteStream
-from marjoramtide.peers._codec import decode, encode, pack_headers, pack_report, unpack_headers
+from marjoramtide.peers._codec import decode, encode, pack_report, unpack_headers
 from marjoramtide.peers._limits import MAX_OPEN_PER_SESSION
 from marjoramtide.peers._messages import (
     AnswerChunk,
@@ -55,6 +55,7 @@
     body: ByteStream
     headers: tuple[tuple[str, str], ...]
     invited: bool = False
+    deadline: float = 0.0
     window: SendWindow = attrs.Factory(SendWindow)
     task: "asyncio.Task[None] | None" = None
 
@@ -159,7 +160,7 @@
         """Serve one request and send its answer, or why there is none."""
         try:
             answer = await self.handle(message, served)
-            await self.send_answer(message.id, answer, served.window)
+            await self.send_answer(message.id, answer, served)
         except NotRunError as error:
             await self.fail(message.id, error, not_run=True)
         except UnknownOutcomeError as error:
@@ -171,6 +172,13 @@
             failure = UnknownOutcomeError(ErrorCode.INTERNAL, str(error), step="peers.serve")
             await self.fail(message.id, failure, not_run=False)
         finally:
+            # A booking goes on without its caller, but the rest of its body will not come: left
+            # waiting for it, it would hold a slot of the backend server until its deadline.
+            served.body.fail(
+                UnknownOutcomeError(
+                    ErrorCode.TRUNCATED, "the body broke off", step="peers.serve", peer=self.peer
+                )
+            )
             self.served.pop(message.id, None)
             if not self.served:
                 self.idle.set()
@@ -184,6 +192,7 @@
             raise NotRunError(
                 ErrorCode.DEADLINE, "the node was stopped meanwhile", step="peers.serve"
             )
+        served.deadline = now + message.remaining_ms / 1000
         request = Request(
             service=message.service,
             method=message.method,
@@ -191,7 +200,7 @@
             headers=served.headers,
             urgent=message.urgent,
             idempotent=message.idempotent,
-            deadline=now + message.remaining_ms / 1000,
+            deadline=served.deadline,
             depth=message.depth,
             key=message.key,
             trace=message.trace,
@@ -210,11 +219,11 @@
         async for data in served.body:
             yield data
 
-    async def send_answer(self, number: int, answer: Answer, window: SendWindow) -> None:
+    async def send_answer(self, number: int, answer: Answer, served: Served) -> None:
         message = AnswerMessage(
             id=number,
             status=answer.status,
-            headers=pack_headers(answer.headers),
+            headers=list(answer.headers),
             body=answer.body,
             more=answer.stream is not None,
             length=-1 if answer.length is None else answer.length,
@@ -228,8 +237,16 @@
         try:
             await self.send(message)
             if answer.stream is not None:
-                await window.send_all(answer.stream, send)
+                # A caller that stops reading gives no credit: without an end of its own the wait
+                # for it would hold a slot of the backend server for ever.
+                remaining = served.deadline - self.clock.monotonic()
+                async with asyncio.timeout(max(0.0, remaining)):
+                    await served.window.send_all(answer.stream, send)
                 answer.cancel = None
+        except TimeoutError as error:
+            raise UnknownOutcomeError(
+                ErrorCode.DEADLINE, "the deadline passed amid the answer", step="peers.answer"
+            ) from error
         finally:
             await answer.close()
 
