--- a/bench/replay/__main__.py
+++ b/bench/replay/__main__.py
@@ -3,13 +3,16 @@
 import argparse
 import asyncio
 import itertools
+import signal
 import sys
+import tomllib
 from pathlib import Path
+from typing import Any
 
 from bench.replay._expectation import load_expectations, promises
 from bench.replay._figures import Figures
-from bench.replay._fleet import DIRECT
 from bench.replay._plot import plot_tails
+from bench.replay._policies import DEFAULT_POLICIES, DIRECT
 from bench.replay._progress import Progress
 from bench.replay._run import run_trace
 from bench.replay._table import table
@@ -17,8 +20,14 @@
 from bench.replay._verdict import Verdict
 from marjoramtide.policy import SELECTORS
 
-DEFAULT_POLICIES = ("predicted", "round-robin", "two-choices", "least-outstanding")
-DEFAULT_SECONDS = 6.0
+DEFAULT_SECONDS = 10.0
+DEFAULT_JOBS = 2
+ENDED_BY_SIGNAL = 130
+
+
+def setting(text: str) -> dict[str, Any]:
+    """Read one ``key = value``; raises ``ValueError``, which argparse reports with the text."""
+    return tomllib.loads(text)
 
 
 def parse() -> argparse.Namespace:
@@ -35,6 +44,17 @@
     parser.add_argument(
         "--seconds", type=float, default=DEFAULT_SECONDS, help="length of each run; 0 for its own"
     )
+    parser.add_argument(
+        "--jobs", type=int, default=DEFAULT_JOBS, help="policies that are played at the same time"
+    )
+    parser.add_argument(
+        "--set",
+        action="append",
+        default=[],
+        type=setting,
+        metavar="KEY=VALUE",
+        help="a value for the settings' root branch, as in TOML, under every policy",
+    )
     parser.add_argument("--logs", type=Path, help="keep the logs of all processes here")
     return parser.parse_args()
 
@@ -42,7 +62,15 @@
 def judge(trace: Trace, runs: dict[str, Figures]) -> list[Verdict]:
     """Return the verdicts on the promises and on the trace's own outcomes."""
     held = itertools.chain.from_iterable(promises(policy) for policy in runs if policy != DIRECT)
-    return [each.check(runs) for each in [*held, *load_expectations(trace.name)]]
+    paces = [pace(run) for run in runs.values()]
+    return paces + [each.check(runs) for each in [*held, *load_expectations(trace.name)]]
+
+
+def pace(run: Figures) -> Verdict:
+    """Return whether the load tool kept pace; where it did not, latencies prove nothing."""
+    lag_ms = run.tally().worst_send_lag_ms
+    name = f"the load tool kept pace under {run.policy}"
+    return Verdict(name, not run.load_tool_late(), f"at worst {lag_ms:.0f} ms late")
 
 
 def report(trace: Trace, runs: dict[str, Figures]) -> list[Verdict]:
@@ -54,29 +82,49 @@
     plot_tails(ordered)
     verdicts = judge(trace, runs)
     print("\n".join(map(str, verdicts)))
-    for run in ordered:
-        if run.load_tool_late():
-            print(f"NOT VALID   {run.policy}: the load tool itself was late; the machine is busy")
     return verdicts
 
 
+def policies_for(trace: Trace, options: argparse.Namespace) -> list[str]:
+    """Return the policies to play ``trace`` under, each once."""
+    return list(dict.fromkeys(options.policy or [*DEFAULT_POLICIES, *trace.policies]))
+
+
+async def replay_until_told(options: argparse.Namespace) -> list[Verdict]:
+    """Replay; a signal to end cancels it, so that no process that it started is left behind."""
+    task = asyncio.ensure_future(replay(options))
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await task
+
+
 async def replay(options: argparse.Namespace) -> list[Verdict]:
-    names = options.trace or trace_names()
-    policies = options.policy or DEFAULT_POLICIES
-    progress = Progress(total=len(names) * len(policies))
+    traces = [
+        load_trace(TRACES / f"{name}.toml").scaled(options.seconds or None)
+        for name in options.trace or trace_names()
+    ]
+    progress = Progress(total=sum(len(policies_for(trace, options)) for trace in traces))
+    turns = asyncio.Semaphore(options.jobs)
+    changes = dict(itertools.chain.from_iterable(each.items() for each in options.set))
+
+    async def run(trace: Trace, policy: str) -> Figures:
+        async with turns:
+            progress.begin(trace.name, policy)
+            return await run_trace(trace, policy, changes=changes, logs=options.logs)
+
     verdicts: list[Verdict] = []
-    for name in names:
-        trace = load_trace(TRACES / f"{name}.toml").scaled(options.seconds or None)
-        runs = {}
-        for policy in policies:
-            progress.begin(name, policy)
-            runs[policy] = await run_trace(trace, policy, options.logs)
-        verdicts += report(trace, runs)
+    for trace in traces:
+        policies = policies_for(trace, options)
+        figures = await asyncio.gather(*(run(trace, policy) for policy in policies))
+        verdicts += report(trace, dict(zip(policies, figures, strict=True)))
     return verdicts
 
 
 def main() -> int:
-    verdicts = asyncio.run(replay(parse()))
+    try:
+        verdicts = asyncio.run(replay_until_told(parse()))
+    except asyncio.CancelledError:
+        return ENDED_BY_SIGNAL
     missed = [verdict for verdict in verdicts if verdict.met is False]
     unchecked = [verdict for verdict in verdicts if verdict.met is None]
     print(
--- a/bench/replay/_figures.py
+++ b/bench/replay/_figures.py
@@ -42,7 +42,7 @@
 
     def measuring_per_s(self) -> float:
         """Return reads of health and load endpoints a second, at the server with the most."""
-        return max(reads(report) for report in self.reports) / self.played_s
+        return max(map(reads_at_rate, self.reports)) / self.played_s
 
     def measuring_share(self) -> float:
         """Return the largest share of a server's capacity that reads of its endpoints took.
@@ -50,7 +50,7 @@
         A read is counted as a whole request, which overstates it.
         """
         return max(
-            reads(report) / self.played_s / capacity_per_s(self.services[report.address])
+            reads_at_rate(report) / self.played_s / capacity_per_s(self.services[report.address])
             for report in self.reports
         )
 
@@ -67,9 +67,12 @@
         return self.tally().worst_send_lag_ms > LATE_LOAD_TOOL_MS
 
 
-def reads(report: StandInReport) -> int:
-    """Return how often a server's health and load endpoints were read."""
-    return report.stats["health_reads"] + report.stats["load_reads"]
+def reads_at_rate(report: StandInReport) -> int:
+    """Return the reads of a server's health and load endpoints, less the first one.
+
+    A stretch of ``n`` seconds holds ``n + 1`` reads where they come once a second.
+    """
+    return max(0, report.stats["health_reads"] + report.stats["load_reads"] - 1)
 
 
 def capacity_per_s(service: Service) -> float:
@@ -80,9 +83,9 @@
 Metric = Callable[[Figures, str, tuple[float, float]], float]
 
 METRICS: dict[str, Metric] = {
-    "p50_ms": lambda figures, label, window: figures.tally(label, window).latency_ms(50),
-    "p99_ms": lambda figures, label, window: figures.tally(label, window).latency_ms(99),
-    "p99.9_ms": lambda figures, label, window: figures.tally(label, window).latency_ms(99.9),
+    "p50_ms": lambda figures, label, window: tail_ms(figures.tally(label, window), 50),
+    "p99_ms": lambda figures, label, window: tail_ms(figures.tally(label, window), 99),
+    "p99.9_ms": lambda figures, label, window: tail_ms(figures.tally(label, window), 99.9),
     "goodput": lambda figures, label, window: figures.goodput(label, window),
     "completed_share": lambda figures, label, window: share_of(
         figures.tally(label, window), Outcome.COMPLETED
@@ -113,6 +116,11 @@
 }
 
 
+def tail_ms(counts: Tally, percent: float) -> float:
+    """Return a percentile of latency; without a completed call it is endless, not 0."""
+    return counts.latency_ms(percent) if counts.latency.total_count else float("inf")
+
+
 def share_of(counts: Tally, outcome: Outcome) -> float:
     return counts.outcomes[outcome] / max(1, counts.calls)
 
--- a/features/claims/claims.feature
+++ b/features/claims/claims.feature
@@ -60,12 +60,21 @@
       | before |
       | after  |
 
+  Scenario: A stale read while a key is being freed
+    The claim of a refused attempt has taken effect. The node that frees the key finds it taken, and
+    its read of it shows nothing.
+    Given two nodes with claims
+    When the store holds every write back and node A claims "booking-1"
+    And the next 1 reads of claims are stale
+    And the writes held back arrive before node A settles its claims
+    Then node B's claim of "booking-1" is "held"
+
   Scenario: A late take-over of a released claim
     A key is free again after a release. Node A's update that takes it over is held back, A refuses
     the request, and the update arrives after A has freed the key.
     Given two nodes with claims
     And node B has claimed and released "booking-1"
-    When the store holds every write back and node A claims "booking-1"
+    When the store holds every update back and node A claims "booking-1"
     Then node A's result is "unavailable"
     When the writes held back arrive after node A settles its claims
     Then node B's claim of "booking-1" is "held"
@@ -140,6 +149,36 @@
     When 100 s pass on every clock
     Then node B's claim of "booking-1" is "conflict"
 
+  Scenario Outline: A node whose own clock is wrong
+    Node <wrong>'s clock is <seconds> s off. By it, the claim that node A holds would have ended long
+    ago, and the request would run a second time beside the first.
+    Given two nodes with claims
+    And node <wrong>'s clock is <seconds> s off
+    And node A has claimed "booking-1"
+    Then node B's claim of "booking-1" is "conflict"
+
+    Examples:
+      | wrong | seconds |
+      | A     | -200000 |
+      | B     | 200000  |
+
+  Scenario: A cleaner that was stopped in the middle of a call does not mistake the time
+    The cleaner notes its own clock, is stopped for two days, and then gets the store's time with the
+    list. By the difference it would take today's claims for ended ones and free keys that run.
+    Given two nodes with claims
+    When a cleaner lists the slice of "booking-1", stopped for 200000 s while node A claims it
+    Then the cleaners have deleted 0 claims
+    And node B's claim of "booking-1" is "conflict"
+
+  Scenario Outline: A key that cannot be one
+    Given two nodes with claims
+    Then a claim of a key of <count> characters fails as "bad-request"
+
+    Examples:
+      | count |
+      | 0     |
+      | 256   |
+
   Scenario: A key is used again with another request
     A caller's fault: the answer of the first request must not be given for the second.
     Given two nodes with claims
--- a/features/steps/settings_fleet_steps.py
+++ b/features/steps/settings_fleet_steps.py
@@ -8,6 +8,7 @@
 
 from features.settings_fakes import STEP_S, Fleet, Node
 from marjoramtide.errors import MarjoramtideError
+from marjoramtide.membership import MemberState
 from marjoramtide.settings import Edit, EditAction, Envelope, decode_envelope
 from marjoramtide.settings.sync import ChangeOutcome, ChangeRequest, Progress
 
@@ -16,15 +17,14 @@
 
 
 def ask(
-    context: Any, node: Node, *edits: Edit, rollback_to: int | None = None, insist: bool = False
+    context: Any, node: Node, *edits: Edit, wait_s: float = WAIT_S, **options: Any
 ) -> ChangeRequest:
     return ChangeRequest(
         author=f"operator at {node.member.node}",
         base=node.service.view.revision,
         edits=edits,
-        rollback_to=rollback_to,
-        insist=insist,
-        wait_s=WAIT_S,
+        wait_s=wait_s,
+        **options,
     )
 
 
@@ -68,7 +68,7 @@
 def join(context: Any, names: str, region: str = "west", data_centre: str = "north") -> None:
     for name in names.split(", "):
         context.fleet.start(context.fleet.add(name, region, data_centre))
-    context.fleet.pass_time(3)
+    context.fleet.pass_time(4)
 
 
 def nodes(context: Any) -> list[Node]:
@@ -174,6 +174,29 @@
     context.fleet.store.before_write = hook
 
 
+@given("another operator at {name} sets slots to {value:d} in {branch} once the next write is lost")
+def given_race_with_lost(context: Any, name: str, value: int, branch: str) -> None:
+    other = context.fleet.nodes[name]
+    context.other_request = ask(context, other, set_slots(branch, value))
+
+    async def hook() -> None:
+        context.other = asyncio.ensure_future(outcome_of(context, other, context.other_request))
+
+    context.fleet.store.before_write = hook
+
+
+@then("what both operators were told is what the tree says")
+def then_both_true(context: Any) -> None:
+    context.fleet.pass_time(10)
+    for request, told in (
+        (context.request, context.told),
+        (context.other_request, context.other.result()),
+    ):
+        accepted = isinstance(told, ChangeOutcome)
+        assert accepted == bool(stored(context).contains(request.change)), (request, told)
+        assert accepted or told.code == "branch-conflict", told
+
+
 @given("reads are stale {count:d} times after the next tree write")
 def given_stale_after(context: Any, count: int) -> None:
     store = context.fleet.store
@@ -248,6 +271,28 @@
     context.fleet.nodes[name].running.clear()
 
 
+@given("the settings node {name} is found dead")
+def given_found_dead(context: Any, name: str) -> None:
+    for other in nodes(context):
+        found = other.known.pop(name, None)
+        for listener in other.listeners if found else ():
+            listener(attrs.evolve(found, state=MemberState.DEAD))
+
+
+@given("the settings nodes {names} are frozen")
+def given_nodes_frozen(context: Any, names: str) -> None:
+    for name in names.split(", "):
+        context.fleet.nodes[name].running.clear()
+
+
+@given("the settings node {name} is frozen right after it asked")
+def given_frozen_after(context: Any, name: str) -> None:
+    node = context.fleet.nodes[name]
+    asked_at = node.service.view.freshness.caught_up_at
+    within(context, 9, lambda: node.service.view.freshness.caught_up_at > asked_at)
+    node.running.clear()
+
+
 @given("the settings node {name} is frozen while a peer's answer is on its way")
 def given_frozen_mid_answer(context: Any, name: str) -> None:
     node = context.fleet.nodes[name]
@@ -337,11 +382,19 @@
     write_tree(context, text.replace("\\n", "\n"))
 
 
-@when("an operator at {name} sets {key} = {value:d} in {branch}")
+@when("an operator at {name:w} sets {key:w} = {value:d} in {branch:S}")
 def when_sets(context: Any, name: str, key: str, value: int, branch: str) -> None:
     change(context, name, set_slots(branch, value, key))
 
 
+@when("an operator at {name:w} sets {key:w} = {value:d} in {branch:S} and waits {seconds:d} s")
+def when_sets_waiting(
+    context: Any, name: str, key: str, value: int, branch: str, seconds: int
+) -> None:
+    change(context, name, set_slots(branch, value, key), wait_s=seconds)
+
+
+@given("an operator at {name} insists on {key} = {value:d} in {branch}")
 @when("an operator at {name} insists on {key} = {value:d} in {branch}")
 def when_insists(context: Any, name: str, key: str, value: int, branch: str) -> None:
     change(context, name, set_slots(branch, value, key), insist=True)
@@ -497,6 +550,19 @@
     assert all(node.service.view.is_current for node in nodes(context))
 
 
+@then("in less than 1 s the settings node {name} is current")
+def then_current_soon(context: Any, name: str) -> None:
+    within(context, 0.5, lambda: context.fleet.nodes[name].service.view.is_current)
+
+
+@then("for {seconds:d} s no settings node is current but by slots {value:d}")
+def then_current_by(context: Any, seconds: int, value: int) -> None:
+    for _ in range(round(seconds / STEP_S)):
+        wrong = [node for node in nodes(context) if slots(node) != value]
+        assert not any(node.service.view.is_current for node in wrong), wrong
+        context.fleet.pass_time(STEP_S)
+
+
 @then("within {seconds:d} s every settings node is current")
 def then_all_current_within(context: Any, seconds: int) -> None:
     within(context, seconds, lambda: all(node.service.view.is_current for node in nodes(context)))
@@ -512,6 +578,12 @@
     assert all(seen == sorted(seen) for seen in context.history.values()), context.history
 
 
+@then("the change is in force and the settings node {name} is not current")
+def then_in_force(context: Any, name: str) -> None:
+    assert context.told.in_force, context.told
+    assert not context.fleet.nodes[name].service.view.is_current
+
+
 @then("all of that took less than {seconds:d} s")
 def then_took(context: Any, seconds: int) -> None:
     assert context.took < seconds, context.took
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -7,11 +7,13 @@
 
 import structlog
 
-from marjoramtide.claims import make_claims
+from marjoramtide.claims import make_claim_cleaner, make_claims
 from marjoramtide.clock import FreezeDetector, SystemClock
+from marjoramtide.daemon._operators import make_node_handle
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.ingress import Dispatcher, Ingress
 from marjoramtide.membership import Member, MemberState, make_membership
+from marjoramtide.operators import OperatorsServer, make_operators_app
 from marjoramtide.peers import PeerClient, PeerControlChannel, PeerServer
 from marjoramtide.platform import open_object_store
 from marjoramtide.serving import (
@@ -23,7 +25,7 @@
 )
 from marjoramtide.settings import NodeSettings, parse_address
 from marjoramtide.settings.sync import make_settings_service
-from marjoramtide.telemetry import Metrics, Tracer
+from marjoramtide.telemetry import Metrics, Tracer, summarise_logs
 
 log = structlog.get_logger()
 
@@ -44,7 +46,7 @@
         self.membership = make_membership(settings, self.store, self.clock, random.SystemRandom())
         self.name = self.membership.self_member.node
         self.metrics = Metrics(settings.statsd)
-        self.tracer = Tracer(self.name, self.clock, rng)
+        self.tracer = Tracer(self.name, self.clock, rng, settings.trace_file)
         self.transport = AiohttpTransport(settings.backend, MAX_CONNECTIONS)
         self.claims = make_claims(self.store, self.clock, self.name)
         self.peer_client = PeerClient(settings.key, self.clock)
@@ -59,6 +61,7 @@
             settings.service,
             self.transport,
             self.claim_gate,
+            self.view,
             self.clock,
             self.metrics,
             self.tracer,
@@ -87,6 +90,7 @@
         )
         self.backend_state: BackendState | None = None
         self.drained_by_operator = False
+        self.operators = OperatorsServer(make_operators_app(make_node_handle(self)))
         self.stopping = False
         self.tasks: set[asyncio.Task[Any]] = set()
         self.view.on_change(self.settings_changed)
@@ -98,6 +102,7 @@
         try:
             await self.peer_server.start(*parse_address(settings.peers))
             await self.membership.start()
+            await self.operators.start(*parse_address(settings.operators))
             await self.ingress.start(*parse_address(settings.callers))
         except OSError as error:
             raise MarjoramtideError(
@@ -108,7 +113,9 @@
             self.settings_service.run(),
             self.measurer.run(),
             self.metrics.run(),
+            summarise_logs(),
             self.claims.run(),
+            make_claim_cleaner(self.store, self.clock).run(),
         ):
             self.spawn(work)
         log.info("daemon.started", callers=settings.callers, peers=settings.peers)
@@ -209,6 +216,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self.operators.close()
         await self.peer_server.close()
         await self.peer_client.close()
         await self.serving.close()
--- a/src/marjoramtide/peers/_codec.py
+++ b/src/marjoramtide/peers/_codec.py
@@ -23,6 +23,7 @@
     messages.ReplyMessage,
 ]
 TYPE_NUMBERS = {cls: number for number, cls in enumerate(MESSAGE_TYPES)}
+NUMBERS = range(len(MESSAGE_TYPES))
 FIELD_NAMES = {cls: tuple(field.name for field in attrs.fields(cls)) for cls in MESSAGE_TYPES}
 FIELD_TYPES = {
     str: str,
@@ -51,6 +52,8 @@
     """Return the message in a frame; raises ``bad-frame`` for anything else."""
     try:
         number, *fields = cbor2.loads(frame)
+        if number not in NUMBERS:
+            raise ValueError("no such message")
         checks = CHECKS[number]
         if len(fields) != len(checks) or not all(map(isinstance, fields, checks)):
             raise ValueError("fields do not match the message")
@@ -61,6 +64,14 @@
         ) from error
 
 
+def unpack_headers(fields: list[Any]) -> tuple[tuple[str, str], ...]:
+    """Return the headers of a message; raises ``bad-frame`` where they are none."""
+    pairs = tuple(tuple(field) if isinstance(field, list) else () for field in fields)
+    if not all(len(pair) == 2 and all(isinstance(part, str) for part in pair) for pair in pairs):
+        raise MarjoramtideError(ErrorCode.BAD_FRAME, "headers that are none", step="peers.decode")
+    return pairs  # type: ignore[return-value]
+
+
 def pack_report(report: LoadReport | None) -> list[Any] | None:
     """Return a load report as the plain list that travels in a message."""
     return None if report is None else list(attrs.astuple(report))
--- a/src/marjoramtide/policy/_edf_admission.py
+++ b/src/marjoramtide/policy/_edf_admission.py
@@ -12,10 +12,12 @@
 from marjoramtide.policy._limiter import Limiter
 from marjoramtide.policy._limiters import make_limiter
 from marjoramtide.policy._load_report import LoadReport
+from marjoramtide.policy._smoothed import Smoothed
 from marjoramtide.settings import RouteSettings
 
 DRAINING_RETRY_MS = 1000
-RECHECK_SLACK = 1.25
+RECHECK_SLACK = 3.0
+LEAST_LEFT_FOR_ROUTINE = 0.02
 
 
 @attrs.define(slots=True)
@@ -40,7 +42,9 @@
     routine: ClassQueue = attrs.Factory(ClassQueue)
     profiles: dict[int, CallProfile] = attrs.Factory(dict)
     sequence: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(1))
+    urgent_share: Smoothed = attrs.Factory(lambda: Smoothed(0.05, 0.05, 0.0, 1))
     routine_running: int = 0
+    stall_seen: float | None = None
     limited_by: tuple[str, int, int] = ("", 0, 0)
     recheck_at: float | None = None
 
@@ -89,7 +93,7 @@
         # Where nothing runs, one is let in whatever was measured before. Otherwise a server that
         # was slow once would refuse everything as too late, never run anything, and so never find
         # out that it is quick again.
-        if self.in_use and remaining_ms < self.times.quick.value:
+        if self.in_use and remaining_ms < self.times.kind(profile.kind).quick.value:
             return _reject(ErrorCode.DEADLINE, 0.0)
         self._start(ticket, profile, now)
         return Decision(Verdict.START)
@@ -99,10 +103,15 @@
     ) -> Decision:
         service_ms = self.times.expected_ms(now)
         wait_ms = self._wait_ms(self._ahead(profile), profile.urgent, service_ms)
+        own_ms = self._own_ms(profile, now)
+        if profile.urgent and self.urgent_slots and own_ms:
+            # Slots that only urgent requests use free at their pace, not at that of the rest.
+            ahead = self._ahead(profile)
+            wait_ms = min(wait_ms, (ahead + 1) * own_ms / min(self.urgent_slots, self.limit))
         queue = self._queue(profile.urgent)
         if len(queue) >= self.queue_limit:
             return _reject(ErrorCode.OVERLOADED, wait_ms)
-        lateness_ms = wait_ms + service_ms - remaining_ms
+        lateness_ms = wait_ms + own_ms - remaining_ms
         if lateness_ms > 0:
             # Failure: a request waits its whole deadline in a queue that could never have served
             # it, and the caller is told at the end. Refused now, the caller can go elsewhere.
@@ -114,12 +123,14 @@
         return Decision(Verdict.QUEUE)
 
     def finished(self, ticket: int, now: float, duration_ms: float, succeeded: bool) -> list[int]:
-        in_use = self.in_use
+        pressed = self._is_pressed()
+        kind = self.profiles[ticket].kind if ticket in self.profiles else ""
         if self._end(ticket, now) is None:
             return []
-        self.times.learn(duration_ms, succeeded)
+        comparable_ms = self.times.comparable_ms(duration_ms, kind)
+        self.times.learn(duration_ms, succeeded, kind)
         before = self.limit
-        self.limiter.observe(duration_ms, in_use, succeeded)
+        self.limiter.observe(comparable_ms, pressed, succeeded)
         if self.limit < before and self.profiles:
             self.recheck_at = now
         return self._start_queued(now)
@@ -135,16 +146,22 @@
     def expire(self, now: float) -> list[int]:
         service_ms = self.times.expected_ms(now)
         late = self._too_late(self.urgent, now) + self._too_late(self.routine, now)
+        stalls_at = self._next_stall()
+        if stalls_at is not None and stalls_at <= now:
+            self.stall_seen = stalls_at
+            late += self._first_attempts()
         if self.recheck_at is not None:
             self.recheck_at = None
             late += self._pushed_back(service_ms, now)
         return late
 
     def next_expiry(self) -> float | None:
-        first = (self.urgent.first_deadline(), self.routine.first_deadline())
-        times = [self._latest_start(deadline) for deadline in first if deadline is not None]
+        times = [self._latest_start(queue) for queue in (self.urgent, self.routine) if len(queue)]
         if self.recheck_at is not None and times:
             times.append(self.recheck_at)
+        stalls_at = self._next_stall()
+        if stalls_at is not None:
+            times.append(stalls_at)
         return min(times, default=None)
 
     def report(self, now: float) -> LoadReport:
@@ -170,18 +187,39 @@
         return len(self.urgent) + self.routine.ahead_of(profile.deadline)
 
     def _may_start(self, urgent: bool) -> bool:
+        if urgent and self.in_use - self.routine_running < self.urgent_slots:
+            # Also where the limit has fallen so low that routine requests fill it: an urgent one
+            # would otherwise wait for a long routine one to end.
+            return True
         if self.in_use >= self.limit:
             return False
         return urgent or self.routine_running < self.routine_limit
 
+    def _is_pressed(self) -> bool:
+        """Tell whether a higher limit would be used: at half of it, or with anything waiting.
+
+        Routine requests alone never reach the limit, since some slots aren't theirs.
+        """
+        return self.in_use * 2 >= self.limit or len(self.profiles) > self.in_use
+
     def _wait_ms(self, ahead: int, urgent: bool, service_ms: float) -> float:
-        """Return the expected wait behind ``ahead`` others: a slot frees once in a share of the
-        service time, as many times as there are slots."""
-        return (ahead + 1) * service_ms / (self.limit if urgent else self.routine_limit)
+        """Return the expected wait behind ``ahead`` others, in milliseconds.
+
+        A slot frees ``limit`` times in a service time. Of those that a routine request could get,
+        the urgent ones that arrive while it waits take the share that they had lately, and more in
+        a burst. Failure without that: in a surge routine requests are queued that never get a slot,
+        and are refused only when it is too late for them.
+        """
+        if urgent:
+            return (ahead + 1) * service_ms / self.limit
+        left = max(LEAST_LEFT_FOR_ROUTINE, 1 - self.urgent_share.value)
+        bursts = 1 + self.urgent_share.value
+        return (ahead + 1) * service_ms * bursts / (self.routine_limit * left)
 
     def _start(self, ticket: int, profile: CallProfile, now: float) -> None:
-        self.times.start(ticket, now)
+        self.times.start(ticket, now, profile.kind)
         self.profiles[ticket] = profile
+        self.urgent_share.add(1.0 if profile.urgent else 0.0)
         if not profile.urgent:
             self.routine_running += 1
 
@@ -206,24 +244,51 @@
         if profile is not None:
             self._queue(profile.urgent).remove(profile.deadline, ticket)
 
-    def _latest_start(self, deadline: float) -> float:
-        return deadline - self.times.mean.value / 1000
+    def _own_ms(self, profile: CallProfile, now: float) -> float:
+        """Return how long this request itself is expected to run, 0 while its kind is new."""
+        own_ms = self.times.kind(profile.kind).mean.value
+        return max(own_ms, self.times.silence_ms(now)) if own_ms else 0.0
+
+    def _latest_start(self, queue: ClassQueue) -> float:
+        """Return until when the first of a queue must start to end in time."""
+        deadline, ticket = queue.entries[0]
+        return deadline - self.times.kind(self.profiles[ticket].kind).mean.value / 1000
 
     def _too_late(self, queue: ClassQueue, now: float) -> list[int]:
         """Drop and return what could not finish even if it started now."""
         late = []
-        while len(queue) and self._latest_start(queue.entries[0][0]) <= now:
+        while len(queue) and self._latest_start(queue) <= now:
             late.append(queue.pop())
         for ticket in late:
             del self.profiles[ticket]
         return late
 
+    def _next_stall(self) -> float | None:
+        """Return when the queue is to be handed back unless an execution ends before."""
+        stalls_at = self.times.stalls_at()
+        waiting = len(self.urgent) + len(self.routine)
+        return stalls_at if waiting and stalls_at != self.stall_seen else None
+
+    def _first_attempts(self) -> list[int]:
+        """Drop and return the queued requests that no other node has refused yet.
+
+        Failure: a neighbour takes the processor for a moment, and all that waits here waits on,
+        although others have room. Handed back as not run, each costs one hop. Second attempts
+        stay: they come from a service of which more than this node is slow.
+        """
+        queued = [ticket for _, ticket in self.urgent.entries + self.routine.entries]
+        first = [ticket for ticket in queued if self.profiles[ticket].attempt == 1]
+        for ticket in first:
+            self._drop_queued(ticket)
+        return first
+
     def _pushed_back(self, service_ms: float, now: float) -> list[int]:
         """Drop and return the routine requests that no longer finish in time where they stand.
 
         Failure: a surge of urgent requests, or a limit that fell, leaves routine ones waiting for
-        a slot that comes too late, and their callers hear of it only at the deadline. The slack
-        keeps a small error of the estimate from dropping what would have been served.
+        a slot that comes too late, and their callers hear of it only at the deadline. The wide
+        slack is there because a burst of urgent work passes: dropping at the first sign refused in
+        the middle of their wait many that would have been served.
         """
         late: list[int] = []
         for deadline, ticket in list(self.routine.entries):
--- a/src/marjoramtide/serving/_aiohttp_transport.py
+++ b/src/marjoramtide/serving/_aiohttp_transport.py
@@ -61,11 +61,12 @@
             data = body.open()
             if body.length is not None:
                 headers.append(("Content-Length", str(body.length)))
+        url = URL(f"http://{self.address}{request.target}", encoded=True)
         begun()
         try:
             response = await self.session.request(
                 request.method,
-                URL(f"http://{self.address}{request.target}", encoded=True),
+                url,
                 headers=headers,
                 data=data,
                 allow_redirects=False,
@@ -75,13 +76,16 @@
                 ErrorCode.CONNECT_FAILED, str(error), step="serving.connect", peer=self.address
             ) from error
         except (aiohttp.ClientError, OSError) as error:
-            raise self.broken(error) from error
+            raise body.error or self.broken(error) from error
         return await self.read_answer(request, response)
 
     async def read_answer(self, request: Request, response: aiohttp.ClientResponse) -> Answer:
         """Read a small answer whole; hand on a large one as a stream."""
         try:
-            answer = Answer(response.status, end_to_end(response.headers.items(), OWN_ANSWER))
+            headers = end_to_end(response.headers.items(), OWN_ANSWER)
+            answer = Answer(
+                response.status, tuple((name, readable(value)) for name, value in headers)
+            )
             answer.length = response.content_length
             if request.method == "HEAD":
                 response.close()
@@ -159,3 +163,18 @@
 
     async def close(self) -> None:
         await self.session.close()
+
+
+def readable(value: str) -> str:
+    """Return a header value that can be written as UTF-8.
+
+    The library keeps bytes that are no UTF-8 as lone surrogates, which neither it nor CBOR can
+    write. They are read as Latin-1, the charset of HTTP/1.0, and travel on as UTF-8.
+    """
+    if value.isascii():
+        return value
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return value.encode("utf-8", "surrogateescape").decode("latin-1")
+    return value
--- a/src/marjoramtide/settings/_schema.py
+++ b/src/marjoramtide/settings/_schema.py
@@ -110,9 +110,10 @@
         name="min_limit",
         group=CAPACITY,
         levels=NOT_ON_ROUTES,
-        minimum=1,
+        minimum=0,
         maximum=10_000,
-        meaning="What the adaptive limit never falls below; not more than `slots`.",
+        meaning="What the adaptive limit never falls below, not more than `slots`; 0 stands for "
+        "half of `slots`.",
     ),
     ChoiceKey(
         name="selector",
@@ -280,7 +281,7 @@
 
 SCHEMA: dict[str, KeySpec] = {spec.name: spec for spec in _TABLE}
 
-NODE_DEFAULTS = {"freshness_s": 8.0, "watchers": 3}
+NODE_DEFAULTS = {"freshness_s": 6.0, "watchers": 3}
 DEFAULTS: dict[str, object] = {
     field.name: field.default for field in attrs.fields(RouteSettings) if field.name in SCHEMA
 } | NODE_DEFAULTS
--- a/standins/backend/_connection.py
+++ b/standins/backend/_connection.py
@@ -91,6 +91,8 @@
         self.task = None
         if self.pending:
             self.task = asyncio.create_task(self.answer(self.pending.popleft()))
+            self.server.answering.add(self.task)
+            self.task.add_done_callback(self.server.answering.discard)
 
     async def answer(self, request: Request) -> None:
         self.begun_unsafe = False
@@ -102,7 +104,7 @@
             return
         cut = answer.sent_bytes is not None
         close = cut or not request.keep_alive or self.server.faults.drain
-        self.transport.write(answer.encode(close=close))
+        self.transport.write(answer.encode(close=close, head_only=request.method == "HEAD"))
         if close:
             self.transport.close()
         else:
