--- /dev/null
+++ b/bench/control_links.py
@@ -0,0 +1,110 @@
+"""What a control connection between two nodes costs: to open, to keep, and for a question.
+
+A node that has a connection to each other node holds, for each of them, one client's end and one
+server's end. Both ends are in this process, so the figures for one connection are those for one
+more peer of such a node. Nothing else runs here; the pings are those of the connection itself.
+"""
+
+import asyncio
+import gc
+import os
+import resource
+import statistics
+import time
+from typing import Any
+
+from marjoramtide.clock import FreezeDetector, SystemClock
+from marjoramtide.exchange import Answer, Request, RequestBody, RequestHandler
+from marjoramtide.peers import PeerClient, PeerControlChannel, PeerServer
+from standins.free_port import free_port
+
+SIZES = (50, 100, 200, 400)
+IDLE_S = 8.0
+QUESTIONS = 2000
+KEY = "the key of a measured fleet"
+PAGE_KB = resource.getpagesize() / 1024
+TARGET = 789
+
+
+class NoRequests(RequestHandler):
+    """Nobody sends requests here."""
+
+    async def handle(self, request: Request, body: RequestBody) -> Answer:
+        raise NotImplementedError
+
+
+def resident_kb() -> float:
+    """Return the memory of this process in KB."""
+    gc.collect()
+    with open("/proc/self/statm", encoding="ascii") as statm:
+        return int(statm.read().split()[1]) * PAGE_KB
+
+
+async def answer(question: dict[str, Any]) -> dict[str, Any]:
+    """Answer as a node does whose settings are level with the asker's."""
+    return {"revision": question["have"], "current": True, "envelope": b""}
+
+
+async def measure() -> None:
+    clock = SystemClock()
+    host = f"127.{64 + os.getpid() % 128}.0.1"
+    port = free_port(host)
+    server = PeerServer(KEY, clock, FreezeDetector(clock))
+    server.handler = NoRequests()
+    await server.start(host, port)
+    clients: list[PeerClient] = []
+    opening = 0.0
+    memory, cpu = [], []
+    print(f"{'connections':>12}{'KB each':>10}{'CPU %':>10}{'CPU % each':>12}")
+    base = resident_kb()
+    for size in SIZES:
+        begin = time.process_time()
+        while len(clients) < size:
+            client = PeerClient(KEY, clock)
+            channel = PeerControlChannel(client, server)
+            channel.answer("settings.pull", answer)
+            await channel.ask(f"{host}:{port}", "settings.pull", {"have": 7})
+            clients.append(client)
+        opening += time.process_time() - begin
+        await asyncio.sleep(1.0)
+        memory.append((resident_kb() - base) / 1024)
+        begin, began = time.process_time(), time.perf_counter()
+        await asyncio.sleep(IDLE_S)
+        cpu.append(100 * (time.process_time() - begin) / (time.perf_counter() - began))
+        each = 1024 * memory[-1] / size
+        print(f"{size:>12}{each:>10.1f}{cpu[-1]:>10.2f}{cpu[-1] / size:>12.4f}", flush=True)
+    print(f"opening one, with its first question: {1e6 * opening / SIZES[-1]:.0f} us of CPU")
+    print_fit("memory, MB", memory)
+    print_fit("CPU, % of a core", cpu)
+    await measure_questions(clients[0], server, f"{host}:{port}")
+    await asyncio.gather(*(client.close() for client in clients))
+    await server.close()
+
+
+def print_fit(name: str, values: list[float]) -> None:
+    slope, intercept = statistics.linear_regression(SIZES, values)
+    residual = max(
+        abs(value - intercept - slope * size) for size, value in zip(SIZES, values, strict=True)
+    )
+    print(
+        f"{name}: {slope:.4g} for each connection, largest residual {residual:.2g}; "
+        f"{intercept + slope * TARGET:.3g} at {TARGET} (extrapolated)"
+    )
+
+
+async def measure_questions(client: PeerClient, server: PeerServer, address: str) -> None:
+    """Ask one after the other over one connection; both ends count."""
+    channel = PeerControlChannel(client, server)
+    begin = time.process_time()
+    for _ in range(QUESTIONS):
+        await channel.ask(address, "settings.pull", {"have": 7})
+    each = (time.process_time() - begin) / QUESTIONS
+    print(f"one question and its answer: {1e6 * each:.0f} us of CPU, both ends together")
+
+
+def main() -> None:
+    asyncio.run(measure())
+
+
+if __name__ == "__main__":
+    main()
