--- a/src/marjoramtide/membership/_disseminator.py
+++ b/src/marjoramtide/membership/_disseminator.py
@@ -6,20 +6,20 @@
 
 from marjoramtide.membership._health import Health
 from marjoramtide.membership._member_entry import MemberEntry
-from marjoramtide.membership._member_view import MemberView, bucket_of
+from marjoramtide.membership._member_view import MemberView
 from marjoramtide.membership._news_queue import NewsQueue
 from marjoramtide.membership._packet import AppliedSettings, Kind, Record, Status
 from marjoramtide.membership._packet_codec import record_size, status_size
 from marjoramtide.membership._packet_sender import PacketSender
 from marjoramtide.membership._swim_options import SwimOptions
 from marjoramtide.membership._token_bucket import TokenBucket
+from marjoramtide.membership._view_filter import ViewFilter, make_filter
 
 # A datagram's 1200 bytes less its code (16), its header and the frames of its parts.
 CONTENT_BYTES = 940
 STATUS_SHARE = 600
 KEY_BYTES = 8
 REVISION_GROUP_BYTES = 90
-MIN_BUCKETS, MAX_BUCKETS = 16, 225
 MAX_WANTED_KEYS = 100
 
 
@@ -123,21 +123,27 @@
             entry = self.rng.choice(live)
         return entry
 
-    def sync_buckets(self) -> tuple[int, ...]:
-        """Return the digests of the parts of the view, for another node to compare."""
-        count = min(MAX_BUCKETS, max(MIN_BUCKETS, self.view.alive_count() // 3))
-        return tuple(self.view.bucket_digests(count))
-
-    def differing(self, buckets: tuple[int, ...]) -> list[MemberEntry]:
-        """Return the entries in parts where the other node's digest differs, live ones first."""
-        count = len(buckets)
-        own = self.view.bucket_digests(count)
-        unequal = {number for number in range(count) if own[number] != buckets[number]}
-        entries = [
-            entry for entry in self.view.entries.values() if bucket_of(entry.key, count) in unequal
-        ]
-        self.rng.shuffle(entries)
-        return sorted(entries, key=lambda entry: entry.health.is_gone)
+    def view_filter(self, salt: int) -> ViewFilter:
+        """Return a summary of this node's view, for another node to compare."""
+        live = self.view.live()
+        return make_filter((entry.summand for entry in live), len(live), salt)
+
+    def differing(self, found: ViewFilter) -> list[MemberEntry]:
+        """Return the entries that are news to the owner of a filter, in random order.
+
+        Of members that run, those that it lacks; of members that are gone, those that it holds to
+        run. The former come first, since a joining node can't do without them.
+        """
+        lacking, outdated = [], []
+        for entry in self.view.entries.values():
+            held = found.contains(entry.summand)
+            if entry.health.is_gone and held:
+                outdated.append(entry)
+            elif not entry.health.is_gone and not held:
+                lacking.append(entry)
+        self.rng.shuffle(lacking)
+        self.rng.shuffle(outdated)
+        return lacking + outdated
 
     def send_records(
         self,
--- a/src/marjoramtide/membership/_member_entry.py
+++ b/src/marjoramtide/membership/_member_entry.py
@@ -17,6 +17,7 @@
 
     ``member`` is the record that other parts of the node read. ``doubted`` is this node's own
     passive sign of failure; it is not passed on. ``gone_at`` is when the member was believed dead.
+    ``counted`` is its part in the digest of the view.
     """
 
     member: Member
@@ -28,6 +29,7 @@
     gone_at: float = 0.0
     suspicion: Suspicion | None = None
     summand: int = 0
+    counted: int = 0
 
     def status(self, accuser: int = 0) -> Status:
         return Status(
@@ -62,21 +64,15 @@
             else self.declared
         )
 
-    def refresh(self) -> int:
-        """Recompute the summand of the view's digest; return how the digest changes.
+    def refresh(self) -> None:
+        """Recompute ``summand``, the hash of what this node holds of a member that runs.
 
-        Suspicion is left out, being short-lived, and so are members that are gone: nodes forget
-        them at different moments, which is no difference worth pulling for.
+        Suspicion is left out, being short-lived. A member that is gone keeps the hash of the state
+        in which it was last held to run, so that it can be told who still holds it so.
         """
-        before = self.summand
         member = self.member
-        text = (
-            ""
-            if self.health.is_gone
-            else f"{self.key},{member.incarnation},{self.declared},{member.revision}"
-        )
-        self.summand = xxhash.xxh3_64_intdigest(text.encode()) if text else 0
-        return before ^ self.summand
+        text = f"{self.key},{member.incarnation},{self.declared},{member.revision}"
+        self.summand = xxhash.xxh3_64_intdigest(text.encode())
 
 
 def make_entry(member: Member, declared: MemberState, health: Health) -> MemberEntry:
--- a/src/marjoramtide/membership/_member_view.py
+++ b/src/marjoramtide/membership/_member_view.py
@@ -79,7 +79,7 @@
         self.by_service[entry.member.service].pop(key, None)
         if self.by_address.get(entry.member.gossip_address) == key:
             del self.by_address[entry.member.gossip_address]
-        self.digest ^= entry.summand
+        self.digest ^= entry.counted
         self.live_entries = None
         self._drop_caches(entry)
 
@@ -99,13 +99,6 @@
                 self.working[service] = found
         return found
 
-    def bucket_digests(self, count: int) -> list[int]:
-        """Return 32-bit digests of the view's parts, ``count`` of them."""
-        buckets = [0] * count
-        for entry in self.entries.values():
-            buckets[bucket_of(entry.key, count)] ^= entry.summand & 0xFFFFFFFF
-        return buckets
-
     def alive_count(self) -> int:
         return len(self.entries) - len(self.gone)
 
@@ -122,7 +115,7 @@
         state = entry.visible_state()
         if state is not entry.member.state:
             entry.member = attrs.evolve(entry.member, state=state)
-        self.digest ^= entry.refresh()
+        self._count(entry)
         if entry.health.is_gone and key not in self.gone:
             entry.gone_at = now
             self.gone[key] = entry
@@ -138,16 +131,19 @@
         self._drop_caches(entry)
         self.changes.append(entry.member)
 
+    def _count(self, entry: MemberEntry) -> None:
+        # Members that are gone don't count: nodes forget them at different moments, which is no
+        # difference worth pulling for.
+        self.digest ^= entry.counted
+        entry.refresh()
+        entry.counted = 0 if entry.health.is_gone else entry.summand
+        self.digest ^= entry.counted
+
     def _drop_caches(self, entry: MemberEntry) -> None:
         self.working.pop(entry.member.service, None)
         self.present = None
 
 
-def bucket_of(key: int, count: int) -> int:
-    """Return the part of the view that a member belongs to."""
-    return (key >> 1) % count
-
-
 def _supersedes(status: Status, entry: MemberEntry) -> bool:
     # An identity that left, or whose addresses another process took, never returns: a late
     # "alive" about it would send requests to whoever has its addresses now.
--- a/src/marjoramtide/membership/_packet.py
+++ b/src/marjoramtide/membership/_packet.py
@@ -76,5 +76,5 @@
     statuses: list[Status] = attrs.field(factory=list)
     revisions: list[tuple[AppliedSettings, tuple[int, ...]]] = attrs.field(factory=list)
     records: list[Record] = attrs.field(factory=list)
-    buckets: tuple[int, ...] = ()
+    view_filter: bytes = b""
     keys: tuple[int, ...] = ()
--- a/src/marjoramtide/membership/_packet_codec.py
+++ b/src/marjoramtide/membership/_packet_codec.py
@@ -23,7 +23,7 @@
 FORMAT = 1
 MAX_DIGEST_CHARACTERS = 64
 MAX_IDENTITY_BYTES = 400
-_STATUSES, _REVISIONS, _RECORDS, _BUCKETS, _KEYS = range(1, 6)
+_STATUSES, _REVISIONS, _RECORDS, _FILTER, _KEYS = range(1, 6)
 _MALFORMED = (cbor2.CBORError, ValueError, TypeError, IndexError, KeyError, struct.error)
 
 
@@ -90,8 +90,8 @@
             ]
             for record in packet.records
         ]
-    if packet.buckets:
-        body[_BUCKETS] = struct.pack(f"!{len(packet.buckets)}I", *packet.buckets)
+    if packet.view_filter:
+        body[_FILTER] = packet.view_filter
     if packet.keys:
         body[_KEYS] = struct.pack(f"!{len(packet.keys)}Q", *packet.keys)
     return [
@@ -134,12 +134,11 @@
         settings=_settings(revision, digest),
         statuses=[_status(item) for item in body.get(_STATUSES, ())],
         revisions=[
-            (_settings(item[0], item[1]), _unpack("Q", item[2]))
-            for item in body.get(_REVISIONS, ())
+            (_settings(item[0], item[1]), _unpack(item[2])) for item in body.get(_REVISIONS, ())
         ],
         records=[_record(item) for item in body.get(_RECORDS, ())],
-        buckets=_unpack("I", body.get(_BUCKETS, b"")),
-        keys=_unpack("Q", body.get(_KEYS, b"")),
+        view_filter=_bytes(body.get(_FILTER, b"")),
+        keys=_unpack(body.get(_KEYS, b"")),
     )
 
 
@@ -176,7 +175,12 @@
     return Record(identity, _status([key, incarnation, code]), _settings(revision, digest))
 
 
-def _unpack(letter: str, data: Any) -> tuple[int, ...]:
-    if not isinstance(data, bytes):
+def _bytes(value: Any) -> bytes:
+    if not isinstance(value, bytes):
         raise ValueError("not a byte string")
-    return struct.unpack(f"!{len(data) // struct.calcsize('!' + letter)}{letter}", data)
+    return value
+
+
+def _unpack(value: Any) -> tuple[int, ...]:
+    data = _bytes(value)
+    return struct.unpack(f"!{len(data) // 8}Q", data)
--- a/src/marjoramtide/membership/_swim_core.py
+++ b/src/marjoramtide/membership/_swim_core.py
@@ -22,8 +22,10 @@
 from marjoramtide.membership._replay_window import ReplayWindow
 from marjoramtide.membership._suspicion import Suspicion
 from marjoramtide.membership._swim_options import SwimOptions
+from marjoramtide.membership._view_filter import ViewFilter
 
 STALL_S = 0.5
+SALT_BITS = 31
 LEARNING_FLOOR_S = 1.0
 LEARNING_S = 5.0
 SEEDS_TRIED = 3
@@ -322,8 +324,14 @@
     def _sync_with(self, address: str, key: int, now: float, answer: bool = False) -> None:
         self.last_sync = now
         self.counters.syncs += 1
-        buckets = self.news.sync_buckets()
-        self.sender.send(Kind.SYNC, address, key, number=0 if answer else 1, buckets=buckets)
+        salt = self.rng.getrandbits(SALT_BITS)
+        self.sender.send(
+            Kind.SYNC,
+            address,
+            key,
+            number=salt << 1 | (not answer),
+            view_filter=self.news.view_filter(salt).data,
+        )
 
     def _compare(self, packet: Packet, address: str, now: float) -> None:
         if packet.view_digest == self.view.digest:
@@ -420,11 +428,11 @@
                 self.news.send_records(address, packet.sender, known, now, asked_for=True)
 
     def _answer_sync(self, packet: Packet, address: str, now: float) -> None:
-        if not packet.buckets:
+        if not packet.view_filter:
             return
-        different = self.news.differing(packet.buckets)
+        different = self.news.differing(ViewFilter(packet.view_filter, packet.number >> 1))
         self.news.send_records(address, packet.sender, different, now)
-        if packet.number:
+        if packet.number & 1:
             self._sync_with(address, packet.sender, now, answer=True)
 
     def _want(self, missing: list[int], sender: int, address: str, now: float) -> None:
--- a/src/marjoramtide/membership/_swim_options.py
+++ b/src/marjoramtide/membership/_swim_options.py
@@ -30,7 +30,7 @@
     gossip_burst_bytes: float = 60_000.0
     answer_bytes_per_s: float = 24_000.0
     answer_burst_bytes: float = 60_000.0
-    sync_datagrams: int = 8
+    sync_datagrams: int = 16
     sync_interval_s: float = 2.0
     join_interval_s: float = 0.3
     dead_probe_interval_s: float = 5.0
