Membership: nodes try their seeds once, found or not

Every node now tries some announced addresses once after each reading. The scenario (nodes that are found before they look) failed with the try taken out.

--- a/features/membership/detection.feature
+++ b/features/membership/detection.feature
@@ -28,6 +28,14 @@
       | 3     | 2    |
       | 4     | 3    |
 
+  Scenario: Nodes that are found before they look still look for others
+    # The caller sees: one fleet. Nodes 0 and 1 know of each other only. Nodes 2 and 3 find each other
+    # at once; node 2, which knows the address of node 0, must try it all the same.
+    Given a membership network with seed 10 and 2 nodes
+    And two more nodes, of which the second finds the first before it looks for the others
+    When 3 seconds of membership pass
+    Then every running node holds the same 4 members
+
   Scenario: A broken path between two nodes accuses neither
     # The caller sees: both nodes keep their work. Nodes 2 and 5 can't reach each other, all others
     # can; helpers reach the target over other paths, so the probe does not count as failed.
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -65,6 +65,17 @@
     start_nodes(context, seed, count, SwimOptions(forget_s=age))
 
 
+@given("two more nodes, of which the second finds the first before it looks for the others")
+def found_first(context: Any) -> None:
+    network = context.network
+    first = network.start_node("node-2")
+    second = network.start_node("node-3")
+    second.core.add_seeds([first.address])
+    for finder, found in ((second, first), (first, second)):
+        finder.core.try_address(found.address)
+        network.inject(finder.core.drain()[0][1], finder.address, found)
+
+
 @given("one in {share:d} membership datagrams is lost")
 def lose_some(context: Any, share: int) -> None:
     context.network.loss = 1 / share
--- a/src/marjoramtide/membership/_membership_service.py
+++ b/src/marjoramtide/membership/_membership_service.py
@@ -27,8 +27,6 @@
 log = structlog.get_logger()
 
 LEAVE_PAUSE_S = 0.1
-REREAD_TRIES = 3
-RECEIVE_BUFFER_BYTES = 1 << 20
 
 
 class MembershipService(Directory):
@@ -42,7 +40,6 @@
     ) -> None:
         self.core = core
         self.clock = clock
-        self.rng = rng
         self.listeners: list[Callable[[Member], None]] = []
         self.drop_log = DropLog()
         self.destinations: dict[str, tuple[str, int]] = {}
@@ -171,15 +168,11 @@
                 log.exception("listener-failed", code=ErrorCode.INTERNAL, member=member.node)
 
     def _found(self, announcements: list[Announcement]) -> None:
-        addresses = [item.gossip_address for item in announcements]
-        self.core.add_seeds(addresses)
-        # A part of the fleet that both sides have forgotten is met again through the store.
+        # Members that are known need no seed, so what is tried here are newcomers, and a part of
+        # the fleet that both sides have forgotten after a long cut.
         known = {member.gossip_address for member in self.members()}
-        strangers = [address for address in addresses if address not in known]
-        if len(known) > 1:
-            for address in self.rng.sample(strangers, min(REREAD_TRIES, len(strangers))):
-                self.core.try_address(address)
-        self._flush()
+        addresses = [item.gossip_address for item in announcements]
+        self.core.add_seeds([address for address in addresses if address not in known])
 
 
 def make_membership(
--- a/src/marjoramtide/membership/_swim_core.py
+++ b/src/marjoramtide/membership/_swim_core.py
@@ -70,6 +70,7 @@
         )
         self.windows: dict[int, tuple[ReplayWindow, float]] = {}
         self.seeds: list[str] = []
+        self.untried_seeds = False
         self.events: list[MembershipEvent] = []
         self.drops: list[tuple[DropCode, str, str]] = []
         self.wanted: dict[int, float] = {}
@@ -91,8 +92,14 @@
     # What the node asks for
 
     def add_seeds(self, addresses: list[str]) -> None:
-        """Set gossip addresses to try while no other member is known."""
+        """Set gossip addresses to try: some of them once, and on while no other member is known.
+
+        Some are tried also by a node that others have found meanwhile. Otherwise a few nodes that
+        started first and found each other might stay apart from all that started later: at 790
+        members started at once, four did.
+        """
         self.seeds = [item for item in addresses if item != self.own.member.gossip_address]
+        self.untried_seeds = True
 
     def try_address(self, address: str) -> None:
         """Ping whoever listens at a gossip address, to find a part of the fleet not yet known."""
@@ -298,10 +305,9 @@
 
     def _join(self, now: float) -> None:
         peer = self.news.random_peer()
-        if peer is None:
+        if self.untried_seeds or peer is None:
             self._try_seeds(now)
-            return
-        if not self.learning:
+        if peer is None or not self.learning:
             return
         if self.learned_from is not None and now - self.learned_from > LEARNING_S:
             self._learned()
@@ -313,6 +319,7 @@
         if now - self.last_seed < SEED_INTERVAL_S:
             return
         self.last_seed = now
+        self.untried_seeds = False
         for address in self.rng.sample(self.seeds, min(SEEDS_TRIED, len(self.seeds))):
             self.try_address(address)
 
