--- a/src/marjoramtide/policy/_predicted_selector.py
+++ b/src/marjoramtide/policy/_predicted_selector.py
@@ -21,6 +21,7 @@
 RESAMPLE_ABOVE = 2.0
 TIE = 0.95
 CLOSED_AT_LEAST_MS = 1000.0
+UNREACHABLE_MS = 500.0
 SHORTEST_HEDGE_MS = 1.0
 
 
@@ -76,23 +77,20 @@
     def choose(
         self, profile: CallProfile, now: float, excluded: Collection[str] = ()
     ) -> str | None:
+        candidates = [
+            view
+            for node, view in self.views.items()
+            if view.closed_until <= now and node not in excluded
+        ]
+        if not candidates:
+            return None
         if profile.idempotent and not profile.urgent and profile.attempt == 1:
-            explored = self.explorer.pick(self._open(excluded, now), now)
+            explored = self.explorer.pick(candidates, now)
             if explored is not None:
                 return explored.node
-        pool = [view for view in self._open(excluded, now) if not view.ejected]
+        pool = [view for view in candidates if not view.ejected]
         # Where all that is left is ejected, asking it is still better than refusing unasked.
-        pool = pool or self._open(excluded, now)
-        if not pool:
-            return None
-        return self._choose_from(pool, profile.urgent, now).node
-
-    def _open(self, excluded: Collection[str], now: float) -> list[NodeView]:
-        return [
-            view
-            for view in self.views.values()
-            if view.closed_until <= now and view.member.node not in excluded
-        ]
+        return self._choose_from(pool or candidates, profile.urgent, now).node
 
     def _choose_from(self, pool: list[NodeView], urgent: bool, now: float) -> NodeView:
         near_tier = min(view.tier for view in pool)
@@ -202,9 +200,21 @@
         else:
             view.back_off_until = now + retry_after_ms / 1000
 
-    def lost(self, node: str, now: float, *, elapsed_ms: float | None = None) -> None:
+    def lost(
+        self,
+        node: str,
+        now: float,
+        *,
+        elapsed_ms: float | None = None,
+        unreachable: bool = False,
+    ) -> None:
         view = self.views.get(node)
         if view is not None:
+            if unreachable:
+                # Failure: an instance dies while the others are full. It looks idle, so each
+                # request is sent there first, and those whose second try finds the others full are
+                # refused. Nobody listens there; until membership has found out, it is left alone.
+                view.closed_until = now + UNREACHABLE_MS / 1000
             view.note_outcome(False, now)
             view.last_answer_at = now
             self._settle(view, None, elapsed_ms, now)
