--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -17,9 +17,9 @@
 from marjoramtide.peers import PeerClient, PeerControlChannel, PeerServer
 from marjoramtide.platform import open_object_store
 from marjoramtide.serving import (
-    AiohttpTransport,
     BackendState,
     ClaimGate,
+    HttpTransport,
     Measurer,
     ServingService,
 )
@@ -47,7 +47,7 @@
         self.name = self.membership.self_member.node
         self.metrics = Metrics(settings.statsd)
         self.tracer = Tracer(self.name, self.clock, rng, settings.trace_file)
-        self.transport = AiohttpTransport(settings.backend, MAX_CONNECTIONS)
+        self.transport = HttpTransport(settings.backend, MAX_CONNECTIONS)
         self.claims = make_claims(self.store, self.clock, self.name)
         self.peer_client = PeerClient(settings.key, self.clock)
         self.peer_server = PeerServer(settings.key, self.clock, self.freeze)
--- a/src/marjoramtide/serving/_backend_transport.py
+++ b/src/marjoramtide/serving/_backend_transport.py
@@ -27,7 +27,10 @@
 
     @abstractmethod
     async def read(self, path: str, timeout_s: float) -> tuple[int, bytes]:
-        """Read one of the backend server's own endpoints: its status and body."""
+        """Read one of the backend server's own endpoints: its status and body.
+
+        Raises ``NotRunError``, ``UnknownOutcomeError`` or ``TimeoutError`` where it can't.
+        """
 
     @abstractmethod
     async def close(self) -> None:
--- /dev/null
+++ b/src/marjoramtide/serving/_http_transport.py
@@ -0,0 +1,173 @@
+"""The backend server over HTTP/1.1."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+from marjoramtide.errors import ErrorCode
+from marjoramtide.exchange import (
+    INLINE_BYTES,
+    OWN_ANSWER,
+    Answer,
+    NotRunError,
+    Outcome,
+    Request,
+    RequestBody,
+    end_to_end,
+    inline_body,
+)
+from marjoramtide.serving._backend_connection import BackendConnection
+from marjoramtide.serving._backend_reply import BackendReply
+from marjoramtide.serving._backend_transport import BackendTransport
+from marjoramtide.serving._request_head import encode_head
+
+CONNECT_TIMEOUT_S = 1.0
+# Shorter than servers commonly keep an idle connection, so that a request seldom meets a close.
+KEEP_ALIVE_S = 4.0
+
+
+class HttpTransport(BackendTransport):
+    """Keeps connections to one backend server, at most ``limit`` of them.
+
+    Nothing is ever sent a second time here: whether there is another try is decided by the ingress
+    node alone.
+    """
+
+    def __init__(self, address: str, limit: int) -> None:
+        self.address = address
+        self.host, _, port = address.rpartition(":")
+        self.port = int(port)
+        self.limit = limit
+        self.open: set[BackendConnection] = set()
+        self.opening = 0
+        # The one used last stands last and is taken first; the first has been idle the longest.
+        self.idle: list[BackendConnection] = []
+        self.sweeper: asyncio.TimerHandle | None = None
+
+    async def send(
+        self,
+        request: Request,
+        body: RequestBody,
+        remaining_ms: float,
+        begun: Callable[[], None],
+    ) -> Answer:
+        head = encode_head(request, body, remaining_ms, self.address)
+        connection = await self.take()
+        begun()
+        try:
+            reply = connection.send(head, body, head_only=request.method == "HEAD")
+            first = await reply.first(INLINE_BYTES)
+        except BaseException:
+            connection.abort()
+            raise
+        if reply.header("request-outcome") == Outcome.NOT_RUN:
+            self.give_back(connection)
+            raise self.refused(reply)
+        answer = Answer(reply.status, end_to_end(reply.headers, OWN_ANSWER), length=reply.length)
+        if reply.complete:
+            self.give_back(connection)
+            if not reply.head_only:
+                answer.body, answer.length = first, len(first)
+            return answer
+
+        async def cancel() -> None:
+            connection.abort()
+
+        answer.stream = self.chunks(first, reply, connection)
+        answer.cancel = cancel
+        return answer
+
+    async def chunks(
+        self, first: bytes, reply: BackendReply, connection: BackendConnection
+    ) -> AsyncIterator[bytes]:
+        """Yield the body; raises where it breaks off, so that a part is never taken for all."""
+        try:
+            yield first
+            while reply.size or not reply.complete:
+                if data := await reply.first(1):
+                    yield data
+        finally:
+            # With an unread rest the connection is closed: the rest would be the next one's answer.
+            self.give_back(connection)
+
+    def refused(self, reply: BackendReply) -> NotRunError:
+        draining = reply.header("connection").lower() == "close"
+        retry_after_ms = reply.header("retry-after-ms")
+        return NotRunError(
+            ErrorCode.DRAINING if draining else ErrorCode.OVERLOADED,
+            "the backend server refused the request",
+            step="serving.read",
+            peer=self.address,
+            retry_after_ms=int(retry_after_ms) if retry_after_ms.isdigit() else None,
+        )
+
+    async def read(self, path: str, timeout_s: float) -> tuple[int, bytes]:
+        head = f"GET {path} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode()
+        async with asyncio.timeout(timeout_s):
+            connection = await self.take()
+            try:
+                reply = connection.send(head, inline_body())
+                body = await reply.first(INLINE_BYTES)
+                return reply.status, body
+            finally:
+                self.give_back(connection)
+
+    async def take(self) -> BackendConnection:
+        """Return a free connection, or a new one; raises ``NotRunError`` where there is none."""
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.usable:
+                return connection
+        if len(self.open) + self.opening >= self.limit:
+            raise self.unconnected(ErrorCode.OVERLOADED, f"all {self.limit} connections are in use")
+        self.opening += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await asyncio.get_running_loop().create_connection(
+                    lambda: BackendConnection(self.address, self.lost), self.host, self.port
+                )
+        except (OSError, TimeoutError) as error:
+            text = f"{type(error).__name__}: {error}"
+            raise self.unconnected(ErrorCode.CONNECT_FAILED, text) from error
+        finally:
+            self.opening -= 1
+        if not connection.usable:
+            raise self.unconnected(ErrorCode.CONNECT_FAILED, "closed as soon as it was open")
+        self.open.add(connection)
+        return connection
+
+    def unconnected(self, code: ErrorCode, message: str) -> NotRunError:
+        return NotRunError(code, message, step="serving.connect", peer=self.address)
+
+    def give_back(self, connection: BackendConnection) -> None:
+        """Keep a connection for the next request where its exchange ended cleanly."""
+        if not connection.end():
+            return
+        loop = asyncio.get_running_loop()
+        connection.idle_since = loop.time()
+        self.idle.append(connection)
+        if self.sweeper is None:
+            self.sweeper = loop.call_later(KEEP_ALIVE_S, self.sweep)
+
+    def sweep(self) -> None:
+        """Close the connections that were idle for too long."""
+        loop = asyncio.get_running_loop()
+        self.sweeper = None
+        limit = loop.time() - KEEP_ALIVE_S
+        stale = [each for each in self.idle if each.idle_since <= limit]
+        self.idle = self.idle[len(stale) :]
+        for connection in stale:
+            connection.abort()
+        if self.idle:
+            due = self.idle[0].idle_since + KEEP_ALIVE_S
+            self.sweeper = loop.call_at(due, self.sweep)
+
+    def lost(self, connection: BackendConnection) -> None:
+        self.open.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    async def close(self) -> None:
+        if self.sweeper is not None:
+            self.sweeper.cancel()
+        for connection in list(self.open):
+            connection.abort()
--- a/src/marjoramtide/serving/_measurer.py
+++ b/src/marjoramtide/serving/_measurer.py
@@ -3,10 +3,10 @@
 import json
 from collections.abc import Callable
 
-import aiohttp
 import structlog
 
 from marjoramtide.clock import Clock
+from marjoramtide.errors import MarjoramtideError
 from marjoramtide.policy import MeasuringBudget
 from marjoramtide.serving._backend_state import BackendState
 from marjoramtide.serving._backend_transport import BackendTransport
@@ -84,7 +84,7 @@
         try:
             status, body = await self.transport.read(self.path, READ_TIMEOUT_S)
             state = parse_state(status, body)
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except (MarjoramtideError, TimeoutError):
             state = BackendState.DOWN
         now = self.clock.monotonic()
         self.budget.read(now, (now - started) * 1000)
--- /dev/null
+++ b/src/marjoramtide/serving/_request_head.py
@@ -0,0 +1,39 @@
+"""The head of a request as it goes to the backend server."""
+
+from marjoramtide.errors import ErrorCode
+from marjoramtide.exchange import NotRunError, Request, RequestBody
+
+# RFC 9110, section 8.6: these announce a body even where it is empty.
+METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
+
+
+def encode_head(request: Request, body: RequestBody, remaining_ms: float, address: str) -> bytes:
+    """Return the head; raises ``NotRunError`` for a request that can't be written safely."""
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    if not any(name.lower() == "host" for name, _ in request.headers):
+        lines.append(f"Host: {address}")
+    lines += [f"{name}: {value}" for name, value in request.headers]
+    lines += [
+        f"Request-Timeout-Ms: {max(1, int(remaining_ms))}",
+        f"Marjoramtide-Depth: {request.depth}",
+        f"Traceparent: {request.trace}",
+    ]
+    lines += framing(request, body)
+    text = "\r\n".join(lines)
+    breaks = len(lines) - 1
+    if lines[0].count(" ") != 2 or text.count("\r") != breaks or text.count("\n") != breaks:
+        # A line break inside a field would begin a header, or a request, of the sender's making:
+        # the backend server's next answer would then go to the wrong caller.
+        raise NotRunError(
+            ErrorCode.BAD_REQUEST, "a header field has a line break in it", step="serving.send"
+        )
+    return (text + "\r\n\r\n").encode("utf-8", "surrogateescape")
+
+
+def framing(request: Request, body: RequestBody) -> list[str]:
+    """Return the header that tells where the body ends, where there is one."""
+    if body.length is None:
+        return ["Transfer-Encoding: chunked"]
+    if body.length or request.method in METHODS_WITH_BODY:
+        return [f"Content-Length: {body.length}"]
+    return []
