Ask those who announced themselves, not only those this node has met

Its log showed a change that was told to be in force on 1 of 1 members: the asked node had started half a second before and had met nobody. A node that is cut off from its peers alone would do the same. Ruled out: the look at the clock after a freeze (the freeze was shorter than the 0.5 s that count as one).

--- a/features/settings/changes.feature
+++ b/features/settings/changes.feature
@@ -120,6 +120,23 @@
     Then the change is rejected with member-unreachable naming "c"
     And the tree was written 1 times
 
+  Scenario: The asked node is cut off from the others, but not from the store
+    It holds all others for dead, would ask nobody, and would tell "in force everywhere" while they
+    go on by the old settings.
+    Given the settings node c is cut off from its peers
+    And the settings node a is found dead
+    And the settings node b is found dead
+    When an operator at c sets slots = 11 in /services/mapdesk
+    Then the change is rejected with member-unreachable naming "2 of 3 announced nodes are not seen"
+    And the tree was written 1 times
+
+  Scenario: The asked node has just started and knows nobody yet
+    Given no settings gossip
+    And the settings node d joins and learns of the others 5 s later
+    When an operator at d sets slots = 11 in /services/mapdesk
+    Then the change is accepted as revision 2
+    And every settings node has slots 11 for mapdesk
+
   Scenario: The operator insists although a member can't be reached, and is told who lags
     Given the settings node c is cut off from all
     When an operator at a insists on slots = 11 in /services/mapdesk
--- a/features/settings_fakes.py
+++ b/features/settings_fakes.py
@@ -11,7 +11,7 @@
 
 from marjoramtide.clock import Clock, ManualClock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.membership import Directory, Member, MemberState
+from marjoramtide.membership import Announcement, Directory, Member, MemberState
 from marjoramtide.peers import ControlChannel
 from marjoramtide.platform import ObjectStore, StoredObject, WatchEvent
 from marjoramtide.settings import NodeSettings
@@ -276,6 +276,9 @@
             random.Random(name),
         )
         self.nodes[name] = node
+        announcement = Announcement(name, "mapdesk", region, data_centre, name, address, name, 0.0)
+        held = self.store.objects.get(announcement.key)
+        self.store.apply(announcement.key, announcement.encode(), held.version if held else None)
         return node
 
     def start(self, node: Node) -> None:
--- a/features/steps/settings_fleet_steps.py
+++ b/features/steps/settings_fleet_steps.py
@@ -111,6 +111,19 @@
     join(context, names, region, "south")
 
 
+@given("the settings node {name} joins and learns of the others {seconds:d} s later")
+def given_joins_late(context: Any, name: str, seconds: int) -> None:
+    fleet = context.fleet
+    fleet.start(fleet.add(name))
+
+    async def meet() -> None:
+        await fleet.clock.sleep(seconds)
+        fleet.gossips = True
+
+    context.meeting = fleet.loop.create_task(meet())
+    within(context, 4, lambda: fleet.nodes[name].service.view.is_current)
+
+
 @when("the settings node {name} joins")
 def when_joins(context: Any, name: str) -> None:
     join(context, name)
--- a/src/marjoramtide/membership/__init__.py
+++ b/src/marjoramtide/membership/__init__.py
@@ -1,5 +1,10 @@
 """Which nodes there are, and in which state."""
 
+from marjoramtide.membership._announcement import (
+    ANNOUNCEMENTS,
+    Announcement,
+    decode_announcement,
+)
 from marjoramtide.membership._directory import Directory
 from marjoramtide.membership._gossip_counters import GossipCounters
 from marjoramtide.membership._member import Member
@@ -12,7 +17,9 @@
 from marjoramtide.membership._swim_options import SwimOptions
 
 __all__ = [
+    "ANNOUNCEMENTS",
     "MAX_DATAGRAM_BYTES",
+    "Announcement",
     "Directory",
     "DropCode",
     "EventKind",
@@ -24,5 +31,6 @@
     "PacketCodec",
     "SwimCore",
     "SwimOptions",
+    "decode_announcement",
     "make_membership",
 ]
--- a/src/marjoramtide/settings/sync/_change_maker.py
+++ b/src/marjoramtide/settings/sync/_change_maker.py
@@ -20,6 +20,8 @@
 STALE_READS = 5
 STALE_READ_WAIT_S = 0.2
 IN_FORCE_CHECK_S = 0.2
+MEET_S = 10.0
+MEET_CHECK_S = 0.5
 REBASES = 50
 NODES_NAMED = 20
 
@@ -117,6 +119,7 @@
         A member that is cut off would go on serving by the old settings while the change counts as
         in force. Asked before anything is written, so that a rejection leaves nothing behind.
         """
+        await self._meet_announced(request, report)
         report(Progress("prepare", "asking every member whether it can take the change"))
         lineage = current.lineage if current else ""
         refusals = await self.peers.refusals(draft.edits, lineage)
@@ -126,14 +129,55 @@
         if request.insist:
             report(Progress("prepare", "going on without " + "; ".join(named), tuple(refusals)))
             return
-        raise MarjoramtideError(
-            ErrorCode.MEMBER_UNREACHABLE,
-            f"{len(refusals)} members can't take the change; nothing was written: "
-            + "; ".join(named[:NODES_NAMED]),
-            step="settings.prepare",
-            peer=", ".join(list(refusals)[:NODES_NAMED]),
+        reasons = "; ".join(named[:NODES_NAMED])
+        raise _unreachable(
+            f"{len(refusals)} members can't take the change: {reasons}", list(refusals)
         )
 
+    async def _meet_announced(self, request: ChangeRequest, report: Report) -> None:
+        """Reject the change where this node doesn't know the fleet.
+
+        A node that has just started knows nobody yet, and one that is cut off from the others holds
+        them for dead. Either would ask nobody and tell "in force everywhere" while all others go on
+        by the old settings. The store knows who announced themselves: those that answer have to be
+        met first, and where half of them are silent it may be this side that is cut off.
+        """
+        announced = await self.trees.announced()
+        unseen = self.peers.unseen(announced)
+        met = await self.peers.answering(unseen)
+        silent = [found.node for found in unseen if found.node not in met]
+        strangers = await self._wait_until_met(met, report)
+        if request.insist:
+            self._go_on_without([*strangers, *silent], report)
+        elif strangers:
+            raise _unreachable(
+                f"{len(strangers)} nodes answer but are no members here yet", strangers
+            )
+        elif len(silent) * 2 >= len(announced) > 0:
+            raise _unreachable(
+                f"{len(silent)} of {len(announced)} announced nodes are not seen from here; this "
+                "node may be the one that is cut off",
+                silent,
+            )
+
+    def _go_on_without(self, nodes: list[str], report: Report) -> None:
+        """Count nodes that aren't seen as lost just now: they may serve until their bound."""
+        if nodes:
+            report(Progress("prepare", "going on without nodes not seen", tuple(nodes)))
+        now = self.clock.monotonic()
+        self.lost_at |= dict.fromkeys(nodes, now)
+
+    async def _wait_until_met(self, nodes: list[str], report: Report) -> list[str]:
+        """Wait for membership to find nodes that answer; return those it didn't find."""
+        until = self.clock.monotonic() + MEET_S
+        while True:
+            live = {member.node for member in self.directory.members()}
+            missing = [node for node in nodes if node not in live]
+            if not missing or self.clock.monotonic() >= until:
+                return missing
+            report(Progress("prepare", "waiting to meet members", tuple(missing[:NODES_NAMED])))
+            await self.clock.sleep(MEET_CHECK_S)
+
     async def _write(self, stored: StoredTree | None, envelope: Envelope, report: Report) -> bool:
         def doubt(reason: str) -> None:
             report(Progress("write", f"not known yet whether it was accepted: {reason}"))
@@ -196,3 +240,12 @@
 
 def _counts(member: Member) -> bool:
     return member.state not in (MemberState.LEAVING, MemberState.DEAD)
+
+
+def _unreachable(message: str, nodes: list[str]) -> MarjoramtideError:
+    return MarjoramtideError(
+        ErrorCode.MEMBER_UNREACHABLE,
+        f"{message}; nothing was written",
+        step="settings.prepare",
+        peer=", ".join(nodes[:NODES_NAMED]),
+    )
--- a/src/marjoramtide/settings/sync/_peer_settings.py
+++ b/src/marjoramtide/settings/sync/_peer_settings.py
@@ -9,7 +9,7 @@
 import attrs
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.membership import Directory, Member, MemberState
+from marjoramtide.membership import Announcement, Directory, Member, MemberState
 from marjoramtide.peers import ControlChannel
 from marjoramtide.settings._edit import Edit
 from marjoramtide.settings._envelope import Envelope, decode_envelope
@@ -20,6 +20,8 @@
 PULL_TIMEOUT_S = 1.0
 PREPARE_TIMEOUT_S = 2.0
 PREPARED_AT_ONCE = 32
+STRANGERS_AT_ONCE = 128
+NOTHING_WANTED = 1 << 62
 
 
 @attrs.frozen(slots=True)
@@ -106,12 +108,48 @@
             member.node: reason for member, reason in zip(asked, reasons, strict=True) if reason
         }
 
+    def unseen(self, announced: Iterable[Announcement]) -> list[Announcement]:
+        """Return the announced nodes that are not among the live members, nor known to leave."""
+        live = {member.node for member in self.directory.members()}
+        strangers = [found for found in announced if found.node not in live]
+        return [found for found in strangers if not self._has_left(found.node)]
 
-def encode_answer(envelope: Envelope | None, have: int, current: bool) -> dict[str, Any]:
+    async def answering(self, strangers: Iterable[Announcement]) -> list[str]:
+        """Return those that answer all the same; an address may have a new owner by now."""
+        gate = asyncio.Semaphore(STRANGERS_AT_ONCE)
+
+        async def ask(stranger: Announcement) -> bool:
+            async with gate:
+                try:
+                    answer = await self.channel.ask(
+                        stranger.peer_address,
+                        PULL,
+                        {"have": NOTHING_WANTED},
+                        timeout=PULL_TIMEOUT_S,
+                    )
+                except MarjoramtideError:
+                    return False
+                return answer.get("node") == stranger.node
+
+        asked = list(strangers)
+        answers = await asyncio.gather(*map(ask, asked))
+        return [
+            stranger.node
+            for stranger, answers_here in zip(asked, answers, strict=True)
+            if answers_here
+        ]
+
+    def _has_left(self, node: str) -> bool:
+        member = self.directory.find(node)
+        return member is not None and member.state is MemberState.LEAVING
+
+
+def encode_answer(node: str, envelope: Envelope | None, have: int, current: bool) -> dict[str, Any]:
     """Return the answer to a pull, with the envelope where the asker's revision is older."""
     revision = envelope.revision if envelope else 0
     newer = envelope is not None and revision > have
     return {
+        "node": node,
         "revision": revision,
         "current": current,
         "envelope": zlib.compress(envelope.encode()) if envelope and newer else b"",
--- a/src/marjoramtide/settings/sync/_service.py
+++ b/src/marjoramtide/settings/sync/_service.py
@@ -87,7 +87,9 @@
 
     async def answer_pull(self, body: dict[str, Any]) -> dict[str, Any]:
         """Answer another node that asks what is in force here."""
-        return encode_answer(self.view.envelope, int(body.get("have", 0)), self.view.is_current)
+        node = self.maker.directory.self_member.node
+        have = int(body.get("have", 0))
+        return encode_answer(node, self.view.envelope, have, self.view.is_current)
 
     async def answer_prepare(self, body: dict[str, Any]) -> dict[str, Any]:
         """Answer whether this node can read a change, with the reason where it can't."""
--- a/src/marjoramtide/settings/sync/_tree_store.py
+++ b/src/marjoramtide/settings/sync/_tree_store.py
@@ -8,6 +8,7 @@
 
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.membership import ANNOUNCEMENTS, Announcement, decode_announcement
 from marjoramtide.platform import ObjectStore
 from marjoramtide.settings._envelope import Envelope, decode_envelope
 from marjoramtide.settings.sync._backoff import backoff
@@ -61,6 +62,16 @@
             raise
         return decode_envelope(stored.value)
 
+    async def announced(self) -> list[Announcement]:
+        """Return the nodes that announced themselves; raises what the store does."""
+        found = []
+        for item in await self.store.list(ANNOUNCEMENTS):
+            try:
+                found.append(decode_announcement(item.value))
+            except MarjoramtideError as error:
+                log.warning("settings.announcement", key=item.key, error=str(error))
+        return found
+
     async def write(
         self, prior: StoredTree | None, envelope: Envelope, doubt: Callable[[str], None]
     ) -> bool:
