--- a/features/cli/commands.feature
+++ b/features/cli/commands.feature
@@ -47,6 +47,10 @@
     Then the command "settings edit" ends with 0 and prints "revision 2"
     And the command "settings get /services/mapdesk slots --json" ends with 0 and prints "14"
 
+  Scenario: The editor's text is refused and not lost
+    Given the editor replaces "slots = 10" by "slot = 14"
+    Then the command "settings edit" ends with 3 and prints "your text is kept in"
+
   Scenario: A file that was made from an older revision
     The operator shows the tree, and another one changes it before he applies his file. A different
     branch is kept; the same branch is a conflict, and nothing is written.
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -179,7 +179,12 @@
     return subprocess.run(
         [sys.executable, "-m", "marjoramtide.cli.main", *shlex.split(command)],
         cwd=folder(context),
-        env={**os.environ, "MARJORAMTIDE_NODE": address, "EDITOR": editor},
+        env={
+            **os.environ,
+            "MARJORAMTIDE_NODE": address,
+            "EDITOR": editor,
+            "TMPDIR": str(folder(context)),
+        },
         capture_output=True,
         text=True,
         timeout=COMMAND_TIMEOUT_S,
--- a/src/marjoramtide/cli/_settings_commands.py
+++ b/src/marjoramtide/cli/_settings_commands.py
@@ -89,12 +89,17 @@
     def edit(self, insist: bool = False, wait_s: float = WAIT_S) -> None:
         """Open the tree in $EDITOR and apply what is saved."""
         envelope = self._envelope()
-        with tempfile.TemporaryDirectory() as folder:
-            file = Path(folder) / "settings.toml"
-            file.write_text(HEAD.format(envelope["revision"]) + envelope["text"])
-            subprocess.run([*shlex.split(os.environ.get("EDITOR", "vi")), str(file)], check=True)
-            text = file.read_text()
-        self._apply(text, envelope["revision"], insist, wait_s, "")
+        descriptor, name = tempfile.mkstemp(prefix="marjoramtide-settings-", suffix=".toml")
+        os.close(descriptor)
+        file = Path(name)
+        file.write_text(HEAD.format(envelope["revision"]) + envelope["text"])
+        subprocess.run([*shlex.split(os.environ.get("EDITOR", "vi")), name], check=True)
+        try:
+            self._apply(file.read_text(), envelope["revision"], insist, wait_s, "")
+        except (MarjoramtideError, SystemExit):
+            self._session.output.progress(f"your text is kept in {name}, for `settings apply`")
+            raise
+        file.unlink()
 
     def apply(
         self,
--- a/src/marjoramtide/operators/_change_stream.py
+++ b/src/marjoramtide/operators/_change_stream.py
@@ -20,11 +20,13 @@
 
 def read_change(raw: Any) -> ChangeRequest:
     """Read the body of a change; raises ``bad-request`` naming what is wrong."""
+    if not isinstance(raw, dict):
+        raise MarjoramtideError(ErrorCode.BAD_REQUEST, "the body must be a JSON object", step=STEP)
+    edits = parse_edits(raw.pop("edits", []))
     try:
-        edits = parse_edits(raw.pop("edits", []))
         converter = cattrs.Converter(forbid_extra_keys=True)
         request = converter.structure(raw, ChangeRequest)
-    except (AttributeError, cattrs.BaseValidationError) as error:
+    except cattrs.BaseValidationError as error:
         reasons = "; ".join(cattrs.transform_error(error))
         raise MarjoramtideError(ErrorCode.BAD_REQUEST, reasons, step=STEP) from error
     return attrs.evolve(request, edits=tuple(edits))
