--- a/src/marjoramtide/ingress/_caller_connection.py
+++ b/src/marjoramtide/ingress/_caller_connection.py
@@ -41,7 +41,8 @@
         # A caller that sends a byte now and then would hold a connection, and a file descriptor of
         # this process, for ever; enough of them and nobody else can connect. The timer starts with
         # the first byte of a head and is not moved by later ones.
-        waiting = self._waiter is not None and not self._messages
+        idle = self._waiter is not None or self._request_count == 0
+        waiting = idle and not self._messages
         super().data_received(data)
         if self._messages or not waiting:
             self.stop_head_timer()
