--- a/src/marjoramtide/policy/_completion_model.py
+++ b/src/marjoramtide/policy/_completion_model.py
@@ -35,7 +35,7 @@
 
     def typical_ms(self) -> float:
         """Return the usual latency of the service."""
-        return self.latency.median() or ASSUMED_LATENCY_MS
+        return self.latency.median or ASSUMED_LATENCY_MS
 
     def score(self, view: NodeView, urgent: bool, now: float) -> float:
         """Return the expected milliseconds to a good answer, costs of a retry included.
--- a/src/marjoramtide/policy/_node_view.py
+++ b/src/marjoramtide/policy/_node_view.py
@@ -31,7 +31,7 @@
     member: Member
     distance_ms: float
     tier: int
-    joined_at: float
+    started_at: float
     network: Smoothed = attrs.field(init=False)
     report: LoadReport | None = None
     reported_at: float = 0.0
@@ -82,6 +82,7 @@
             return
         self.report = report
         self.reported_at = now
+        self.started_at = now - report.uptime_s
         seen = now - self.network.value / 2000
         self.sent_since = len(self.outstanding) - bisect.bisect_left(self.outstanding, seen)
         self.closed_until = 0.0 if report.accepts else self.closed_until
@@ -120,10 +121,5 @@
 
     def ramp(self, now: float, slow_start_s: float) -> float:
         """Return the share (0 to 1) of its full load that a node gets after a cold start."""
-        if slow_start_s <= 0:
-            return 1.0
-        if self.report is None:
-            uptime_s = now - self.joined_at
-        else:
-            uptime_s = self.report.uptime_s + now - self.reported_at
-        return min(1.0, max(0.1, uptime_s / slow_start_s))
+        uptime_s = now - self.started_at
+        return 1.0 if uptime_s >= slow_start_s else max(0.1, uptime_s / slow_start_s)
--- a/src/marjoramtide/policy/_predicted_selector.py
+++ b/src/marjoramtide/policy/_predicted_selector.py
@@ -55,19 +55,19 @@
     def update_members(self, members: Collection[Member], now: float) -> None:
         # Members known from the start have been up for an unknown time: only those that join
         # later are taken for cold before they have reported.
-        joined_at = now if self.views else float("-inf")
+        started_at = now if self.views else float("-inf")
         known = self.views
         self.views = {}
         for member in members:
-            view = known.get(member.node) or self._new_view(member, joined_at)
+            view = known.get(member.node) or self._new_view(member, started_at)
             view.member = member
             self.views[member.node] = view
 
-    def _new_view(self, member: Member, joined_at: float) -> NodeView:
+    def _new_view(self, member: Member, started_at: float) -> NodeView:
         tier = self._tier(member)
         is_self = member.node == self.self_member.node
         distance_ms = OWN_DISTANCE_MS if is_self else DISTANCES_MS[tier]
-        return NodeView(member, distance_ms, tier, joined_at)
+        return NodeView(member, distance_ms, tier, started_at)
 
     def _tier(self, member: Member) -> int:
         if member.region != self.self_member.region:
