--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -342,7 +342,7 @@
 
 @given("an admission with {slots:d} slots, {urgent:d} of them urgent, and executions of {ms:d} ms")
 def step_admission(context: Any, slots: int, urgent: int, ms: int) -> None:
-    settings = RouteSettings(slots=slots, urgent_slots=urgent, queue_limit=40)
+    settings = RouteSettings(slots=slots, urgent_slots=urgent, queue_limit=40, min_limit=1)
     context.serving = Serving(make_admission(settings, START))
     for _ in range(50):
         context.serving.run_one("routine", float(ms))
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -26,6 +26,7 @@
 
 STEP = "serving.send"
 SERVER_ERROR = 500
+MAX_KINDS = 64
 NO_TRACE = TraceContext("0" * 32, "0" * 16, sampled=False)
 
 
@@ -58,6 +59,7 @@
         self.metrics = metrics
         self.tracer = tracer
         self.measurer: Measurer | None = None
+        self.kinds: set[str] = set()
         self.tickets = itertools.count(1)
         self.waiting: dict[int, asyncio.Future[None]] = {}
         self.in_progress: set[int] = set()
@@ -121,9 +123,19 @@
         execution.started = self.clock.monotonic()
 
     def kind(self, request: Request) -> str:
-        """Name the requests that take about as long as this one."""
+        """Name the requests that take about as long as this one.
+
+        By method and first segment of the path besides the route: a lookup and a booking that share
+        a route would otherwise share one estimate, and the first bookings after many lookups look
+        like a server that has turned slow. Callers make up paths, so the number is bounded.
+        """
         route = self.view.route(request.service, request.target).route
-        return f"{route} urgent" if request.urgent else route
+        segment = request.target[1:].partition("?")[0].partition("/")[0]
+        name = f"{request.method} {route} {segment} {request.urgent:d}"
+        if name in self.kinds or len(self.kinds) < MAX_KINDS:
+            self.kinds.add(name)
+            return name
+        return f"{request.method} {route} * {request.urgent:d}"
 
     async def wait_for_slot(self, ticket: int) -> None:
         waiter = self.waiting[ticket] = asyncio.get_running_loop().create_future()
@@ -221,11 +233,16 @@
     ) -> AsyncIterator[bytes]:
         """Pass the stream on; the slot is free when it ends, within the deadline."""
         whole = False
-        remaining = max(0.0, execution.deadline - self.clock.monotonic())
         try:
-            async with asyncio.timeout(remaining):
-                async for data in stream:
-                    yield data
+            while True:
+                # Around the read alone: a timeout that spans the yield would cancel whoever takes
+                # the data, amid something else, and nobody would be told of the deadline.
+                remaining = max(0.0, execution.deadline - self.clock.monotonic())
+                async with asyncio.timeout(remaining):
+                    data = await anext(stream, None)
+                if data is None:
+                    break
+                yield data
             whole = True
         except TimeoutError as error:
             raise UnknownOutcomeError(
