A refusal isn't an answer of the server, and requests given up together are one finding

Both found by reading. A refusal by a node ended the silence of the server beside it, so a straggler that turned requests away looked well again; and what was learned of requests given up counted from the last answer, which a hanging server doesn't give, so it was believed for little or, after ten given up at one moment, for up to 20 s. judged_at holds when a request was last answered, lost or given up.

--- a/features/policy/selection.feature
+++ b/features/policy/selection.feature
@@ -3,9 +3,10 @@
   Scenario: A straggler without warning is avoided before its first slow answer
     # The caller sees one lookup in six take ten times longer. A server slows down at once; every
     # report of it was written while it was quick, and the next comes with the first slow answer.
-    # Until then it looks as good as the others and gets its full share.
+    # Until then it looks as good as the others and gets its full share. A refusal by its node
+    # isn't an answer of the server.
     Given a predicting ingress node knows 6 serving nodes that answer in 20 ms
-    When 3 requests to "n1" stay unanswered for 80 ms while the others go on
+    When 3 requests to "n1" stay unanswered for 80 ms while its node refuses another
     Then between 0% and 2% of 500 next routine choices fall on "n1"
 
   Scenario: A server that fails fast repels requests
@@ -82,6 +83,16 @@
     When "n1" answers 10 requests after 200 ms and reports 5 ms
     Then between 0% and 2% of 500 next routine choices fall on "n1"
 
+  Scenario: A server that hung is avoided, and tried again soon after
+    # The caller waits its whole deadline at a server that answers nothing, again and again: there is
+    # no answer to learn from. Later the server idles: ten requests given up at one moment were taken
+    # for ten findings, and each doubled the time for which it is avoided.
+    Given a predicting ingress node knows 6 serving nodes that answer in 20 ms
+    When 10 requests to "n1" are given up after 5000 ms
+    Then between 0% and 2% of 500 next routine choices fall on "n1"
+    When the clock of the ingress node moves on by 3 s
+    Then between 5% and 60% of 500 next routine choices fall on "n1"
+
   Scenario: An ejected server comes back after good answers to probes
     # Operators see a server idle for ever. It was ejected, nobody asks it, so nobody learns that
     # it has recovered. A request that must not run twice is never spent on finding out.
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -95,7 +95,7 @@
     context.ingress.warm_up()
 
 
-@when('{count:d} requests to "{node}" stay unanswered for {ms:d} ms while the others go on')
+@when('{count:d} requests to "{node}" stay unanswered for {ms:d} ms while its node refuses another')
 def step_unanswered(context: Any, count: int, node: str, ms: int) -> None:
     ingress = context.ingress
     for _ in range(count):
@@ -106,6 +106,8 @@
         if ingress.now >= end:
             break
         ingress.answer(other, 5.0)
+    ingress.selector.sent(node, ingress.now)
+    ingress.selector.rejected(node, None, 0, ingress.now, elapsed_ms=0.0)
 
 
 @when('"{nodes}" answers {count:d} requests with errors after {ms:d} ms')
@@ -196,6 +198,19 @@
     assert context.ingress.traffic(5, TRAFFIC[kind])[node] > 25
 
 
+@when('{count:d} requests to "{node}" are given up after {ms:d} ms')
+def step_hung(context: Any, count: int, node: str, ms: int) -> None:
+    ingress = context.ingress
+    for _ in range(count):
+        ingress.selector.sent(node, ingress.now)
+    ingress.now += ms / 1000
+    for _ in range(count):
+        ingress.selector.cancelled(node, ingress.now, elapsed_ms=float(ms))
+    for member in ingress.members[1:]:
+        ingress.hear(member.node)
+    ingress.now += 0.002
+
+
 @when("the nodes report 7 slots in use and service times of 15, 18, 20, 22, 25 and 28 ms")
 def step_uneven_times(context: Any) -> None:
     times = (15.0, 18.0, 20.0, 22.0, 25.0, 28.0)
--- a/src/marjoramtide/policy/_completion_model.py
+++ b/src/marjoramtide/policy/_completion_model.py
@@ -59,7 +59,7 @@
         predicted = view.network.value + wait_ms + service_ms
         # Own observation bounds the report: a report that promises less than a quarter of what this
         # node's requests took is misleading or out of date.
-        own_ms = view.elapsed.value * view.belief(view.last_answer_at, now)
+        own_ms = view.elapsed.value * view.belief(view.judged_at, now)
         predicted = max(predicted, OWN_TIME_DOUBT * own_ms)
         # A refusal tells when a routine request would be taken. Urgent ones go by the urgent queue
         # that the report shows: else a surge of routine refusals would drive them all to the few
--- a/src/marjoramtide/policy/_explorer.py
+++ b/src/marjoramtide/policy/_explorer.py
@@ -38,14 +38,14 @@
         if not idle:
             return None
         self.tokens -= 1
-        return min(idle, key=lambda view: view.last_answer_at)
+        return min(idle, key=lambda view: view.judged_at)
 
     def _wants_one(self, view: NodeView, now: float) -> bool:
         if view.ejected:
             return self.ejection.may_probe(view, now)
-        idle_s = now - view.last_answer_at
+        idle_s = now - view.judged_at
         return (
             not view.outstanding
-            and view.last_answer_at > 0
+            and view.judged_at > 0
             and idle_s > EXPLORE_AFTER_BELIEFS * view.believed_s
         )
--- a/src/marjoramtide/policy/_node_view.py
+++ b/src/marjoramtide/policy/_node_view.py
@@ -21,6 +21,8 @@
     ``network_ms`` begins at the distance and follows the low end of what is seen. ``sent_since``
     counts own requests that the held report can't know of. ``closed_until`` and ``back_off_until``
     come from refusals: closed while the node takes nothing, back-off while it is full.
+    ``last_answer_at`` is when it last answered a request; ``judged_at`` when one was last answered,
+    lost or given up. A refusal is neither: a server that hangs still has a node that refuses.
 
     What was learned of a slow or failing node fades, because a node that isn't asked can't tell
     that it is well again. It is believed for ``believed_s``: short at first, since a neighbour's
@@ -40,6 +42,7 @@
     elapsed: Smoothed = attrs.Factory(lambda: Smoothed(0.3, 0.3))
     success: Smoothed = attrs.Factory(lambda: Smoothed(0.2, 0.2, 1.0, 1))
     last_answer_at: float = 0.0
+    judged_at: float = 0.0
     closed_until: float = 0.0
     back_off_until: float = 0.0
     ejected: bool = False
@@ -99,8 +102,9 @@
         """
         if good:
             self.believed_s = max(self.believed_s / 2, BELIEVED_S)
-        elif now - self.last_answer_at > self.believed_s:
+        elif now - self.judged_at > self.believed_s:
             self.believed_s = min(self.believed_s * 2, BELIEVED_AT_MOST_S)
+        self.judged_at = now
 
     def belief(self, since: float, now: float) -> float:
         """Return the share (1 to 0) to which what was learned at ``since`` is still believed."""
@@ -108,7 +112,7 @@
 
     def success_rate(self, now: float) -> float:
         """Return the lower of what this node saw and what the serving node reports."""
-        failing = (1 - self.success.value) * self.belief(self.last_answer_at, now)
+        failing = (1 - self.success.value) * self.belief(self.judged_at, now)
         if self.report is not None and self.report.success_rate < 1:
             reported = (1 - self.report.success_rate) * self.belief(self.reported_at, now)
             failing = max(failing, reported)
--- a/src/marjoramtide/policy/_predicted_selector.py
+++ b/src/marjoramtide/policy/_predicted_selector.py
@@ -194,7 +194,6 @@
         if view is None:
             return
         self._settle(view, report, elapsed_ms, now)
-        view.last_answer_at = now
         if report is not None and not report.accepts:
             view.closed_until = now + max(retry_after_ms, CLOSED_AT_LEAST_MS) / 1000
         else:
@@ -216,7 +215,6 @@
                 # refused. Nobody listens there; until membership has found out, it is left alone.
                 view.closed_until = now + UNREACHABLE_MS / 1000
             view.note_outcome(False, now)
-            view.last_answer_at = now
             self._settle(view, None, elapsed_ms, now)
             self.ejection.note(view, False, self.views.values(), now)
 
