Pay for spans only where a trace is sampled, and read headers once

One look at the last character decides now. A timeout is no longer set around a body that is not there; headers are filtered in one pass.

A body that its caller broke off is again told as such, not as the backend server's fault.

--- a/src/marjoramtide/exchange/_headers.py
+++ b/src/marjoramtide/exchange/_headers.py
@@ -29,12 +29,14 @@
     headers: Iterable[tuple[str, str]], own: frozenset[str]
 ) -> tuple[tuple[str, str], ...]:
     """Return the headers without those of the connection, the ones it names, and ours."""
-    pairs = [(name, value) for name, value in headers]
-    named = {
-        token.strip().lower()
-        for name, value in pairs
-        if name.lower() == "connection"
-        for token in value.split(",")
-    }
-    dropped = HOP_BY_HOP | own | named if named else HOP_BY_HOP | own
-    return tuple((name, value) for name, value in pairs if name.lower() not in dropped)
+    kept = []
+    named: set[str] = set()
+    for name, value in headers:
+        lower = name.lower()
+        if lower == "connection":
+            named.update(token.strip().lower() for token in value.split(","))
+        elif lower not in HOP_BY_HOP and lower not in own:
+            kept.append((name, value))
+    if named:
+        return tuple((name, value) for name, value in kept if name.lower() not in named)
+    return tuple(kept)
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -21,9 +21,8 @@
 from marjoramtide.peers import PeerClient
 from marjoramtide.policy import CallProfile
 from marjoramtide.settings import RouteSettings, SettingsView
-from marjoramtide.telemetry import Metrics, TraceContext, Tracer, read_trace
+from marjoramtide.telemetry import Metrics, Tracer
 
-NO_TRACE = TraceContext("0" * 32, "0" * 16, sampled=False)
 SERVER_ERROR = 500
 
 
@@ -220,7 +219,7 @@
     async def send(self, attempts: Attempts, node: str) -> Answer:
         """Send the request to a node: by a call where it is this one, else by its peer address."""
         request = attempts.request
-        with self.tracer.span("attempt", read_trace(request.trace) or NO_TRACE) as span:
+        with self.tracer.span("attempt", request.trace) as span:
             if span is not None:
                 span.attributes |= {"to": node, "attempt": attempts.count}
                 request = attrs.evolve(request, trace=span.header(), attempt=attempts.count)
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -9,7 +9,7 @@
 
 from marjoramtide.clock import Clock, FreezeDetector
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.exchange import Answer, NotRunError, Outcome, Request, RequestBody
+from marjoramtide.exchange import Answer, NotRunError, Outcome, Request, RequestBody, inline_body
 from marjoramtide.ingress._caller_connection import fields
 from marjoramtide.ingress._caller_server import CallerServer
 from marjoramtide.ingress._dispatcher import Dispatcher
@@ -108,9 +108,7 @@
             self.check_open(now)
             request, settings = read_request(http, self.view, self.tracer, now)
             body = await self.read_body(http, request, settings)
-            trace = read_trace(request.trace)
-            assert trace is not None
-            with self.tracer.span("ingress", trace) as span:
+            with self.tracer.span("ingress", request.trace) as span:
                 if span is not None:
                     span.attributes |= {"method": request.method, "service": request.service}
                     if read_trace(http.headers.get("Traceparent", "")) is None:
@@ -126,6 +124,8 @@
         self, http: web.BaseRequest, request: Request, settings: RouteSettings
     ) -> RequestBody:
         """Read the body, or its beginning, within the deadline."""
+        if not http.can_read_body:
+            return inline_body()
         remaining = request.deadline - self.clock.monotonic()
         try:
             async with asyncio.timeout(max(0.0, remaining)):
--- a/src/marjoramtide/serving/_http_transport.py
+++ b/src/marjoramtide/serving/_http_transport.py
@@ -12,6 +12,7 @@
     Outcome,
     Request,
     RequestBody,
+    UnknownOutcomeError,
     end_to_end,
     inline_body,
 )
@@ -56,6 +57,10 @@
         try:
             reply = connection.send(head, body, head_only=request.method == "HEAD")
             first = await reply.first(INLINE_BYTES)
+        except UnknownOutcomeError as error:
+            connection.abort()
+            # A body that its caller broke off is no fault of the backend server.
+            raise body.error or error from error
         except BaseException:
             connection.abort()
             raise
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -22,11 +22,10 @@
 from marjoramtide.serving._execution import Execution, make_execution
 from marjoramtide.serving._measurer import Measurer
 from marjoramtide.settings import RouteSettings, SettingsView
-from marjoramtide.telemetry import Metrics, TraceContext, Tracer, read_trace
+from marjoramtide.telemetry import Metrics, Tracer
 
 STEP = "serving.send"
 SERVER_ERROR = 500
-NO_TRACE = TraceContext("0" * 32, "0" * 16, sampled=False)
 
 
 class ServingService(RequestHandler):
@@ -167,7 +166,7 @@
         succeeded = False
         streaming = False
         try:
-            with self.tracer.span("serving", read_trace(request.trace) or NO_TRACE) as span:
+            with self.tracer.span("serving", request.trace) as span:
                 if span is not None:
                     # What the backend server does for this request is this span's child.
                     execution.request = attrs.evolve(request, trace=span.header())
--- a/src/marjoramtide/telemetry/_trace_context.py
+++ b/src/marjoramtide/telemetry/_trace_context.py
@@ -9,6 +9,7 @@
 NO_VERSION = "ff"
 VERSION = "00"
 SAMPLED = 0x01
+SAMPLED_ENDS = tuple("13579bdf")
 
 
 @attrs.frozen(slots=True)
@@ -42,6 +43,11 @@
     return TraceContext(trace_id, span_id, bool(int(flags, 16) & SAMPLED))
 
 
+def is_sampled(header: str) -> bool:
+    """Tell whether a valid ``traceparent`` asks for spans, without reading all of it."""
+    return header.endswith(SAMPLED_ENDS)
+
+
 def new_trace(rng: random.Random, sampled: bool) -> TraceContext:
     """Return the context of a trace that begins here."""
     return TraceContext(f"{rng.getrandbits(128):032x}", f"{rng.getrandbits(64):016x}", sampled)
--- a/src/marjoramtide/telemetry/_tracer.py
+++ b/src/marjoramtide/telemetry/_tracer.py
@@ -4,7 +4,7 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager, nullcontext
 
 import attrs
 import structlog
@@ -12,9 +12,15 @@
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.telemetry._span import Span
-from marjoramtide.telemetry._trace_context import TraceContext, new_trace, read_trace
+from marjoramtide.telemetry._trace_context import (
+    TraceContext,
+    is_sampled,
+    new_trace,
+    read_trace,
+)
 
 KEPT_SPANS = 2048
+NO_SPAN: AbstractContextManager[Span | None] = nullcontext()
 # A caller may ask for a trace of each of its requests; what that may cost a node is bounded here.
 MAX_TRACES_PER_S = 50
 
@@ -57,12 +63,18 @@
         self.begun += 1
         return self.begun <= MAX_TRACES_PER_S
 
+    def span(self, name: str, header: str) -> AbstractContextManager[Span | None]:
+        """Record what runs inside as a span under the one that ``header`` names.
+
+        Gives ``None`` where the trace is not sampled, which is most requests: they pay for the
+        look at one character.
+        """
+        parent = read_trace(header) if is_sampled(header) else None
+        return NO_SPAN if parent is None else self.record(name, parent)
+
     @contextmanager
-    def span(self, name: str, parent: TraceContext) -> Iterator[Span | None]:
-        """Record what runs inside as a span; yields ``None`` where the trace is not sampled."""
-        if not parent.sampled:
-            yield None
-            return
+    def record(self, name: str, parent: TraceContext) -> Iterator[Span]:
+        """Record what runs inside as a span under ``parent``."""
         context = parent.child(self.rng)
         span = Span(
             context.trace_id,
