--- a/features/path/at_most_once.feature
+++ b/features/path/at_most_once.feature
@@ -85,7 +85,8 @@
       | method        | "POST" |
       | body_bytes    | 500    |
       | keyed         | true   |
-      | timeout_ms    | 700    |
+      | service_ms    | 250    |
+      | timeout_ms    | 900    |
       | retries       | 3      |
       | retry_wait_ms | 200    |
     When while traffic enters by mapdesk-1 and mapdesk-2
@@ -94,3 +95,19 @@
       | 3.0 | thaw   | licencehub-3 |
     Then every promise is kept
     And some bookings ended as completed
+
+  Scenario: One server is slow, and bookings to it are not sent to another beside it
+    # Where a lookup is slow, a second one is sent to another server and the first answer wins. A
+    # booking that is slow at a server is running there; a second one would book twice.
+    Given a mesh of 3 licencehub nodes
+      """
+      [services.licencehub]
+      hedge_budget = 0.5
+      """
+    And the backend server of licencehub-1 shows {"slow_factor": 20}
+    And traffic: 60 bookings a second of licencehub for 3 s
+      | key    | value  |
+      | method | "POST" |
+    When the traffic enters by all nodes
+    Then every promise is kept
+    And some bookings ended as completed
--- a/features/path/not_run.feature
+++ b/features/path/not_run.feature
@@ -24,9 +24,9 @@
     And some bookings ended as completed
 
   Scenario: A node wakes up with old bookings in its sockets
-    # A node is frozen. Bookings reach its sockets and their callers' deadlines pass: "unknown".
-    # When it goes on, the frames look fresh. Running them would book what the caller has long
-    # given up; they are refused, and nothing runs.
+    # A node is frozen. Bookings reach its sockets and their callers' deadlines pass: "unknown". The
+    # node that sent them dies, so nothing cancels them. When the frozen one goes on, the frames look
+    # fresh. Running them would book what the caller has long given up; nothing runs.
     Given a mixed mesh of 1 mapdesk and 1 licencehub nodes
     And traffic: 10 bookings a second of licencehub for 1 s
       | key        | value  |
@@ -36,6 +36,7 @@
     When while traffic enters by mapdesk-1
       | at  | what   | whom         |
       | 0.0 | freeze | licencehub-2 |
+      | 1.2 | kill   | mapdesk-1    |
       | 2.2 | thaw   | licencehub-2 |
     And 1 s pass
     Then every promise is kept
@@ -58,8 +59,10 @@
 
   Scenario: The store is down while bookings with keys come, and an instance dies
     # Without the store no key can be claimed. The booking is refused as "not run" with when to come
-    # back; lookups go on as before. When the store is back the callers' repeated bookings run.
+    # back; lookups go on as before. When the store is back the callers' repeated bookings run. One
+    # server loses half of its answers, so a booking run without a claim would be run again.
     Given a mixed mesh of 2 mapdesk and 2 licencehub nodes
+    And the backend server of licencehub-4 shows {"close_before_answer": 0.5}
     And traffic: 15 bookings a second of licencehub for 4 s
       | key           | value  |
       | method        | "POST" |
@@ -76,4 +79,4 @@
       | 2.0 | store | {"mode": "up"}     |
     Then every promise is kept
     And all lookups completed
-    And at least 90% of bookings completed
+    And at least 50% of bookings completed
--- a/features/path/planned_stop.feature
+++ b/features/path/planned_stop.feature
@@ -25,6 +25,8 @@
     Given a mixed mesh of 1 mapdesk and 2 casedesk nodes
     And traffic: 20 files a second of casedesk for 2 s
       | key          | value   |
+      | method       | "POST"  |
+      | service_ms   | 300     |
       | answer_bytes | 1000000 |
       | timeout_ms   | 5000    |
     When while traffic enters by mapdesk-1
--- a/features/path/whole_answers.feature
+++ b/features/path/whole_answers.feature
@@ -35,12 +35,17 @@
 
   Scenario: Instances die while large answers are on the way
     # A large answer passes through two nodes in chunks when the serving instance dies, and later
-    # the node alone. What the caller has is not all, and it can see that.
+    # the node alone. What the caller has is not all, and it can see that, also where the length
+    # was not stated ahead.
     Given a mixed mesh of 1 mapdesk and 3 casedesk nodes
     And traffic: 40 files a second of casedesk for 3 s
       | key          | value   |
       | answer_bytes | 1500000 |
       | timeout_ms   | 3000    |
+    And traffic: 20 chunked-files a second of casedesk for 3 s
+      | key          | value   |
+      | answer_bytes | 9000000 |
+      | timeout_ms   | 3000    |
     When while traffic enters by mapdesk-1
       | at  | what      | whom       |
       | 1.0 | kill      | casedesk-2 |
--- a/standins/backend/_server.py
+++ b/standins/backend/_server.py
@@ -139,7 +139,7 @@
             "X-Backend": self.name,
         }
         cut = wanted // 2 if self.happens(self.faults.truncate) else None
-        return Answer(200, headers, body, cut)
+        return Answer(200, headers, body, cut, chunked=request.path.startswith("/chunked"))
 
     def load(self) -> dict[str, object]:
         """Return the true load at this moment."""
