--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint behave bench bench-hop bench-control fuzz clean
+.PHONY: setup demo test lint behave bench bench-hop bench-control bench-settings fuzz clean
 
 setup: $(STAMP)
 
@@ -36,5 +36,8 @@
 bench-control: $(STAMP)
 	$(PY) -m bench.control
 
+bench-settings: $(STAMP)
+	$(PY) -m bench.settings_cost
+
 clean:
 	rm -rf $(VENV) out
