--- a/src/marjoramtide/policy/_edf_admission.py
+++ b/src/marjoramtide/policy/_edf_admission.py
@@ -18,6 +18,7 @@
 DRAINING_RETRY_MS = 1000
 RECHECK_SLACK = 3.0
 LEAST_LEFT_FOR_ROUTINE = 0.02
+URGENT_BURSTS = 6.0
 
 
 @attrs.define(slots=True)
@@ -213,7 +214,7 @@
         if urgent:
             return (ahead + 1) * service_ms / self.limit
         left = max(LEAST_LEFT_FOR_ROUTINE, 1 - self.urgent_share.value)
-        bursts = 1 + self.urgent_share.value
+        bursts = 1 + URGENT_BURSTS * self.urgent_share.value
         return (ahead + 1) * service_ms * bursts / (self.routine_limit * left)
 
     def _start(self, ticket: int, profile: CallProfile, now: float) -> None:
