A spill-over state for each tier that can be the nearest; bring the design notes up to date

A second try that finds no node left in the nearest data centre compares other tiers; it moved the share of the first comparison, which is about other places. Found by reading; with one region and three data centres only retries were concerned.

--- a/src/marjoramtide/policy/_predicted_selector.py
+++ b/src/marjoramtide/policy/_predicted_selector.py
@@ -31,8 +31,10 @@
 
     The nodes fall into tiers by distance: the same data centre, the same region, elsewhere. The
     nearest tier that has a usable node is preferred, and the next one takes what ``spill_over``
-    lets go. ``choices`` nodes are drawn from the near tier and as many from the next; this node's
-    own backend server is always looked at where it serves the service, since it saves a hop.
+    lets go; ``spills`` has the state for each tier that can be the nearest, since a second try may
+    find none left in the first. ``choices`` nodes are drawn from the near tier and as many from the
+    next; this node's own backend server is always looked at where it serves the service, since it
+    saves a hop.
     """
 
     self_member: Member
@@ -44,7 +46,7 @@
     spill_over: float
     hedge_quantile: float
     views: dict[str, NodeView] = attrs.Factory(dict)
-    spill: SpillOver = attrs.Factory(SpillOver)
+    spills: list[SpillOver] = attrs.Factory(lambda: [SpillOver() for _ in DISTANCES_MS])
     hint: ComeBackHint = attrs.field(init=False)
     rate_per_s: float = 0.0
     rate_updated_at: float | None = None
@@ -104,7 +106,7 @@
         hop_ms = DISTANCES_MS[far_tier] - DISTANCES_MS[near_tier]
         far_ms = other_ms + self.spill_over * hop_ms
         band_ms = max(hop_ms, 0.5 * self.model.typical_ms())
-        share = self.spill.push(best_ms, far_ms, band_ms, now)
+        share = self.spills[near_tier].push(best_ms, far_ms, band_ms, now)
         return other if self.rng.random() < share else best
 
     def _best_of_sample(
