Hedge no earlier than the budget can pay for

At the 95th percentile with a budget of 2 in 100, the first two of each five late requests spent it. The scenario failed with the setting alone (20 ms).

--- a/features/policy/selection.feature
+++ b/features/policy/selection.feature
@@ -93,6 +93,13 @@
     When the clock of the ingress node moves on by 3 s
     Then between 5% and 60% of 500 next routine choices fall on "n1"
 
+  Scenario: The second try beside a slow one is kept for the slowest
+    # The caller waits on a stalled lookup although second tries in parallel are on: they begin at
+    # the 95th percentile, the budget pays for 2 in 100, and it went to requests that were nearly done.
+    Given a predicting ingress node knows 6 serving nodes that answer in 20 ms
+    When 95 requests are answered after 20 ms, 4 after 60 ms and 1 after 900 ms, twice
+    Then a second try with a budget of 0.02 waits for 60 ms at least
+
   Scenario: An ejected server comes back after good answers to probes
     # Operators see a server idle for ever. It was ejected, nobody asks it, so nobody learns that
     # it has recovered. A request that must not run twice is never spent on finding out.
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -211,6 +211,19 @@
     ingress.now += 0.002
 
 
+@when("95 requests are answered after 20 ms, 4 after 60 ms and 1 after 900 ms, twice")
+def step_latencies(context: Any) -> None:
+    for ms in ([20.0] * 95 + [60.0] * 4 + [900.0]) * 2:
+        context.ingress.hear("n1", ms)
+
+
+@then("a second try with a budget of {share:g} waits for {ms:d} ms at least")
+def step_hedge(context: Any, share: float, ms: int) -> None:
+    assert RouteSettings().hedge_budget == share
+    delay_ms = context.ingress.selector.hedge_delay_ms("n1", context.ingress.now)
+    assert ms <= delay_ms < 900, delay_ms
+
+
 @when("the nodes report 7 slots in use and service times of 15, 18, 20, 22, 25 and 28 ms")
 def step_uneven_times(context: Any) -> None:
     times = (15.0, 18.0, 20.0, 22.0, 25.0, 28.0)
--- a/src/marjoramtide/policy/_factories.py
+++ b/src/marjoramtide/policy/_factories.py
@@ -39,6 +39,10 @@
     if settings.selector != "predicted":
         raise unknown_policy("selector", settings.selector, SELECTORS, "policy.make_selector")
     ejection = OutlierEjection(settings.ejection_cap)
+    # Failure: hedges begin at a quantile that more requests reach than the budget pays for. It is
+    # spent on those that come first, and the ones that hang find it empty. At the quantile that
+    # just as many reach, the slowest get their second try.
+    hedge_quantile = max(settings.hedge_quantile, 1 - settings.hedge_budget)
     return PredictedSelector(
         self_member=self_member,
         rng=rng,
@@ -47,7 +51,7 @@
         explorer=Explorer(ejection),
         choices=max(1, settings.choices),
         spill_over=settings.spill_over,
-        hedge_quantile=settings.hedge_quantile,
+        hedge_quantile=hedge_quantile,
     )
 
 
