--- a/features/policy/budgets.feature
+++ b/features/policy/budgets.feature
@@ -21,5 +21,6 @@
     Then with failures and reads of 5 ms it reads between 50 and 60 times in 60 s
     And with traffic and reads of 5 ms it reads between 10 and 31 times in 60 s
     And with silence and reads of 5 ms it reads between 20 and 40 times in 60 s
+    And with executions of 200 ms and reads of 5 ms it reads between 10 and 17 times in 60 s
     And a failed request brings the next read forward to 1 s after the last
     And with failures and reads of 2000 ms it reads between 2 and 4 times in 120 s
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -529,12 +529,17 @@
     "in {seconds:d} s"
 )
 def step_reads(context: Any, traffic: str, ms: int, low: int, high: int, seconds: int) -> None:
-    results = {"failures": [False, True], "traffic": [True], "silence": []}[traffic]
+    results, took_ms = {
+        "failures": ([False, True], None),
+        "traffic": ([True], None),
+        "executions of 200 ms": ([True], 200.0),
+        "silence": ([], None),
+    }[traffic]
     budget = context.measuring()
     reads = 0
     for now in (START + tick / 10 for tick in range(seconds * 10)):
         for succeeded in results:
-            budget.traffic(now, succeeded)
+            budget.traffic(now, succeeded, took_ms)
         if budget.next_read_at(now) <= now:
             budget.read(now, float(ms))
             reads += 1
--- a/src/marjoramtide/policy/_measuring_budget.py
+++ b/src/marjoramtide/policy/_measuring_budget.py
@@ -16,8 +16,10 @@
     """Says when the node may next read its backend server's health or load endpoint.
 
     Two bounds hold at any moment: ``per_s`` reads a second, and ``share`` of the backend server's
-    capacity, where a read occupies one of its ``slots`` for as long as it takes. A slow endpoint
-    is therefore read more rarely, not more often. Below the bound the interval adapts: answers of
+    capacity, where a read occupies one of its ``slots`` for as long as it takes, or as an execution
+    takes if that is longer: what a read costs inside the server isn't seen from here, and counted
+    in requests its share is then kept too. A slow endpoint is therefore read more rarely, not more
+    often. Below the bound the interval adapts: answers of
     callers' requests already tell how the server does, so reads are up to ``TRAFFIC_STRETCH`` times
     rarer while there are some; an idle server is read a little; a failed request brings the next
     read forward to the bound. The stretch ends at ``STRETCH_CEILING_S`` so that a server that
@@ -28,6 +30,7 @@
     share: float
     slots: int
     read_ms: Smoothed = attrs.Factory(lambda: Smoothed(1.0, 0.3, ASSUMED_READ_MS, 1))
+    execution_ms: Smoothed = attrs.Factory(lambda: Smoothed(0.05, 0.05))
     last_read_at: float | None = None
     last_traffic_at: float | None = None
     in_doubt: bool = True
@@ -35,7 +38,8 @@
     @property
     def min_interval_s(self) -> float:
         """Return the seconds between reads at the bound; infinite where nothing is allowed."""
-        rate = min(self.per_s, self.share * self.slots / (self.read_ms.value / 1000))
+        cost_ms = max(self.read_ms.value, self.execution_ms.value)
+        rate = min(self.per_s, self.share * self.slots * 1000 / cost_ms)
         return 1 / rate if rate > 0 else float("inf")
 
     def next_read_at(self, now: float) -> float:
@@ -58,7 +62,9 @@
         self.read_ms.add(max(took_ms, 0.01))
         self.in_doubt = False
 
-    def traffic(self, now: float, succeeded: bool = True) -> None:
-        """Note an answer of the backend server to a caller's request."""
+    def traffic(self, now: float, succeeded: bool = True, took_ms: float | None = None) -> None:
+        """Note an answer of the backend server to a caller's request, and how long it took."""
+        if took_ms is not None and succeeded:
+            self.execution_ms.add(took_ms)
         self.last_traffic_at = now
         self.in_doubt = self.in_doubt or not succeeded
