--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -1,7 +1,5 @@
 """The tries made for one request."""
 
-import asyncio
-
 import attrs
 
 from marjoramtide.errors import ErrorCode
@@ -30,7 +28,7 @@
     count: int = 0
     unknown: UnknownOutcomeError | None = None
     refused: NotRunError | None = None
-    answer: Answer | None = None
+    answers: list[Answer] = attrs.Factory(list)
 
     @property
     def budgets(self) -> ClassBudgets:
@@ -43,30 +41,26 @@
         else:
             self.refused = error
 
-    def settle(self, task: "asyncio.Task[Answer]") -> Exception | None:
+    def settle(self, ended: Answer | BaseException) -> Exception | None:
         """Take the end of a try: ``None`` where its answer is final, else how it failed.
 
         A server error of an idempotent request is kept as the answer for want of a better one.
         """
-        error = task.exception()
-        if error is None:
-            self.answer = task.result()
-            if self.answer.status < SERVER_ERROR:
+        if isinstance(ended, Answer):
+            self.answers.append(ended)
+            if ended.status < SERVER_ERROR:
                 return None
-            error = UnknownOutcomeError(
-                ErrorCode.BACKEND_FAILED, f"status {self.answer.status}", step="ingress.attempt"
+            return UnknownOutcomeError(
+                ErrorCode.BACKEND_FAILED, f"status {ended.status}", step="ingress.attempt"
             )
-        elif isinstance(error, NotRunError | UnknownOutcomeError):
-            self.note(error)
-        else:
-            raise error
-        return error
+        if not isinstance(ended, NotRunError | UnknownOutcomeError):
+            raise ended
+        self.note(ended)
+        return ended
 
     def take_answer(self) -> Answer:
-        """Return the answer to give to the caller; it is no longer ours to close."""
-        assert self.answer is not None
-        answer, self.answer = self.answer, None
-        return answer
+        """Return the last answer, for the caller; it is no longer ours to close."""
+        return self.answers.pop()
 
     def may_retry(self, error: Exception, now: float) -> bool:
         """Tell whether another try is allowed after ``error``, and charge its budget.
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -16,6 +16,7 @@
     UnknownOutcomeError,
 )
 from marjoramtide.ingress._attempts import Attempts
+from marjoramtide.ingress._hedge import Hedge
 from marjoramtide.ingress._service_state import ServiceState, make_service_state
 from marjoramtide.membership import Directory
 from marjoramtide.peers import PeerClient
@@ -102,43 +103,63 @@
 
         Only for idempotent requests whose body can be sent again.
         """
-        running: set[asyncio.Task[Answer]] = set()
-        first = self.start_another(attempts, running)
-        now = self.clock.monotonic()
-        delay_ms = attempts.state.selector.hedge_delay_ms(first, now) if first else None
+        first = self.choose(attempts)
+        if first is None:
+            raise attempts.final_error(self.clock.monotonic())
+        delay_ms = attempts.state.selector.hedge_delay_ms(first, self.clock.monotonic())
         delay_s = None if delay_ms is None else delay_ms / 1000
+        hedge = Hedge(
+            start=lambda: self.start_hedge(attempts, hedge),
+            failed=lambda task: self.go_on(attempts, hedge, task.exception() or task.result()),
+        )
         try:
-            while running:
-                done, _ = await asyncio.wait(
-                    running, timeout=delay_s, return_when=asyncio.FIRST_COMPLETED
-                )
-                now = self.clock.monotonic()
-                if not done:
-                    delay_s = None
-                    if attempts.budgets.hedges.withdraw(now):
-                        self.metrics.count("ingress.hedges")
-                        self.start_another(attempts, running)
-                    continue
-                for task in done:
-                    running.discard(task)
-                    failure = attempts.settle(task)
-                    if failure is None:
-                        return attempts.take_answer()
-                    if attempts.may_retry(failure, now):
-                        self.metrics.count("ingress.retries")
-                        self.start_another(attempts, running)
-            if attempts.answer is not None:
+            ended = await hedge.first(self.attempt(attempts, first), delay_s)
+            if self.go_on(attempts, hedge, ended):
                 return attempts.take_answer()
-            raise attempts.final_error(self.clock.monotonic())
+            return await self.await_others(attempts, hedge, None if hedge.started else delay_s)
         finally:
-            await self.cancel_all(running, attempts)
+            if hedge.running or attempts.answers:
+                await self.cancel_all(hedge.running, attempts)
+
+    async def await_others(self, attempts: Attempts, hedge: Hedge, delay_s: float | None) -> Answer:
+        """Wait for what runs after the first try has failed."""
+        while hedge.running:
+            done, _ = await asyncio.wait(
+                hedge.running, timeout=delay_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not done:
+                delay_s = None
+                self.start_hedge(attempts, hedge)
+                continue
+            for task in done:
+                hedge.running.discard(task)
+                if self.go_on(attempts, hedge, task.exception() or task.result()):
+                    return attempts.take_answer()
+        if attempts.answers:
+            return attempts.take_answer()
+        raise attempts.final_error(self.clock.monotonic())
+
+    def start_hedge(self, attempts: Attempts, hedge: Hedge) -> None:
+        """Begin a second try beside one that takes long, within the budget."""
+        if attempts.budgets.hedges.withdraw(self.clock.monotonic()):
+            self.metrics.count("ingress.hedges")
+            self.start_another(attempts, hedge)
 
-    def start_another(self, attempts: Attempts, running: "set[asyncio.Task[Answer]]") -> str | None:
-        """Begin a try at another node, where there is one; return that node."""
+    def go_on(self, attempts: Attempts, hedge: Hedge, ended: Answer | BaseException) -> bool:
+        """Take the end of a try; tell whether it is final, else begin another where allowed."""
+        failure = attempts.settle(ended)
+        if failure is None:
+            return True
+        if attempts.may_retry(failure, self.clock.monotonic()):
+            self.metrics.count("ingress.retries")
+            self.start_another(attempts, hedge)
+        return False
+
+    def start_another(self, attempts: Attempts, hedge: Hedge) -> None:
+        """Begin a try at another node, where there is one."""
         node = self.choose(attempts)
         if node is not None:
-            running.add(asyncio.create_task(self.attempt(attempts, node)))
-        return node
+            hedge.add(self.attempt(attempts, node))
 
     async def cancel_all(self, running: "set[asyncio.Task[Answer]]", attempts: Attempts) -> None:
         """Cancel the tries that lost, and close what they may have brought all the same."""
@@ -147,8 +168,8 @@
         for ended in await asyncio.gather(*running, return_exceptions=True):
             if isinstance(ended, Answer):
                 await ended.close()
-        if attempts.answer is not None:
-            await attempts.answer.close()
+        for answer in attempts.answers:
+            await answer.close()
 
     def choose(self, attempts: Attempts) -> str | None:
         """Return a node that was not tried yet, and count the try."""
