--- a/features/steps/settings_fleet_steps.py
+++ b/features/steps/settings_fleet_steps.py
@@ -68,7 +68,7 @@
 def join(context: Any, names: str, region: str = "west", data_centre: str = "north") -> None:
     for name in names.split(", "):
         context.fleet.start(context.fleet.add(name, region, data_centre))
-    context.fleet.pass_time(3)
+    context.fleet.pass_time(4)
 
 
 def nodes(context: Any) -> list[Node]:
@@ -111,6 +111,19 @@
     join(context, names, region, "south")
 
 
+@given("the settings node {name} joins and learns of the others {seconds:d} s later")
+def given_joins_late(context: Any, name: str, seconds: int) -> None:
+    fleet = context.fleet
+    fleet.start(fleet.add(name))
+
+    async def meet() -> None:
+        await fleet.clock.sleep(seconds)
+        fleet.gossips = True
+
+    context.meeting = fleet.loop.create_task(meet())
+    within(context, 4, lambda: fleet.nodes[name].service.view.is_current)
+
+
 @when("the settings node {name} joins")
 def when_joins(context: Any, name: str) -> None:
     join(context, name)
@@ -174,6 +187,29 @@
     context.fleet.store.before_write = hook
 
 
+@given("another operator at {name} sets slots to {value:d} in {branch} once the next write is lost")
+def given_race_with_lost(context: Any, name: str, value: int, branch: str) -> None:
+    other = context.fleet.nodes[name]
+    context.other_request = ask(context, other, set_slots(branch, value))
+
+    async def hook() -> None:
+        context.other = asyncio.ensure_future(outcome_of(context, other, context.other_request))
+
+    context.fleet.store.before_write = hook
+
+
+@then("what both operators were told is what the tree says")
+def then_both_true(context: Any) -> None:
+    context.fleet.pass_time(10)
+    for request, told in (
+        (context.request, context.told),
+        (context.other_request, context.other.result()),
+    ):
+        accepted = isinstance(told, ChangeOutcome)
+        assert accepted == bool(stored(context).contains(request.change)), (request, told)
+        assert accepted or told.code == "branch-conflict", told
+
+
 @given("reads are stale {count:d} times after the next tree write")
 def given_stale_after(context: Any, count: int) -> None:
     store = context.fleet.store
--- a/src/marjoramtide/ingress/_caller_connection.py
+++ b/src/marjoramtide/ingress/_caller_connection.py
@@ -41,7 +41,8 @@
         # A caller that sends a byte now and then would hold a connection, and a file descriptor of
         # this process, for ever; enough of them and nobody else can connect. The timer starts with
         # the first byte of a head and is not moved by later ones.
-        waiting = self._waiter is not None and not self._messages
+        idle = self._waiter is not None or self._request_count == 0
+        waiting = idle and not self._messages
         super().data_received(data)
         if self._messages or not waiting:
             self.stop_head_timer()
@@ -112,9 +113,9 @@
         error = parse_error(exc)
         caller = request.remote
         if isinstance(error, UnknownOutcomeError):
-            log.error("ingress.failed", **fields(error, caller), exc_info=exc)
+            log.error("ingress.failed", **log_fields(error, caller), exc_info=exc)
         else:
-            log.info("ingress.refused", **fields(error, caller))
+            log.info("ingress.refused", **log_fields(error, caller))
         self.metrics.count(f"ingress.refused.{error.code}")
         if request.writer.output_size > 0:
             raise ConnectionError("the answer has begun; the connection is broken off")
@@ -123,7 +124,7 @@
         return response
 
 
-def fields(error: MarjoramtideError, caller: str | None) -> dict[str, Any]:
+def log_fields(error: MarjoramtideError, caller: str | None) -> dict[str, Any]:
     """Return what the log tells of a refusal."""
     return {
         "code": error.code,
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -9,11 +9,18 @@
 
 from marjoramtide.clock import Clock, FreezeDetector
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.exchange import Answer, NotRunError, Outcome, Request, RequestBody, inline_body
-from marjoramtide.ingress._caller_connection import fields
+from marjoramtide.exchange import (
+    Answer,
+    NotRunError,
+    Outcome,
+    Request,
+    RequestBody,
+    UnknownOutcomeError,
+    inline_body,
+)
+from marjoramtide.ingress._caller_connection import log_fields
 from marjoramtide.ingress._caller_server import CallerServer
 from marjoramtide.ingress._dispatcher import Dispatcher
-from marjoramtide.ingress._library_log import LibraryLog
 from marjoramtide.ingress._read_body import read_body
 from marjoramtide.ingress._read_request import read_request
 from marjoramtide.ingress._refusal import refusal
@@ -65,7 +72,7 @@
             self.handle,
             handler_cancellation=True,
             access_log=None,
-            logger=LibraryLog(logging.getLogger("marjoramtide.ingress.aiohttp")),
+            logger=logging.getLogger("marjoramtide.ingress.aiohttp"),
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
             max_headers=MAX_HEADERS,
@@ -157,7 +164,7 @@
 
     def refuse(self, http: web.BaseRequest, error: MarjoramtideError) -> web.Response:
         self.metrics.count(f"ingress.refused.{error.code}")
-        log.info("ingress.refused", **fields(error, http.remote))
+        log.info("ingress.refused", **log_fields(error, http.remote))
         response = refusal(error, self.node)
         if self.stopping or not http.content.at_eof():
             # The rest of a body that was not read would be taken for the next request.
@@ -174,7 +181,7 @@
             response = web.Response(status=answer.status, body=answer.body or None)
             self.add_headers(response, answer)
             if request.method == "HEAD" and answer.length is not None:
-                response.content_length = answer.length
+                response.headers["Content-Length"] = str(answer.length)
             return response
         response = web.StreamResponse(status=answer.status)
         self.add_headers(response, answer)
@@ -182,22 +189,35 @@
             response.content_length = answer.length
         else:
             response.enable_chunked_encoding()
+        remaining = max(0.0, request.deadline - self.clock.monotonic())
         try:
-            await response.prepare(http)
-            async for data in answer.stream:
-                await response.write(data)
-            answer.cancel = None
-            await response.write_eof()
+            # A caller that reads slowly, or not at all, holds what is behind it until the deadline.
+            async with asyncio.timeout(remaining):
+                await response.prepare(http)
+                async for data in answer.stream:
+                    await response.write(data)
+                answer.cancel = None
+                await response.write_eof()
         except MarjoramtideError as error:
-            # The head is out; a broken connection is the only way left to say that this is not all.
-            log.warning("ingress.broken_off", code=error.code, step=error.step, peer=error.peer)
-            self.metrics.count("ingress.broken_off")
-            if http.transport is not None:
-                http.transport.abort()
+            self.break_off(http, error)
+        except TimeoutError:
+            self.break_off(
+                http,
+                UnknownOutcomeError(
+                    ErrorCode.DEADLINE, "the deadline passed amid the answer", step="ingress.send"
+                ),
+            )
         finally:
             await answer.close()
         return response
 
+    def break_off(self, http: web.BaseRequest, error: MarjoramtideError) -> None:
+        """Break the connection: the head is out, nothing else can tell that this is not all."""
+        log.warning("ingress.broken_off", **log_fields(error, http.remote))
+        self.metrics.count("ingress.broken_off")
+        if http.transport is not None:
+            http.transport.abort()
+
     def add_headers(self, response: web.StreamResponse, answer: Answer) -> None:
         for name, value in answer.headers:
             response.headers.add(name, value)
--- a/src/marjoramtide/serving/_backend_reply.py
+++ b/src/marjoramtide/serving/_backend_reply.py
@@ -110,8 +110,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.has_head:
-            text = value.decode("utf-8", "surrogateescape")
-            self.headers.append((name.decode("utf-8", "surrogateescape"), text))
+            self.headers.append((name.decode("latin-1"), readable(value)))
 
     def on_headers_complete(self) -> None:
         if self.has_head:
@@ -144,3 +143,14 @@
         if self.has_head and not self.complete and self.error is None:
             self.complete = True
             self.reusable = self.parser.should_keep_alive()
+
+
+def readable(value: bytes) -> str:
+    """Return a header value that can be written as UTF-8, which CBOR and the callers' side need.
+
+    Bytes that are no UTF-8 are read as Latin-1, the charset of HTTP/1.0, and travel on as UTF-8.
+    """
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
