--- a/features/path/planned_stop.feature
+++ b/features/path/planned_stop.feature
@@ -26,7 +26,7 @@
     And traffic: 20 files a second of casedesk for 2 s
       | key          | value   |
       | method       | "POST"  |
-      | service_ms   | 300     |
+      | service_ms   | 900     |
       | answer_bytes | 1000000 |
       | timeout_ms   | 5000    |
     When while traffic enters by mapdesk-1
--- a/features/path/urgent.feature
+++ b/features/path/urgent.feature
@@ -1,7 +1,7 @@
 Feature: Urgent requests don't wait behind routine ones
 
   Scenario: Dispatch asks amid a surge of long routine requests, and an instance dies
-    # Routine requests of a second and a half fill every slot they may have and the queues. Urgent
+    # Routine requests of four seconds fill every slot they may have and the queues. Urgent
     # lookups have half a second: one that waited for a routine one to end would be too late.
     Given a mesh of 3 mapdesk nodes
       """
@@ -9,16 +9,16 @@
       slots = 4
       urgent_slots = 2
       """
-    And traffic: 15 surveys a second of mapdesk for 4 s
+    And traffic: 8 surveys a second of mapdesk for 4 s
       | key        | value |
-      | service_ms | 1500  |
-      | timeout_ms | 8000  |
+      | service_ms | 4000  |
+      | timeout_ms | 15000 |
     And traffic: 10 alarms a second of mapdesk for 3 s
       | key        | value |
       | from       | 1     |
       | urgent     | true  |
       | service_ms | 20    |
-      | timeout_ms | 700   |
+      | timeout_ms | 500   |
       | retries    | 2     |
     When while traffic enters by mapdesk-1 and mapdesk-2
       | at  | what | whom      |
@@ -44,3 +44,10 @@
     When the traffic enters by mapdesk-1
     Then every promise is kept
     And all alarms completed
+
+  Scenario: Routine refusals leave the urgent requests their second tries
+    # A surge of routine requests is turned away everywhere and has used up its budget of second
+    # tries. An urgent request that meets a dead instance first still goes on to another.
+    Given the budgets of a service whose routine second tries are used up
+    Then an urgent request that certainly did not run may be tried again
+    And a routine request that certainly did not run may not be tried again
--- /dev/null
+++ b/features/steps/ingress_budget_steps.py
@@ -0,0 +1,44 @@
+"""Steps on the budgets of second tries, without processes."""
+
+import random
+from typing import Any
+
+from behave import given, then  # type: ignore[attr-defined]
+
+from marjoramtide.errors import ErrorCode
+from marjoramtide.exchange import NotRunError, Request, inline_body
+from marjoramtide.ingress._attempts import Attempts
+from marjoramtide.ingress._service_state import make_service_state
+from marjoramtide.membership import Member
+from marjoramtide.settings import RouteSettings
+
+NOW = 1000.0
+MANY = 1000
+
+
+@given("the budgets of a service whose routine second tries are used up")
+def given_used_up(context: Any) -> None:
+    own = Member("n", "s", "r", "d", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+    context.state = make_service_state(RouteSettings(service="s"), own, random.Random(1))
+    for budgets in context.state.budgets.values():
+        budgets.rejections.deposit(NOW)
+        budgets.rejections.deposit(NOW + 1)
+    routine = context.state.budgets[False].rejections
+    assert any(not routine.withdraw(NOW + 1) for _ in range(MANY))
+
+
+def may_retry(context: Any, urgent: bool) -> bool:
+    request = Request("s", "GET", "/", (), urgent, True, NOW + 10)
+    attempts = Attempts(request, inline_body(), RouteSettings(), context.state, count=1)
+    refused = NotRunError(ErrorCode.CONNECT_FAILED, "refused", step="test")
+    return attempts.may_retry(refused, NOW + 1)
+
+
+@then("an urgent request that certainly did not run may be tried again")
+def then_urgent(context: Any) -> None:
+    assert may_retry(context, urgent=True)
+
+
+@then("a routine request that certainly did not run may not be tried again")
+def then_routine(context: Any) -> None:
+    assert not may_retry(context, urgent=False)
