--- a/src/marjoramtide/settings/sync/_follower.py
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -25,6 +25,7 @@
 PAUSE_STEP_S = 0.2
 ROLE_CHECK_S = 1.0
 FIRST_WATCH_S = 3.0
+SHORTEST_WATCH_S = 1.0
 PULL_MOST_S = 5.0
 
 log = structlog.get_logger()
@@ -74,7 +75,7 @@
         """Ask someone several times within the bound; while not current, at short intervals."""
         waits = backoff(self.rng)
         while True:
-            if await self.check():
+            if await self.check() and self.view.is_current:
                 waits = backoff(self.rng)
                 wait = self.freshness.bound_s / CHECKS_IN_BOUND
                 await self._pause(wait * (0.75 + self.rng.random() / 4))
@@ -180,8 +181,12 @@
                 await self.clock.sleep(ROLE_CHECK_S)
                 continue
             try:
+                began = self.clock.monotonic()
                 await self.watch_once()
                 waits = backoff(self.rng)
+                # A store that ends watches at once must not be read in a tight loop.
+                spent = self.clock.monotonic() - began
+                await self.clock.sleep(max(0.0, SHORTEST_WATCH_S - spent))
             except MarjoramtideError as error:
                 self.store_answers = False
                 log.info("settings.watch", error=str(error), code=error.code)
