Count a cancelled execution as given up, not as failed

Cause: the losers of hedges ended as failures at the serving side, which lowered the limit and the success rate of healthy servers and had their endpoints read more often. Also: reads are weighed by what an execution costs, a change of settings keeps what was learned where nothing of the service changed, and the settings share the node's one freeze detector.

--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -53,7 +53,7 @@
         self.peer_server = PeerServer(settings.key, self.clock, self.freeze)
         control = PeerControlChannel(self.peer_client, self.peer_server)
         self.settings_service = make_settings_service(
-            settings, self.store, self.membership, control, self.clock, rng
+            settings, self.store, self.membership, control, self.clock, rng, self.freeze
         )
         self.view = self.settings_service.view
         self.claim_gate = ClaimGate(self.claims, self.view, self.clock)
@@ -146,7 +146,6 @@
         self.serving.open(settings)
         self.measurer.configure(settings)
         self.update_state()
-        log.info("settings.in_force", revision=revision)
 
     def backend_changed(self, state: BackendState) -> None:
         self.backend_state = state
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -6,7 +6,7 @@
 import attrs
 
 from marjoramtide.clock import Clock
-from marjoramtide.errors import ErrorCode
+from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import (
     Answer,
     NotRunError,
@@ -50,7 +50,25 @@
         self.metrics = metrics
         self.tracer = tracer
         self.states: dict[str, ServiceState] = {}
-        view.on_change(lambda revision: self.states.clear())
+        view.on_change(self.settings_changed)
+
+    def settings_changed(self, revision: int) -> None:
+        """Forget what rests on settings that have changed, and keep what was learned otherwise.
+
+        Without the latter each of hundreds of changes a day makes every node guess anew.
+        """
+        self.states = {
+            service: state
+            for service, state in self.states.items()
+            if self.settings_of(service) == state.settings
+        }
+
+    def settings_of(self, service: str) -> RouteSettings | None:
+        """Return the settings of the whole service, ``None`` where it was removed."""
+        try:
+            return self.view.route(service, "/")
+        except MarjoramtideError:
+            return None
 
     def state(self, service: str) -> ServiceState:
         """Return what is kept for a service, up to date with its members."""
--- a/src/marjoramtide/serving/_measurer.py
+++ b/src/marjoramtide/serving/_measurer.py
@@ -45,22 +45,20 @@
 
     def configure(self, settings: RouteSettings) -> None:
         """Read at the rate that these settings allow."""
-        last_read_at = self.budget.last_read_at if self.budget is not None else None
         self.path = settings.health_path
-        self.budget = MeasuringBudget(
-            settings.measuring_per_s, settings.measuring_share, settings.slots
-        )
-        self.budget.last_read_at = last_read_at
-
-    def doubt(self) -> None:
-        """Bring the next read forward: a request has just failed or been refused as draining."""
+        budget = MeasuringBudget(settings.measuring_per_s, settings.measuring_share, settings.slots)
         if self.budget is not None:
-            self.budget.traffic(self.clock.monotonic(), succeeded=False)
-
-    def traffic(self) -> None:
-        """Note that a request went well, so that reads may be rarer."""
+            # What was learned stays: each of many changes a day would otherwise bring a read.
+            budget.last_read_at = self.budget.last_read_at
+            budget.read_ms = self.budget.read_ms
+            budget.execution_ms = self.budget.execution_ms
+        self.budget = budget
+
+    def traffic(self, succeeded: bool, took_ms: float) -> None:
+        """Note the end of a request: reads may be rarer where it went well, and come sooner where
+        it failed. ``took_ms`` tells what share of the capacity a read costs."""
         if self.budget is not None:
-            self.budget.traffic(self.clock.monotonic())
+            self.budget.traffic(self.clock.monotonic(), succeeded, took_ms)
 
     async def run(self) -> None:
         """Read until cancelled."""
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -177,6 +177,7 @@
         request = execution.request
         succeeded = False
         streaming = False
+        cancelled = False
         try:
             with self.tracer.span("serving", request.trace) as span:
                 if span is not None:
@@ -193,9 +194,12 @@
         except (NotRunError, UnknownOutcomeError) as error:
             self.metrics.count(f"serving.failed.{error.code}")
             raise
+        except asyncio.CancelledError:
+            cancelled = True
+            raise
         finally:
             if not streaming:
-                self.finish(execution, succeeded)
+                self.finish(execution, succeeded, cancelled)
         now = self.clock.monotonic()
         answer.report = self.admission.report(now)
         answer.served_ms = (now - execution.arrived) * 1000
@@ -256,20 +260,27 @@
         async def cancel() -> None:
             if close is not None:
                 await close()
-            self.finish(execution, False)
+            self.finish(execution, False, cancelled=True)
 
         return cancel
 
-    def finish(self, execution: Execution, succeeded: bool) -> None:
-        """Free the slot, once, and start whoever waits for it."""
+    def finish(self, execution: Execution, succeeded: bool, cancelled: bool = False) -> None:
+        """Free the slot, once, and start whoever waits for it.
+
+        A request that its ingress node gave up says nothing of success: counted as a failure, the
+        losers of hedges would lower the limit and the success rate of healthy servers.
+        """
         if execution.ticket not in self.in_progress:
             return
-        if self.measurer is not None:
-            (self.measurer.traffic if succeeded else self.measurer.doubt)()
         now = self.clock.monotonic()
         duration_ms = (now - execution.started) * 1000
         self.metrics.timing("serving.execution", duration_ms)
-        self.start(self.admission.finished(execution.ticket, now, duration_ms, succeeded))
+        if cancelled:
+            self.start(self.admission.withdraw(execution.ticket, now))
+        else:
+            if self.measurer is not None:
+                self.measurer.traffic(succeeded, duration_ms)
+            self.start(self.admission.finished(execution.ticket, now, duration_ms, succeeded))
         self.done(execution.ticket)
         if self.waiting:
             # What ended may have changed how long the others will take, or the limit.
