Close on frames whose method or headers would not stay on their line

Seen with the check taken out: the frame was handed on as far as the transport to the backend server, which refused it there, and the connection stayed open without a line.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -172,7 +172,7 @@
 def read_signed(data: bytes) -> Packet:
     """Read a datagram that a node with the key has signed, whatever is in it."""
     codec = PacketCodec(KEY)
-    return codec.decode(codec._mac(data) + data)
+    return codec.decode(codec.mac(data) + data)
 
 
 def read_tree(data: bytes) -> None:
--- a/features/edge/bad_frames.feature
+++ b/features/edge/bad_frames.feature
@@ -31,6 +31,8 @@
       | a target with a line break      | peers.bad_frame | bad-frame |
       | a deadline that is no number    | peers.bad_frame | bad-frame |
       | headers that are none           | peers.bad_frame | bad-frame |
+      | a header with a line break      | peers.bad_frame | bad-frame |
+      | a method with a space           | peers.bad_frame | bad-frame |
       | a chunk nobody asked for        | peers.bad_frame | bad-frame |
       | an answer to nothing asked      | peers.bad_frame | bad-frame |
       | an empty chunk                  | peers.bad_frame | bad-frame |
--- a/features/edge/peer_attacks.py
+++ b/features/edge/peer_attacks.py
@@ -181,6 +181,8 @@
     "a target with a line break": frames(request(target="/ HTTP/1.1\r\nX: y\r\n\r\n")),
     "a deadline that is no number": frames(request(remaining_ms=float("nan"))),
     "headers that are none": frames(request(headers=[1, 2])),
+    "a header with a line break": frames(request(headers=[("X", "a\r\nY: b")])),
+    "a method with a space": frames(request(method="GET /other")),
     "a chunk nobody asked for": frames(request(), encode(RequestChunk(1, b"a", False))),
     "an answer to nothing asked": frames(request(more=True), encode(ContinueMessage(1))),
     "an empty chunk": invited_with(encode(RequestChunk(1, b"", False))),
--- a/src/marjoramtide/peers/_codec.py
+++ b/src/marjoramtide/peers/_codec.py
@@ -67,11 +67,17 @@
 def unpack_headers(fields: list[Any]) -> tuple[tuple[str, str], ...]:
     """Return the headers of a message; raises ``bad-frame`` where they are none."""
     pairs = tuple(tuple(field) if isinstance(field, list) else () for field in fields)
-    if not all(len(pair) == 2 and all(isinstance(part, str) for part in pair) for pair in pairs):
+    sound = all(len(pair) == 2 and all(map(is_header_text, pair)) for pair in pairs)
+    if not sound:
         raise MarjoramtideError(ErrorCode.BAD_FRAME, "headers that are none", step="peers.decode")
     return pairs  # type: ignore[return-value]
 
 
+def is_header_text(part: Any) -> bool:
+    """Tell whether a name or value stays on its line of a head."""
+    return isinstance(part, str) and not ("\n" in part or "\r" in part or "\0" in part)
+
+
 def pack_report(report: LoadReport | None) -> list[Any] | None:
     """Return a load report as the plain list that travels in a message."""
     return None if report is None else list(attrs.astuple(report))
--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import math
+import re
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
@@ -45,6 +46,8 @@
 # What the library closes with when it can't read a frame: protocol error, no UTF-8, too large.
 BAD_FRAME_CLOSES = frozenset((1002, 1007, 1009))
 
+METHOD = re.compile(r"[A-Z-]{1,20}")
+
 QuestionHandler = Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]
 
 
@@ -142,6 +145,8 @@
         if not is_origin_form(message.target):
             # It is put behind the backend server's address: "@other:80/" would lead elsewhere.
             raise self.bad_frame("a request target that is no path")
+        if not METHOD.fullmatch(message.method):
+            raise self.bad_frame("a method that is none")
         if not 0 <= message.remaining_ms < math.inf:
             raise self.bad_frame(f"a deadline in {message.remaining_ms} ms")
         headers = unpack_headers(message.headers)
