--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -211,6 +211,19 @@
     ingress.now += 0.002
 
 
+@when("95 requests are answered after 20 ms, 4 after 60 ms and 1 after 900 ms, twice")
+def step_latencies(context: Any) -> None:
+    for ms in ([20.0] * 95 + [60.0] * 4 + [900.0]) * 2:
+        context.ingress.hear("n1", ms)
+
+
+@then("a second try with a budget of {share:g} waits for {ms:d} ms at least")
+def step_hedge(context: Any, share: float, ms: int) -> None:
+    assert RouteSettings().hedge_budget == share
+    delay_ms = context.ingress.selector.hedge_delay_ms("n1", context.ingress.now)
+    assert ms <= delay_ms < 900, delay_ms
+
+
 @when("the nodes report 7 slots in use and service times of 15, 18, 20, 22, 25 and 28 ms")
 def step_uneven_times(context: Any) -> None:
     times = (15.0, 18.0, 20.0, 22.0, 25.0, 28.0)
@@ -516,12 +529,17 @@
     "in {seconds:d} s"
 )
 def step_reads(context: Any, traffic: str, ms: int, low: int, high: int, seconds: int) -> None:
-    results = {"failures": [False, True], "traffic": [True], "silence": []}[traffic]
+    results, took_ms = {
+        "failures": ([False, True], None),
+        "traffic": ([True], None),
+        "executions of 200 ms": ([True], 200.0),
+        "silence": ([], None),
+    }[traffic]
     budget = context.measuring()
     reads = 0
     for now in (START + tick / 10 for tick in range(seconds * 10)):
         for succeeded in results:
-            budget.traffic(now, succeeded)
+            budget.traffic(now, succeeded, took_ms)
         if budget.next_read_at(now) <= now:
             budget.read(now, float(ms))
             reads += 1
