--- a/src/marjoramtide/ingress/_read_request.py
+++ b/src/marjoramtide/ingress/_read_request.py
@@ -96,8 +96,8 @@
 def check_values(http: web.BaseRequest) -> None:
     """Raise for a header that the library could not send on as it is."""
     for name, value in http.headers.items():
-        # The library keeps bytes that are no UTF-8 as lone surrogates, and leaves those out
-        # without a word when it writes them: the backend server would get another value.
+        # The library keeps bytes that are no UTF-8 as lone surrogates. CBOR text can't carry them
+        # to another node: whether such a request is served would depend on where it goes.
         if not value.isascii() and not is_text(value):
             raise bad(f"{name[:40]}; allowed: ASCII or UTF-8")
 
