--- a/src/marjoramtide/exchange/__init__.py
+++ b/src/marjoramtide/exchange/__init__.py
@@ -1,7 +1,11 @@
 """One request and its one answer, in the form in which the parts of a node hand them on."""
 
 from marjoramtide.exchange._answer import Answer
-from marjoramtide.exchange._failures import NotRunError, UnknownOutcomeError
+from marjoramtide.exchange._failures import (
+    NotRunError,
+    RequestFailedError,
+    UnknownOutcomeError,
+)
 from marjoramtide.exchange._handler import RequestHandler
 from marjoramtide.exchange._headers import OWN_ANSWER, OWN_REQUEST, end_to_end
 from marjoramtide.exchange._outcome import Outcome
@@ -18,6 +22,7 @@
     "Outcome",
     "Request",
     "RequestBody",
+    "RequestFailedError",
     "RequestHandler",
     "UnknownOutcomeError",
     "end_to_end",
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -3,7 +3,14 @@
 import attrs
 
 from marjoramtide.errors import ErrorCode
-from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, UnknownOutcomeError
+from marjoramtide.exchange import (
+    Answer,
+    NotRunError,
+    Request,
+    RequestBody,
+    RequestFailedError,
+    UnknownOutcomeError,
+)
 from marjoramtide.ingress._class_budgets import ClassBudgets
 from marjoramtide.ingress._service_state import ServiceState
 from marjoramtide.settings import RouteSettings
@@ -34,7 +41,7 @@
     def budgets(self) -> ClassBudgets:
         return self.state.budgets[self.request.urgent]
 
-    def note(self, error: NotRunError | UnknownOutcomeError) -> None:
+    def note(self, error: RequestFailedError) -> None:
         """Remember how a try failed."""
         if isinstance(error, UnknownOutcomeError):
             self.unknown = self.unknown or error
@@ -53,7 +60,7 @@
             return UnknownOutcomeError(
                 ErrorCode.BACKEND_FAILED, f"status {ended.status}", step="ingress.attempt"
             )
-        if not isinstance(ended, NotRunError | UnknownOutcomeError):
+        if not isinstance(ended, RequestFailedError):
             raise ended
         self.note(ended)
         return ended
@@ -76,10 +83,10 @@
             return self.budgets.rejections.withdraw(now)
         return self.request.idempotent and self.budgets.retries.withdraw(now)
 
-    def final_error(self, now: float) -> NotRunError | UnknownOutcomeError:
+    def final_error(self, now: float) -> RequestFailedError:
         """Return what the caller is told when there is no answer."""
         if self.unknown is not None:
-            error: NotRunError | UnknownOutcomeError = self.unknown
+            error: RequestFailedError = self.unknown
         elif self.refused is not None:
             error = self.refused
         else:
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -12,6 +12,7 @@
     NotRunError,
     Request,
     RequestBody,
+    RequestFailedError,
     RequestHandler,
     UnknownOutcomeError,
 )
@@ -110,7 +111,7 @@
                 raise attempts.final_error(self.clock.monotonic())
             try:
                 return await self.attempt(attempts, node)
-            except (NotRunError, UnknownOutcomeError) as error:
+            except RequestFailedError as error:
                 attempts.note(error)
                 now = self.clock.monotonic()
                 if not attempts.may_retry(error, now):
--- a/src/marjoramtide/ingress/_hedge.py
+++ b/src/marjoramtide/ingress/_hedge.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from marjoramtide.exchange import Answer, NotRunError, UnknownOutcomeError
+from marjoramtide.exchange import Answer, RequestFailedError
 
 SERVER_ERROR = 500
 
@@ -42,7 +42,7 @@
         timer = None if delay_s is None else loop.call_later(delay_s, self.late)
         try:
             return await attempt
-        except (NotRunError, UnknownOutcomeError) as error:
+        except RequestFailedError as error:
             return error
         except asyncio.CancelledError:
             if self.winner is None or owner.uncancel() > cancellations:
@@ -72,6 +72,6 @@
         if error is None and task.result().status < SERVER_ERROR:
             self.winner = task
             self.owner.cancel()
-        elif error is None or isinstance(error, NotRunError | UnknownOutcomeError):
+        elif error is None or isinstance(error, RequestFailedError):
             self.running.discard(task)
             self.failed(task)
--- a/src/marjoramtide/peers/_client.py
+++ b/src/marjoramtide/peers/_client.py
@@ -8,7 +8,13 @@
 
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, UnknownOutcomeError
+from marjoramtide.exchange import (
+    Answer,
+    NotRunError,
+    Request,
+    RequestBody,
+    RequestFailedError,
+)
 from marjoramtide.peers._handshake import HANDSHAKE_TIMEOUT_S, open_as_client
 from marjoramtide.peers._lanes import CONTROL, ROUTINE, URGENT
 from marjoramtide.peers._limits import MAX_FRAME_BYTES, PING_INTERVAL_S, PING_TIMEOUT_S
@@ -53,7 +59,7 @@
             raise MarjoramtideError(
                 ErrorCode.PEER_LOST, f"no reply in {timeout} s", step="peers.ask", peer=address
             ) from error
-        except (NotRunError, UnknownOutcomeError) as error:
+        except RequestFailedError as error:
             raise MarjoramtideError(
                 ErrorCode.PEER_LOST, error.message, step="peers.ask", peer=address
             ) from error
--- a/src/marjoramtide/peers/_link.py
+++ b/src/marjoramtide/peers/_link.py
@@ -10,7 +10,14 @@
 from websockets.exceptions import ConnectionClosed
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, UnknownOutcomeError
+from marjoramtide.exchange import (
+    Answer,
+    NotRunError,
+    Request,
+    RequestBody,
+    RequestFailedError,
+    UnknownOutcomeError,
+)
 from marjoramtide.peers._byte_stream import ByteStream
 from marjoramtide.peers._codec import (
     decode,
@@ -253,7 +260,7 @@
         await self.socket.close()
 
 
-def failure_error(message: FailureMessage, peer: str) -> NotRunError | UnknownOutcomeError:
+def failure_error(message: FailureMessage, peer: str) -> RequestFailedError:
     """Return the error that a peer's failure message stands for."""
     cls = NotRunError if message.not_run else UnknownOutcomeError
     code = ErrorCode(message.code) if message.code in KNOWN_CODES else ErrorCode.INTERNAL
--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -18,6 +18,7 @@
     Answer,
     NotRunError,
     Request,
+    RequestFailedError,
     RequestHandler,
     UnknownOutcomeError,
     inline_body,
@@ -255,9 +256,7 @@
         finally:
             await answer.close()
 
-    async def fail(
-        self, number: int, error: NotRunError | UnknownOutcomeError, *, not_run: bool
-    ) -> None:
+    async def fail(self, number: int, error: RequestFailedError, *, not_run: bool) -> None:
         retry_after_ms = -1 if error.retry_after_ms is None else error.retry_after_ms
         report = pack_report(error.report)
         message = FailureMessage(
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -13,6 +13,7 @@
     NotRunError,
     Request,
     RequestBody,
+    RequestFailedError,
     RequestHandler,
     UnknownOutcomeError,
 )
@@ -191,7 +192,7 @@
             if answer.stream is not None:
                 answer.stream = self.watch_stream(execution, answer.stream, succeeded)
                 answer.cancel = self.finish_on_cancel(execution, answer)
-        except (NotRunError, UnknownOutcomeError) as error:
+        except RequestFailedError as error:
             self.metrics.count(f"serving.failed.{error.code}")
             raise
         except asyncio.CancelledError:
