--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -34,7 +34,7 @@
     rejected_by: set[str] = attrs.Factory(set)
     count: int = 0
     unknown: UnknownOutcomeError | None = None
-    refused: NotRunError | None = None
+    refused: RequestFailedError | None = None
     answers: list[Answer] = attrs.Factory(list)
 
     @property
