--- a/src/marjoramtide/ingress/_read_request.py
+++ b/src/marjoramtide/ingress/_read_request.py
@@ -94,7 +94,7 @@
 
 
 def check_values(http: web.BaseRequest) -> None:
-    """Raise for a header that the library could not send on as it is."""
+    """Raise for a header that could not travel to another node as it is."""
     for name, value in http.headers.items():
         # The library keeps bytes that are no UTF-8 as lone surrogates. CBOR text can't carry them
         # to another node: whether such a request is served would depend on where it goes.
