--- a/features/settings_fakes.py
+++ b/features/settings_fakes.py
@@ -11,7 +11,7 @@
 
 from marjoramtide.clock import Clock, ManualClock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.membership import Directory, Member, MemberState
+from marjoramtide.membership import Announcement, Directory, Member, MemberState
 from marjoramtide.peers import ControlChannel
 from marjoramtide.platform import ObjectStore, StoredObject, WatchEvent
 from marjoramtide.settings import NodeSettings
@@ -104,6 +104,7 @@
     listeners: list[Callable[[Member], None]] = attrs.field(factory=list)
     running: asyncio.Event = attrs.field(factory=asyncio.Event)
     store_cut: bool = False
+    freezes_on_answer: bool = False
     group: int = 0
     service: SettingsService = attrs.field(init=False)
     task: "asyncio.Task[None] | None" = None
@@ -209,6 +210,9 @@
             await NodeClock(self.node).sleep(timeout)
             raise MarjoramtideError(ErrorCode.PEER_LOST, "no answer", step="ask", peer=address)
         answer: dict[str, Any] = await other.handlers[subject](body)
+        if self.node.freezes_on_answer:
+            self.node.freezes_on_answer = False
+            self.node.running.clear()
         await asyncio.sleep(0)
         await self.node.running.wait()
         return answer
@@ -276,6 +280,9 @@
             random.Random(name),
         )
         self.nodes[name] = node
+        announcement = Announcement(name, "mapdesk", region, data_centre, name, address, name, 0.0)
+        held = self.store.objects.get(announcement.key)
+        self.store.apply(announcement.key, announcement.encode(), held.version if held else None)
         return node
 
     def start(self, node: Node) -> None:
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -17,9 +17,9 @@
 from marjoramtide.peers import PeerClient, PeerControlChannel, PeerServer
 from marjoramtide.platform import open_object_store
 from marjoramtide.serving import (
-    AiohttpTransport,
     BackendState,
     ClaimGate,
+    HttpTransport,
     Measurer,
     ServingService,
 )
@@ -47,13 +47,13 @@
         self.name = self.membership.self_member.node
         self.metrics = Metrics(settings.statsd)
         self.tracer = Tracer(self.name, self.clock, rng, settings.trace_file)
-        self.transport = AiohttpTransport(settings.backend, MAX_CONNECTIONS)
+        self.transport = HttpTransport(settings.backend, MAX_CONNECTIONS)
         self.claims = make_claims(self.store, self.clock, self.name)
         self.peer_client = PeerClient(settings.key, self.clock)
         self.peer_server = PeerServer(settings.key, self.clock, self.freeze)
         control = PeerControlChannel(self.peer_client, self.peer_server)
         self.settings_service = make_settings_service(
-            settings, self.store, self.membership, control, self.clock, rng
+            settings, self.store, self.membership, control, self.clock, rng, self.freeze
         )
         self.view = self.settings_service.view
         self.claim_gate = ClaimGate(self.claims, self.view, self.clock)
@@ -146,7 +146,6 @@
         self.serving.open(settings)
         self.measurer.configure(settings)
         self.update_state()
-        log.info("settings.in_force", revision=revision)
 
     def backend_changed(self, state: BackendState) -> None:
         self.backend_state = state
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -1,11 +1,16 @@
 """The tries made for one request."""
 
-import asyncio
-
 import attrs
 
 from marjoramtide.errors import ErrorCode
-from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, UnknownOutcomeError
+from marjoramtide.exchange import (
+    Answer,
+    NotRunError,
+    Request,
+    RequestBody,
+    RequestFailedError,
+    UnknownOutcomeError,
+)
 from marjoramtide.ingress._class_budgets import ClassBudgets
 from marjoramtide.ingress._service_state import ServiceState
 from marjoramtide.settings import RouteSettings
@@ -29,44 +34,40 @@
     rejected_by: set[str] = attrs.Factory(set)
     count: int = 0
     unknown: UnknownOutcomeError | None = None
-    refused: NotRunError | None = None
-    answer: Answer | None = None
+    refused: RequestFailedError | None = None
+    answers: list[Answer] = attrs.Factory(list)
 
     @property
     def budgets(self) -> ClassBudgets:
         return self.state.budgets[self.request.urgent]
 
-    def note(self, error: NotRunError | UnknownOutcomeError) -> None:
+    def note(self, error: RequestFailedError) -> None:
         """Remember how a try failed."""
         if isinstance(error, UnknownOutcomeError):
             self.unknown = self.unknown or error
         else:
             self.refused = error
 
-    def settle(self, task: "asyncio.Task[Answer]") -> Exception | None:
+    def settle(self, ended: Answer | BaseException) -> Exception | None:
         """Take the end of a try: ``None`` where its answer is final, else how it failed.
 
         A server error of an idempotent request is kept as the answer for want of a better one.
         """
-        error = task.exception()
-        if error is None:
-            self.answer = task.result()
-            if self.answer.status < SERVER_ERROR:
+        if isinstance(ended, Answer):
+            self.answers.append(ended)
+            if ended.status < SERVER_ERROR:
                 return None
-            error = UnknownOutcomeError(
-                ErrorCode.BACKEND_FAILED, f"status {self.answer.status}", step="ingress.attempt"
+            return UnknownOutcomeError(
+                ErrorCode.BACKEND_FAILED, f"status {ended.status}", step="ingress.attempt"
             )
-        elif isinstance(error, NotRunError | UnknownOutcomeError):
-            self.note(error)
-        else:
-            raise error
-        return error
+        if not isinstance(ended, RequestFailedError):
+            raise ended
+        self.note(ended)
+        return ended
 
     def take_answer(self) -> Answer:
-        """Return the answer to give to the caller; it is no longer ours to close."""
-        assert self.answer is not None
-        answer, self.answer = self.answer, None
-        return answer
+        """Return the last answer, for the caller; it is no longer ours to close."""
+        return self.answers.pop()
 
     def may_retry(self, error: Exception, now: float) -> bool:
         """Tell whether another try is allowed after ``error``, and charge its budget.
@@ -82,10 +83,10 @@
             return self.budgets.rejections.withdraw(now)
         return self.request.idempotent and self.budgets.retries.withdraw(now)
 
-    def final_error(self, now: float) -> NotRunError | UnknownOutcomeError:
+    def final_error(self, now: float) -> RequestFailedError:
         """Return what the caller is told when there is no answer."""
         if self.unknown is not None:
-            error: NotRunError | UnknownOutcomeError = self.unknown
+            error: RequestFailedError = self.unknown
         elif self.refused is not None:
             error = self.refused
         else:
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -6,24 +6,25 @@
 import attrs
 
 from marjoramtide.clock import Clock
-from marjoramtide.errors import ErrorCode
+from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import (
     Answer,
     NotRunError,
     Request,
     RequestBody,
+    RequestFailedError,
     RequestHandler,
     UnknownOutcomeError,
 )
 from marjoramtide.ingress._attempts import Attempts
+from marjoramtide.ingress._hedge import Hedge
 from marjoramtide.ingress._service_state import ServiceState, make_service_state
 from marjoramtide.membership import Directory
 from marjoramtide.peers import PeerClient
 from marjoramtide.policy import CallProfile
 from marjoramtide.settings import RouteSettings, SettingsView
-from marjoramtide.telemetry import Metrics, TraceContext, Tracer, read_trace
+from marjoramtide.telemetry import Metrics, Tracer
 
-NO_TRACE = TraceContext("0" * 32, "0" * 16, sampled=False)
 SERVER_ERROR = 500
 
 
@@ -50,7 +51,25 @@
         self.metrics = metrics
         self.tracer = tracer
         self.states: dict[str, ServiceState] = {}
-        view.on_change(lambda revision: self.states.clear())
+        view.on_change(self.settings_changed)
+
+    def settings_changed(self, revision: int) -> None:
+        """Forget what rests on settings that have changed, and keep what was learned otherwise.
+
+        Without the latter each of hundreds of changes a day makes every node guess anew.
+        """
+        self.states = {
+            service: state
+            for service, state in self.states.items()
+            if self.settings_of(service) == state.settings
+        }
+
+    def settings_of(self, service: str) -> RouteSettings | None:
+        """Return the settings of the whole service, ``None`` where it was removed."""
+        try:
+            return self.view.route(service, "/")
+        except MarjoramtideError:
+            return None
 
     def state(self, service: str) -> ServiceState:
         """Return what is kept for a service, up to date with its members."""
@@ -92,7 +111,7 @@
                 raise attempts.final_error(self.clock.monotonic())
             try:
                 return await self.attempt(attempts, node)
-            except (NotRunError, UnknownOutcomeError) as error:
+            except RequestFailedError as error:
                 attempts.note(error)
                 now = self.clock.monotonic()
                 if not attempts.may_retry(error, now):
@@ -103,43 +122,63 @@
 
         Only for idempotent requests whose body can be sent again.
         """
-        running: set[asyncio.Task[Answer]] = set()
-        first = self.start_another(attempts, running)
-        now = self.clock.monotonic()
-        delay_ms = attempts.state.selector.hedge_delay_ms(first, now) if first else None
+        first = self.choose(attempts)
+        if first is None:
+            raise attempts.final_error(self.clock.monotonic())
+        delay_ms = attempts.state.selector.hedge_delay_ms(first, self.clock.monotonic())
         delay_s = None if delay_ms is None else delay_ms / 1000
+        hedge = Hedge(
+            start=lambda: self.start_hedge(attempts, hedge),
+            failed=lambda task: self.go_on(attempts, hedge, task.exception() or task.result()),
+        )
         try:
-            while running:
-                done, _ = await asyncio.wait(
-                    running, timeout=delay_s, return_when=asyncio.FIRST_COMPLETED
-                )
-                now = self.clock.monotonic()
-                if not done:
-                    delay_s = None
-                    if attempts.budgets.hedges.withdraw(now):
-                        self.metrics.count("ingress.hedges")
-                        self.start_another(attempts, running)
-                    continue
-                for task in done:
-                    running.discard(task)
-                    failure = attempts.settle(task)
-                    if failure is None:
-                        return attempts.take_answer()
-                    if attempts.may_retry(failure, now):
-                        self.metrics.count("ingress.retries")
-                        self.start_another(attempts, running)
-            if attempts.answer is not None:
+            ended = await hedge.first(self.attempt(attempts, first), delay_s)
+            if self.go_on(attempts, hedge, ended):
                 return attempts.take_answer()
-            raise attempts.final_error(self.clock.monotonic())
+            return await self.await_others(attempts, hedge, None if hedge.started else delay_s)
         finally:
-            await self.cancel_all(running, attempts)
+            if hedge.running or attempts.answers:
+                await self.cancel_all(hedge.running, attempts)
+
+    async def await_others(self, attempts: Attempts, hedge: Hedge, delay_s: float | None) -> Answer:
+        """Wait for what runs after the first try has failed."""
+        while hedge.running:
+            done, _ = await asyncio.wait(
+                hedge.running, timeout=delay_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not done:
+                delay_s = None
+                self.start_hedge(attempts, hedge)
+                continue
+            for task in done:
+                hedge.running.discard(task)
+                if self.go_on(attempts, hedge, task.exception() or task.result()):
+                    return attempts.take_answer()
+        if attempts.answers:
+            return attempts.take_answer()
+        raise attempts.final_error(self.clock.monotonic())
 
-    def start_another(self, attempts: Attempts, running: "set[asyncio.Task[Answer]]") -> str | None:
-        """Begin a try at another node, where there is one; return that node."""
+    def start_hedge(self, attempts: Attempts, hedge: Hedge) -> None:
+        """Begin a second try beside one that takes long, within the budget."""
+        if attempts.budgets.hedges.withdraw(self.clock.monotonic()):
+            self.metrics.count("ingress.hedges")
+            self.start_another(attempts, hedge)
+
+    def go_on(self, attempts: Attempts, hedge: Hedge, ended: Answer | BaseException) -> bool:
+        """Take the end of a try; tell whether it is final, else begin another where allowed."""
+        failure = attempts.settle(ended)
+        if failure is None:
+            return True
+        if attempts.may_retry(failure, self.clock.monotonic()):
+            self.metrics.count("ingress.retries")
+            self.start_another(attempts, hedge)
+        return False
+
+    def start_another(self, attempts: Attempts, hedge: Hedge) -> None:
+        """Begin a try at another node, where there is one."""
         node = self.choose(attempts)
         if node is not None:
-            running.add(asyncio.create_task(self.attempt(attempts, node)))
-        return node
+            hedge.add(self.attempt(attempts, node))
 
     async def cancel_all(self, running: "set[asyncio.Task[Answer]]", attempts: Attempts) -> None:
         """Cancel the tries that lost, and close what they may have brought all the same."""
@@ -148,8 +187,8 @@
         for ended in await asyncio.gather(*running, return_exceptions=True):
             if isinstance(ended, Answer):
                 await ended.close()
-        if attempts.answer is not None:
-            await attempts.answer.close()
+        for answer in attempts.answers:
+            await answer.close()
 
     def choose(self, attempts: Attempts) -> str | None:
         """Return a node that was not tried yet, and count the try."""
@@ -220,7 +259,7 @@
     async def send(self, attempts: Attempts, node: str) -> Answer:
         """Send the request to a node: by a call where it is this one, else by its peer address."""
         request = attempts.request
-        with self.tracer.span("attempt", read_trace(request.trace) or NO_TRACE) as span:
+        with self.tracer.span("attempt", request.trace) as span:
             if span is not None:
                 span.attributes |= {"to": node, "attempt": attempts.count}
                 request = attrs.evolve(request, trace=span.header(), attempt=attempts.count)
--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import math
+import re
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
@@ -17,6 +18,7 @@
     Answer,
     NotRunError,
     Request,
+    RequestFailedError,
     RequestHandler,
     UnknownOutcomeError,
     inline_body,
@@ -45,6 +47,8 @@
 # What the library closes with when it can't read a frame: protocol error, no UTF-8, too large.
 BAD_FRAME_CLOSES = frozenset((1002, 1007, 1009))
 
+METHOD = re.compile(r"[A-Z-]{1,20}")
+
 QuestionHandler = Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]
 
 
@@ -142,6 +146,8 @@
         if not is_origin_form(message.target):
             # It is put behind the backend server's address: "@other:80/" would lead elsewhere.
             raise self.bad_frame("a request target that is no path")
+        if not METHOD.fullmatch(message.method):
+            raise self.bad_frame("a method that is none")
         if not 0 <= message.remaining_ms < math.inf:
             raise self.bad_frame(f"a deadline in {message.remaining_ms} ms")
         headers = unpack_headers(message.headers)
@@ -250,9 +256,7 @@
         finally:
             await answer.close()
 
-    async def fail(
-        self, number: int, error: NotRunError | UnknownOutcomeError, *, not_run: bool
-    ) -> None:
+    async def fail(self, number: int, error: RequestFailedError, *, not_run: bool) -> None:
         retry_after_ms = -1 if error.retry_after_ms is None else error.retry_after_ms
         report = pack_report(error.report)
         message = FailureMessage(
--- a/src/marjoramtide/policy/_predicted_selector.py
+++ b/src/marjoramtide/policy/_predicted_selector.py
@@ -31,8 +31,10 @@
 
     The nodes fall into tiers by distance: the same data centre, the same region, elsewhere. The
     nearest tier that has a usable node is preferred, and the next one takes what ``spill_over``
-    lets go. ``choices`` nodes are drawn from the near tier and as many from the next; this node's
-    own backend server is always looked at where it serves the service, since it saves a hop.
+    lets go; ``spills`` has the state for each tier that can be the nearest, since a second try may
+    find none left in the first. ``choices`` nodes are drawn from the near tier and as many from the
+    next; this node's own backend server is always looked at where it serves the service, since it
+    saves a hop.
     """
 
     self_member: Member
@@ -44,7 +46,7 @@
     spill_over: float
     hedge_quantile: float
     views: dict[str, NodeView] = attrs.Factory(dict)
-    spill: SpillOver = attrs.Factory(SpillOver)
+    spills: list[SpillOver] = attrs.Factory(lambda: [SpillOver() for _ in DISTANCES_MS])
     hint: ComeBackHint = attrs.field(init=False)
     rate_per_s: float = 0.0
     rate_updated_at: float | None = None
@@ -55,19 +57,19 @@
     def update_members(self, members: Collection[Member], now: float) -> None:
         # Members known from the start have been up for an unknown time: only those that join
         # later are taken for cold before they have reported.
-        joined_at = now if self.views else float("-inf")
+        started_at = now if self.views else float("-inf")
         known = self.views
         self.views = {}
         for member in members:
-            view = known.get(member.node) or self._new_view(member, joined_at)
+            view = known.get(member.node) or self._new_view(member, started_at)
             view.member = member
             self.views[member.node] = view
 
-    def _new_view(self, member: Member, joined_at: float) -> NodeView:
+    def _new_view(self, member: Member, started_at: float) -> NodeView:
         tier = self._tier(member)
         is_self = member.node == self.self_member.node
         distance_ms = OWN_DISTANCE_MS if is_self else DISTANCES_MS[tier]
-        return NodeView(member, distance_ms, tier, joined_at)
+        return NodeView(member, distance_ms, tier, started_at)
 
     def _tier(self, member: Member) -> int:
         if member.region != self.self_member.region:
@@ -104,7 +106,7 @@
         hop_ms = DISTANCES_MS[far_tier] - DISTANCES_MS[near_tier]
         far_ms = other_ms + self.spill_over * hop_ms
         band_ms = max(hop_ms, 0.5 * self.model.typical_ms())
-        share = self.spill.push(best_ms, far_ms, band_ms, now)
+        share = self.spills[near_tier].push(best_ms, far_ms, band_ms, now)
         return other if self.rng.random() < share else best
 
     def _best_of_sample(
@@ -194,7 +196,6 @@
         if view is None:
             return
         self._settle(view, report, elapsed_ms, now)
-        view.last_answer_at = now
         if report is not None and not report.accepts:
             view.closed_until = now + max(retry_after_ms, CLOSED_AT_LEAST_MS) / 1000
         else:
@@ -216,7 +217,6 @@
                 # refused. Nobody listens there; until membership has found out, it is left alone.
                 view.closed_until = now + UNREACHABLE_MS / 1000
             view.note_outcome(False, now)
-            view.last_answer_at = now
             self._settle(view, None, elapsed_ms, now)
             self.ejection.note(view, False, self.views.values(), now)
 
--- a/src/marjoramtide/serving/_measurer.py
+++ b/src/marjoramtide/serving/_measurer.py
@@ -3,10 +3,10 @@
 import json
 from collections.abc import Callable
 
-import aiohttp
 import structlog
 
 from marjoramtide.clock import Clock
+from marjoramtide.errors import MarjoramtideError
 from marjoramtide.policy import MeasuringBudget
 from marjoramtide.serving._backend_state import BackendState
 from marjoramtide.serving._backend_transport import BackendTransport
@@ -45,22 +45,20 @@
 
     def configure(self, settings: RouteSettings) -> None:
         """Read at the rate that these settings allow."""
-        last_read_at = self.budget.last_read_at if self.budget is not None else None
         self.path = settings.health_path
-        self.budget = MeasuringBudget(
-            settings.measuring_per_s, settings.measuring_share, settings.slots
-        )
-        self.budget.last_read_at = last_read_at
-
-    def doubt(self) -> None:
-        """Bring the next read forward: a request has just failed or been refused as draining."""
+        budget = MeasuringBudget(settings.measuring_per_s, settings.measuring_share, settings.slots)
         if self.budget is not None:
-            self.budget.traffic(self.clock.monotonic(), succeeded=False)
-
-    def traffic(self) -> None:
-        """Note that a request went well, so that reads may be rarer."""
+            # What was learned stays: each of many changes a day would otherwise bring a read.
+            budget.last_read_at = self.budget.last_read_at
+            budget.read_ms = self.budget.read_ms
+            budget.execution_ms = self.budget.execution_ms
+        self.budget = budget
+
+    def traffic(self, succeeded: bool, took_ms: float) -> None:
+        """Note the end of a request: reads may be rarer where it went well, and come sooner where
+        it failed. ``took_ms`` tells what share of the capacity a read costs."""
         if self.budget is not None:
-            self.budget.traffic(self.clock.monotonic())
+            self.budget.traffic(self.clock.monotonic(), succeeded, took_ms)
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -84,7 +82,7 @@
         try:
             status, body = await self.transport.read(self.path, READ_TIMEOUT_S)
             state = parse_state(status, body)
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except (MarjoramtideError, TimeoutError):
             state = BackendState.DOWN
         now = self.clock.monotonic()
         self.budget.read(now, (now - started) * 1000)
