--- /dev/null
+++ b/src/marjoramtide/membership/_replay_guard.py
@@ -0,0 +1,38 @@
+"""Refuses datagrams that were seen before or are too old to tell."""
+
+from marjoramtide.membership._packet import Packet
+from marjoramtide.membership._packet_error import DropCode, PacketError
+from marjoramtide.membership._replay_window import ReplayWindow
+
+KEPT_WINDOWS = 3
+
+
+class ReplayGuard:
+    """One window of sequence numbers for each sender, and a bound on the age by the wall clock.
+
+    A recorded datagram is authentic, so the code in front of it doesn't stop it. The window does
+    where this process has heard the sender before, the age where it has not. A window is kept for
+    longer than that age, so there is no moment at which neither does.
+    """
+
+    def __init__(self, own_key: int, time_window_s: float) -> None:
+        self.own_key = own_key
+        self.time_window_s = time_window_s
+        self.windows: dict[int, tuple[ReplayWindow, float]] = {}
+
+    def check(self, packet: Packet, now: float, wall: float) -> None:
+        """Raise ``PacketError`` where the packet must not be acted on."""
+        if packet.sender == self.own_key:
+            raise PacketError(DropCode.REPLAYED, "this node's own datagram")
+        age = wall - packet.sent_ms / 1000
+        if abs(age) > self.time_window_s:
+            raise PacketError(DropCode.OUT_OF_TIME, f"sent {age:.0f} s ago by the sender's clock")
+        window, _ = self.windows.get(packet.sender) or (ReplayWindow(), 0.0)
+        self.windows[packet.sender] = (window, now)
+        if not window.accept(packet.sequence):
+            raise PacketError(DropCode.REPLAYED, f"sequence {packet.sequence} seen before")
+
+    def forget_old(self, now: float) -> None:
+        """Drop the windows of senders not heard for long."""
+        oldest = now - KEPT_WINDOWS * self.time_window_s
+        self.windows = {key: pair for key, pair in self.windows.items() if pair[1] > oldest}
--- a/src/marjoramtide/membership/_swim_core.py
+++ b/src/marjoramtide/membership/_swim_core.py
@@ -19,8 +19,8 @@
 from marjoramtide.membership._packet_codec import MAX_DIGEST_CHARACTERS, PacketCodec
 from marjoramtide.membership._packet_error import DropCode, PacketError
 from marjoramtide.membership._packet_sender import PacketSender
-from marjoramtide.membership._replay_window import ReplayWindow
-from marjoramtide.membership._suspicion import Suspicion
+from marjoramtide.membership._replay_guard import ReplayGuard
+from marjoramtide.membership._suspicions import Suspicions
 from marjoramtide.membership._swim_options import SwimOptions
 from marjoramtide.membership._view_filter import ViewFilter
 
@@ -68,7 +68,8 @@
         self.detector = FailureDetector(
             self.view, self.sender, self.news, self.options, rng, self.counters, self._accuse
         )
-        self.windows: dict[int, tuple[ReplayWindow, float]] = {}
+        self.guard = ReplayGuard(self.key, self.options.time_window_s)
+        self.suspicions = Suspicions(self.view, self.news, self.options)
         self.seeds: list[str] = []
         self.untried_seeds = False
         self.events: list[MembershipEvent] = []
@@ -158,7 +159,7 @@
         self._advance(now, wall)
         if self.left or self.superseded:
             return
-        self._expire_suspicions(now)
+        self.suspicions.expire(now)
         self._verify_claims(now)
         self.detector.tick(now)
         self._join(now)
@@ -183,9 +184,7 @@
         # A busy loop that came round late has answers waiting in its socket: a probe judged before
         # they are read would accuse a healthy member.
         self.detector.postpone(gap)
-        for entry in self.view.suspects.values():
-            if entry.suspicion is not None:
-                entry.suspicion.started += gap
+        self.suspicions.postpone(gap)
 
     def _thaw(self, gap: float, now: float) -> None:
         # A process that was stopped missed every answer sent to it meanwhile, and its timers all
@@ -194,9 +193,7 @@
         # answered a probe sent after its return, and refutes what was said about it.
         self.detector.reset(now)
         self.verify.clear()
-        for entry in self.view.suspects.values():
-            if entry.suspicion is not None:
-                entry.suspicion.started = now
+        self.suspicions.begin_anew(now)
         self.learning = True
         self.learned_from = None
         self.learning_after = self.detector.last_number
@@ -223,9 +220,7 @@
         old = now - self.options.forget_s
         for key in [key for key, entry in self.view.gone.items() if entry.gone_at < old]:
             self._forget(key)
-        # A window may go once every datagram it guards against is out of time by its wall clock.
-        stale = now - 3 * self.options.time_window_s
-        self.windows = {key: pair for key, pair in self.windows.items() if pair[1] > stale}
+        self.guard.forget_old(now)
         self.wanted.clear()
 
     # Own record
@@ -259,38 +254,8 @@
     def _accuse(self, entry: MemberEntry) -> None:
         if self.learning:
             return
-        self._suspect(attrs.evolve(entry.status(), health=Health.SUSPECT, accuser=self.key))
-
-    def _suspect(self, status: Status) -> None:
-        entry = self.view.entries[status.key]
-        if self.view.merge_status(status, self._now()):
-            entry.suspicion = self._new_suspicion()
-            self.news.statuses.put(entry.key, status.accuser)
-        if entry.suspicion is None or status.incarnation != entry.member.incarnation:
-            return
-        # A suspicion that came with a whole record names no accuser: it is no further evidence.
-        if status.accuser and entry.suspicion.confirm(status.accuser):
-            self.news.statuses.put(entry.key, status.accuser)
-
-    def _new_suspicion(self) -> Suspicion:
-        members = self.view.alive_count()
-        shortest = self.options.suspicion_minimum_s(members)
-        return Suspicion(
-            started=self._now(),
-            shortest_s=shortest,
-            longest_s=shortest * self.options.suspicion_spread,
-            confirmations=max(0, min(self.options.suspicion_confirmations, members - 3)),
-        )
-
-    def _expire_suspicions(self, now: float) -> None:
-        due = [
-            entry
-            for entry in self.view.suspects.values()
-            if entry.suspicion is not None and now >= entry.suspicion.deadline
-        ]
-        for entry in due:
-            self.view.merge_status(attrs.evolve(entry.status(), health=Health.DEAD), now)
-            self.news.statuses.put(entry.key)
+        accusation = attrs.evolve(entry.status(), health=Health.SUSPECT, accuser=self.key)
+        self.suspicions.hear(accusation, self._now())
 
     def _verify_claims(self, now: float) -> None:
         for key in list(self.verify)[:VERIFY_PER_TICK]:
@@ -361,7 +326,7 @@
         self.counters.received_bytes += len(data)
         try:
             packet = self.codec.decode(data)
-            self._check_fresh(packet)
+            self.guard.check(packet, now, wall)
             if packet.destination not in (0, self.key):
                 self._redirect(packet, address)
             self._handle(packet, address, now)
@@ -374,17 +339,6 @@
         self.counters.dropped[code] += 1
         self.drops.append((code, address, message))
 
-    def _check_fresh(self, packet: Packet) -> None:
-        if packet.sender == self.key:
-            raise PacketError(DropCode.REPLAYED, "this node's own datagram")
-        age = self.wall - packet.sent_ms / 1000
-        if abs(age) > self.options.time_window_s:
-            raise PacketError(DropCode.OUT_OF_TIME, f"sent {age:.0f} s ago by the sender's clock")
-        window, _ = self.windows.get(packet.sender) or (ReplayWindow(), 0.0)
-        self.windows[packet.sender] = (window, self._now())
-        if not window.accept(packet.sequence):
-            raise PacketError(DropCode.REPLAYED, f"sequence {packet.sequence} seen before")
-
     def _redirect(self, packet: Packet, address: str) -> None:
         # The sender means an earlier process at this address. An answer in its name would keep the
         # dead identity alive for ever; the own record lets the sender replace it at once.
@@ -474,7 +428,7 @@
             if not status.health.is_gone:
                 missing.append(status.key)
         elif status.health is Health.SUSPECT:
-            self._suspect(status)
+            self.suspicions.hear(status, self._now())
         elif status.health is Health.DEAD and entry.health is Health.ALIVE:
             # After a cut heals, the other side's view says "dead" of every member on this side.
             # Believed at once, it would empty this side's list of backend servers until each one
@@ -512,7 +466,7 @@
         if pass_on:
             self.news.statuses.put(record.status.key)
         if record.status.health is Health.SUSPECT:
-            self._suspect(record.status)
+            self.suspicions.hear(record.status, self._now())
 
     def _takes_address(self, member: Member, status: Status, address: str, sender: int) -> bool:
         """Settle which of two identities has a gossip address; return whether the new one does.
