Free a peer's request whose task was cancelled before its first turn

Cause: a task that is cancelled before its first turn runs none of its body, its finally included. A session that reads a request and its cancel in one go (after a freeze, or in a busy moment) left the request in 'served' and its event unset for as long as the connection lived; a planned stop then waited for its whole grace and cut off what was in progress, and after 4096 such requests the connection was closed as breaking the protocol. Ruled out: the same in ServingService.execute_to_the_end (its task has had its first turn before the shield's waiter wakes) and in Hedge.add (a try that never began has counted nothing). Before: the new scenario of cancelled.feature fails, 3 of 3 requests held. After: it passes; the cleanup is a done callback, which every end calls.

--- a/features/path/cancelled.feature
+++ b/features/path/cancelled.feature
@@ -7,3 +7,12 @@
     Given the serving side of a node whose backend server never answers
     When 20 lookups are cancelled while they run there
     Then its load report shows a success rate of 1 and nothing in use
+
+  Scenario: Requests and their cancels arrive together
+    # A node was stopped by a signal, or busy, while requests and the cancels of those who gave them
+    # up came in; it reads both in one go. Each cancel ends a task that has not had its first turn,
+    # in which no cleanup of its own would run: the requests would be held as in progress for as
+    # long as the connection lasts, and a planned stop would wait for them until it cuts off others.
+    Given a connection in whose socket 3 requests stand, each with its cancel
+    When its session reads them
+    Then none of them is held as in progress there
--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -155,6 +155,24 @@
         self.idle.clear()
         served = self.served[number] = Served(body, headers)
         served.task = self.start(self.serve(message, served))
+        # Not in the task itself: one that is cancelled before its first turn, as where a request
+        # and its cancel were read in one go after a stop of this process, runs none of its own
+        # cleanup. The request would count as in progress until the connection ends, and a planned
+        # stop would wait for it until it cuts off others. A task's end always calls this.
+        served.task.add_done_callback(lambda _: self.ended(number, served))
+
+    def ended(self, number: int, served: Served) -> None:
+        """Forget a request whose task has ended, whichever way."""
+        # A booking goes on without its caller, but the rest of its body will not come: left
+        # waiting for it, it would hold a slot of the backend server until its deadline.
+        served.body.fail(
+            UnknownOutcomeError(
+                ErrorCode.TRUNCATED, "the body broke off", step="peers.serve", peer=self.peer
+            )
+        )
+        self.served.pop(number, None)
+        if not self.served:
+            self.idle.set()
 
     def start(self, work: Any) -> "asyncio.Task[None]":
         task: asyncio.Task[None] = asyncio.create_task(work)
@@ -177,17 +195,6 @@
             log.exception("peers.serve_failed", code=ErrorCode.INTERNAL, peer=self.peer)
             failure = UnknownOutcomeError(ErrorCode.INTERNAL, str(error), step="peers.serve")
             await self.fail(message.id, failure, not_run=False)
-        finally:
-            # A booking goes on without its caller, but the rest of its body will not come: left
-            # waiting for it, it would hold a slot of the backend server until its deadline.
-            served.body.fail(
-                UnknownOutcomeError(
-                    ErrorCode.TRUNCATED, "the body broke off", step="peers.serve", peer=self.peer
-                )
-            )
-            self.served.pop(message.id, None)
-            if not self.served:
-                self.idle.set()
 
     async def handle(self, message: RequestMessage, served: Served) -> Answer:
         now = self.clock.monotonic()
