Measure control in fleets of whole processes: make bench-fleet

bench.control and bench.settings_cost measure one part each within shared processes; nothing told what a whole node costs when idle, nor how a fleet behaves at a restart or at the store's return. This starts 10, 20, 40 and 80 real nodes and reads the kernel's and the nodes' own counts.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint behave bench bench-hop bench-control bench-settings fuzz clean
+.PHONY: setup demo test lint behave bench bench-hop bench-control bench-settings bench-fleet fuzz clean
 
 setup: $(STAMP)
 
@@ -39,5 +39,8 @@
 bench-settings: $(STAMP)
 	$(PY) -m bench.settings_cost
 
+bench-fleet: $(STAMP)
+	$(PY) -m bench.fleet
+
 clean:
 	rm -rf $(VENV) out
--- /dev/null
+++ b/bench/fleet/_measure.py
@@ -0,0 +1,217 @@
+"""Measures one fleet, step by step."""
+
+import asyncio
+import json
+import statistics
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from bench.fleet._fleet import SERVICES, Fleet
+from bench.fleet._measurement import Measurement
+from bench.fleet._memory import Memory, read_memory
+from bench.fleet._store_calls import KINDS, peak_per_s, total
+from standins.mesh import MeshNode, start_process
+
+SETTLE_S = 5.0
+WINDOW_S = 10.0
+REPEATS = 3
+REPLACED = 2
+PAUSE_S = 0.5
+OUTAGE_S = 5.0
+RETURN_S = 5.0
+AFTER_RESTART_S = 5.0
+# An IPv4 header without options and a UDP header.
+HEADER_BYTES = 28
+
+
+@attrs.define(slots=True)
+class Course:
+    """One fleet on its way through all steps; each returns figures by their name."""
+
+    fleet: Fleet
+    idle_cpu: float = 0.0
+    idle_gossip: float = 0.0
+    idle_calls: float = 0.0
+
+    @property
+    def nodes(self) -> list[MeshNode]:
+        return self.fleet.nodes
+
+    async def idle(self) -> dict[str, float]:
+        """Measure the fleet while nothing happens."""
+        fleet, size = self.fleet, len(self.nodes)
+        calls, gossip = await fleet.calls.read(), await fleet.gossip(self.nodes)
+        cpu, began = fleet.cpu_s(self.nodes), time.monotonic()
+        await asyncio.sleep(WINDOW_S)
+        used, took = fleet.cpu_s(self.nodes) - cpu, time.monotonic() - began
+        calls_after, gossip_after = await fleet.calls.read(), await fleet.gossip(self.nodes)
+        store = {
+            kind: (calls_after.counts[kind] - calls.counts[kind]) / (calls_after.at - calls.at)
+            for kind in KINDS
+        }
+        sent = {name: (gossip_after[name] - gossip[name]) / took / size for name in gossip}
+        self.idle_cpu = used / took / size
+        self.idle_gossip = sent["sent_bytes"] + HEADER_BYTES * sent["sent"]
+        self.idle_calls = store["reads"] + store["writes"]
+        return {
+            "cpu_percent": 100 * self.idle_cpu,
+            **attrs.asdict(fleet.memory()),
+            "gossip_bytes": self.idle_gossip,
+            "gossip_datagrams": sent["sent"],
+            "refutations": sent["refutations"],
+            **{f"store_{kind}": store[kind] for kind in ("reads", "writes", "watches")},
+        }
+
+    async def settings(self) -> dict[str, float]:
+        """Change a value several times; cost is beyond that of idling, without the node asked."""
+        times, nodes = [], self.nodes[1:]
+        cpu, began = self.fleet.cpu_s(nodes), time.monotonic()
+        for number in range(REPEATS):
+            times.append(await self.change(400 + number))
+        used = (
+            self.fleet.cpu_s(nodes) - cpu - self.idle_cpu * len(nodes) * (time.monotonic() - began)
+        )
+        return {
+            "settings_s": statistics.median(times),
+            "settings_max_s": max(times),
+            "settings_cpu_ms": 1000 * used / REPEATS / len(nodes),
+        }
+
+    async def change(self, value: int) -> float:
+        """Change one value through the first node; return after how long it says "in force"."""
+        first = self.nodes[0]
+        base = (await self.fleet.ask(first, "settings"))["revision"]
+        edit = {"action": "set", "path": f"/services/{SERVICES[0]}", "key": "timeout_ms"}
+        body = {"author": "bench", "base": base, "edits": [{**edit, "value": value}]}
+        began = time.monotonic()
+        url = f"http://{first.operators}/settings/change"
+        async with self.fleet.http.post(url, json=body) as response:
+            lines = [json.loads(line) async for line in response.content]
+        if not lines[-1].get("outcome", {}).get("in_force"):
+            raise RuntimeError(f"the change is not in force: {lines[-1]}")
+        return time.monotonic() - began
+
+    async def drain(self) -> dict[str, float]:
+        """Drain nodes in turn, each back before the next."""
+        times = []
+        for node in self.nodes[1 : 1 + REPEATS]:
+            began = time.monotonic()
+            await self.post(node, "drain")
+            times.append(await self.fleet.until_known([node], "draining") - began)
+            await self.post(node, "undrain")
+            await self.fleet.until_known([node], "ready")
+        return {"drain_s": statistics.median(times), "drain_max_s": max(times)}
+
+    async def post(self, node: MeshNode, path: str) -> None:
+        async with self.fleet.http.post(f"http://{node.operators}/{path}") as response:
+            response.raise_for_status()
+
+    async def replace(self) -> dict[str, float]:
+        """Stop some nodes as planned, one by one, and start each anew.
+
+        Cost is what the nodes that stay have beyond idling, for each that is replaced.
+        """
+        fleet, replaced, stay = self.fleet, self.nodes[1 : 1 + REPLACED], self.nodes[1 + REPLACED :]
+        calls, gossip = await fleet.calls.read(), await fleet.gossip(stay)
+        cpu, began = fleet.cpu_s(stay), time.monotonic()
+        for node in replaced:
+            assert node.process is not None
+            await node.process.stop()
+            await node.start_node()
+            await fleet.until(lambda watching, node=node: self.is_ready(watching, node), stay[:1])
+        await asyncio.sleep(PAUSE_S)
+        took, used = time.monotonic() - began, fleet.cpu_s(stay) - cpu
+        calls_after, gossip_after = await fleet.calls.read(), await fleet.gossip(stay)
+        sent = {name: gossip_after[name] - gossip[name] for name in gossip}
+        sent_bytes = sent["sent_bytes"] + HEADER_BYTES * sent["sent"]
+        made = sum(calls_after.counts[kind] - calls.counts[kind] for kind in ("reads", "writes"))
+        each = REPLACED * len(stay)
+        return {
+            "replacement_s": took / REPLACED,
+            "replacement_cpu_ms": 1000 * (used - self.idle_cpu * len(stay) * took) / each,
+            "replacement_gossip_bytes": (sent_bytes - self.idle_gossip * len(stay) * took) / each,
+            "replacement_store_calls": (made - self.idle_calls * took) / REPLACED,
+        }
+
+    async def is_ready(self, watching: MeshNode, node: MeshNode) -> bool:
+        return (await self.fleet.states(watching)).get(node.operators) == "ready"
+
+    async def outage(self) -> dict[str, float]:
+        """Let the store drop every call for some seconds, and look at the calls at its return."""
+        calls = self.fleet.calls
+        await calls.set_mode("drop")
+        async with calls.sampled() as during:
+            await asyncio.sleep(OUTAGE_S)
+        await calls.set_mode("up")
+        async with calls.sampled() as after:
+            await asyncio.sleep(RETURN_S)
+        return {
+            "outage_calls_peak": sum(peak_per_s(during, kind) for kind in ("reads", "watches")),
+            "after_outage_reads_peak": peak_per_s(after, "reads"),
+            "after_outage_writes_peak": peak_per_s(after, "writes"),
+        }
+
+    async def kill_tenth(self) -> dict[str, float]:
+        """Kill a tenth of the nodes at once, and start them again after they are known dead."""
+        killed = self.nodes[-max(1, len(self.nodes) // 10) :]
+        began = time.monotonic()
+        await self.fleet.kill_nodes(killed)
+        known = await self.fleet.until_known(killed, "")
+        return {"tenth_dead_s": known - began}
+
+    async def restart(self) -> dict[str, float]:
+        """Kill all nodes and start all at once."""
+        fleet = self.fleet
+        await fleet.kill_nodes(self.nodes)
+        async with fleet.calls.sampled() as samples:
+            began = time.monotonic()
+            await fleet.start_nodes(self.nodes)
+            ready = await fleet.until_known(self.nodes, "ready")
+            await asyncio.sleep(AFTER_RESTART_S)
+        listed = await fleet.calls.announcements_bytes()
+        return {
+            "restart_s": ready - began,
+            **{f"restart_{kind}": total(samples, kind) for kind in KINDS},
+            "restart_reads_peak": peak_per_s(samples, "reads"),
+            "restart_writes_peak": peak_per_s(samples, "writes"),
+            "announcements_kb": listed / 1000,
+        }
+
+
+async def measure(size: int) -> Measurement:
+    """Run one fleet through all steps."""
+    with tempfile.TemporaryDirectory() as folder:
+        began = time.monotonic()
+        async with Fleet(Path(folder), size) as fleet:
+            ready = await fleet.until_known(fleet.nodes, "ready")
+            await asyncio.sleep(SETTLE_S)
+            course = Course(fleet)
+            figures: dict[str, Any] = {"nodes": size, "start_s": ready - began}
+            for step in (
+                course.idle,
+                course.settings,
+                course.drain,
+                course.replace,
+                course.outage,
+                course.kill_tenth,
+                course.restart,
+            ):
+                figures |= await step()
+    return Measurement(**figures)
+
+
+async def measure_bare(modules: tuple[str, ...]) -> Memory:
+    """Return the memory of a process that has imported these and does nothing."""
+    with tempfile.TemporaryDirectory() as folder:
+        process = await start_process("bare", ["bench.fleet.bare", *modules], Path(folder))
+        try:
+            async with asyncio.timeout(20.0):
+                while not process.text():
+                    await asyncio.sleep(0.1)
+            return read_memory(process.process.pid)
+        finally:
+            await process.kill()
--- a/standins/mesh/__init__.py
+++ b/standins/mesh/__init__.py
@@ -10,6 +10,14 @@
 from standins.mesh._mesh import Mesh
 from standins.mesh._mesh_node import MeshNode
 from standins.mesh._plan import DATA_CENTRES, NodePlan, make_plan
-from standins.mesh._process import ManagedProcess
+from standins.mesh._process import ManagedProcess, start_process
 
-__all__ = ["DATA_CENTRES", "ManagedProcess", "Mesh", "MeshNode", "NodePlan", "make_plan"]
+__all__ = [
+    "DATA_CENTRES",
+    "ManagedProcess",
+    "Mesh",
+    "MeshNode",
+    "NodePlan",
+    "make_plan",
+    "start_process",
+]
