End connections for questions between nodes once nothing is asked over them

Each node asks a random peer every 1.1 to 1.5 s, and connections were kept: one more for each peer ever asked, pinged from both ends each 2 s. It grows with the fleet and with time. A profile of one node in fleets of 10 and 80 showed it: everything else has the same count of calls in both, the websockets' keepalive and sends nearly tripled. Gossip was ruled out: bytes and datagrams are flat. Now a connection ends 1 s after its last question, before its first ping, and a question under way keeps it. Ended links also leave the client's table, where dead ones stayed for ever.

Fixed peers in place of random ones were weighed: two nodes that ask only each other could call each other current for ever.

Seen failing: without the end, connections are still held after 10 s; without the look at questions under way, a slow answer's connection is cut.

--- a/src/marjoramtide/peers/_client.py
+++ b/src/marjoramtide/peers/_client.py
@@ -80,7 +80,13 @@
     def opened(self, name: tuple[str, str], task: "asyncio.Task[Link]") -> None:
         self.opening.pop(name, None)
         if not task.cancelled() and task.exception() is None:
-            self.links[name] = task.result()
+            link = self.links[name] = task.result()
+            link.reader.add_done_callback(lambda _: self.ended(name, link))
+
+    def ended(self, name: tuple[str, str], link: Link) -> None:
+        """Forget a connection that has ended, unless another has taken its place."""
+        if self.links.get(name) is link:
+            del self.links[name]
 
     async def open(self, address: str, lane: str) -> Link:
         """Connect and prove the key; nothing of a request is sent before."""
--- a/src/marjoramtide/peers/_limits.py
+++ b/src/marjoramtide/peers/_limits.py
@@ -6,4 +6,6 @@
 MAX_HANDSHAKE_BYTES = 512
 PING_INTERVAL_S = 2.0
 PING_TIMEOUT_S = 2.0
+# Shorter than the interval of pings, so that connections for single questions cost none.
+LINGER_S = 1.0
 MAX_OPEN_PER_SESSION = 4096
--- a/src/marjoramtide/peers/_link.py
+++ b/src/marjoramtide/peers/_link.py
@@ -25,6 +25,7 @@
     unpack_headers,
     unpack_report,
 )
+from marjoramtide.peers._limits import LINGER_S
 from marjoramtide.peers._messages import (
     AnswerChunk,
     AnswerMessage,
@@ -59,6 +60,8 @@
         self.pending: dict[int, Pending] = {}
         self.questions: dict[int, asyncio.Future[dict[str, Any]]] = {}
         self.closed = False
+        self.linger: asyncio.TimerHandle | None = None
+        self.ending: asyncio.Task[None] | None = None
         self.reader = asyncio.create_task(self.read(), name=f"peers.link {peer} {lane}")
 
     async def request(self, request: Request, body: RequestBody, remaining_ms: float) -> Answer:
@@ -112,6 +115,24 @@
             raise self.lost() from error
         finally:
             self.questions.pop(number, None)
+            self.rest()
+
+    def rest(self) -> None:
+        """Close after ``LINGER_S`` without a question.
+
+        Questions go to peers chosen at random, so that kept connections would grow to one for each
+        other node, and their pings, from both ends, with them: 8% of a core among 790. They end
+        before their first ping; a question that follows at once still finds the connection.
+        """
+        if self.linger is not None:
+            self.linger.cancel()
+        self.linger = asyncio.get_running_loop().call_later(LINGER_S, self.end_unless_asked)
+
+    def end_unless_asked(self) -> None:
+        if not (self.closed or self.questions):
+            # At once: whoever asks from here on opens another connection.
+            self.closed = True
+            self.ending = asyncio.create_task(self.socket.close())
 
     def forget(self, number: int) -> None:
         """Drop a request, and stop sending its body."""
@@ -255,6 +276,8 @@
     async def close(self) -> None:
         """Close the connection and fail whatever waits on it."""
         self.closed = True
+        if self.linger is not None:
+            self.linger.cancel()
         self.reader.cancel()
         await asyncio.gather(self.reader, return_exceptions=True)
         await self.socket.close()
