--- a/bench/fleet/_fleet.py
+++ b/bench/fleet/_fleet.py
@@ -1,6 +1,7 @@
 """A fleet of node processes, and what may be asked of all of them."""
 
 import asyncio
+import ipaddress
 import itertools
 import statistics
 import time
@@ -13,6 +14,7 @@
 from bench.fleet._memory import Memory, read_memory
 from bench.fleet._store_calls import StoreCalls
 from bench.hop import read_use
+from marjoramtide.settings import parse_address
 from standins.mesh import Mesh, MeshNode, NodePlan
 
 REGION_OF = {
@@ -25,6 +27,7 @@
 SERVICES = ("mapdesk", "licencehub", "case-desk", "tile-cache", "rate-board")
 NODES_PER_SERVER = 20
 POLL_S = 0.05
+ESTABLISHED = "01"
 LIMIT_S = 40.0
 
 
@@ -129,6 +132,15 @@
             )
         )
 
+    def peer_links(self) -> float:
+        """Return how many connections of peers a node has taken in, on average."""
+        ports = {parse_address(node.peers)[1] for node in self.nodes}
+        rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+        packed = ipaddress.ip_address(self.host).packed[::-1].hex().upper()
+        ends = [row[1].split(":") for row in rows if row[3] == ESTABLISHED]
+        held = [port for host, port in ends if host == packed and int(port, 16) in ports]
+        return len(held) / len(self.nodes)
+
 
 def pids(nodes: Iterable[MeshNode]) -> list[int]:
     return [node.process.process.pid for node in nodes if node.process is not None]
--- a/bench/fleet/_measurement.py
+++ b/bench/fleet/_measurement.py
@@ -9,7 +9,8 @@
 
     ``*_s`` are seconds from an event until the last node knows of it, ``restart_*`` and
     ``outage_*`` the calls of the whole fleet to the store. Gossip is counted as sent, with the
-    headers of IP and UDP.
+    headers of IP and UDP. ``scaled_restart`` is a restart against a store whose limits are as much
+    smaller than the real one's as the fleet is smaller than the one to come.
     """
 
     nodes: int
@@ -21,6 +22,7 @@
     gossip_bytes: float
     gossip_datagrams: float
     refutations: float
+    peer_links: float
     store_reads: float
     store_writes: float
     store_watches: float
@@ -44,6 +46,8 @@
     restart_throttled: float
     restart_reads_peak: float
     restart_writes_peak: float
+    scaled_restart_s: float
+    scaled_restart_throttled: float
     announcements_kb: float
 
 
@@ -54,6 +58,7 @@
     "uss_mb",
     "gossip_bytes",
     "gossip_datagrams",
+    "peer_links",
     "settings_cpu_ms",
     "replacement_cpu_ms",
     "replacement_gossip_bytes",
--- a/bench/fleet/_report.py
+++ b/bench/fleet/_report.py
@@ -5,12 +5,10 @@
 
 import attrs
 
-from bench.control import Line, fit
+from bench.control import TARGET, Line, fit
 from bench.fleet._measurement import PER_FLEET, PER_NODE, TIMES, Measurement
 from bench.fleet._memory import Memory
 
-TARGET = 790
-
 
 @attrs.frozen(slots=True)
 class Extrapolation:
--- a/bench/fleet/_store_calls.py
+++ b/bench/fleet/_store_calls.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
+from typing import Any
 
 import aiohttp
 import attrs
@@ -50,8 +51,13 @@
         return Sample(time.monotonic(), {kind: counts[kind] for kind in KINDS})
 
     async def set_mode(self, mode: str) -> None:
-        url = f"http://{self.address}/faults"
-        async with self.http.post(url, json={"mode": mode}) as response:
+        await self.order("faults", {"mode": mode})
+
+    async def set_limits(self, reads_per_s: float, writes_per_s: float) -> None:
+        await self.order("limits", {"reads_per_s": reads_per_s, "writes_per_s": writes_per_s})
+
+    async def order(self, page: str, body: dict[str, Any]) -> None:
+        async with self.http.post(f"http://{self.address}/{page}", json=body) as response:
             response.raise_for_status()
 
     async def announcements_bytes(self) -> int:
--- a/standins/object_store/_app.py
+++ b/standins/object_store/_app.py
@@ -52,6 +52,7 @@
         app.router.add_get("/v1/watch", self.watch)
         app.router.add_post("/faults", self.set_faults)
         app.router.add_post("/faults/apply-late", self.apply_late)
+        app.router.add_post("/limits", self.set_limits)
         app.router.add_get("/stats", self.stats)
         return app
 
@@ -187,6 +188,16 @@
         self.set_mode(self.faults.mode)
         return web.json_response(attrs.asdict(self.faults))
 
+    async def set_limits(self, request: web.Request) -> web.StreamResponse:
+        """Put other rate limits in force: ``{"reads_per_s": 100, "writes_per_s": 20}``."""
+        try:
+            wanted = await request.json()
+            limits = [float(wanted[name]) for name in ("reads_per_s", "writes_per_s")]
+        except (ValueError, KeyError, TypeError) as error:
+            return web.json_response({"error": f"not limits: {error!r}"}, status=400)
+        self.reads, self.writes = map(Rate, limits)
+        return web.json_response({})
+
     def set_mode(self, mode: str) -> None:
         """Change the mode, and let go on what hangs or watches."""
         self.faults.mode = mode
