Claims: the whole fleet lists five slices a second at most, however large it is

Each node listed a slice of the claims each 10 s, so the store's reads grew with the fleet: 0.10 a second for each node. Seen failing with the pause as it was.

--- a/features/claims/claims.feature
+++ b/features/claims/claims.feature
@@ -245,3 +245,11 @@
     Then the record has not reached the store
     And node A's claim of "booking-1" is "recorded"
     And node B's claim of "booking-2" is "unavailable"
+
+  Scenario: The cleaners of a large fleet read no more than the store can spare
+    Each node lists a slice of the claims now and then. Were that as often in a fleet of any size,
+    790 nodes would read 8 MB of claims a second and see each slice a hundred times before any of
+    its claims ends; callers' own claims would wait behind those reads.
+    Given two nodes with claims
+    Then the cleaners of 22 nodes list 2 to 2.5 slices a second in all
+    And the cleaners of 790 nodes list 4.5 to 5.5 slices a second in all
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -345,3 +345,13 @@
 @then("the cleaners have deleted {count:d} claims")
 def then_deleted(context: Any, count: int) -> None:
     assert context.deleted == count, context.deleted
+
+
+@then("the cleaners of {count:d} nodes list {least:g} to {most:g} slices a second in all")
+def then_lists_per_s(context: Any, count: int, least: float, most: float) -> None:
+    cleaner = make_claim_cleaner(
+        context.store.client(), context.store.clock, random.Random(SEED), fleet_size=lambda: count
+    )
+    rounds = 1000
+    found = count * rounds / sum(cleaner.pause_s() for _ in range(rounds))
+    assert least <= found <= most, found
--- a/src/marjoramtide/claims/_claim_cleaner.py
+++ b/src/marjoramtide/claims/_claim_cleaner.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from collections.abc import Callable
 
 from marjoramtide.claims._claim_keys import SLICES, slice_prefix
 from marjoramtide.claims._claim_record import decode_record
@@ -11,6 +12,7 @@
 from marjoramtide.platform import ObjectStore, StoredObject
 
 INTERVAL_S = 10.0
+FLEET_INTERVAL_S = 0.2
 DELETES_PER_PASS = 200
 CALL_TIMEOUT_S = 2.0
 
@@ -18,22 +20,37 @@
 class ClaimCleaner:
     """Deletes expired claims, one slice of all keys at a time.
 
-    Every node runs one from a random slice on, with no agreement on who cleans what.
+    Every node runs one from a random slice on, with no agreement on who cleans what. The whole
+    fleet lists a slice each ``FLEET_INTERVAL_S``, however large it is: a slice's claims are some
+    100 KB, and 790 nodes listing one each ``INTERVAL_S`` would each read 10 KB/s, to see every
+    slice each quarter of an hour for claims that are kept for a day. ``fleet_size`` counts the
+    nodes.
     """
 
-    def __init__(self, store: ObjectStore, clock: Clock, rng: random.Random) -> None:
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        rng: random.Random,
+        fleet_size: Callable[[], int],
+    ) -> None:
         self.store = store
         self.clock = clock
         self.rng = rng
+        self.fleet_size = fleet_size
         self.next_slice = rng.randrange(SLICES)
 
     async def run(self) -> None:
-        """Clean a slice every ``INTERVAL_S`` or so, until cancelled."""
+        """Clean one slice after another, until cancelled."""
         while True:
-            await self.clock.sleep(INTERVAL_S * self.rng.uniform(0.5, 1.5))
+            await self.clock.sleep(self.pause_s())
             await self.clean_slice(self.next_slice)
             self.next_slice = (self.next_slice + 1) % SLICES
 
+    def pause_s(self) -> float:
+        usual = max(INTERVAL_S, FLEET_INTERVAL_S * self.fleet_size())
+        return usual * self.rng.uniform(0.5, 1.5)
+
     async def clean_slice(self, number: int) -> int:
         """Delete the expired claims of one slice and return how many; errors leave the rest."""
         try:
@@ -70,6 +87,9 @@
 
 
 def make_claim_cleaner(
-    store: ObjectStore, clock: Clock, rng: random.Random | None = None
+    store: ObjectStore,
+    clock: Clock,
+    rng: random.Random | None = None,
+    fleet_size: Callable[[], int] = lambda: 1,
 ) -> ClaimCleaner:
-    return ClaimCleaner(store, clock, rng or random.Random())
+    return ClaimCleaner(store, clock, rng or random.Random(), fleet_size)
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -115,7 +115,9 @@
             self.metrics.run(),
             summarise_logs(),
             self.claims.run(),
-            make_claim_cleaner(self.store, self.clock).run(),
+            make_claim_cleaner(
+                self.store, self.clock, fleet_size=lambda: len(self.membership.members())
+            ).run(),
         ):
             self.spawn(work)
         log.info("daemon.started", callers=settings.callers, peers=settings.peers)
