--- a/features/path/backend_answers.feature
+++ b/features/path/backend_answers.feature
@@ -86,3 +86,19 @@
       | sent |
       | 5    |
       | 15   |
+
+  Scenario: Nobody listens at the backend server's address
+    # The connection is refused before anything was sent, so "not run" is certain.
+    Given a scripted backend server that has gone
+    When a GET goes to the scripted backend server
+    Then its outcome is not run with the code connect-failed
+    And the request never counted as begun
+
+  Scenario: Every connection is in use
+    # Ten requests hang. An eleventh connection could make the backend server drop others; waiting
+    # for a free one could last until the deadline. It is refused at once, and has not run.
+    Given a scripted backend server that answers nothing
+    When 10 GETs hang at the scripted backend server
+    And a GET goes to the scripted backend server
+    Then its outcome is not run with the code overloaded
+    And the scripted backend server got 10 connections
--- a/features/steps/backend_answers_steps.py
+++ b/features/steps/backend_answers_steps.py
@@ -4,6 +4,7 @@
 import contextlib
 import re
 from collections.abc import AsyncIterator
+from functools import partial
 from typing import Any
 
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
@@ -21,6 +22,7 @@
 
 use_step_matcher("parse")
 
+CONNECTIONS = 10
 PAUSE_S = 0.05
 END_S = 5.0
 
@@ -59,7 +61,8 @@
     async def start() -> None:
         listener = await asyncio.start_server(context.scripted.serve, "127.0.0.1", 0)
         host, port = listener.sockets[0].getsockname()
-        context.transport = HttpTransport(f"{host}:{port}", 10)
+        context.transport = HttpTransport(f"{host}:{port}", CONNECTIONS)
+        context.listener_close = partial(stop, listener)
 
     context.runner.run(start())
 
@@ -70,16 +73,32 @@
     context.cleanup.callback(lambda: context.runner.run(close()))
 
 
+@given("a scripted backend server that has gone")
+def gone_server(context: Any) -> None:
+    start_scripted(context, "nothing")
+    context.runner.run(context.listener_close())
+
+
 def make_request(method: str = "GET", value: str = "x") -> Request:
     headers = (("Host", "mapdesk"), ("X-Test", value))
     return Request("mapdesk", method, "/", headers, urgent=False, idempotent=False, deadline=0.0)
 
 
+async def stop(listener: asyncio.Server) -> None:
+    listener.close()
+    await listener.wait_closed()
+
+
 async def exchange(context: Any, request: Request, body: RequestBody) -> Answer | Exception:
     """Send a request; return its whole answer or how it failed."""
+    context.begun = False
+
+    def begun() -> None:
+        context.begun = True
+
     try:
         async with asyncio.timeout(END_S):
-            answer = await context.transport.send(request, body, 1000.0, lambda: None)
+            answer = await context.transport.send(request, body, 1000.0, begun)
             if answer.stream is not None:
                 answer.body = b"".join([data async for data in answer.stream])
     except (NotRunError, UnknownOutcomeError) as error:
@@ -112,6 +131,19 @@
     context.runner.run(cancel())
 
 
+@when("{count:d} GETs hang at the scripted backend server")
+def hang_gets(context: Any, count: int) -> None:
+    async def begin() -> None:
+        context.hanging = [
+            asyncio.create_task(exchange(context, make_request(), inline_body()))
+            for _ in range(count)
+        ]
+        while context.scripted.received.count(b" HTTP/1.1\r\n") < count:
+            await asyncio.sleep(PAUSE_S / 10)
+
+    context.runner.run(begin())
+
+
 @when("a POST announces {length:d} bytes and sends {sent:d} to the scripted backend server")
 def post_other_length(context: Any, length: int, sent: int) -> None:
     async def chunks() -> AsyncIterator[bytes]:
@@ -140,6 +172,11 @@
     assert context.ended.code == code, context.ended.code
 
 
+@then("the request never counted as begun")
+def check_not_begun(context: Any) -> None:
+    assert not context.begun
+
+
 @then("the scripted backend server got {count:d} request")
 @then("the scripted backend server got {count:d} requests")
 def check_requests(context: Any, count: int) -> None:
