Let nobody wait for a peer that takes nothing off its connections

Cause: on a connection whose buffer is full (a peer that was stopped by a signal or whose host is gone, with much on its way to it) every send waits. Three waits had no end of their own: the cancel of a request that was given up, which its deadline, its caller's leaving and a lost hedge all awaited; the library's ping, which waits in drain() before its timeout begins; and drop(), which closed one lane after the other with a closing handshake of 10 s each. The caller was told of its deadline, or given the other node's answer, only when the connection ended. Seen failing: each of the three scenarios of stuck_peer.feature fails with its own safeguard taken out (send_cancel awaited, close in turn, no stall timer). Besides: closing handshakes between nodes wait 1 s in place of 10.

--- a/features/steps/peer_links_steps.py
+++ b/features/steps/peer_links_steps.py
@@ -5,18 +5,29 @@
 from typing import Any, cast
 
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
-from websockets.asyncio.server import ServerConnection
+from websockets.asyncio.server import ServerConnection, serve
 
 from features.edge.peer_attacks import request
 from marjoramtide.clock import FreezeDetector, SystemClock
-from marjoramtide.exchange import Answer, Request, RequestBody, RequestHandler
+from marjoramtide.exchange import (
+    Answer,
+    Request,
+    RequestBody,
+    RequestHandler,
+    UnknownOutcomeError,
+    inline_body,
+)
+from marjoramtide.peers import PeerClient
 from marjoramtide.peers._codec import encode
+from marjoramtide.peers._handshake import open_as_server
 from marjoramtide.peers._messages import CancelMessage
 from marjoramtide.peers._session import Session
 
 use_step_matcher("parse")
 
-END_S = 2.0  # far below every deadline and timeout that could end a wait instead
+END_S = 1.0  # below every deadline and timeout that could end a wait instead
+STUCK_END_S = 8.0  # far below the deadlines of requests
+KEY = "k" * 32
 
 
 class SilentHandler(RequestHandler):
@@ -66,3 +77,81 @@
 @then("none of them is held as in progress there")
 def then_none_held(context: Any) -> None:
     assert not context.session.served and context.session.idle.is_set(), context.session.served
+
+
+async def accept_and_stop_reading(socket: ServerConnection) -> None:
+    await open_as_server(socket, KEY, "test")
+    socket.transport.pause_reading()
+    await asyncio.Event().wait()
+
+
+def send_to_peer(context: Any, size: int, urgent: bool) -> "asyncio.Task[Answer]":
+    deadline = context.client.clock.monotonic() + 60.0
+    request = Request("s", "POST", "/", (), urgent, False, deadline)
+    work = context.client.request(context.peer, request, inline_body(bytes(size)))
+    return asyncio.create_task(work)
+
+
+async def fill_connections(context: Any) -> None:
+    """Send requests until nothing goes out any more; those wait for their answers."""
+    server = await serve(
+        accept_and_stop_reading, "127.0.0.1", 0, ping_interval=None, close_timeout=0.1
+    )
+    context.cleanup.callback(server.close, close_connections=False)
+    context.peer = "{}:{}".format(*server.sockets[0].getsockname())
+    context.client = PeerClient(KEY, SystemClock())
+    context.waiting = []
+    for urgent in (False, True):
+        context.waiting.append(send_to_peer(context, 1, urgent))
+        while len(context.client.links) < 1 + urgent:
+            await asyncio.sleep(0.01)
+        link = list(context.client.links.values())[-1]
+        while not link.socket.paused:
+            context.waiting.append(send_to_peer(context, 60000, urgent))
+            await asyncio.sleep(0)
+
+
+@given("full connections of both classes to a peer that takes nothing off them any more")
+def given_full(context: Any) -> None:
+    context.runner = context.cleanup.enter_context(asyncio.Runner())
+    context.runner.run(fill_connections(context))
+
+
+@when("a request that waits there is given up")
+def when_given_up(context: Any) -> None:
+    async def work() -> None:
+        task = context.waiting[-1]
+        task.cancel()
+        await asyncio.wait([task], timeout=END_S)
+
+    context.runner.run(work())
+
+
+@then("whoever gave it up goes on at once")
+def then_goes_on(context: Any) -> None:
+    assert context.waiting[-1].cancelled(), context.waiting[-1]
+
+
+@when("the peer is told to be dead")
+def when_dropped(context: Any) -> None:
+    async def work() -> None:
+        context.dropping = asyncio.create_task(context.client.drop(context.peer))
+        await asyncio.wait(context.waiting, timeout=END_S)
+
+    context.runner.run(work())
+
+
+@when("the peer goes on taking nothing")
+def when_stuck(context: Any) -> None:
+    async def work() -> None:
+        await asyncio.wait(context.waiting, timeout=STUCK_END_S)
+
+    context.runner.run(work())
+
+
+@then("all that waited there is unknown")
+def then_all_unknown(context: Any) -> None:
+    open_still = [task for task in context.waiting if not task.done()]
+    assert not open_still, f"{len(open_still)} of {len(context.waiting)}"
+    errors = [task.exception() for task in context.waiting]
+    assert all(isinstance(error, UnknownOutcomeError) for error in errors), errors
--- a/src/marjoramtide/peers/_client.py
+++ b/src/marjoramtide/peers/_client.py
@@ -15,9 +15,15 @@
     RequestBody,
     RequestFailedError,
 )
+from marjoramtide.peers._client_connection import PeerClientConnection
 from marjoramtide.peers._handshake import HANDSHAKE_TIMEOUT_S, open_as_client
 from marjoramtide.peers._lanes import CONTROL, ROUTINE, URGENT
-from marjoramtide.peers._limits import MAX_FRAME_BYTES, PING_INTERVAL_S, PING_TIMEOUT_S
+from marjoramtide.peers._limits import (
+    CLOSE_TIMEOUT_S,
+    MAX_FRAME_BYTES,
+    PING_INTERVAL_S,
+    PING_TIMEOUT_S,
+)
 from marjoramtide.peers._link import Link
 
 CONNECT_TIMEOUT_S = 0.5
@@ -92,6 +98,8 @@
                     max_size=MAX_FRAME_BYTES,
                     ping_interval=PING_INTERVAL_S,
                     ping_timeout=PING_TIMEOUT_S,
+                    close_timeout=CLOSE_TIMEOUT_S,
+                    create_connection=PeerClientConnection,
                     proxy=None,
                     user_agent_header=None,
                 )
@@ -112,11 +120,11 @@
         """Close the connections to a peer that is known to be dead.
 
         Requests on them end as unknown at once, in place of waiting for their deadlines on a
-        connection over which nothing will come.
+        connection over which nothing will come. No closing handshake, which a dead peer would not
+        answer: the urgent requests would wait until the routine ones' connection is given up.
         """
         names = [name for name in self.links if name[0] == address]
-        for link in [self.links.pop(name) for name in names]:
-            await link.close()
+        await asyncio.gather(*(self.links.pop(name).abort() for name in names))
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/marjoramtide/peers/_limits.py
+++ b/src/marjoramtide/peers/_limits.py
@@ -6,4 +6,7 @@
 MAX_HANDSHAKE_BYTES = 512
 PING_INTERVAL_S = 2.0
 PING_TIMEOUT_S = 2.0
+STALL_TIMEOUT_S = 2.0
+# For the answer to a close: from a peer that lives it comes within a round trip.
+CLOSE_TIMEOUT_S = 1.0
 MAX_OPEN_PER_SESSION = 4096
--- a/src/marjoramtide/peers/_link.py
+++ b/src/marjoramtide/peers/_link.py
@@ -59,6 +59,7 @@
         self.pending: dict[int, Pending] = {}
         self.questions: dict[int, asyncio.Future[dict[str, Any]]] = {}
         self.closed = False
+        self.cancels: set[asyncio.Task[None]] = set()
         self.reader = asyncio.create_task(self.read(), name=f"peers.link {peer} {lane}")
 
     async def request(self, request: Request, body: RequestBody, remaining_ms: float) -> Answer:
@@ -95,7 +96,7 @@
             raise self.lost() from error
         except asyncio.CancelledError:
             self.forget(number)
-            await self.cancel(number)
+            self.cancel(number)
             raise
         finally:
             if pending.stream is None:
@@ -119,11 +120,21 @@
         if pending is not None and pending.sender is not None:
             pending.sender.cancel()
 
-    async def cancel(self, number: int) -> None:
-        """Tell the peer that nobody waits for this request."""
+    def cancel(self, number: int) -> None:
+        """Tell the peer that nobody waits for this request, without waiting for it.
+
+        Where the peer takes nothing off the connection, sending waits. Whoever gives a request up
+        would then wait too: its caller would be told of the deadline, or given the answer of
+        another node, only when the connection is given up.
+        """
         if not self.closed:
-            with contextlib.suppress(ConnectionClosed):
-                await self.socket.send(encode(CancelMessage(number)))
+            task = asyncio.create_task(self.send_cancel(number))
+            self.cancels.add(task)
+            task.add_done_callback(self.cancels.discard)
+
+    async def send_cancel(self, number: int) -> None:
+        with contextlib.suppress(ConnectionClosed):
+            await self.socket.send(encode(CancelMessage(number)))
 
     def lost(self) -> UnknownOutcomeError:
         """Return the error for requests that were on this connection when it broke."""
@@ -226,7 +237,7 @@
     async def abandon(self, number: int) -> None:
         if number in self.pending:
             self.forget(number)
-            await self.cancel(number)
+            self.cancel(number)
 
     async def send_body(self, number: int, pending: Pending) -> None:
         """Send the body of an admitted request."""
@@ -250,7 +261,13 @@
                 )
             )
             self.forget(number)
-            await self.cancel(number)
+            self.cancel(number)
+
+    async def abort(self) -> None:
+        """End the connection without a word to the peer and fail whatever waits on it."""
+        self.closed = True
+        self.socket.transport.abort()
+        await asyncio.gather(self.reader, return_exceptions=True)
 
     async def close(self) -> None:
         """Close the connection and fail whatever waits on it."""
--- a/src/marjoramtide/peers/_peer_connection.py
+++ b/src/marjoramtide/peers/_peer_connection.py
@@ -6,13 +6,14 @@
 from websockets.asyncio.server import ServerConnection
 
 from marjoramtide.errors import ErrorCode
+from marjoramtide.peers._stall_guard import StallGuard
 
 log = structlog.get_logger()
 
 MAX_REASON_CHARACTERS = 200
 
 
-class PeerConnection(ServerConnection):
+class PeerConnection(StallGuard, ServerConnection):
     """The library's connection, which tells in our log whom it turned away, and why."""
 
     async def handshake(self, *args: Any, **kwargs: Any) -> None:
--- a/src/marjoramtide/peers/_pending.py
+++ b/src/marjoramtide/peers/_pending.py
@@ -23,6 +23,7 @@
         """End the wait, or the stream of an answer that has begun, with an error."""
         if not self.answer.done():
             self.answer.set_exception(error)
+            self.answer.exception()  # the request may still wait to be sent, and fail by that
         if self.stream is not None:
             self.stream.fail(error)
         if self.sender is not None:
--- a/src/marjoramtide/peers/_server.py
+++ b/src/marjoramtide/peers/_server.py
@@ -12,6 +12,7 @@
 from marjoramtide.exchange import RequestHandler
 from marjoramtide.peers._handshake import HANDSHAKE_TIMEOUT_S, open_as_server
 from marjoramtide.peers._limits import (
+    CLOSE_TIMEOUT_S,
     MAX_HANDSHAKE_BYTES,
     PING_INTERVAL_S,
     PING_TIMEOUT_S,
@@ -48,6 +49,7 @@
             max_size=MAX_HANDSHAKE_BYTES,
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
             server_header=None,
             logger=library_log,
             create_connection=PeerConnection,
