--- a/bench/hop/slopes.py
+++ b/bench/hop/slopes.py
@@ -18,13 +18,12 @@
 
 import attrs
 
-from bench.hop.__main__ import SERVICES, SLOTS, make_ways, pid_of
 from bench.hop._crowd import Crowd
 from bench.hop._process_use import read_use
+from bench.hop._ways import SERVICES, SLOTS, make_ways, pid_of
 from marjoramtide.clock import SystemClock
 from marjoramtide.peers import PeerClient
-from standins.mesh import Mesh, make_plan
-from standins.mesh._mesh_node import KEY
+from standins.mesh import KEY, Mesh, make_plan
 
 STEPS = (0, 50, 200, 400)
 SETTLE_S = 1.0
--- a/standins/mesh/__init__.py
+++ b/standins/mesh/__init__.py
@@ -8,12 +8,13 @@
 """
 
 from standins.mesh._mesh import Mesh
-from standins.mesh._mesh_node import MeshNode
+from standins.mesh._mesh_node import KEY, MeshNode
 from standins.mesh._plan import DATA_CENTRES, NodePlan, make_plan
 from standins.mesh._process import ManagedProcess, start_process
 
 __all__ = [
     "DATA_CENTRES",
+    "KEY",
     "ManagedProcess",
     "Mesh",
     "MeshNode",
