Let a planned stop wait until callers have been sent every byte

Cause: a handler ends when its answer is in the connection's buffer, which is up to 64 kB and more behind what the system has taken from a caller that reads slowly. The stop waited for handlers only, then closed and exited; what stood in the buffers was lost with the process, amid a body. Ruled out: the same between nodes (the closing handshake of a peer comes after all that was sent before) and unbounded answers to a caller that pipelines and reads nothing (the library stops at one answer beyond the high-water mark: 81,360 bytes held after 500 requests for 60 kB each). Before: slow_callers.feature fails, the last answer has 38,831 of 60,000 bytes. After: each of them is whole. The wait lies within stop_grace_s.

--- /dev/null
+++ b/features/path/slow_callers.feature
@@ -0,0 +1,9 @@
+Feature: A caller that reads slowly, or not at all
+
+  Scenario: A node stops while a caller is still reading
+    # Its last answers are given, but stand in the node's buffers, since the caller reads slowly. A
+    # node that exited now would cut them off amid the body.
+    Given a node whose every answer is of 60 kB
+    And a caller that has sent 500 requests on one connection and reads nothing
+    When the node is stopped, and the caller reads after 3 s
+    Then each answer that the caller gets is whole
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -196,7 +196,7 @@
                 # Requests that others sent before they heard still get a "not run" in place of a
                 # broken connection, which would be an unknown outcome to a booking.
                 await asyncio.sleep(LEAVE_PAUSE_S)
-                await self.ingress.idle.wait()
+                await self.ingress.drained()
                 await self.serving.idle.wait()
                 await self.peer_server.drained()
                 await self.claim_gate.finish()
--- a/src/marjoramtide/ingress/_caller_server.py
+++ b/src/marjoramtide/ingress/_caller_server.py
@@ -16,5 +16,11 @@
         self.node = node
         self.metrics = metrics
 
+    @property
+    def has_unsent(self) -> bool:
+        """Tell whether bytes of any answer still wait to be handed to the system."""
+        transports = (connection.transport for connection in self.connections)
+        return any(each is not None and each.get_write_buffer_size() > 0 for each in transports)
+
     def __call__(self) -> CallerConnection:
         return CallerConnection(self.node, self.metrics, self, loop=self._loop, **self._kwargs)
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -36,6 +36,7 @@
 # with bytes unread is reset, and the caller might lose the answer.
 LINGER_S = 2.0
 COME_BACK_MS = 1000
+UNSENT_CHECK_S = 0.02
 
 
 class Ingress:
@@ -62,11 +63,12 @@
         self.in_progress = 0
         self.idle = asyncio.Event()
         self.idle.set()
+        self.server: CallerServer | None = None
         self.runner: web.ServerRunner | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Listen on the callers' address."""
-        server = CallerServer(
+        self.server = CallerServer(
             self.node,
             self.metrics,
             self.handle,
@@ -80,7 +82,7 @@
             keepalive_timeout=KEEP_ALIVE_S,
             lingering_time=LINGER_S,
         )
-        self.runner = web.ServerRunner(server, shutdown_timeout=0.5)
+        self.runner = web.ServerRunner(self.server, shutdown_timeout=0.5)
         await self.runner.setup()
         await web.TCPSite(self.runner, host, port, backlog=1024).start()
 
@@ -225,6 +227,17 @@
         response.headers["Marjoramtide-Node"] = self.node
         response.headers["Server"] = "marjoramtide"
 
+    async def drained(self) -> None:
+        """Wait until no request is in progress and callers have been sent every byte.
+
+        What a handler has given stands in the connection's buffer until the caller takes it. A
+        process that exits before cuts the answer of a slow reader off amid its body.
+        """
+        await self.idle.wait()
+        assert self.server is not None
+        while self.server.has_unsent:
+            await asyncio.sleep(UNSENT_CHECK_S)
+
     async def close(self) -> None:
         """Stop listening and close callers' connections."""
         if self.runner is not None:
