Let callers go that send requests and take no answers

Cause: such a connection is not idle, so neither the keep-alive nor the head's timer runs, and no deadline runs for what was answered: it stayed, with a file descriptor, for as long as its caller liked. Out of descriptors, a node can take no other caller, and open no connection to a peer or its backend server. Ruled out: memory (the library stops at one answer beyond the high-water mark).

--- a/features/steps/ingress_callers_steps.py
+++ b/features/steps/ingress_callers_steps.py
@@ -90,3 +90,15 @@
     answers = list(zip(parts[::2], parts[1::2], strict=True))
     sizes = [len(rest.partition(b"\r\n\r\n")[2]) for status, rest in answers if status == b"200"]
     assert len(sizes) > 1 and set(sizes) == {len(ANSWER)}, sizes
+
+
+@given("it lets callers go that read nothing for {seconds:g} s")
+def given_short_stall(context: Any, seconds: float) -> None:
+    context.ingress.server.stall_timeout_s = seconds
+
+
+@then("the node has ended the connection of that caller")
+def then_let_go(context: Any) -> None:
+    assert not context.ingress.server.connections
+    context.metrics.flush()
+    assert context.metrics.totals["ingress.refused.slow-caller"] == 1, context.metrics.totals
--- a/src/marjoramtide/ingress/_caller_connection.py
+++ b/src/marjoramtide/ingress/_caller_connection.py
@@ -22,15 +22,19 @@
 
 
 class CallerConnection(RequestHandler):
-    """The library's connection, with a bound on the time of a head and our own refusals."""
+    """The library's connection, with bounds on slow callers' time and our own refusals."""
 
-    __slots__ = ("head_timer", "metrics", "node")
+    __slots__ = ("head_timer", "metrics", "node", "stall_timeout_s", "stall_timer")
 
-    def __init__(self, node: str, metrics: Metrics, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self, node: str, metrics: Metrics, stall_timeout_s: float, *args: Any, **kwargs: Any
+    ) -> None:
         super().__init__(*args, **kwargs)
         self.node = node
         self.metrics = metrics
         self.head_timer: asyncio.TimerHandle | None = None
+        self.stall_timeout_s = stall_timeout_s
+        self.stall_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -52,8 +56,32 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self.stop_head_timer()
+        self.stop_stall_timer()
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        # A caller that sends requests and reads no answers is not idle, and no deadline runs for
+        # what was answered: it would hold a file descriptor for ever, as one with a slow head does.
+        super().pause_writing()
+        loop = asyncio.get_running_loop()
+        self.stall_timer = loop.call_later(self.stall_timeout_s, self.end_stalled)
+
+    def resume_writing(self) -> None:
+        self.stop_stall_timer()
+        super().resume_writing()
+
+    def stop_stall_timer(self) -> None:
+        if self.stall_timer is not None:
+            self.stall_timer.cancel()
+            self.stall_timer = None
+
+    def end_stalled(self) -> None:
+        """Break the connection off: its caller has taken nothing for too long."""
+        self.stall_timer = None
+        self.log_slow("the caller takes no answers", "unknown")
+        if self.transport is not None:
+            self.transport.abort()
+
     def fail_broken_body(self) -> None:
         """Tell whoever reads a body that what follows in it breaks the protocol.
 
@@ -89,18 +117,21 @@
     def end_slow_head(self) -> None:
         """Close the connection: its head took too long."""
         self.head_timer = None
+        self.log_slow("no whole request head in time", "not-run")
+        self.force_close()
+
+    def log_slow(self, reason: str, outcome: str) -> None:
         caller = self.peername
         log.info(
             "ingress.refused",
             code=ErrorCode.SLOW_CALLER,
             step=STEP,
             peer="",
-            reason="no whole request head in time",
+            reason=reason,
             caller=caller[0] if isinstance(caller, tuple) else "",
-            outcome="not-run",
+            outcome=outcome,
         )
         self.metrics.count(f"ingress.refused.{ErrorCode.SLOW_CALLER}")
-        self.force_close()
 
     def handle_error(
         self,
--- a/src/marjoramtide/ingress/_caller_server.py
+++ b/src/marjoramtide/ingress/_caller_server.py
@@ -7,6 +7,9 @@
 from marjoramtide.ingress._caller_connection import CallerConnection
 from marjoramtide.telemetry import Metrics
 
+# Also a caller on a bad line takes the 48 kB between the library's water marks within this time.
+STALL_TIMEOUT_S = 30.0
+
 
 class CallerServer(web.Server):
     """Makes our connections in place of the library's."""
@@ -15,6 +18,7 @@
         super().__init__(*args, **kwargs)
         self.node = node
         self.metrics = metrics
+        self.stall_timeout_s = STALL_TIMEOUT_S
 
     @property
     def has_unsent(self) -> bool:
@@ -23,4 +27,11 @@
         return any(each is not None and each.get_write_buffer_size() > 0 for each in transports)
 
     def __call__(self) -> CallerConnection:
-        return CallerConnection(self.node, self.metrics, self, loop=self._loop, **self._kwargs)
+        return CallerConnection(
+            self.node,
+            self.metrics,
+            self.stall_timeout_s,
+            self,
+            loop=self._loop,
+            **self._kwargs,
+        )
