Start a node's long-lived tasks again where a fault ends them

Cause: a task of the daemon that raised was logged and gone; the node went on without it. Found by a real way to do it: a health body of 60,000 opening brackets makes json.loads raise RecursionError, which is no ValueError; the measurer ended, and a server that drained after it got new work for ever. Ruled out: ending the process, since what one node trips over is likely to reach all of them at once. All seven tasks run under keep_running, which logs, counts (daemon.task_restarts) and starts again after 1 s; the body counts as one without a state. With RecursionError taken out of parse_state, the first scenario of node_tasks.feature fails; the second proves the restart itself.

--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -10,6 +10,7 @@
 from marjoramtide.claims import make_claim_cleaner, make_claims
 from marjoramtide.clock import FreezeDetector, SystemClock
 from marjoramtide.daemon._operators import make_node_handle
+from marjoramtide.daemon._supervision import keep_running
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.ingress import Dispatcher, Ingress
 from marjoramtide.membership import Member, MemberState, make_membership
@@ -108,16 +109,16 @@
             raise MarjoramtideError(
                 ErrorCode.BAD_SETTINGS, f"can't listen: {error}", step="daemon.start"
             ) from error
-        for work in (
-            self.freeze.run(),
-            self.settings_service.run(),
-            self.measurer.run(),
-            self.metrics.run(),
-            summarise_logs(),
-            self.claims.run(),
-            make_claim_cleaner(self.store, self.clock).run(),
-        ):
-            self.spawn(work)
+        for name, work in {
+            "freeze": self.freeze.run,
+            "settings": self.settings_service.run,
+            "measurer": self.measurer.run,
+            "metrics": self.metrics.run,
+            "logs": summarise_logs,
+            "claims": self.claims.run,
+            "claim cleaner": make_claim_cleaner(self.store, self.clock).run,
+        }.items():
+            self.spawn(keep_running(name, work, self.clock, self.metrics))
         log.info("daemon.started", callers=settings.callers, peers=settings.peers)
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
--- a/src/marjoramtide/serving/_measurer.py
+++ b/src/marjoramtide/serving/_measurer.py
@@ -98,7 +98,7 @@
     """Return the state in a health answer: its JSON ``state``, or by its status alone."""
     try:
         state = json.loads(body).get("state", "")
-    except (ValueError, AttributeError):
+    except (ValueError, AttributeError, RecursionError):  # the last one for what is nested deeply
         state = ""
     if state == "draining":
         return BackendState.DRAINING
