--- a/features/path/planned_stop.feature
+++ b/features/path/planned_stop.feature
@@ -23,12 +23,12 @@
     # Answers of a megabyte are on the way through two nodes when the serving one gets SIGTERM; its
     # announcement can't be removed, since the store is down. The answers arrive whole.
     Given a mixed mesh of 1 mapdesk and 2 casedesk nodes
-    And traffic: 20 files a second of casedesk for 2 s
+    And traffic: 4 files a second of casedesk for 3 s
       | key          | value   |
       | method       | "POST"  |
-      | service_ms   | 900     |
+      | service_ms   | 1800    |
       | answer_bytes | 1000000 |
-      | timeout_ms   | 5000    |
+      | timeout_ms   | 9000    |
     When while traffic enters by mapdesk-1
       | at  | what  | whom               |
       | 0.5 | store | {"mode": "refuse"} |
@@ -36,3 +36,11 @@
     Then every promise is kept
     And all files completed
     And casedesk-2 exited with status 0 and left nothing unfinished
+
+  Scenario: A node that was replaced under its address stops by itself
+    # An instance was frozen, and the platform started another one under its addresses. When the old
+    # node goes on, it learns that its identity is dead. It stops as planned, in place of serving
+    # callers beside the fleet's knowledge.
+    Given a node that is not started
+    When its own record turns dead
+    Then it asks to be stopped
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -5,12 +5,15 @@
 from collections.abc import Callable
 from typing import Any, cast
 
+import attrs
 from behave import given, then, when  # type: ignore[attr-defined]
 
 from marjoramtide.clock import SystemClock
+from marjoramtide.daemon._node import Node
 from marjoramtide.exchange import Answer, Request, RequestBody, inline_body
+from marjoramtide.membership import MemberState
 from marjoramtide.serving import BackendTransport, ClaimGate, ServingService
-from marjoramtide.settings import RouteSettings, SettingsView
+from marjoramtide.settings import NodeSettings, RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, Tracer
 
 FAR_S = 60.0
@@ -85,3 +88,37 @@
     report = context.serving.admission.report(context.clock.monotonic())
     assert report.success_rate == 1, report
     assert report.in_use == 0, report
+
+
+@given("a node that is not started")
+def given_node(context: Any) -> None:
+    context.runner = context.cleanup.enter_context(asyncio.Runner())
+    settings = NodeSettings(
+        service="s",
+        region="r",
+        data_centre="d",
+        callers="127.0.0.1:1",
+        peers="127.0.0.1:2",
+        gossip="127.0.0.1:3",
+        operators="127.0.0.1:4",
+        backend="127.0.0.1:5",
+        store="http://127.0.0.1:6",
+        key="a key for tests only",
+    )
+
+    async def make() -> Node:
+        return Node(settings)
+
+    context.node = context.runner.run(make())
+    context.cleanup.callback(lambda: context.runner.run(context.node.close()))
+
+
+@when("its own record turns dead")
+def when_superseded(context: Any) -> None:
+    own = context.node.membership.self_member
+    context.node.member_changed(attrs.evolve(own, state=MemberState.DEAD))
+
+
+@then("it asks to be stopped")
+def then_stopping(context: Any) -> None:
+    assert context.node.stop_asked.is_set()
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -93,6 +93,7 @@
         self.drained_by_operator = False
         self.operators = OperatorsServer(make_operators_app(make_node_handle(self)))
         self.stopping = False
+        self.stop_asked = asyncio.Event()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.view.on_change(self.settings_changed)
         self.membership.on_change(self.member_changed)
@@ -183,7 +184,14 @@
 
     def member_changed(self, member: Member) -> None:
         """Close the connections to a node that is known to be dead."""
-        if member.state is MemberState.DEAD:
+        own = member.node == self.name
+        if own and member.state is MemberState.DEAD and not self.stopping:
+            # Another process has this node's address: the platform replaced an instance that was
+            # only frozen or cut off. Nobody would send here any more, yet callers that still reach
+            # this one would be served beside the fleet's knowledge, by settings of their own.
+            log.error("daemon.superseded", code=ErrorCode.PEER_REFUSED, step="daemon.membership")
+            self.stop_asked.set()
+        elif member.state is MemberState.DEAD and not own:
             self.spawn(self.peer_client.drop(member.peer_address))
 
     async def stop(self) -> None:
--- a/src/marjoramtide/daemon/main.py
+++ b/src/marjoramtide/daemon/main.py
@@ -19,11 +19,10 @@
 
 
 async def run(settings: NodeSettings) -> None:
-    """Run a node until SIGTERM or SIGINT, then stop it as planned."""
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    """Run a node until SIGTERM, SIGINT or its own replacement, then stop it as planned."""
     node = Node(settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, node.stop_asked.set)
     try:
         await node.start()
     except BaseException:
@@ -32,7 +31,7 @@
     # What lives since the start is never garbage; scanning it again and again costs tail latency.
     gc.collect()
     gc.freeze()
-    await stop.wait()
+    await node.stop_asked.wait()
     await node.stop()
 
 
