Never wait for whoever collects the log, and never fail by it

Cause: lines were written with a plain write. Where the collector stalls, a pipe is full after some hundred lines and the write stops the event loop, with every request and the gossip; where it has ended, the write raises in the middle of whatever wrote the line. Ruled out: a writer thread (one more hand-over for each line) and O_NONBLOCK (it would change the descriptor for whoever else writes to it). Before: with poll() taken out the new scenario of observability.feature hangs (killed after 8 s); with the except taken out it ends by BrokenPipeError. After: lines are dropped, and counted in /status as log_lines_lost. A span that its file doesn't take is told in the log and no longer fails its request (not proved by a scenario).

--- a/features/edge/observability.feature
+++ b/features/edge/observability.feature
@@ -68,3 +68,10 @@
     When 900 lookups of mapdesk enter by mapdesk-1 in 3 s
     Then no second brought the sink more than 10 datagrams
     And the sink counted 900 completed requests
+
+  Scenario: Nobody takes the lines of the log any more
+    # Whoever collects them stalls, and then ends. A node that waited would stand still with all its
+    # requests; one that raised would fail whatever wrote the line. Lines are lost, and counted.
+    Given the output of a log into a pipe that nobody reads
+    When 2000 lines are written to it, and 10 more after the pipe's reader has ended
+    Then the first lines can be read, and the other ones were counted as lost
--- a/features/steps/edge_observability_steps.py
+++ b/features/steps/edge_observability_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import os
 import re
 import time
 from collections import Counter
@@ -13,6 +14,7 @@
 from features.edge.peer_attacks import ATTACKS
 from features.edge.sink import Sink
 from features.edge.watching import REFUSALS, TRACE, find, get, lines
+from marjoramtide.telemetry._line_output import LineOutput
 from standins.raw_caller import send_raw
 
 use_step_matcher("parse")
@@ -230,3 +232,28 @@
 @then("the sink counted {count:d} completed requests")
 def sink_counted(context: Any, count: int) -> None:
     assert completed(context) - context.before == count, (completed(context), context.before)
+
+
+@given("the output of a log into a pipe that nobody reads")
+def given_pipe(context: Any) -> None:
+    context.pipe = os.pipe()
+    context.output = LineOutput(context.pipe[1])
+    context.cleanup.callback(os.close, context.pipe[1])
+
+
+@when("{count:d} lines are written to it, and {more:d} more after the pipe's reader has ended")
+def write_lines(context: Any, count: int, more: int) -> None:
+    for number in range(count):
+        context.output.write(json.dumps({"number": number, "text": "a" * 100}) + "\n")
+    context.read = os.read(context.pipe[0], 1 << 20)
+    os.close(context.pipe[0])
+    for _ in range(more):
+        context.output.write("{}\n")
+    context.written = count + more
+
+
+@then("the first lines can be read, and the other ones were counted as lost")
+def lines_lost(context: Any) -> None:
+    numbers = [json.loads(line)["number"] for line in context.read.decode().splitlines()]
+    assert numbers == list(range(len(numbers))) and len(numbers) > 100, len(numbers)
+    assert len(numbers) + context.output.lost == context.written, context.output.lost
--- a/src/marjoramtide/daemon/_operators.py
+++ b/src/marjoramtide/daemon/_operators.py
@@ -8,6 +8,7 @@
 
 from marjoramtide import __version__
 from marjoramtide.operators import NodeHandle
+from marjoramtide.telemetry import log_output
 
 if TYPE_CHECKING:
     from marjoramtide.daemon._node import Node
@@ -36,6 +37,7 @@
         "load": attrs.asdict(report),
         "freezes": node.freeze.count,
         "totals": dict(node.metrics.totals),
+        "log_lines_lost": log_output.lost,
         "gossip": attrs.asdict(node.membership.counters),
     }
 
--- a/src/marjoramtide/telemetry/__init__.py
+++ b/src/marjoramtide/telemetry/__init__.py
@@ -1,6 +1,6 @@
 """Logs, metrics and spans."""
 
-from marjoramtide.telemetry._logs import configure_logs, summarise_logs
+from marjoramtide.telemetry._logs import configure_logs, log_output, summarise_logs
 from marjoramtide.telemetry._metrics import Metrics
 from marjoramtide.telemetry._span import Span
 from marjoramtide.telemetry._trace_context import TraceContext, new_trace, read_trace
@@ -12,6 +12,7 @@
     "TraceContext",
     "Tracer",
     "configure_logs",
+    "log_output",
     "new_trace",
     "read_trace",
     "summarise_logs",
--- a/src/marjoramtide/telemetry/_logs.py
+++ b/src/marjoramtide/telemetry/_logs.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import logging
-import sys
+from typing import TextIO, cast
 
 import structlog
 
+from marjoramtide.telemetry._line_output import LineOutput
 from marjoramtide.telemetry._log_limit import LogLimit
 from marjoramtide.telemetry._standard_log import StandardLog
 
 SUMMARY_S = 1.0
+STANDARD_ERROR = 2
 
 limit = LogLimit()
+log_output = LineOutput(STANDARD_ERROR)
 
 
 def configure_logs(level: str, **fields: str) -> None:
@@ -28,7 +31,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, log_output)),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(**fields)
--- a/src/marjoramtide/telemetry/_tracer.py
+++ b/src/marjoramtide/telemetry/_tracer.py
@@ -115,6 +115,16 @@
         ) from error
 
     def write(span: Span) -> None:
-        file.write(json.dumps({"event": "span", **attrs.asdict(span)}) + "\n")
+        try:
+            file.write(json.dumps({"event": "span", **attrs.asdict(span)}) + "\n")
+        except OSError as error:
+            # A full disk would else fail the request whose span this is, after it has run.
+            log.warning(
+                "telemetry.span_lost",
+                code=ErrorCode.INTERNAL,
+                step="telemetry.span",
+                peer="",
+                reason=str(error),
+            )
 
     return write
