Bound the requests in progress at one node, with places kept for urgent ones

Cause: serving nodes bound their queues, but nothing bounded what a node holds for its own callers: a request waits there for its body, for a connection, or for nodes that don't answer, with up to 64 kB of body, and more callers mean more of them until the process is killed for its memory, which leaves all that is in progress unknown. Ruled out: a bound by bytes (bodies beyond 64 kB are read only when admitted). Before: with the check taken out, none of 13 requests is refused in the new scenario of refusals.feature. After: what is over 2048 in progress, of which 256 places are for urgent requests, is refused as overloaded, 'not run', with Retry-After, before any of its body is read.

--- a/features/path/refusals.feature
+++ b/features/path/refusals.feature
@@ -20,3 +20,11 @@
     Then every promise is kept
     And every refusal came at once and told when to come back
     And some lookups ended as completed
+
+  Scenario: More callers come than one node can hold
+    # The backend servers hang, and callers keep coming: their requests, each with its body, would
+    # fill the node's memory. What is too much is refused at once; urgent requests get the last
+    # places.
+    Given a node whose backend servers never answer, with 8 places, of which 2 are for urgent requests
+    When 10 routine and then 3 urgent requests come, and all but the refused ones wait
+    Then 4 routine and 1 urgent of them were refused at once as overloaded
--- a/features/steps/ingress_callers_steps.py
+++ b/features/steps/ingress_callers_steps.py
@@ -1,6 +1,7 @@
 """Steps on the port for callers of a node whose backend servers are a fake."""
 
 import asyncio
+import itertools
 import random
 import socket
 import time
@@ -14,7 +15,7 @@
 from marjoramtide.ingress import Ingress
 from marjoramtide.settings import RouteSettings
 from marjoramtide.telemetry import Metrics, Tracer
-from standins.raw_caller import STATUS_LINE
+from standins.raw_caller import STATUS_LINE, send_raw
 
 use_step_matcher("parse")
 
@@ -102,3 +103,48 @@
     assert not context.ingress.server.connections
     context.metrics.flush()
     assert context.metrics.totals["ingress.refused.slow-caller"] == 1, context.metrics.totals
+
+
+async def never_answer(request: Request, body: RequestBody, settings: RouteSettings) -> Answer:
+    await asyncio.Event().wait()
+    raise AssertionError("it never ends")
+
+
+@given(
+    "a node whose backend servers never answer, with {places:d} places, "
+    "of which {reserve:d} are for urgent requests"
+)
+def given_full_ingress(context: Any, places: int, reserve: int) -> None:
+    context.runner = context.cleanup.enter_context(asyncio.Runner())
+    context.runner.run(start_ingress(context, never_answer))
+    context.ingress.max_in_progress, context.ingress.urgent_reserve = places, reserve
+
+
+@when(
+    "{routine:d} routine and then {urgent:d} urgent requests come, "
+    "and all but the refused ones wait"
+)
+def when_many_come(context: Any, routine: int, urgent: int) -> None:
+    async def ask(urgency: int) -> bytes:
+        head = b"GET / HTTP/1.1\r\nHost: s\r\nPriority: u=%d\r\n\r\n" % urgency
+        answer = await send_raw(f"127.0.0.1:{context.port}", head, silence_s=2 * SETTLE_S)
+        return answer.data
+
+    async def work() -> list[bytes]:
+        first = [asyncio.create_task(ask(3)) for _ in range(routine)]
+        await asyncio.sleep(SETTLE_S)
+        return await asyncio.gather(*first, *(ask(0) for _ in range(urgent)))
+
+    answers = context.runner.run(work())
+    context.refused = [
+        [data for data in group if data] for group in (answers[:routine], answers[routine:])
+    ]
+
+
+@then("{routine:d} routine and {urgent:d} urgent of them were refused at once as overloaded")
+def then_refused(context: Any, routine: int, urgent: int) -> None:
+    assert [len(each) for each in context.refused] == [routine, urgent], context.refused
+    for data in itertools.chain(*context.refused):
+        lowered = data.lower()
+        assert b"http/1.1 503" in lowered and b"request-outcome: not-run" in lowered, data
+        assert b"retry-after: 1" in lowered and b'"overloaded"' in lowered, data
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -36,6 +36,9 @@
 # with bytes unread is reset, and the caller might lose the answer.
 LINGER_S = 2.0
 COME_BACK_MS = 1000
+# Far above what the backend servers behind one node take at once; each holds up to 64 kB of body.
+MAX_IN_PROGRESS = 2048
+URGENT_RESERVE = 256
 UNSENT_CHECK_S = 0.02
 
 
@@ -61,6 +64,8 @@
         self.tracer = tracer
         self.stopping = False
         self.in_progress = 0
+        self.max_in_progress = MAX_IN_PROGRESS
+        self.urgent_reserve = URGENT_RESERVE
         self.idle = asyncio.Event()
         self.idle.set()
         self.server: CallerServer | None = None
@@ -116,6 +121,7 @@
         try:
             self.check_open(now)
             request, settings = read_request(http, self.view, self.tracer, now)
+            self.check_room(request)
             body = await self.read_body(http, request, settings)
             with self.tracer.span("ingress", request.trace) as span:
                 if span is not None:
@@ -164,6 +170,22 @@
                 retry_after_ms=COME_BACK_MS,
             )
 
+    def check_room(self, request: Request) -> None:
+        """Refuse what is more than this node can hold; the last places are for urgent requests.
+
+        Queues are bounded at each serving node, but a request may also wait for its body, or for
+        nodes that don't answer: many callers at once would fill the memory, and a process that is
+        killed for it leaves the outcome of everything in progress unknown.
+        """
+        room = self.max_in_progress - (0 if request.urgent else self.urgent_reserve)
+        if self.in_progress > room:
+            raise NotRunError(
+                ErrorCode.OVERLOADED,
+                "too many requests are in progress at this node",
+                step="ingress",
+                retry_after_ms=COME_BACK_MS,
+            )
+
     def refuse(self, http: web.BaseRequest, error: MarjoramtideError) -> web.Response:
         self.metrics.count(f"ingress.refused.{error.code}")
         log.info("ingress.refused", **log_fields(error, http.remote))
