Say not-run where a service has left the settings under a request

Cause: the look-up of the route raises a plain MarjoramtideError, which the serving side let through. By way of a peer it became an internal fault, 'unknown', with a traceback in the log; on the same node it ended the tries at once and was told as 'not run' even where an earlier try was unknown. Ruled out: the claim's own look-up had the same fault; it is mended too, and not proved by a scenario of its own. Before: the new scenario of not_run.feature gets MarjoramtideError. After: a NotRunError with the code unknown-service, and nothing left in progress.

--- a/features/path/not_run.feature
+++ b/features/path/not_run.feature
@@ -80,3 +80,11 @@
     Then every promise is kept
     And all lookups completed
     And at least 50% of bookings completed
+
+  Scenario: The settings lose a service while its requests are under way
+    # A node's service was removed from the settings; an ingress node that hasn't heard sends it a
+    # booking. Nothing of it has begun, and the caller must be told so: as a fault of the node it
+    # would pass for unknown, and after an unknown try for "not run".
+    Given the serving side of a node whose backend server never answers
+    And its service is no longer in the settings
+    Then a booking that reaches it is refused as not run
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -8,9 +8,12 @@
 from behave import given, then, when  # type: ignore[attr-defined]
 
 from marjoramtide.clock import SystemClock
-from marjoramtide.exchange import Answer, Request, RequestBody, inline_body
+from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, inline_body
 from marjoramtide.serving import BackendTransport, ClaimGate, ServingService
 from marjoramtide.settings import RouteSettings, SettingsView
+from marjoramtide.settings._freshness import Freshness
+from marjoramtide.settings._place import Place
+from marjoramtide.settings._tree_view import TreeSettingsView
 from marjoramtide.telemetry import Metrics, Tracer
 
 FAR_S = 60.0
@@ -85,3 +88,21 @@
     report = context.serving.admission.report(context.clock.monotonic())
     assert report.success_rate == 1, report
     assert report.in_use == 0, report
+
+
+@given("its service is no longer in the settings")
+def given_no_service(context: Any) -> None:
+    context.serving.view = TreeSettingsView(Place("r", "d"), cast(Freshness, None))
+
+
+@then("a booking that reaches it is refused as not run")
+def then_not_run(context: Any) -> None:
+    deadline = context.clock.monotonic() + FAR_S
+    request = Request("s", "POST", "/", (), False, False, deadline)
+    (ended,) = context.runner.run(end_of(context.serving.handle(request, inline_body())))
+    assert isinstance(ended, NotRunError) and ended.code == "unknown-service", repr(ended)
+    assert context.serving.idle.is_set()
+
+
+async def end_of(work: Any) -> Any:
+    return await asyncio.gather(work, return_exceptions=True)
--- a/src/marjoramtide/serving/_claim_gate.py
+++ b/src/marjoramtide/serving/_claim_gate.py
@@ -47,8 +47,8 @@
     ) -> Answer:
         """Claim, dispatch and record; raises as ``RequestHandler.handle``."""
         request = execution.request
-        settings = self.view.route(request.service, request.target)
         try:
+            settings = self.view.route(request.service, request.target)
             result = await self.claims.acquire(
                 request.service, request.key, digest(execution), settings, request.deadline
             )
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -7,7 +7,7 @@
 import attrs
 
 from marjoramtide.clock import Clock
-from marjoramtide.errors import ErrorCode
+from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import (
     Answer,
     NotRunError,
@@ -129,7 +129,12 @@
         a route would otherwise share one estimate, and the first bookings after many lookups look
         like a server that has turned slow. Callers make up paths, so the number is bounded.
         """
-        route = self.view.route(request.service, request.target).route
+        try:
+            route = self.view.route(request.service, request.target).route
+        except MarjoramtideError as error:
+            # The settings have lost the service. Only these two kinds of error tell whether a
+            # request ran: any other passes for a fault of the node, and so for "unknown".
+            raise NotRunError(error.code, error.message, step="serving.admit") from error
         segment = request.target[1:].partition("?")[0].partition("/")[0]
         name = f"{request.method} {route} {segment} {request.urgent:d}"
         if name in self.kinds or len(self.kinds) < MAX_KINDS:
