Close a caller's connection with the answers that are given during a stop

Cause: refusals of a stopping node close the connection, answers did not. A caller that then sends its next booking on it may meet the end of the stop, and gets a broken connection in place of a 'not run'. Before: the new scenario of planned_stop.feature finds the connection open. After: the answer carries Connection: close, and the connection is closed. Not mended: a connection that is idle all through the stop is closed without a word, as HTTP has none to say.

--- a/features/path/planned_stop.feature
+++ b/features/path/planned_stop.feature
@@ -36,3 +36,10 @@
     Then every promise is kept
     And all files completed
     And casedesk-2 exited with status 0 and left nothing unfinished
+
+  Scenario: A caller whose request is in progress at the stop is told to go elsewhere with the next
+    # Its answer comes while the node stops. Kept open, the connection would be closed at the end of
+    # the stop, perhaps amid the caller's next booking, which would then be unknown to it.
+    Given a node whose backend servers answer when it stops
+    When a lookup is in progress there, and the node stops
+    Then the caller gets the answer, and the connection is closed
--- a/features/steps/ingress_callers_steps.py
+++ b/features/steps/ingress_callers_steps.py
@@ -15,7 +15,7 @@
 from marjoramtide.ingress import Ingress
 from marjoramtide.settings import RouteSettings
 from marjoramtide.telemetry import Metrics, Tracer
-from standins.raw_caller import STATUS_LINE, send_raw
+from standins.raw_caller import STATUS_LINE, RawAnswer, send_raw
 
 use_step_matcher("parse")
 
@@ -148,3 +148,31 @@
         lowered = data.lower()
         assert b"http/1.1 503" in lowered and b"request-outcome: not-run" in lowered, data
         assert b"retry-after: 1" in lowered and b'"overloaded"' in lowered, data
+
+
+@given("a node whose backend servers answer when it stops")
+def given_answer_at_stop(context: Any) -> None:
+    async def answer(request: Request, body: RequestBody, settings: RouteSettings) -> Answer:
+        while not context.ingress.stopping:
+            await asyncio.sleep(0)
+        return Answer(200, (), b"late", length=4)
+
+    context.runner = context.cleanup.enter_context(asyncio.Runner())
+    context.runner.run(start_ingress(context, answer))
+
+
+@when("a lookup is in progress there, and the node stops")
+def when_stops(context: Any) -> None:
+    async def work() -> RawAnswer:
+        asking = asyncio.create_task(send_raw(f"127.0.0.1:{context.port}", HEAD % 1))
+        while not context.ingress.in_progress:
+            await asyncio.sleep(0.01)
+        context.ingress.stopping = True
+        return await asking
+
+    context.answer = context.runner.run(work())
+
+
+@then("the caller gets the answer, and the connection is closed")
+def then_answered(context: Any) -> None:
+    assert context.answer.data.endswith(b"late") and context.answer.closed, context.answer
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -248,6 +248,10 @@
         response.headers["Request-Outcome"] = Outcome.COMPLETED
         response.headers["Marjoramtide-Node"] = self.node
         response.headers["Server"] = "marjoramtide"
+        if self.stopping:
+            # Kept open, it would be closed at the end of the stop, perhaps amid the caller's next
+            # booking, which would then be unknown to its caller.
+            response.force_close()
 
     async def drained(self) -> None:
         """Wait until no request is in progress and callers have been sent every byte.
