Turn away callers' connections that would take the last descriptors

Cause: nothing bounded callers' connections. At the limit of open files a node can accept nobody and, worse, open no connection to a peer, the store or its backend server, so that also what it had taken on fails. Before: with the check taken out none of 5 connections is refused in the new scenario of refusals.feature. After: callers get half of the limit; one more gets a 503 'not run' and is closed.

--- a/features/path/refusals.feature
+++ b/features/path/refusals.feature
@@ -28,3 +28,11 @@
     Given a node whose backend servers never answer, with 8 places, of which 2 are for urgent requests
     When 10 routine and then 3 urgent requests come, and all but the refused ones wait
     Then 4 routine and 1 urgent of them were refused at once as overloaded
+
+  Scenario: Callers open more connections than the process can spare
+    # Without descriptors the node could reach neither its peers nor its backend server. The
+    # connection that is one too many gets its answer before it has asked.
+    Given a node whose every answer is of 60 kB
+    And it takes at most 3 connections
+    When 5 callers connect and then ask
+    Then 3 of them get the answer, and 2 a refusal
--- a/features/steps/ingress_callers_steps.py
+++ b/features/steps/ingress_callers_steps.py
@@ -176,3 +176,29 @@
 @then("the caller gets the answer, and the connection is closed")
 def then_answered(context: Any) -> None:
     assert context.answer.data.endswith(b"late") and context.answer.closed, context.answer
+
+
+@given("it takes at most {count:d} connections")
+def given_few_connections(context: Any, count: int) -> None:
+    context.ingress.server.max_connections = count
+
+
+@when("{count:d} callers connect and then ask")
+def when_connect(context: Any, count: int) -> None:
+    async def ask() -> bytes:
+        address = f"127.0.0.1:{context.port}"
+        return (await send_raw(address, b"", HEAD % 1, pause_s=SETTLE_S)).data
+
+    async def work() -> list[bytes]:
+        return await asyncio.gather(*(ask() for _ in range(count)), return_exceptions=True)
+
+    context.answers = context.runner.run(work())
+
+
+@then("{good:d} of them get the answer, and {bad:d} a refusal")
+def then_turned_away(context: Any, good: int, bad: int) -> None:
+    whole = [data for data in context.answers if isinstance(data, bytes) and ANSWER in data]
+    told = [data for data in context.answers if isinstance(data, bytes) and data not in whole]
+    assert len(whole) == good and all(b"not-run" in data for data in told), told
+    context.metrics.flush()
+    assert context.metrics.totals["ingress.refused.overloaded"] == bad
--- a/src/marjoramtide/ingress/_caller_connection.py
+++ b/src/marjoramtide/ingress/_caller_connection.py
@@ -19,28 +19,63 @@
 HEAD_TIMEOUT_S = 5.0
 TOO_MANY_HEADERS = "Too many headers received"
 MAX_REASON_CHARACTERS = 100
+TURNED_AWAY = (
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n"
+    b"Request-Outcome: not-run\r\nRetry-After: 1\r\nRetry-After-Ms: 1000\r\n"
+    b'Proxy-Status: marjoramtide; error=connection_limit_reached; details="overloaded"\r\n'
+    b"Server: marjoramtide\r\n\r\n"
+)
 
 
 class CallerConnection(RequestHandler):
     """The library's connection, with bounds on slow callers' time and our own refusals."""
 
-    __slots__ = ("head_timer", "metrics", "node", "stall_timeout_s", "stall_timer")
+    __slots__ = (
+        "head_timer",
+        "max_connections",
+        "metrics",
+        "node",
+        "stall_timeout_s",
+        "stall_timer",
+    )
 
     def __init__(
-        self, node: str, metrics: Metrics, stall_timeout_s: float, *args: Any, **kwargs: Any
+        self,
+        node: str,
+        metrics: Metrics,
+        stall_timeout_s: float,
+        max_connections: int,
+        *args: Any,
+        **kwargs: Any,
     ) -> None:
         super().__init__(*args, **kwargs)
         self.node = node
         self.metrics = metrics
         self.head_timer: asyncio.TimerHandle | None = None
         self.stall_timeout_s = stall_timeout_s
+        self.max_connections = max_connections
         self.stall_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        if self._manager and len(self._manager._connections) > self.max_connections:
+            self.turn_away()
+            return
         # The library's own timer only ends connections that have answered a request before.
         self.start_head_timer(self.keepalive_timeout)
 
+    def turn_away(self) -> None:
+        """Refuse a connection that is one too many.
+
+        Failure: callers open connections until the process has no descriptor left. The system then
+        takes their connections, but nobody answers them, and this node can't reach its peers, the
+        store or its backend server any more. The rest of the descriptors stays for those.
+        """
+        self.log_refused(ErrorCode.OVERLOADED, "too many connections of callers", "not-run")
+        assert self.transport is not None
+        self.transport.write(TURNED_AWAY)
+        self.force_close()
+
     def data_received(self, data: bytes) -> None:
         # A caller that sends a byte now and then would hold a connection, and a file descriptor of
         # this process, for ever; enough of them and nobody else can connect. The timer starts with
@@ -78,7 +113,7 @@
     def end_stalled(self) -> None:
         """Break the connection off: its caller has taken nothing for too long."""
         self.stall_timer = None
-        self.log_slow("the caller takes no answers", "unknown")
+        self.log_refused(ErrorCode.SLOW_CALLER, "the caller takes no answers", "unknown")
         if self.transport is not None:
             self.transport.abort()
 
@@ -117,21 +152,21 @@
     def end_slow_head(self) -> None:
         """Close the connection: its head took too long."""
         self.head_timer = None
-        self.log_slow("no whole request head in time", "not-run")
+        self.log_refused(ErrorCode.SLOW_CALLER, "no whole request head in time", "not-run")
         self.force_close()
 
-    def log_slow(self, reason: str, outcome: str) -> None:
+    def log_refused(self, code: ErrorCode, reason: str, outcome: str) -> None:
         caller = self.peername
         log.info(
             "ingress.refused",
-            code=ErrorCode.SLOW_CALLER,
+            code=code,
             step=STEP,
             peer="",
             reason=reason,
             caller=caller[0] if isinstance(caller, tuple) else "",
             outcome=outcome,
         )
-        self.metrics.count(f"ingress.refused.{ErrorCode.SLOW_CALLER}")
+        self.metrics.count(f"ingress.refused.{code}")
 
     def handle_error(
         self,
--- a/src/marjoramtide/ingress/_caller_server.py
+++ b/src/marjoramtide/ingress/_caller_server.py
@@ -1,5 +1,7 @@
 """The library's server for callers' connections."""
 
+import resource
+import sys
 from typing import Any
 
 from aiohttp import web
@@ -10,6 +12,17 @@
 # Also a caller on a bad line takes the 48 kB between the library's water marks within this time.
 STALL_TIMEOUT_S = 30.0
 
+# Of the descriptors of the process; the rest is for peers, the backend server and the store.
+CALLERS_SHARE = 0.5
+
+
+def max_connections() -> int:
+    """Return how many callers' connections this process may hold at once."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return sys.maxsize
+    return max(1, int(descriptors * CALLERS_SHARE))
+
 
 class CallerServer(web.Server):
     """Makes our connections in place of the library's."""
@@ -19,6 +32,7 @@
         self.node = node
         self.metrics = metrics
         self.stall_timeout_s = STALL_TIMEOUT_S
+        self.max_connections = max_connections()
 
     @property
     def has_unsent(self) -> bool:
@@ -32,6 +46,7 @@
             self.node,
             self.metrics,
             self.stall_timeout_s,
+            self.max_connections,
             self,
             loop=self._loop,
             **self._kwargs,
