--- a/features/path/cancelled.feature
+++ b/features/path/cancelled.feature
@@ -16,3 +16,18 @@
     Given a connection in whose socket 3 requests stand, each with its cancel
     When its session reads them
     Then none of them is held as in progress there
+
+  Scenario: Bookings that can't be claimed don't make their servers look full
+    # The store is down and every booking with a key is refused for it, with a second to come back
+    # after. The second is the store's. Taken for the node's own, lookups would crowd onto the few
+    # nodes that no booking has met lately, and wait there.
+    Given a dispatcher with nodes that do unclaimed
+    When an idempotent request is dispatched
+    Then the selector takes no node for full or failing
+
+  Scenario: Bookings that can't be claimed don't lower the limit of a backend server
+    # Each booking has a slot when its claim is refused. The backend server never saw it.
+    Given the serving side of a node whose claims are all refused
+    When 20 bookings with keys are refused there
+    Then its load report shows a success rate of 1 and nothing in use
+    And its limit is that of before
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -11,7 +11,14 @@
 
 from marjoramtide.clock import SystemClock
 from marjoramtide.errors import ErrorCode
-from marjoramtide.exchange import Answer, Request, RequestBody, UnknownOutcomeError, inline_body
+from marjoramtide.exchange import (
+    Answer,
+    NotRunError,
+    Request,
+    RequestBody,
+    UnknownOutcomeError,
+    inline_body,
+)
 from marjoramtide.ingress import Dispatcher
 from marjoramtide.policy import make_selector
 from marjoramtide.settings import RouteSettings
@@ -47,6 +54,10 @@
         if what == "hang":
             await asyncio.Event().wait()
         await asyncio.sleep(0)
+        if what == "unclaimed":
+            raise NotRunError(
+                ErrorCode.STORE_UNAVAILABLE, "no claim", step="test", retry_after_ms=1000
+            )
         if what == "lose":
             raise UnknownOutcomeError(ErrorCode.PEER_LOST, "lost", step="test", peer=node)
         self.open.add(node)
@@ -65,11 +76,18 @@
 
 
 class InTurn:
-    """Chooses the nodes in their order, and hedges after a fixed delay; learns nothing."""
+    """Chooses the nodes in their order, and hedges after a fixed delay; notes what it is told."""
 
     def __init__(self, nodes: list[str], model: Any) -> None:
         self.nodes = nodes
         self.model = model
+        self.told: list[str] = []
+
+    def rejected(self, *_: Any, **__: Any) -> None:
+        self.told.append("rejected")
+
+    def lost(self, *_: Any, **__: Any) -> None:
+        self.told.append("lost")
 
     def choose(self, profile: Any, now: float, excluded: Any = ()) -> str | None:
         return next((node for node in self.nodes if node not in excluded), None)
@@ -188,3 +206,10 @@
 @then("no answer is left open")
 def check_none_open(context: Any) -> None:
     assert not context.nodes.open, context.nodes.open
+
+
+@then("the selector takes no node for full or failing")
+def then_nothing_told(context: Any) -> None:
+    assert isinstance(context.ended, NotRunError), context.ended
+    told = context.dispatcher.states["mapdesk"].selector.told
+    assert not told, told
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -10,9 +10,10 @@
 
 from marjoramtide.clock import SystemClock
 from marjoramtide.daemon._node import Node
-from marjoramtide.exchange import Answer, Request, RequestBody, inline_body
+from marjoramtide.errors import ErrorCode
+from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, inline_body
 from marjoramtide.membership import MemberState
-from marjoramtide.serving import BackendTransport, ClaimGate, ServingService
+from marjoramtide.serving import BackendTransport, ServingService
 from marjoramtide.settings import NodeSettings, RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, Tracer
 
@@ -47,24 +48,53 @@
         return RouteSettings(service=service)
 
 
-@given("the serving side of a node whose backend server never answers")
-def given_serving(context: Any) -> None:
+class RefusedClaims:
+    """Refuses every claim, as while the store is down."""
+
+    async def send(self, execution: Any, dispatch: Any) -> Answer:
+        raise NotRunError(ErrorCode.STORE_UNAVAILABLE, "no claim", step="test")
+
+
+def start_serving(context: Any, claim_gate: Any) -> None:
     context.runner = context.cleanup.enter_context(asyncio.Runner())
     context.clock = SystemClock()
     context.transport = SilentTransport()
     view = cast(SettingsView, OneRoute())
     tracer = Tracer("n", context.clock, random.Random(1))
     context.serving = ServingService(
-        "s",
-        context.transport,
-        cast(ClaimGate, None),
-        view,
-        context.clock,
-        Metrics(),
-        tracer,
+        "s", context.transport, claim_gate, view, context.clock, Metrics(), tracer
     )
     context.serving.open(RouteSettings(service="s"))
     context.serving.set_accepting(True)
+    context.limit_before = context.serving.admission.report(0.0).limit
+
+
+@given("the serving side of a node whose backend server never answers")
+def given_serving(context: Any) -> None:
+    start_serving(context, None)
+
+
+@given("the serving side of a node whose claims are all refused")
+def given_unclaimed(context: Any) -> None:
+    start_serving(context, RefusedClaims())
+
+
+@when("{count:d} bookings with keys are refused there")
+def when_unclaimed(context: Any, count: int) -> None:
+    deadline = context.clock.monotonic() + FAR_S
+    for number in range(count):
+        request = Request("s", "POST", "/", (), False, False, deadline, key=f"key-{number}")
+        try:
+            context.runner.run(context.serving.handle(request, inline_body()))
+        except NotRunError:
+            continue
+        raise AssertionError("a booking without a claim was served")
+
+
+@then("its limit is that of before")
+def then_limit(context: Any) -> None:
+    report = context.serving.admission.report(context.clock.monotonic())
+    assert report.limit == context.limit_before, report
 
 
 async def cancel_one(context: Any) -> None:
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -243,6 +243,13 @@
             case NotRunError(code=ErrorCode.CONNECT_FAILED | ErrorCode.PEER_LOST):
                 selector.lost(node, now, elapsed_ms=elapsed_ms, unreachable=True)
                 self.directory.report_failure(node)
+            case NotRunError(code=ErrorCode.STORE_UNAVAILABLE | ErrorCode.KEY_REUSED):
+                # The claim was refused, not the load: a node that took the hint to come back for
+                # its own would be left alone by everyone's lookups, and in an outage of the store
+                # all nodes would be in turn.
+                selector.cancelled(node, now, elapsed_ms=elapsed_ms)
+            case UnknownOutcomeError(code=ErrorCode.DUPLICATE_KEY):
+                selector.cancelled(node, now, elapsed_ms=elapsed_ms)
             case NotRunError():
                 attempts.rejected_by.add(node)
                 retry_after_ms = error.retry_after_ms or 0
--- a/src/marjoramtide/serving/_execution.py
+++ b/src/marjoramtide/serving/_execution.py
@@ -12,6 +12,9 @@
 class Execution:
     """One request at the backend server; ``begun`` once a byte of it may have left.
 
+    ``dispatched`` once the backend server was to be given it, so that what becomes of it from there
+    on tells something of that server.
+
     ``arrived``, ``started`` and ``deadline`` are in seconds of the monotonic clock. The deadline is
     a little before the request's own, so that the word of the serving node, which alone knows
     whether the request ran, reaches the caller before the ingress node gives up with "unknown".
@@ -23,6 +26,7 @@
     arrived: float
     deadline: float
     started: float = 0.0
+    dispatched: bool = False
     begun: bool = False
 
     def begin(self) -> None:
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -227,6 +227,7 @@
 
     async def dispatch(self, execution: Execution) -> Answer:
         """Hand the request to the backend server."""
+        execution.dispatched = True
         remaining = execution.deadline - self.clock.monotonic()
         return await self.transport.send(
             execution.request, execution.body, remaining * 1000, execution.begin
@@ -268,15 +269,17 @@
     def finish(self, execution: Execution, succeeded: bool, cancelled: bool = False) -> None:
         """Free the slot, once, and start whoever waits for it.
 
-        A request that its ingress node gave up says nothing of success: counted as a failure, the
-        losers of hedges would lower the limit and the success rate of healthy servers.
+        A request that its ingress node gave up, or that never got as far as the backend server for
+        want of a claim, says nothing of success: counted as failures, the losers of hedges, and all
+        bookings while the store is down, would lower the limit and the success rate of healthy
+        servers.
         """
         if execution.ticket not in self.in_progress:
             return
         now = self.clock.monotonic()
         duration_ms = (now - execution.started) * 1000
         self.metrics.timing("serving.execution", duration_ms)
-        if cancelled:
+        if cancelled or not execution.dispatched:
             self.start(self.admission.withdraw(execution.ticket, now))
         else:
             if self.measurer is not None:
