--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -5,12 +5,16 @@
 from collections.abc import Callable
 from typing import Any, cast
 
+import attrs
 from behave import given, then, when  # type: ignore[attr-defined]
 
 from marjoramtide.clock import SystemClock
+from marjoramtide.daemon._node import Node
+from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, inline_body
-from marjoramtide.serving import BackendTransport, ClaimGate, ServingService
-from marjoramtide.settings import RouteSettings, SettingsView
+from marjoramtide.membership import MemberState
+from marjoramtide.serving import BackendTransport, ServingService
+from marjoramtide.settings import NodeSettings, RouteSettings, SettingsView
 from marjoramtide.settings._freshness import Freshness
 from marjoramtide.settings._place import Place
 from marjoramtide.settings._tree_view import TreeSettingsView
@@ -47,24 +51,53 @@
         return RouteSettings(service=service)
 
 
-@given("the serving side of a node whose backend server never answers")
-def given_serving(context: Any) -> None:
+class RefusedClaims:
+    """Refuses every claim, as while the store is down."""
+
+    async def send(self, execution: Any, dispatch: Any) -> Answer:
+        raise NotRunError(ErrorCode.STORE_UNAVAILABLE, "no claim", step="test")
+
+
+def start_serving(context: Any, claim_gate: Any) -> None:
     context.runner = context.cleanup.enter_context(asyncio.Runner())
     context.clock = SystemClock()
     context.transport = SilentTransport()
     view = cast(SettingsView, OneRoute())
     tracer = Tracer("n", context.clock, random.Random(1))
     context.serving = ServingService(
-        "s",
-        context.transport,
-        cast(ClaimGate, None),
-        view,
-        context.clock,
-        Metrics(),
-        tracer,
+        "s", context.transport, claim_gate, view, context.clock, Metrics(), tracer
     )
     context.serving.open(RouteSettings(service="s"))
     context.serving.set_accepting(True)
+    context.limit_before = context.serving.admission.report(0.0).limit
+
+
+@given("the serving side of a node whose backend server never answers")
+def given_serving(context: Any) -> None:
+    start_serving(context, None)
+
+
+@given("the serving side of a node whose claims are all refused")
+def given_unclaimed(context: Any) -> None:
+    start_serving(context, RefusedClaims())
+
+
+@when("{count:d} bookings with keys are refused there")
+def when_unclaimed(context: Any, count: int) -> None:
+    deadline = context.clock.monotonic() + FAR_S
+    for number in range(count):
+        request = Request("s", "POST", "/", (), False, False, deadline, key=f"key-{number}")
+        try:
+            context.runner.run(context.serving.handle(request, inline_body()))
+        except NotRunError:
+            continue
+        raise AssertionError("a booking without a claim was served")
+
+
+@then("its limit is that of before")
+def then_limit(context: Any) -> None:
+    report = context.serving.admission.report(context.clock.monotonic())
+    assert report.limit == context.limit_before, report
 
 
 async def cancel_one(context: Any) -> None:
@@ -106,3 +139,37 @@
 
 async def end_of(work: Any) -> Any:
     return await asyncio.gather(work, return_exceptions=True)
+
+
+@given("a node that is not started")
+def given_node(context: Any) -> None:
+    context.runner = context.cleanup.enter_context(asyncio.Runner())
+    settings = NodeSettings(
+        service="s",
+        region="r",
+        data_centre="d",
+        callers="127.0.0.1:1",
+        peers="127.0.0.1:2",
+        gossip="127.0.0.1:3",
+        operators="127.0.0.1:4",
+        backend="127.0.0.1:5",
+        store="http://127.0.0.1:6",
+        key="a key for tests only",
+    )
+
+    async def make() -> Node:
+        return Node(settings)
+
+    context.node = context.runner.run(make())
+    context.cleanup.callback(lambda: context.runner.run(context.node.close()))
+
+
+@when("its own record turns dead")
+def when_superseded(context: Any) -> None:
+    own = context.node.membership.self_member
+    context.node.member_changed(attrs.evolve(own, state=MemberState.DEAD))
+
+
+@then("it asks to be stopped")
+def then_stopping(context: Any) -> None:
+    assert context.node.stop_asked.is_set()
