--- a/features/path/planned_stop.feature
+++ b/features/path/planned_stop.feature
@@ -37,6 +37,13 @@
     And all files completed
     And casedesk-2 exited with status 0 and left nothing unfinished
 
+  Scenario: A caller whose request is in progress at the stop is told to go elsewhere with the next
+    # Its answer comes while the node stops. Kept open, the connection would be closed at the end of
+    # the stop, perhaps amid the caller's next booking, which would then be unknown to it.
+    Given a node whose backend servers answer when it stops
+    When a lookup is in progress there, and the node stops
+    Then the caller gets the answer, and the connection is closed
+
   Scenario: A node that was replaced under its address stops by itself
     # An instance was frozen, and the platform started another one under its addresses. When the old
     # node goes on, it learns that its identity is dead. It stops as planned, in place of serving
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -15,6 +15,9 @@
 from marjoramtide.membership import MemberState
 from marjoramtide.serving import BackendTransport, ServingService
 from marjoramtide.settings import NodeSettings, RouteSettings, SettingsView
+from marjoramtide.settings._freshness import Freshness
+from marjoramtide.settings._place import Place
+from marjoramtide.settings._tree_view import TreeSettingsView
 from marjoramtide.telemetry import Metrics, Tracer
 
 FAR_S = 60.0
@@ -120,6 +123,24 @@
     assert report.in_use == 0, report
 
 
+@given("its service is no longer in the settings")
+def given_no_service(context: Any) -> None:
+    context.serving.view = TreeSettingsView(Place("r", "d"), cast(Freshness, None))
+
+
+@then("a booking that reaches it is refused as not run")
+def then_not_run(context: Any) -> None:
+    deadline = context.clock.monotonic() + FAR_S
+    request = Request("s", "POST", "/", (), False, False, deadline)
+    (ended,) = context.runner.run(end_of(context.serving.handle(request, inline_body())))
+    assert isinstance(ended, NotRunError) and ended.code == "unknown-service", repr(ended)
+    assert context.serving.idle.is_set()
+
+
+async def end_of(work: Any) -> Any:
+    return await asyncio.gather(work, return_exceptions=True)
+
+
 @given("a node that is not started")
 def given_node(context: Any) -> None:
     context.runner = context.cleanup.enter_context(asyncio.Runner())
--- a/src/marjoramtide/ingress/_caller_server.py
+++ b/src/marjoramtide/ingress/_caller_server.py
@@ -1,5 +1,7 @@
 """The library's server for callers' connections."""
 
+import resource
+import sys
 from typing import Any
 
 from aiohttp import web
@@ -10,6 +12,17 @@
 # Also a caller on a bad line takes the 48 kB between the library's water marks within this time.
 STALL_TIMEOUT_S = 30.0
 
+# Of the descriptors of the process; the rest is for peers, the backend server and the store.
+CALLERS_SHARE = 0.5
+
+
+def max_connections() -> int:
+    """Return how many callers' connections this process may hold at once."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return sys.maxsize
+    return max(1, int(descriptors * CALLERS_SHARE))
+
 
 class CallerServer(web.Server):
     """Makes our connections in place of the library's."""
@@ -19,18 +32,21 @@
         self.node = node
         self.metrics = metrics
         self.stall_timeout_s = STALL_TIMEOUT_S
+        self.max_connections = max_connections()
 
     @property
     def has_unsent(self) -> bool:
         """Tell whether bytes of any answer still wait to be handed to the system."""
-        transports = (connection.transport for connection in self.connections)
-        return any(each is not None and each.get_write_buffer_size() > 0 for each in transports)
+        # The library's own table: a connection that is being closed no longer has its transport,
+        # which goes on sending what is left.
+        return any(each.get_write_buffer_size() > 0 for each in self._connections.values())
 
     def __call__(self) -> CallerConnection:
         return CallerConnection(
             self.node,
             self.metrics,
             self.stall_timeout_s,
+            self.max_connections,
             self,
             loop=self._loop,
             **self._kwargs,
