--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -10,6 +10,7 @@
 from marjoramtide.claims import make_claim_cleaner, make_claims
 from marjoramtide.clock import FreezeDetector, SystemClock
 from marjoramtide.daemon._operators import make_node_handle
+from marjoramtide.daemon._supervision import keep_running
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.ingress import Dispatcher, Ingress
 from marjoramtide.membership import Member, MemberState, make_membership
@@ -92,6 +93,7 @@
         self.drained_by_operator = False
         self.operators = OperatorsServer(make_operators_app(make_node_handle(self)))
         self.stopping = False
+        self.stop_asked = asyncio.Event()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.view.on_change(self.settings_changed)
         self.membership.on_change(self.member_changed)
@@ -108,18 +110,19 @@
             raise MarjoramtideError(
                 ErrorCode.BAD_SETTINGS, f"can't listen: {error}", step="daemon.start"
             ) from error
-        for work in (
-            self.freeze.run(),
-            self.settings_service.run(),
-            self.measurer.run(),
-            self.metrics.run(),
-            summarise_logs(),
-            self.claims.run(),
-            make_claim_cleaner(
-                self.store, self.clock, fleet_size=lambda: len(self.membership.members())
-            ).run(),
-        ):
-            self.spawn(work)
+        cleaner = make_claim_cleaner(
+            self.store, self.clock, fleet_size=lambda: len(self.membership.members())
+        )
+        for name, work in {
+            "freeze": self.freeze.run,
+            "settings": self.settings_service.run,
+            "measurer": self.measurer.run,
+            "metrics": self.metrics.run,
+            "logs": summarise_logs,
+            "claims": self.claims.run,
+            "claim cleaner": cleaner.run,
+        }.items():
+            self.spawn(keep_running(name, work, self.clock, self.metrics))
         log.info("daemon.started", callers=settings.callers, peers=settings.peers)
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
@@ -184,7 +187,14 @@
 
     def member_changed(self, member: Member) -> None:
         """Close the connections to a node that is known to be dead."""
-        if member.state is MemberState.DEAD:
+        own = member.node == self.name
+        if own and member.state is MemberState.DEAD and not self.stopping:
+            # Another process has this node's address: the platform replaced an instance that was
+            # only frozen or cut off. Nobody would send here any more, yet callers that still reach
+            # this one would be served beside the fleet's knowledge, by settings of their own.
+            log.error("daemon.superseded", code=ErrorCode.PEER_REFUSED, step="daemon.membership")
+            self.stop_asked.set()
+        elif member.state is MemberState.DEAD and not own:
             self.spawn(self.peer_client.drop(member.peer_address))
 
     async def stop(self) -> None:
@@ -198,7 +208,7 @@
                 # Requests that others sent before they heard still get a "not run" in place of a
                 # broken connection, which would be an unknown outcome to a booking.
                 await asyncio.sleep(LEAVE_PAUSE_S)
-                await self.ingress.idle.wait()
+                await self.ingress.drained()
                 await self.serving.idle.wait()
                 await self.peer_server.drained()
                 await self.claim_gate.finish()
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -36,6 +36,10 @@
 # with bytes unread is reset, and the caller might lose the answer.
 LINGER_S = 2.0
 COME_BACK_MS = 1000
+# Far above what the backend servers behind one node take at once; each holds up to 64 kB of body.
+MAX_IN_PROGRESS = 2048
+URGENT_RESERVE = 256
+UNSENT_CHECK_S = 0.02
 
 
 class Ingress:
@@ -60,13 +64,16 @@
         self.tracer = tracer
         self.stopping = False
         self.in_progress = 0
+        self.max_in_progress = MAX_IN_PROGRESS
+        self.urgent_reserve = URGENT_RESERVE
         self.idle = asyncio.Event()
         self.idle.set()
+        self.server: CallerServer | None = None
         self.runner: web.ServerRunner | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Listen on the callers' address."""
-        server = CallerServer(
+        self.server = CallerServer(
             self.node,
             self.metrics,
             self.handle,
@@ -80,7 +87,7 @@
             keepalive_timeout=KEEP_ALIVE_S,
             lingering_time=LINGER_S,
         )
-        self.runner = web.ServerRunner(server, shutdown_timeout=0.5)
+        self.runner = web.ServerRunner(self.server, shutdown_timeout=0.5)
         await self.runner.setup()
         await web.TCPSite(self.runner, host, port, backlog=1024).start()
 
@@ -114,6 +121,7 @@
         try:
             self.check_open(now)
             request, settings = read_request(http, self.view, self.tracer, now)
+            self.check_room(request)
             body = await self.read_body(http, request, settings)
             with self.tracer.span("ingress", request.trace) as span:
                 if span is not None:
@@ -162,6 +170,22 @@
                 retry_after_ms=COME_BACK_MS,
             )
 
+    def check_room(self, request: Request) -> None:
+        """Refuse what is more than this node can hold; the last places are for urgent requests.
+
+        Queues are bounded at each serving node, but a request may also wait for its body, or for
+        nodes that don't answer: many callers at once would fill the memory, and a process that is
+        killed for it leaves the outcome of everything in progress unknown.
+        """
+        room = self.max_in_progress - (0 if request.urgent else self.urgent_reserve)
+        if self.in_progress > room:
+            raise NotRunError(
+                ErrorCode.OVERLOADED,
+                "too many requests are in progress at this node",
+                step="ingress",
+                retry_after_ms=COME_BACK_MS,
+            )
+
     def refuse(self, http: web.BaseRequest, error: MarjoramtideError) -> web.Response:
         self.metrics.count(f"ingress.refused.{error.code}")
         log.info("ingress.refused", **log_fields(error, http.remote))
@@ -224,6 +248,21 @@
         response.headers["Request-Outcome"] = Outcome.COMPLETED
         response.headers["Marjoramtide-Node"] = self.node
         response.headers["Server"] = "marjoramtide"
+        if self.stopping:
+            # Kept open, it would be closed at the end of the stop, perhaps amid the caller's next
+            # booking, which would then be unknown to its caller.
+            response.force_close()
+
+    async def drained(self) -> None:
+        """Wait until no request is in progress and callers have been sent every byte.
+
+        What a handler has given stands in the connection's buffer until the caller takes it. A
+        process that exits before cuts the answer of a slow reader off amid its body.
+        """
+        await self.idle.wait()
+        assert self.server is not None
+        while self.server.has_unsent:
+            await asyncio.sleep(UNSENT_CHECK_S)
 
     async def close(self) -> None:
         """Stop listening and close callers' connections."""
