Claims: a cleaner learns the size of the fleet before its first pause is drawn

Just started, a node knows no others and takes the fleet to be small: after a restart of 790 nodes their cleaners would read 79 slices of 100 KB a second for ten seconds (worked out). Now each waits 10 s first.

--- a/src/marjoramtide/claims/_claim_cleaner.py
+++ b/src/marjoramtide/claims/_claim_cleaner.py
@@ -42,6 +42,8 @@
 
     async def run(self) -> None:
         """Clean one slice after another, until cancelled."""
+        # A node that has just started knows no others, and would take the fleet to be small.
+        await self.clock.sleep(INTERVAL_S)
         while True:
             await self.clock.sleep(self.pause_s())
             await self.clean_slice(self.next_slice)
