--- a/features/path/backend_answers.feature
+++ b/features/path/backend_answers.feature
@@ -102,3 +102,18 @@
     And a GET goes to the scripted backend server
     Then its outcome is not run with the code overloaded
     And the scripted backend server got 10 connections
+
+  Scenario Outline: A refusal is a refusal whatever it says of when to come back
+    # The backend server says that it did not run the request, and adds nonsense. Read as an error,
+    # a provable "not run" would become "unknown", and the request would not go on elsewhere.
+    Given a scripted backend server that answers HTTP/1.1 503 No\r\nRequest-Outcome: not-run\r\n<hint>\r\nContent-Length: 0\r\n\r\n
+    When a GET goes to the scripted backend server
+    Then its refusal tells to come back after <told>
+
+    Examples:
+      | hint                    | told    |
+      | Retry-After-Ms: 250     | 250 ms  |
+      | Retry-After: 1          | 1000 ms |
+      | Retry-After-Ms: ²       | nothing |
+      | Retry-After-Ms: -5      | nothing |
+      | Retry-After: tomorrow   | nothing |
--- a/features/path/hedging.feature
+++ b/features/path/hedging.feature
@@ -53,3 +53,12 @@
     When an idempotent request is dispatched
     Then the caller gets 503 from node-3
     And no answer is left open
+
+  Scenario: No second try where servers have just refused for want of room
+    # More comes than the servers can do. The first try is slow as all are; a second one would take a
+    # slot for which somebody else is refused.
+    Given a dispatcher with nodes that do hang, answer 200
+    And one of the nodes has just refused for want of room
+    When an idempotent request with 50 ms left is dispatched
+    Then the caller gets an unknown outcome with the code deadline
+    And 1 node was asked
--- a/features/path/refusals.feature
+++ b/features/path/refusals.feature
@@ -36,3 +36,10 @@
     And it takes at most 3 connections
     When 5 callers connect and then ask
     Then 3 of them get the answer, and 2 a refusal
+
+  Scenario: Callers that a full node turns away in one moment don't come back in one moment
+    # The node tells each the same, since each would have waited as long. Told on as it is, they would
+    # all return together and be turned away again.
+    Given the budgets of a service whose routine second tries are used up
+    When 100 requests are refused with 1000 ms to come back after
+    Then at least 50 different times are told, from 1000 to 1500 ms
--- a/features/steps/backend_answers_steps.py
+++ b/features/steps/backend_answers_steps.py
@@ -193,3 +193,10 @@
 def check_body(context: Any, count: int) -> None:
     body = context.scripted.received.partition(b"\r\n\r\n")[2]
     assert len(body) <= count, body
+
+
+@then("its refusal tells to come back after {told}")
+def then_come_back(context: Any, told: str) -> None:
+    assert isinstance(context.ended, NotRunError), repr(context.ended)
+    wanted = None if told == "nothing" else int(told.removesuffix(" ms"))
+    assert context.ended.retry_after_ms == wanted, context.ended.retry_after_ms
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -213,3 +213,14 @@
     assert isinstance(context.ended, NotRunError), context.ended
     told = context.dispatcher.states["mapdesk"].selector.told
     assert not told, told
+
+
+@given("one of the nodes has just refused for want of room")
+def given_refused(context: Any) -> None:
+    dispatcher = context.dispatcher
+    dispatcher.states["mapdesk"].refused_at = dispatcher.clock.monotonic()
+
+
+@then("{count:d} node was asked")
+def then_asked(context: Any, count: int) -> None:
+    assert len(context.nodes.asked) == count, context.nodes.asked
--- a/features/steps/ingress_budget_steps.py
+++ b/features/steps/ingress_budget_steps.py
@@ -3,7 +3,7 @@
 import random
 from typing import Any
 
-from behave import given, then  # type: ignore[attr-defined]
+from behave import given, then, when  # type: ignore[attr-defined]
 
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import NotRunError, Request, inline_body
@@ -27,9 +27,13 @@
     assert any(not routine.withdraw(NOW + 1) for _ in range(MANY))
 
 
-def may_retry(context: Any, urgent: bool) -> bool:
+def one_try(context: Any, urgent: bool) -> Attempts:
     request = Request("s", "GET", "/", (), urgent, True, NOW + 10)
-    attempts = Attempts(request, inline_body(), RouteSettings(), context.state, count=1)
+    return Attempts(request, inline_body(), RouteSettings(), context.state, count=1)
+
+
+def may_retry(context: Any, urgent: bool) -> bool:
+    attempts = one_try(context, urgent)
     refused = NotRunError(ErrorCode.CONNECT_FAILED, "refused", step="test")
     return attempts.may_retry(refused, NOW + 1)
 
@@ -42,3 +46,18 @@
 @then("a routine request that certainly did not run may not be tried again")
 def then_routine(context: Any) -> None:
     assert not may_retry(context, urgent=False)
+
+
+@when("{count:d} requests are refused with {hint:d} ms to come back after")
+def when_refused(context: Any, count: int, hint: int) -> None:
+    context.told = []
+    for _ in range(count):
+        attempts = one_try(context, urgent=False)
+        attempts.note(NotRunError(ErrorCode.OVERLOADED, "full", step="test", retry_after_ms=hint))
+        context.told.append(attempts.final_error(NOW).retry_after_ms)
+
+
+@then("at least {count:d} different times are told, from {least:d} to {most:d} ms")
+def then_spread(context: Any, count: int, least: int, most: int) -> None:
+    assert len(set(context.told)) >= count, context.told
+    assert least <= min(context.told) and max(context.told) <= most, context.told
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -198,13 +198,14 @@
         """Refuse what is new, finish what is in progress, then leave."""
         log.info("daemon.stopping", in_progress=len(self.serving.in_progress))
         self.stopping = True
-        self.ingress.stopping = True
         self.update_state()
+        await self.ingress.leave()
         try:
             async with asyncio.timeout(self.settings.stop_grace_s):
                 # Requests that others sent before they heard still get a "not run" in place of a
                 # broken connection, which would be an unknown outcome to a booking.
                 await asyncio.sleep(LEAVE_PAUSE_S)
+                self.ingress.stopping = True
                 await self.ingress.drained()
                 await self.serving.idle.wait()
                 await self.peer_server.drained()
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -16,6 +16,7 @@
 from marjoramtide.settings import RouteSettings
 
 SERVER_ERROR = 500
+SPREAD = 1.5
 
 
 @attrs.define(slots=True)
@@ -95,4 +96,8 @@
             )
         if error.retry_after_ms is None:
             error.retry_after_ms = self.state.selector.retry_after_ms(now)
+        else:
+            # A full node tells all that it turns away in one moment the same. They would come back
+            # in one moment, and be turned away again.
+            error.retry_after_ms = round(error.retry_after_ms * self.state.rng.uniform(1, SPREAD))
         return error
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -160,7 +160,8 @@
 
     def start_hedge(self, attempts: Attempts, hedge: Hedge) -> None:
         """Begin a second try beside one that takes long, within the budget."""
-        if attempts.budgets.hedges.withdraw(self.clock.monotonic()):
+        now = self.clock.monotonic()
+        if attempts.state.may_hedge(now) and attempts.budgets.hedges.withdraw(now):
             self.metrics.count("ingress.hedges")
             self.start_another(attempts, hedge)
 
@@ -252,6 +253,8 @@
                 selector.cancelled(node, now, elapsed_ms=elapsed_ms)
             case NotRunError():
                 attempts.rejected_by.add(node)
+                if error.code is ErrorCode.OVERLOADED:
+                    attempts.state.refused_at = now
                 retry_after_ms = error.retry_after_ms or 0
                 selector.rejected(node, error.report, retry_after_ms, now, elapsed_ms=elapsed_ms)
             case UnknownOutcomeError(code=ErrorCode.DEADLINE):
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -62,6 +62,7 @@
         self.freeze = freeze
         self.metrics = metrics
         self.tracer = tracer
+        self.leaving = False
         self.stopping = False
         self.in_progress = 0
         self.max_in_progress = MAX_IN_PROGRESS
@@ -70,6 +71,7 @@
         self.idle.set()
         self.server: CallerServer | None = None
         self.runner: web.ServerRunner | None = None
+        self.site: web.TCPSite | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Listen on the callers' address."""
@@ -89,7 +91,8 @@
         )
         self.runner = web.ServerRunner(self.server, shutdown_timeout=0.5)
         await self.runner.setup()
-        await web.TCPSite(self.runner, host, port, backlog=1024).start()
+        self.site = web.TCPSite(self.runner, host, port, backlog=1024)
+        await self.site.start()
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of a caller."""
@@ -190,7 +193,7 @@
         self.metrics.count(f"ingress.refused.{error.code}")
         log.info("ingress.refused", **log_fields(error, http.remote))
         response = refusal(error, self.node)
-        if self.stopping or not http.content.at_eof():
+        if self.leaving or not http.content.at_eof():
             # The rest of a body that was not read would be taken for the next request.
             response.force_close()
         return response
@@ -248,11 +251,21 @@
         response.headers["Request-Outcome"] = Outcome.COMPLETED
         response.headers["Marjoramtide-Node"] = self.node
         response.headers["Server"] = "marjoramtide"
-        if self.stopping:
+        if self.leaving:
             # Kept open, it would be closed at the end of the stop, perhaps amid the caller's next
             # booking, which would then be unknown to its caller.
             response.force_close()
 
+    async def leave(self) -> None:
+        """Take no new connections, and end each kept one with its next answer.
+
+        What comes on kept connections meanwhile is passed on to other nodes: callers can't know yet
+        that this one stops, and need not be refused for it.
+        """
+        self.leaving = True
+        if self.site is not None:
+            await self.site.stop()
+
     async def drained(self) -> None:
         """Wait until no request is in progress and callers have been sent every byte.
 
--- a/src/marjoramtide/ingress/_service_state.py
+++ b/src/marjoramtide/ingress/_service_state.py
@@ -9,6 +9,8 @@
 from marjoramtide.policy import Selector, make_selector
 from marjoramtide.settings import RouteSettings
 
+HEDGE_PAUSE_S = 1.0
+
 
 @attrs.define(slots=True)
 class ServiceState:
@@ -18,9 +20,20 @@
     """
 
     settings: RouteSettings
+    rng: random.Random
     selector: Selector
     budgets: dict[bool, ClassBudgets]
     members: list[Member] = attrs.Factory(list)
+    refused_at: float = float("-inf")
+
+    def may_hedge(self, now: float) -> bool:
+        """Tell whether second tries beside a slow first one make sense at this moment.
+
+        Failure: more comes than the servers can do, every answer is slow, and each hedge takes a
+        slot for which somebody else is refused. A refusal for want of room shows that there is none
+        to spare.
+        """
+        return now - self.refused_at > HEDGE_PAUSE_S
 
     def refresh(self, directory: Directory, now: float) -> None:
         """Take over the members where they have changed."""
@@ -36,6 +49,7 @@
     """Return the state of a service that nothing is known of yet."""
     return ServiceState(
         settings,
+        rng,
         make_selector(settings, self_member, rng),
         {urgent: make_class_budgets(settings) for urgent in (False, True)},
     )
--- a/src/marjoramtide/serving/_http_transport.py
+++ b/src/marjoramtide/serving/_http_transport.py
@@ -24,6 +24,7 @@
 CONNECT_TIMEOUT_S = 1.0
 # Shorter than servers commonly keep an idle connection, so that a request seldom meets a close.
 KEEP_ALIVE_S = 4.0
+MAX_DIGITS = 7
 
 
 class HttpTransport(BackendTransport):
@@ -96,13 +97,12 @@
 
     def refused(self, reply: BackendReply) -> NotRunError:
         draining = reply.header("connection").lower() == "close"
-        retry_after_ms = reply.header("retry-after-ms")
         return NotRunError(
             ErrorCode.DRAINING if draining else ErrorCode.OVERLOADED,
             "the backend server refused the request",
             step="serving.read",
             peer=self.address,
-            retry_after_ms=int(retry_after_ms) if retry_after_ms.isdigit() else None,
+            retry_after_ms=come_back_ms(reply),
         )
 
     async def read(self, path: str, timeout_s: float) -> tuple[int, bytes]:
@@ -176,3 +176,16 @@
             self.sweeper.cancel()
         for connection in list(self.open):
             connection.abort()
+
+
+def come_back_ms(reply: BackendReply) -> int | None:
+    """Return when the backend server wants a refused request back, in milliseconds, if it says so.
+
+    What is no small whole number counts as not said: digits of other scripts, or thousands of them,
+    would end a provable "not run" in an error.
+    """
+    for name, unit_ms in (("retry-after-ms", 1), ("retry-after", 1000)):
+        text = reply.header(name)
+        if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS:
+            return int(text) * unit_ms
+    return None
