Keep announcing whatever an object in the store holds

Cause: an announcement whose time is the text '5' passed float(), and comparing it raised TypeError in the announcer's task, which waits for platform errors only: at every node of the fleet it ended without a line in the log, and nodes that started from then on found nobody announced. Before: the new scenario of node_tasks.feature, one write in 4,000 s and the task is gone. After: the object is told as unreadable, and any other fault is logged and waited out; each of both alone lets the scenario pass.

--- a/features/steps/node_tasks_steps.py
+++ b/features/steps/node_tasks_steps.py
@@ -1,12 +1,18 @@
 """Steps on the long-lived tasks of a node."""
 
 import asyncio
+import random
 from typing import Any
 
+import attrs
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
 
 from marjoramtide.clock import ManualClock
 from marjoramtide.daemon._supervision import keep_running
+from marjoramtide.membership import Member
+from marjoramtide.membership._announcement import ANNOUNCEMENTS, announcement_of
+from marjoramtide.membership._announcer import Announcer
+from marjoramtide.platform import StoredObject
 from marjoramtide.serving import Measurer
 from marjoramtide.settings import RouteSettings
 from marjoramtide.telemetry import Metrics
@@ -28,9 +34,9 @@
         return 200, self.bodies[min(self.reads, len(self.bodies)) - 1]
 
 
-async def pass_time(clock: ManualClock, seconds: float) -> None:
-    for _ in range(round(seconds * 10)):
-        clock.advance(0.1)
+async def pass_time(clock: ManualClock, seconds: float, step_s: float = 0.1) -> None:
+    for _ in range(round(seconds / step_s)):
+        clock.advance(step_s)
         for _ in range(5):
             await asyncio.sleep(0)
 
@@ -94,3 +100,54 @@
     context.metrics.flush()
     assert context.running and context.runs == FAILURES + 1, context.runs
     assert context.metrics.totals["daemon.task_restarts"] == count
+
+
+class OddStore:
+    """Holds one announcement of somebody else, and counts the writes of the node."""
+
+    def __init__(self, value: bytes) -> None:
+        self.other = StoredObject(ANNOUNCEMENTS + "other", value, 1)
+        self.writes = 0
+
+    async def create(self, key: str, value: bytes, *, timeout: float = 2.0) -> StoredObject:
+        self.writes += 1
+        return StoredObject(key, value, 2)
+
+    async def update(
+        self, key: str, value: bytes, version: int, *, timeout: float = 2.0
+    ) -> StoredObject:
+        return await self.create(key, value)
+
+    async def list(self, prefix: str, *, timeout: float = 2.0) -> list[StoredObject]:
+        return [self.other]
+
+    async def delete(self, key: str, version: int, *, timeout: float = 2.0) -> None:
+        raise AssertionError("it may be somebody's")
+
+
+@given("a store in which an announcement has the text {time} as its time")
+def given_odd_store(context: Any, time: str) -> None:
+    own = Member("n", "s", "r", "d", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+    odd = attrs.evolve(announcement_of(own, 0.0), node="other", gossip_address="127.0.0.1:4")
+    context.store = OddStore(attrs.evolve(odd, refreshed=time).encode())
+    context.clock = ManualClock()
+    context.announcer = Announcer(
+        context.store, context.clock, random.Random(1), lambda: own, lambda: 1, lambda found: None
+    )
+
+
+@when("a node announces itself for {seconds:g} s")
+def when_announces(context: Any, seconds: float) -> None:
+    async def work() -> None:
+        task = asyncio.create_task(context.announcer.run())
+        await pass_time(context.clock, seconds, 1.0)
+        context.running = not task.done()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(work())
+
+
+@then("it has announced itself at least {count:d} times, and goes on")
+def then_announced(context: Any, count: int) -> None:
+    assert context.running and context.store.writes >= count, context.store.writes
--- a/src/marjoramtide/membership/_announcement.py
+++ b/src/marjoramtide/membership/_announcement.py
@@ -51,7 +51,8 @@
     try:
         announcement = Announcement(**json.loads(value))
         parse_address(announcement.gossip_address)
-        float(announcement.refreshed)
+        if not isinstance(announcement.refreshed, int | float):
+            raise ValueError("its time is no number")
     except (ValueError, TypeError, AttributeError) as error:
         raise MarjoramtideError(
             ErrorCode.BAD_FRAME, f"not an announcement: {error}", step="membership.announce"
--- a/src/marjoramtide/membership/_announcer.py
+++ b/src/marjoramtide/membership/_announcer.py
@@ -70,6 +70,14 @@
                     log.warning(
                         "announcement-delayed", code=error.code, step=error.step, error=str(error)
                     )
+            except Exception:
+                # Whatever an object in the store may hold, a node that no longer announces itself
+                # or reads would be unknown to those that start after it, and they to it.
+                self.failures += 1
+                pause = self._retry_pause()
+                log.exception(
+                    "announcement-failed", code=ErrorCode.INTERNAL, step="membership.announce"
+                )
             await self.clock.sleep(pause)
 
     async def withdraw(self) -> None:
