--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -110,6 +110,9 @@
             raise MarjoramtideError(
                 ErrorCode.BAD_SETTINGS, f"can't listen: {error}", step="daemon.start"
             ) from error
+        cleaner = make_claim_cleaner(
+            self.store, self.clock, fleet_size=lambda: len(self.membership.members())
+        )
         for name, work in {
             "freeze": self.freeze.run,
             "settings": self.settings_service.run,
@@ -117,7 +120,7 @@
             "metrics": self.metrics.run,
             "logs": summarise_logs,
             "claims": self.claims.run,
-            "claim cleaner": make_claim_cleaner(self.store, self.clock).run,
+            "claim cleaner": cleaner.run,
         }.items():
             self.spawn(keep_running(name, work, self.clock, self.metrics))
         log.info("daemon.started", callers=settings.callers, peers=settings.peers)
