--- a/features/steps/ingress_callers_steps.py
+++ b/features/steps/ingress_callers_steps.py
@@ -74,6 +74,7 @@
     async def work() -> bytes:
         reading = asyncio.create_task(asyncio.to_thread(read_all, context.caller, seconds))
         transports = [each.transport for each in context.ingress.server.connections]
+        await context.ingress.leave()
         context.ingress.stopping = True
         await context.ingress.drained()
         await context.ingress.close()
@@ -153,7 +154,7 @@
 @given("a node whose backend servers answer when it stops")
 def given_answer_at_stop(context: Any) -> None:
     async def answer(request: Request, body: RequestBody, settings: RouteSettings) -> Answer:
-        while not context.ingress.stopping:
+        while not context.ingress.leaving:
             await asyncio.sleep(0)
         return Answer(200, (), b"late", length=4)
 
@@ -167,7 +168,7 @@
         asking = asyncio.create_task(send_raw(f"127.0.0.1:{context.port}", HEAD % 1))
         while not context.ingress.in_progress:
             await asyncio.sleep(0.01)
-        context.ingress.stopping = True
+        await context.ingress.leave()
         return await asking
 
     context.answer = context.runner.run(work())
