--- a/src/marjoramtide/membership/_announcer.py
+++ b/src/marjoramtide/membership/_announcer.py
@@ -70,6 +70,14 @@
                         "announcement-delayed", code=error.code, step=error.step, error=str(error)
                     )
                 await self.clock.sleep(self._retry_pause())
+            except Exception:
+                # Whatever an object in the store may hold, a node that no longer announces itself
+                # or reads would be unknown to those that start after it, and they to it.
+                self.failures += 1
+                log.exception(
+                    "announcement-failed", code=ErrorCode.INTERNAL, step="membership.announce"
+                )
+                await self.clock.sleep(self._retry_pause())
 
     async def withdraw(self) -> None:
         """Remove the announcement, for a planned stop; where the store is down it stays."""
