--- a/features/cli/commands.feature
+++ b/features/cli/commands.feature
@@ -40,6 +40,7 @@
     And the command "undrain b" ends with 0 and prints "b: ready"
     And the command "drain z" ends with 3 and prints "0 members are named 'z'"
     And the command "explain mapdesk" ends with 0 and prints "score"
+    And the command "explain mapdesk" ends with 0 and prints "overloaded"
     And the command "trace 0af7651916cd43dd8448eb211c80319c" ends with 0 and prints "ingress"
 
   Scenario: The editor's text is applied on top of the revision it was opened at
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -88,7 +88,10 @@
             settings=node.service,
             directory=directory,
             status=lambda: {"in_progress": 0},
-            explain=lambda service: [{"member": "a", "score": 1.0}],
+            explain=lambda service: {
+                "members": [{"member": "a", "score": 1.0}],
+                "decisions": [{"node": "a", "outcome": "overloaded"}],
+            },
             trace=lambda trace_id: [{"trace_id": trace_id, "name": "ingress", "start": 1.0}],
             drain=drain,
         )
--- a/src/marjoramtide/cli/_commands.py
+++ b/src/marjoramtide/cli/_commands.py
@@ -6,7 +6,7 @@
 from fire.decorators import SetParseFns
 
 from marjoramtide.cli._node_client import NodeClient, ask_all
-from marjoramtide.cli._output import format_table
+from marjoramtide.cli._output import format_records
 from marjoramtide.cli._service_commands import ServiceCommands
 from marjoramtide.cli._session import Session
 from marjoramtide.cli._settings_commands import HEAD_PATTERN, SettingsCommands, read_file
@@ -60,12 +60,11 @@
         self._steer(name, "/undrain")
 
     def explain(self, service: str) -> None:
-        """Print what the asked node believes of each member of SERVICE and how it scores them."""
-        found = self._session.node.get("/explain", service=service)["members"]
-        columns = list(dict.fromkeys(key for one in found for key in one))
-        rows = [[one.get(column, "") for column in columns] for one in found]
-        text = format_table(rows, columns) if found else f"nothing is known of {service} yet"
-        self._session.output.result(found, text)
+        """Print what the asked node believes of SERVICE's members, and where it sent requests."""
+        found = self._session.node.get("/explain", service=service)
+        members = format_records(found["members"]) or f"nothing is known of {service} yet"
+        decisions = format_records(found["decisions"]) or "no request was sent yet"
+        self._session.output.result(found, f"{members}\n\nlast decisions:\n{decisions}")
 
     @SetParseFns(trace_id=str)
     def trace(self, trace_id: str) -> None:
--- a/src/marjoramtide/cli/_output.py
+++ b/src/marjoramtide/cli/_output.py
@@ -61,3 +61,10 @@
         for row in cells
     )
     return "\n".join(lines)
+
+
+def format_records(records: Sequence[dict[str, Any]]) -> str:
+    """Return a table with a column for each key; an empty string for no records."""
+    columns = list(dict.fromkeys(key for one in records for key in one))
+    rows = [[one.get(column, "") for column in columns] for one in records]
+    return format_table(rows, columns) if records else ""
--- a/src/marjoramtide/daemon/_operators.py
+++ b/src/marjoramtide/daemon/_operators.py
@@ -20,7 +20,7 @@
         settings=node.settings_service,
         directory=node.membership,
         status=lambda: node_status(node),
-        explain=lambda service: explain_service(node, service),
+        explain=node.dispatcher.explain,
         trace=lambda trace_id: [attrs.asdict(span) for span in node.tracer.spans_of(trace_id)],
         drain=node.drain,
     )
@@ -40,8 +40,3 @@
         "log_lines_lost": log_output.lost,
         "gossip": attrs.asdict(node.membership.counters),
     }
-
-
-def explain_service(node: Node, service: str) -> list[dict[str, Any]]:
-    """Return what this node believes of each member of a service; raises ``unknown-service``."""
-    return node.dispatcher.state(service).selector.explain(node.clock.monotonic())
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import Any
 
 import attrs
 
@@ -17,6 +18,7 @@
     UnknownOutcomeError,
 )
 from marjoramtide.ingress._attempts import Attempts
+from marjoramtide.ingress._decision import Decision
 from marjoramtide.ingress._hedge import Hedge
 from marjoramtide.ingress._service_state import ServiceState, make_service_state
 from marjoramtide.membership import Directory
@@ -219,8 +221,11 @@
             answer = await self.send(attempts, node)
         except BaseException as error:
             self.learn_failure(attempts, node, error, started)
+            code = getattr(error, "code", "cancelled")
+            self.note_decision(attempts, node, started, str(code), getattr(error, "message", ""))
             raise
         now = self.clock.monotonic()
+        self.note_decision(attempts, node, started, "answered", str(answer.status))
         selector.answered(
             node,
             answer.report,
@@ -231,6 +236,36 @@
         )
         return answer
 
+    def note_decision(
+        self, attempts: Attempts, node: str, started: float, outcome: str, detail: str
+    ) -> None:
+        """Keep what became of a try for ``explain``."""
+        elapsed_ms = (self.clock.monotonic() - started) * 1000
+        request = attempts.request
+        attempts.state.decisions.append(
+            Decision(
+                self.clock.wall(),
+                node,
+                attempts.count,
+                request.urgent,
+                request.idempotent,
+                outcome,
+                detail,
+                elapsed_ms,
+            )
+        )
+
+    def explain(self, service: str) -> dict[str, list[dict[str, Any]]]:
+        """Return what is believed of each member of a service, and the last decisions.
+
+        Raises ``unknown-service``.
+        """
+        state = self.state(service)
+        return {
+            "members": state.selector.explain(self.clock.monotonic()),
+            "decisions": [attrs.asdict(decision) for decision in state.decisions],
+        }
+
     def learn_failure(
         self, attempts: Attempts, node: str, error: BaseException, started: float
     ) -> None:
--- a/src/marjoramtide/ingress/_service_state.py
+++ b/src/marjoramtide/ingress/_service_state.py
@@ -1,21 +1,26 @@
 """What an ingress node keeps for one service."""
 
 import random
+from collections import deque
 
 import attrs
 
 from marjoramtide.ingress._class_budgets import ClassBudgets, make_class_budgets
+from marjoramtide.ingress._decision import Decision
 from marjoramtide.membership import Directory, Member
 from marjoramtide.policy import Selector, make_selector
 from marjoramtide.settings import RouteSettings
 
 HEDGE_PAUSE_S = 1.0
+KEPT_DECISIONS = 50
 
 
 @attrs.define(slots=True)
 class ServiceState:
     """The selector and the budgets of one service, made from one revision of its settings.
 
+    ``decisions`` are the last ones, for operators who ask why requests went where they went.
+
     ``budgets`` are those of routine (``False``) and urgent (``True``) requests.
     """
 
@@ -25,6 +30,7 @@
     budgets: dict[bool, ClassBudgets]
     members: list[Member] = attrs.Factory(list)
     refused_at: float = float("-inf")
+    decisions: deque[Decision] = attrs.Factory(lambda: deque(maxlen=KEPT_DECISIONS))
 
     def may_hedge(self, now: float) -> bool:
         """Tell whether second tries beside a slow first one make sense at this moment.
--- a/src/marjoramtide/operators/_app.py
+++ b/src/marjoramtide/operators/_app.py
@@ -75,7 +75,7 @@
         return await stream_change(self.node.settings, http)
 
     async def explain(self, http: web.Request) -> web.Response:
-        return web.json_response({"members": self.node.explain(argument(http, "service"))})
+        return web.json_response(self.node.explain(argument(http, "service")))
 
     async def trace(self, http: web.Request) -> web.Response:
         return web.json_response({"spans": self.node.trace(argument(http, "id"))})
--- a/src/marjoramtide/operators/_node_handle.py
+++ b/src/marjoramtide/operators/_node_handle.py
@@ -14,13 +14,14 @@
     """The parts of a node that operators look at and steer.
 
     ``status`` returns what the node's other parts tell of themselves, ``explain`` what a service's
-    selector believes of each member, ``trace`` the spans kept of a trace, each as plain values that
-    JSON carries. ``drain`` stops (true) or resumes (false) taking new work.
+    selector believes (``members``) with its last ``decisions``, ``trace`` the spans kept of a
+    trace, each as plain values that JSON carries. ``drain`` stops (true) or resumes (false) taking
+    new work.
     """
 
     settings: SettingsService
     directory: Directory
     status: Callable[[], dict[str, Any]]
-    explain: Callable[[str], list[dict[str, Any]]]
+    explain: Callable[[str], dict[str, list[dict[str, Any]]]]
     trace: Callable[[str], list[dict[str, Any]]]
     drain: Callable[[bool], None]
