--- a/src/marjoramtide/exchange/_answer.py
+++ b/src/marjoramtide/exchange/_answer.py
@@ -6,6 +6,8 @@
 
 from marjoramtide.policy import LoadReport
 
+SERVER_ERROR = 500
+
 
 @attrs.define(slots=True)
 class Answer:
@@ -26,6 +28,11 @@
     served_ms: float | None = None
     cancel: Callable[[], Awaitable[None]] | None = None
 
+    @property
+    def is_server_error(self) -> bool:
+        """Tell whether the backend server failed at the request (status 5xx)."""
+        return self.status >= SERVER_ERROR
+
     async def close(self) -> None:
         """Stop a stream that nobody reads any more."""
         if self.cancel is not None:
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -15,7 +15,6 @@
 from marjoramtide.ingress._service_state import ServiceState
 from marjoramtide.settings import RouteSettings
 
-SERVER_ERROR = 500
 SPREAD = 1.5
 
 
@@ -56,7 +55,7 @@
         """
         if isinstance(ended, Answer):
             self.answers.append(ended)
-            if ended.status < SERVER_ERROR:
+            if not ended.is_server_error:
                 return None
             return UnknownOutcomeError(
                 ErrorCode.BACKEND_FAILED, f"status {ended.status}", step="ingress.attempt"
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -27,8 +27,6 @@
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, Tracer
 
-SERVER_ERROR = 500
-
 
 class Dispatcher:
     """Sends each request to the node that the selector chooses, again where that is safe."""
@@ -230,7 +228,7 @@
             node,
             answer.report,
             (now - started) * 1000,
-            answer.status < SERVER_ERROR,
+            not answer.is_server_error,
             now,
             served_ms=answer.served_ms,
         )
--- a/src/marjoramtide/ingress/_hedge.py
+++ b/src/marjoramtide/ingress/_hedge.py
@@ -8,8 +8,6 @@
 
 from marjoramtide.exchange import Answer, RequestFailedError
 
-SERVER_ERROR = 500
-
 
 @attrs.define(slots=True, eq=False)
 class Hedge:
@@ -69,7 +67,7 @@
         if self.owner is None or self.winner is not None or task.cancelled():
             return
         error = task.exception()
-        if error is None and task.result().status < SERVER_ERROR:
+        if error is None and not task.result().is_server_error:
             self.winner = task
             self.owner.cancel()
         elif error is None or isinstance(error, RequestFailedError):
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -26,7 +26,6 @@
 from marjoramtide.telemetry import Metrics, Tracer
 
 STEP = "serving.send"
-SERVER_ERROR = 500
 MAX_KINDS = 64
 
 
@@ -192,7 +191,7 @@
                 answer = await self.send(execution)
                 if span is not None:
                     span.attributes |= {"status": answer.status, "urgent": request.urgent}
-            succeeded = answer.status < SERVER_ERROR
+            succeeded = not answer.is_server_error
             streaming = answer.stream is not None
             if answer.stream is not None:
                 answer.stream = self.watch_stream(execution, answer.stream, succeeded)
