--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any, cast
 
 import attrs
@@ -13,7 +14,7 @@
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, inline_body
 from marjoramtide.membership import MemberState
-from marjoramtide.serving import BackendTransport, ServingService
+from marjoramtide.serving import BackendState, BackendTransport, Measurer, ServingService
 from marjoramtide.settings import NodeSettings, RouteSettings, SettingsView
 from marjoramtide.settings._freshness import Freshness
 from marjoramtide.settings._place import Place
@@ -173,3 +174,30 @@
 @then("it asks to be stopped")
 def then_stopping(context: Any) -> None:
     assert context.node.stop_asked.is_set()
+
+
+@when("settings with {count:d} connections come into force there")
+def when_connections(context: Any, count: int) -> None:
+    async def work() -> None:
+        settings = RouteSettings(service="s", connections=count)
+        context.node.view = SimpleNamespace(route=lambda service, path: settings)
+        context.node.settings_changed(2)
+
+    context.runner.run(work())
+
+
+@then("it opens at most {count:d} connections to its backend server")
+def then_limit_of_connections(context: Any, count: int) -> None:
+    assert context.node.transport.limit == count, context.node.transport.limit
+
+
+@when("its health is read with no path in the settings")
+def when_no_path(context: Any) -> None:
+    measurer = Measurer(context.transport, context.clock, Metrics(), lambda state: None)
+    measurer.configure(RouteSettings(service="s", health_path=""))
+    context.state = context.runner.run(measurer.read())
+
+
+@then("the backend server counts as ready")
+def then_ready(context: Any) -> None:
+    assert context.state is BackendState.READY, context.state
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -30,8 +30,8 @@
 
 log = structlog.get_logger()
 
-# Connections to the backend server are bounded by its slots; this bounds them where slots are many.
-MAX_CONNECTIONS = 1000
+# Until the settings say how many connections the backend server takes.
+FIRST_CONNECTIONS = 10
 LEAVE_PAUSE_S = 0.3
 
 
@@ -48,7 +48,7 @@
         self.name = self.membership.self_member.node
         self.metrics = Metrics(settings.statsd)
         self.tracer = Tracer(self.name, self.clock, rng, settings.trace_file)
-        self.transport = HttpTransport(settings.backend, MAX_CONNECTIONS)
+        self.transport = HttpTransport(settings.backend, FIRST_CONNECTIONS)
         self.claims = make_claims(self.store, self.clock, self.name)
         self.peer_client = PeerClient(settings.key, self.clock)
         self.peer_server = PeerServer(settings.key, self.clock, self.freeze)
@@ -148,6 +148,7 @@
         except MarjoramtideError as error:
             log.warning("daemon.no_service", code=error.code, reason=error.message)
             return
+        self.transport.limit = settings.connections
         self.serving.open(settings)
         self.measurer.configure(settings)
         self.update_state()
--- a/src/marjoramtide/serving/_measurer.py
+++ b/src/marjoramtide/serving/_measurer.py
@@ -79,6 +79,10 @@
         """Read once; ``None`` where one failure alone says too little."""
         assert self.budget is not None
         started = self.clock.monotonic()
+        if not self.path:
+            # Nothing to read: what becomes of requests is all there is to know.
+            self.budget.read(started)
+            return BackendState.READY
         try:
             status, body = await self.transport.read(self.path, READ_TIMEOUT_S)
             state = parse_state(status, body)
--- a/src/marjoramtide/settings/_route_settings.py
+++ b/src/marjoramtide/settings/_route_settings.py
@@ -41,7 +41,6 @@
     hedge_quantile: float = 0.95
     # Measuring a backend server
     health_path: str = "/health"
-    load_path: str = "/load"
     measuring_per_s: float = 1.0
     measuring_share: float = 0.005
     # Claims for requests with an Idempotency-Key
--- a/src/marjoramtide/settings/_schema.py
+++ b/src/marjoramtide/settings/_schema.py
@@ -211,13 +211,6 @@
         optional=True,
         meaning="The backend server's health endpoint.",
     ),
-    PathKey(
-        name="load_path",
-        group=MEASURING,
-        levels=NOT_ON_ROUTES,
-        optional=True,
-        meaning="The backend server's load endpoint.",
-    ),
     NumberKey(
         name="measuring_per_s",
         group=MEASURING,
