--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -39,6 +39,8 @@
         raise AssertionError("a silent server answered")
 
     async def read(self, path: str, timeout_s: float) -> tuple[int, bytes]:
+        if not path:
+            raise NotRunError(ErrorCode.CONNECT_FAILED, "no path", step="test")
         return 200, b"{}"
 
     async def close(self) -> None:
