--- a/features/steps/ingress_callers_steps.py
+++ b/features/steps/ingress_callers_steps.py
@@ -10,7 +10,7 @@
 
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
 
-from marjoramtide.clock import FreezeDetector, SystemClock
+from marjoramtide.clock import SystemClock
 from marjoramtide.exchange import Answer, Request, RequestBody
 from marjoramtide.ingress import Ingress
 from marjoramtide.settings import RouteSettings
@@ -41,7 +41,6 @@
         view,
         SimpleNamespace(dispatch=dispatch),
         clock,
-        FreezeDetector(clock),
         context.metrics,
         Tracer("n", clock, random.Random(1)),
     )
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -85,7 +85,6 @@
             self.view,
             self.dispatcher,
             self.clock,
-            self.freeze,
             self.metrics,
             self.tracer,
         )
--- a/src/marjoramtide/errors/_codes.py
+++ b/src/marjoramtide/errors/_codes.py
@@ -21,7 +21,6 @@
     DRAINING = "draining"
     STALE_SETTINGS = "stale-settings"
     NO_CANDIDATE = "no-candidate"
-    RETRY_BUDGET = "retry-budget"
     CONNECT_FAILED = "connect-failed"
     PEER_LOST = "peer-lost"
     PEER_REFUSED = "peer-refused"
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -219,7 +219,7 @@
             answer = await self.send(attempts, node)
         except BaseException as error:
             self.learn_failure(attempts, node, error, started)
-            code = getattr(error, "code", "cancelled")
+            code = getattr(error, "code", ErrorCode.CANCELLED)
             self.note_decision(attempts, node, started, str(code), getattr(error, "message", ""))
             raise
         now = self.clock.monotonic()
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -7,7 +7,7 @@
 import structlog
 from aiohttp import web
 
-from marjoramtide.clock import Clock, FreezeDetector
+from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import (
     Answer,
@@ -51,7 +51,6 @@
         view: SettingsView,
         dispatcher: Dispatcher,
         clock: Clock,
-        freeze: FreezeDetector,
         metrics: Metrics,
         tracer: Tracer,
     ) -> None:
@@ -59,7 +58,6 @@
         self.view = view
         self.dispatcher = dispatcher
         self.clock = clock
-        self.freeze = freeze
         self.metrics = metrics
         self.tracer = tracer
         self.leaving = False
@@ -122,7 +120,7 @@
     async def answer(self, http: web.BaseRequest, now: float) -> web.StreamResponse:
         body: RequestBody | None = None
         try:
-            self.check_open(now)
+            self.check_open()
             request, settings = read_request(http, self.view, self.tracer, now)
             self.check_room(request)
             body = await self.read_body(http, request, settings)
@@ -156,13 +154,12 @@
                 step="ingress.read_body",
             ) from error
 
-    def check_open(self, now: float) -> None:
+    def check_open(self) -> None:
         """Refuse where this node must not take callers' requests."""
         if self.stopping:
             raise NotRunError(
                 ErrorCode.DRAINING, "the node is stopping", step="ingress", retry_after_ms=0
             )
-        self.freeze.was_frozen(now)
         if not self.view.is_current:
             # Cut off from the store and every peer, this node can't know what was accepted since;
             # serving by old settings would make an accepted change untrue here.
