--- a/bench/claims.py
+++ b/bench/claims.py
@@ -21,8 +21,8 @@
 
 from marjoramtide.claims import ClaimOutcome, Claims, ClaimState, make_claims
 from marjoramtide.clock import SystemClock
-from marjoramtide.platform import open_object_store
 from marjoramtide.settings import RouteSettings
+from marjoramtide.store import open_object_store
 
 SEED = 20261202
 DEADLINE_S = 1.0
--- a/bench/memory_store.py
+++ b/bench/memory_store.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.platform import ObjectStore, StoredObject, WatchEvent
+from marjoramtide.store import ObjectStore, StoredObject, WatchEvent
 
 
 class MemoryStore(ObjectStore):
--- a/bench/settings_cost.py
+++ b/bench/settings_cost.py
@@ -24,9 +24,9 @@
 from marjoramtide.clock import SystemClock
 from marjoramtide.membership import Directory, Member, MemberState
 from marjoramtide.peers import ControlChannel
-from marjoramtide.platform import StoredObject, WatchEvent
 from marjoramtide.settings import Edit, EditAction, NodeSettings
 from marjoramtide.settings.sync import ChangeRequest, SettingsService, make_settings_service
+from marjoramtide.store import StoredObject, WatchEvent
 
 SIZES = (10, 50, 100, 200)
 TARGET = 790
--- a/features/settings_fakes.py
+++ b/features/settings_fakes.py
@@ -13,9 +13,9 @@
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.membership import Announcement, Directory, Member, MemberState
 from marjoramtide.peers import ControlChannel
-from marjoramtide.platform import ObjectStore, StoredObject, WatchEvent
 from marjoramtide.settings import NodeSettings
 from marjoramtide.settings.sync import SettingsService, make_settings_service
+from marjoramtide.store import ObjectStore, StoredObject, WatchEvent
 
 STEP_S = 0.05
 
--- a/features/steps/announcements_steps.py
+++ b/features/steps/announcements_steps.py
@@ -10,7 +10,7 @@
 from marjoramtide.clock import ManualClock
 from marjoramtide.membership import Member, MemberState
 from marjoramtide.membership._announcer import Announcer
-from marjoramtide.platform import StoredObject
+from marjoramtide.store import StoredObject
 
 use_step_matcher("parse")
 
--- a/features/steps/ingress_callers_steps.py
+++ b/features/steps/ingress_callers_steps.py
@@ -13,7 +13,7 @@
 from marjoramtide.clock import SystemClock
 from marjoramtide.exchange import Answer, Request, RequestBody
 from marjoramtide.ingress import Ingress
-from marjoramtide.settings import RouteSettings
+from marjoramtide.settings import DEFAULTS, RouteSettings
 from marjoramtide.telemetry import Metrics, Tracer
 from standins.raw_caller import STATUS_LINE, RawAnswer, send_raw
 
@@ -32,8 +32,8 @@
     clock = SystemClock()
     view = SimpleNamespace(
         is_current=True,
-        service_for_host=lambda host: host,
-        route=lambda service, path: RouteSettings(service=service),
+        node_values=DEFAULTS,
+        find=lambda host, path: RouteSettings(service=host),
     )
     context.metrics = Metrics()
     context.ingress = Ingress(
--- a/features/steps/membership_service_steps.py
+++ b/features/steps/membership_service_steps.py
@@ -20,8 +20,8 @@
     MemberState,
     make_membership,
 )
-from marjoramtide.platform import StoredObject
 from marjoramtide.settings import NodeSettings
+from marjoramtide.store import StoredObject
 
 SERVICE = "mapdesk"
 POLL_S = 0.02
--- a/features/steps/node_tasks_steps.py
+++ b/features/steps/node_tasks_steps.py
@@ -12,9 +12,9 @@
 from marjoramtide.membership import Member
 from marjoramtide.membership._announcement import ANNOUNCEMENTS, announcement_of
 from marjoramtide.membership._announcer import Announcer
-from marjoramtide.platform import StoredObject
-from marjoramtide.serving import Measurer
+from marjoramtide.serving import EndpointAnswer, Measurer
 from marjoramtide.settings import RouteSettings
+from marjoramtide.store import StoredObject
 from marjoramtide.telemetry import Metrics
 
 use_step_matcher("parse")
@@ -29,9 +29,9 @@
         self.bodies = bodies
         self.reads = 0
 
-    async def read(self, path: str, timeout_s: float) -> tuple[int, bytes]:
+    async def read(self, path: str, timeout_s: float) -> EndpointAnswer:
         self.reads += 1
-        return 200, self.bodies[min(self.reads, len(self.bodies)) - 1]
+        return EndpointAnswer(200, body=self.bodies[min(self.reads, len(self.bodies)) - 1])
 
 
 async def pass_time(clock: ManualClock, seconds: float, step_s: float = 0.1) -> None:
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -7,7 +7,7 @@
 
 from features.store_harness import start_harness, start_process
 from marjoramtide.errors import MarjoramtideError
-from marjoramtide.platform import StoreLimits, create_resolved, update_resolved
+from marjoramtide.store import StoreLimits, create_resolved, update_resolved
 
 
 def resolve(context: Any, write: Any, *place: Any, within: float = 3.0) -> None:
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -14,7 +14,13 @@
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, inline_body
 from marjoramtide.membership import MemberState
-from marjoramtide.serving import BackendState, BackendTransport, Measurer, ServingService
+from marjoramtide.serving import (
+    BackendState,
+    BackendTransport,
+    EndpointAnswer,
+    Measurer,
+    ServingService,
+)
 from marjoramtide.settings import NodeSettings, RouteSettings, SettingsView
 from marjoramtide.settings._freshness import Freshness
 from marjoramtide.settings._place import Place
@@ -38,10 +44,10 @@
         await asyncio.get_running_loop().create_future()
         raise AssertionError("a silent server answered")
 
-    async def read(self, path: str, timeout_s: float) -> tuple[int, bytes]:
+    async def read(self, path: str, timeout_s: float) -> EndpointAnswer:
         if not path:
             raise NotRunError(ErrorCode.CONNECT_FAILED, "no path", step="test")
-        return 200, b"{}"
+        return EndpointAnswer(200, body=b"{}")
 
     async def close(self) -> None:
         pass
--- a/features/store_harness.py
+++ b/features/store_harness.py
@@ -12,7 +12,7 @@
 
 from marjoramtide.clock import SystemClock
 from marjoramtide.errors import MarjoramtideError
-from marjoramtide.platform import HttpObjectStore, StoreLimits, open_object_store
+from marjoramtide.store import HttpObjectStore, StoreLimits, open_object_store
 from standins.object_store import ObjectStoreServer, make_server
 
 T = TypeVar("T")
--- a/src/marjoramtide/claims/_claim_cleaner.py
+++ b/src/marjoramtide/claims/_claim_cleaner.py
@@ -9,7 +9,7 @@
 from marjoramtide.claims._retention import store_time
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.platform import ObjectStore, StoredObject
+from marjoramtide.store import ObjectStore, StoredObject
 
 INTERVAL_S = 10.0
 FLEET_INTERVAL_S = 0.2
--- a/src/marjoramtide/claims/_claims.py
+++ b/src/marjoramtide/claims/_claims.py
@@ -18,8 +18,8 @@
 from marjoramtide.claims._unsettled import Unsettled
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.platform import ObjectStore, Resolution, create_resolved, update_resolved
 from marjoramtide.settings import RouteSettings
+from marjoramtide.store import ObjectStore, Resolution, create_resolved, update_resolved
 
 MAX_BODY_BYTES = 4096
 MAX_HEADER_BYTES = 2048
--- a/src/marjoramtide/claims/_retention.py
+++ b/src/marjoramtide/claims/_retention.py
@@ -1,8 +1,8 @@
 """How long claims are kept."""
 
 from marjoramtide.clock import Clock
-from marjoramtide.platform import ObjectStore
 from marjoramtide.settings import RouteSettings
+from marjoramtide.store import ObjectStore
 
 DISPATCH_WINDOW_S = 30.0
 CLOCK_SKEW_S = 60.0
--- a/src/marjoramtide/claims/_unsettled.py
+++ b/src/marjoramtide/claims/_unsettled.py
@@ -11,7 +11,7 @@
 from marjoramtide.claims._retention import store_time
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.platform import ObjectStore
+from marjoramtide.store import ObjectStore
 
 log = structlog.get_logger()
 
--- a/src/marjoramtide/clock/_system.py
+++ b/src/marjoramtide/clock/_system.py
@@ -10,7 +10,9 @@
     """Time as the machine tells it."""
 
     def monotonic(self) -> float:
-        return time.monotonic()
+        # Not time.monotonic(), which stands still while the machine is suspended: deadlines that
+        # passed meanwhile would seem to be ahead, and old views of others fresh.
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         return time.time()
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -5,6 +5,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import attrs
 import structlog
 
 from marjoramtide.claims import make_claim_cleaner, make_claims
@@ -13,19 +14,22 @@
 from marjoramtide.daemon._supervision import keep_running
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.ingress import Dispatcher, Ingress
+from marjoramtide.interface import Interface, own_interface
 from marjoramtide.membership import Member, MemberState, make_membership
-from marjoramtide.operators import OperatorsServer, make_operators_app
+from marjoramtide.operators import make_operators_app
 from marjoramtide.peers import PeerClient, PeerControlChannel, PeerServer
-from marjoramtide.platform import open_object_store
 from marjoramtide.serving import (
     BackendState,
     ClaimGate,
     HttpTransport,
     Measurer,
+    Registrar,
     ServingService,
 )
 from marjoramtide.settings import NodeSettings, parse_address
 from marjoramtide.settings.sync import make_settings_service
+from marjoramtide.sockets import AppServer
+from marjoramtide.store import open_object_store
 from marjoramtide.telemetry import Metrics, Tracer, summarise_logs
 
 log = structlog.get_logger()
@@ -33,28 +37,43 @@
 # Until the settings say how many connections the backend server takes.
 FIRST_CONNECTIONS = 10
 LEAVE_PAUSE_S = 0.3
+# The backend server waits a second for the acknowledgement of its heartbeat.
+IDENTITY_TIMEOUT_S = 0.3
+# Of the time for a planned stop: for telling the others and closing what is open.
+STOP_MARGIN_S = 0.0
 
 
 class Node:
     """Owns the parts of a node; each part owns its sockets and its state."""
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(self, settings: NodeSettings, interface: Interface | None = None) -> None:
         self.settings = settings
+        self.interface = interface = interface or own_interface()
+        self.stop_grace_s = interface.stop_grace_s or settings.stop_grace_s
         self.clock = SystemClock()
         rng = random.Random()
-        self.store = open_object_store(settings.store, clock=self.clock, rng=rng)
+        self.store = open_object_store(
+            settings.store, clock=self.clock, rng=rng, protocol=interface.store
+        )
         self.freeze = FreezeDetector(self.clock)
         self.membership = make_membership(settings, self.store, self.clock, random.SystemRandom())
         self.name = self.membership.self_member.node
         self.metrics = Metrics(settings.statsd)
         self.tracer = Tracer(self.name, self.clock, rng, settings.trace_file)
-        self.transport = HttpTransport(settings.backend, FIRST_CONNECTIONS)
+        self.transport = HttpTransport(settings.backend, FIRST_CONNECTIONS, interface.backend)
         self.claims = make_claims(self.store, self.clock, self.name)
         self.peer_client = PeerClient(settings.key, self.clock)
         self.peer_server = PeerServer(settings.key, self.clock, self.freeze)
         control = PeerControlChannel(self.peer_client, self.peer_server)
         self.settings_service = make_settings_service(
-            settings, self.store, self.membership, control, self.clock, rng, self.freeze
+            settings,
+            self.store,
+            self.membership,
+            control,
+            self.clock,
+            rng,
+            self.freeze,
+            interface.tree,
         )
         self.view = self.settings_service.view
         self.claim_gate = ClaimGate(self.claims, self.view, self.clock)
@@ -68,7 +87,9 @@
             self.tracer,
         )
         self.peer_server.handler = self.serving
-        self.measurer = Measurer(self.transport, self.clock, self.metrics, self.backend_changed)
+        self.measurer = Measurer(
+            self.transport, self.clock, self.metrics, self.backend_changed, interface.backend
+        )
         self.serving.measurer = self.measurer
         self.dispatcher = Dispatcher(
             self.membership,
@@ -87,10 +108,16 @@
             self.clock,
             self.metrics,
             self.tracer,
+            interface.callers,
         )
+        self.registrar: Registrar | None = None
+        if interface.registration_app is not None:
+            self.registrar = Registrar(
+                settings.service, self.ask_identity, self.registration_changed
+            )
         self.backend_state: BackendState | None = None
         self.drained_by_operator = False
-        self.operators = OperatorsServer(make_operators_app(make_node_handle(self)))
+        self.servers = self.make_servers()
         self.stopping = False
         self.stop_asked = asyncio.Event()
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -103,8 +130,9 @@
         try:
             await self.peer_server.start(*parse_address(settings.peers))
             await self.membership.start()
-            await self.operators.start(*parse_address(settings.operators))
             await self.ingress.start(*parse_address(settings.callers))
+            for address, server in self.servers.items():
+                await server.start(*parse_address(address))
         except OSError as error:
             raise MarjoramtideError(
                 ErrorCode.BAD_SETTINGS, f"can't listen: {error}", step="daemon.start"
@@ -124,6 +152,43 @@
             self.spawn(keep_running(name, work, self.clock, self.metrics))
         log.info("daemon.started", callers=settings.callers, peers=settings.peers)
 
+    def make_servers(self) -> dict[str, AppServer]:
+        """Return the small HTTP servers of this node by their addresses."""
+        settings = self.settings
+        operators = make_operators_app(make_node_handle(self))
+        servers = {settings.operators: AppServer("operators", operators)}
+        if self.interface.readiness_app is not None and settings.readiness:
+            app = self.interface.readiness_app(self.takes_callers)
+            servers[settings.readiness] = AppServer("readiness", app)
+        if self.interface.registration_app is not None and self.registrar is not None:
+            app = self.interface.registration_app(self.registrar)
+            servers[settings.registration] = AppServer("registration", app)
+        return servers
+
+    def takes_callers(self) -> bool:
+        """Tell whether callers may be sent to this node."""
+        return self.view.revision > 0 and self.view.is_current and not self.stopping
+
+    async def ask_identity(self) -> str:
+        """Read from the backend server who it is; empty where it doesn't say."""
+        path = self.measurer.path
+        try:
+            answer = await self.transport.read(path, IDENTITY_TIMEOUT_S)
+        except (MarjoramtideError, TimeoutError) as error:
+            log.info("daemon.identity_unknown", reason=str(error), step="daemon.identity")
+            return ""
+        return self.interface.backend.read_health(answer).instance
+
+    def registration_changed(self) -> None:
+        """Go on by what the backend server has told of itself."""
+        assert self.registrar is not None
+        current = self.registrar.current
+        self.transport.instance = current.instance if current is not None else ""
+        self.settings_changed(self.view.revision)
+        self.update_state()
+        if not self.registrar.is_ready:
+            self.serving.hand_back()
+
     def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         """Run a task of the node for as long as the node runs."""
         task = asyncio.create_task(work)
@@ -147,6 +212,8 @@
         except MarjoramtideError as error:
             log.warning("daemon.no_service", code=error.code, reason=error.message)
             return
+        if self.registrar is not None and self.registrar.current is not None:
+            settings = attrs.evolve(settings, slots=self.registrar.current.slots)
         self.transport.limit = settings.connections
         self.serving.open(settings)
         self.measurer.configure(settings)
@@ -171,6 +238,7 @@
         accepting = (
             opened
             and self.backend_state is BackendState.READY
+            and (self.registrar is None or self.registrar.is_ready)
             and not self.drained_by_operator
             and not self.stopping
         )
@@ -204,7 +272,7 @@
         self.update_state()
         await self.ingress.leave()
         try:
-            async with asyncio.timeout(self.settings.stop_grace_s):
+            async with asyncio.timeout(self.stop_grace_s - STOP_MARGIN_S):
                 # Requests that others sent before they heard still get a "not run" in place of a
                 # broken connection, which would be an unknown outcome to a booking.
                 await asyncio.sleep(LEAVE_PAUSE_S)
@@ -214,9 +282,7 @@
                 await self.peer_server.drained()
                 await self.claim_gate.finish()
         except TimeoutError:
-            log.warning(
-                "daemon.stop_cut", code=ErrorCode.DEADLINE, after_s=self.settings.stop_grace_s
-            )
+            log.warning("daemon.stop_cut", code=ErrorCode.DEADLINE, after_s=self.stop_grace_s)
         await self.membership.stop()
         await self.ingress.close()
         await self.close()
@@ -228,7 +294,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await self.operators.close()
+        await asyncio.gather(*(server.close() for server in self.servers.values()))
         await self.peer_server.close()
         await self.peer_client.close()
         await self.serving.close()
--- a/src/marjoramtide/daemon/main.py
+++ b/src/marjoramtide/daemon/main.py
@@ -10,6 +10,7 @@
 
 from marjoramtide.daemon._node import Node
 from marjoramtide.errors import MarjoramtideError
+from marjoramtide.interface import Interface, own_interface
 from marjoramtide.settings import NodeSettings, load_node_settings
 from marjoramtide.telemetry import configure_logs
 
@@ -18,9 +19,18 @@
 BAD_SETTINGS_STATUS = 2
 
 
+def make_interface(settings: NodeSettings) -> Interface:
+    """Return the interface that the settings name; only that one is imported."""
+    if settings.interface == "own":
+        return own_interface()
+    from marjoramtide.platform import platform_interface
+
+    return platform_interface(settings)
+
+
 async def run(settings: NodeSettings) -> None:
     """Run a node until SIGTERM, SIGINT or its own replacement, then stop it as planned."""
-    node = Node(settings)
+    node = Node(settings, make_interface(settings))
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, node.stop_asked.set)
     try:
@@ -44,6 +54,7 @@
     try:
         settings = load_node_settings(options.settings)
         if options.check:
+            make_interface(settings)
             print(f"{options.settings}: ok")
             return 0
         configure_logs(
--- a/src/marjoramtide/exchange/_failures.py
+++ b/src/marjoramtide/exchange/_failures.py
@@ -5,7 +5,10 @@
 
 
 class RequestFailedError(MarjoramtideError):
-    """A request without an answer; ``report`` is the load of the serving node, where it said so."""
+    """A request without an answer; ``report`` is the load of the serving node, where it said so.
+
+    ``reached`` tells whether the backend server was sent the request, even if it did not run it.
+    """
 
     def __init__(
         self,
@@ -16,9 +19,11 @@
         peer: str = "",
         retry_after_ms: int | None = None,
         report: LoadReport | None = None,
+        reached: bool = False,
     ) -> None:
         super().__init__(code, message, step=step, peer=peer, retry_after_ms=retry_after_ms)
         self.report = report
+        self.reached = reached
 
 
 class NotRunError(RequestFailedError):
--- a/src/marjoramtide/exchange/_request.py
+++ b/src/marjoramtide/exchange/_request.py
@@ -9,7 +9,10 @@
 
     ``target`` is the path with its query as the caller sent it; ``headers`` are the end-to-end
     ones in their order. ``deadline`` is in seconds of this process's monotonic clock: between nodes
-    only what remains of it travels. ``trace`` is a W3C ``traceparent``.
+    only what remains of it travels. ``trace`` is a W3C ``traceparent``. ``request_id`` is what the
+    caller calls this attempt, for logs and for telling its answer from others. Inside a class a
+    lower ``rank`` goes first; an answer after ``goal``, on the same clock as the deadline and equal
+    to it where none is known, is worth less to its caller.
     """
 
     service: str
@@ -23,3 +26,6 @@
     key: str = ""
     trace: str = ""
     attempt: int = 1
+    request_id: str = ""
+    rank: int = 0
+    goal: float = float("inf")
--- a/src/marjoramtide/ingress/__init__.py
+++ b/src/marjoramtide/ingress/__init__.py
@@ -1,6 +1,18 @@
 """The side of a node that callers reach."""
 
+from marjoramtide.ingress._caller_protocol import CallerProtocol
 from marjoramtide.ingress._dispatcher import Dispatcher
 from marjoramtide.ingress._ingress import Ingress
+from marjoramtide.ingress._own_callers import OwnCallers
+from marjoramtide.ingress._read_request import bad, read_idempotent, read_route, single
 
-__all__ = ["Dispatcher", "Ingress"]
+__all__ = [
+    "CallerProtocol",
+    "Dispatcher",
+    "Ingress",
+    "OwnCallers",
+    "bad",
+    "read_idempotent",
+    "read_route",
+    "single",
+]
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -23,7 +23,8 @@
     """What has been tried, and what may be told of it.
 
     ``unknown`` is the first failure after which a backend server may have begun the request. While
-    it is set, "not run" would be a lie whatever later tries say.
+    it is set, "not run" would be a lie whatever later tries say. ``count`` is how many nodes were
+    asked, ``turned_away`` how many of them refused before their backend server saw the request.
     """
 
     request: Request
@@ -33,6 +34,7 @@
     excluded: set[str] = attrs.Factory(set)
     rejected_by: set[str] = attrs.Factory(set)
     count: int = 0
+    turned_away: int = 0
     unknown: UnknownOutcomeError | None = None
     refused: RequestFailedError | None = None
     answers: list[Answer] = attrs.Factory(list)
@@ -47,6 +49,7 @@
             self.unknown = self.unknown or error
         else:
             self.refused = error
+            self.turned_away += not error.reached
 
     def settle(self, ended: Answer | BaseException) -> Exception | None:
         """Take the end of a try: ``None`` where its answer is final, else how it failed.
@@ -75,7 +78,7 @@
         A request that may have begun goes on only where it is idempotent; one that certainly did
         not run goes on whatever it is. A body that was read from the caller can't be sent again.
         """
-        if self.count >= self.settings.max_attempts or now >= self.request.deadline:
+        if now >= self.request.deadline or not self.may_ask():
             return False
         if not self.body.repeatable:
             return False
@@ -83,6 +86,17 @@
             return self.budgets.rejections.withdraw(now)
         return self.request.idempotent and self.budgets.retries.withdraw(now)
 
+    def may_ask(self) -> bool:
+        """Tell whether the route allows another node to be asked.
+
+        A node that refuses knows that its backend server saw nothing, so asking another one costs a
+        hop and no execution. Servers that may have seen the request are what ``max_attempts``
+        bounds; a try under way counts as one of them.
+        """
+        asks = self.settings.max_asks or self.settings.max_attempts
+        reached_at_most = self.count - self.turned_away
+        return self.count < asks and reached_at_most < self.settings.max_attempts
+
     def final_error(self, now: float) -> RequestFailedError:
         """Return what the caller is told when there is no answer."""
         if self.unknown is not None:
--- a/src/marjoramtide/ingress/_caller_connection.py
+++ b/src/marjoramtide/ingress/_caller_connection.py
@@ -10,31 +10,26 @@
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import UnknownOutcomeError
-from marjoramtide.ingress._refusal import refusal
+from marjoramtide.ingress._caller_protocol import CallerProtocol
 from marjoramtide.telemetry import Metrics
 
 log = structlog.get_logger()
 
 STEP = "ingress.parse"
-HEAD_TIMEOUT_S = 5.0
 TOO_MANY_HEADERS = "Too many headers received"
 MAX_REASON_CHARACTERS = 100
-TURNED_AWAY = (
-    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n"
-    b"Request-Outcome: not-run\r\nRetry-After: 1\r\nRetry-After-Ms: 1000\r\n"
-    b'Proxy-Status: marjoramtide; error=connection_limit_reached; details="overloaded"\r\n'
-    b"Server: marjoramtide\r\n\r\n"
-)
 
 
 class CallerConnection(RequestHandler):
     """The library's connection, with bounds on slow callers' time and our own refusals."""
 
     __slots__ = (
+        "head_timeout_s",
         "head_timer",
         "max_connections",
         "metrics",
         "node",
+        "protocol",
         "stall_timeout_s",
         "stall_timer",
     )
@@ -42,7 +37,9 @@
     def __init__(
         self,
         node: str,
+        protocol: CallerProtocol,
         metrics: Metrics,
+        head_timeout_s: float,
         stall_timeout_s: float,
         max_connections: int,
         *args: Any,
@@ -50,7 +47,9 @@
     ) -> None:
         super().__init__(*args, **kwargs)
         self.node = node
+        self.protocol = protocol
         self.metrics = metrics
+        self.head_timeout_s = head_timeout_s
         self.head_timer: asyncio.TimerHandle | None = None
         self.stall_timeout_s = stall_timeout_s
         self.max_connections = max_connections
@@ -73,7 +72,7 @@
         """
         self.log_refused(ErrorCode.OVERLOADED, "too many connections of callers", "not-run")
         assert self.transport is not None
-        self.transport.write(TURNED_AWAY)
+        self.transport.write(self.protocol.turned_away)
         self.force_close()
 
     def data_received(self, data: bytes) -> None:
@@ -86,7 +85,7 @@
         if self._messages or not waiting:
             self.stop_head_timer()
         else:
-            self.start_head_timer(HEAD_TIMEOUT_S)
+            self.start_head_timer(self.head_timeout_s)
         self.fail_broken_body()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -185,7 +184,7 @@
         self.metrics.count(f"ingress.refused.{error.code}")
         if request.writer.output_size > 0:
             raise ConnectionError("the answer has begun; the connection is broken off")
-        response = refusal(error, self.node)
+        response = self.protocol.refusal(error, self.node)
         response.force_close()
         return response
 
--- /dev/null
+++ b/src/marjoramtide/ingress/_caller_protocol.py
@@ -0,0 +1,36 @@
+"""The interface to what callers speak beyond plain HTTP."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+
+from aiohttp import web
+
+from marjoramtide.errors import MarjoramtideError
+from marjoramtide.exchange import Answer, Request
+from marjoramtide.settings import RouteSettings, SettingsView
+from marjoramtide.telemetry import Tracer
+
+
+class CallerProtocol(ABC):
+    """Reads requests and words answers; it decides nothing and holds no state."""
+
+    turned_away: bytes
+    """The whole answer to a connection that is one too many."""
+
+    @abstractmethod
+    def read(
+        self, http: web.BaseRequest, view: SettingsView, tracer: Tracer, now: float
+    ) -> tuple[Request, RouteSettings]:
+        """Return the request with the settings of its route.
+
+        ``now`` is in seconds of the monotonic clock. Raises ``bad-request``, ``head-too-large``,
+        ``unknown-service`` or ``depth-exceeded``.
+        """
+
+    @abstractmethod
+    def refusal(self, error: MarjoramtideError, node: str, request_id: str = "") -> web.Response:
+        """Return the one final answer for a request that was given up."""
+
+    @abstractmethod
+    def answer_headers(self, answer: Answer, node: str) -> Iterable[tuple[str, str]]:
+        """Return the headers with which a backend server's answer goes to the caller."""
--- a/src/marjoramtide/ingress/_caller_server.py
+++ b/src/marjoramtide/ingress/_caller_server.py
@@ -2,11 +2,14 @@
 
 import resource
 import sys
+from collections.abc import Mapping
 from typing import Any
 
 from aiohttp import web
 
 from marjoramtide.ingress._caller_connection import CallerConnection
+from marjoramtide.ingress._caller_protocol import CallerProtocol
+from marjoramtide.settings import DEFAULTS
 from marjoramtide.telemetry import Metrics
 
 # Also a caller on a bad line takes the 48 kB between the library's water marks within this time.
@@ -27,13 +30,24 @@
 class CallerServer(web.Server):
     """Makes our connections in place of the library's."""
 
-    def __init__(self, node: str, metrics: Metrics, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self, node: str, protocol: CallerProtocol, metrics: Metrics, *args: Any, **kwargs: Any
+    ) -> None:
         super().__init__(*args, **kwargs)
         self.node = node
+        self.protocol = protocol
         self.metrics = metrics
+        self.head_timeout_s = DEFAULTS["head_timeout_ms"] / 1000
         self.stall_timeout_s = STALL_TIMEOUT_S
         self.max_connections = max_connections()
 
+    def configure(self, values: Mapping[str, Any]) -> None:
+        """Go on by changed settings; connections that are open keep the times they began with."""
+        self.head_timeout_s = values["head_timeout_ms"] / 1000
+        self._kwargs["keepalive_timeout"] = values["idle_timeout_ms"] / 1000
+        self._kwargs["max_line_size"] = values["max_line_bytes"]
+        self._kwargs["max_field_size"] = values["max_line_bytes"]
+
     @property
     def has_unsent(self) -> bool:
         """Tell whether bytes of any answer still wait to be handed to the system."""
@@ -44,7 +58,9 @@
     def __call__(self) -> CallerConnection:
         return CallerConnection(
             self.node,
+            self.protocol,
             self.metrics,
+            self.head_timeout_s,
             self.stall_timeout_s,
             self.max_connections,
             self,
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -23,7 +23,7 @@
 from marjoramtide.ingress._service_state import ServiceState, make_service_state
 from marjoramtide.membership import Directory
 from marjoramtide.peers import PeerClient
-from marjoramtide.policy import CallProfile
+from marjoramtide.policy import CallProfile, WeightedSplit, make_weighted_split
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, Tracer
 
@@ -51,6 +51,7 @@
         self.metrics = metrics
         self.tracer = tracer
         self.states: dict[str, ServiceState] = {}
+        self.splits: dict[tuple[str, str], WeightedSplit] = {}
         view.on_change(self.settings_changed)
 
     def settings_changed(self, revision: int) -> None:
@@ -58,6 +59,7 @@
 
         Without the latter each of hundreds of changes a day makes every node guess anew.
         """
+        self.splits.clear()
         self.states = {
             service: state
             for service, state in self.states.items()
@@ -81,10 +83,24 @@
         state.refresh(self.directory, self.clock.monotonic())
         return state
 
+    def draw(self, settings: RouteSettings) -> str:
+        """Return the service whose backend servers are to run the next request of a route."""
+        name = (settings.service, settings.route)
+        split = self.splits.get(name)
+        if split is None:
+            split = self.splits[name] = make_weighted_split(settings.split, self.rng)
+        return split.draw()
+
     async def dispatch(
         self, request: Request, body: RequestBody, settings: RouteSettings
     ) -> Answer:
-        """Return the answer; raises ``NotRunError`` or ``UnknownOutcomeError`` as soon as known."""
+        """Return the answer; raises ``NotRunError`` or ``UnknownOutcomeError`` as soon as known.
+
+        Where the route shares its requests out, the part is drawn once and kept: what has no room
+        there is refused, not moved, so that the parts keep the shares that the operator gave them.
+        """
+        if settings.split:
+            request = attrs.evolve(request, service=self.draw(settings))
         attempts = Attempts(request, body, settings, self.state(request.service))
         now = self.clock.monotonic()
         attempts.budgets.retries.deposit(now)
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -12,26 +12,23 @@
 from marjoramtide.exchange import (
     Answer,
     NotRunError,
-    Outcome,
     Request,
     RequestBody,
     UnknownOutcomeError,
     inline_body,
 )
 from marjoramtide.ingress._caller_connection import log_fields
+from marjoramtide.ingress._caller_protocol import CallerProtocol
 from marjoramtide.ingress._caller_server import CallerServer
 from marjoramtide.ingress._dispatcher import Dispatcher
+from marjoramtide.ingress._own_callers import OwnCallers
 from marjoramtide.ingress._read_body import read_body
-from marjoramtide.ingress._read_request import read_request
-from marjoramtide.ingress._refusal import refusal
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, Tracer, read_trace
 
 log = structlog.get_logger()
 
-MAX_LINE_BYTES = 8190
 MAX_HEADERS = 100
-KEEP_ALIVE_S = 75.0
 # After a refusal the rest of a body is read and dropped for so long: a connection that is closed
 # with bytes unread is reset, and the caller might lose the answer.
 LINGER_S = 2.0
@@ -53,8 +50,10 @@
         clock: Clock,
         metrics: Metrics,
         tracer: Tracer,
+        protocol: CallerProtocol | None = None,
     ) -> None:
         self.node = node
+        self.protocol = protocol or OwnCallers()
         self.view = view
         self.dispatcher = dispatcher
         self.clock = clock
@@ -75,18 +74,17 @@
         """Listen on the callers' address."""
         self.server = CallerServer(
             self.node,
+            self.protocol,
             self.metrics,
             self.handle,
             handler_cancellation=True,
             access_log=None,
             logger=logging.getLogger("marjoramtide.ingress.aiohttp"),
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
             max_headers=MAX_HEADERS,
             auto_decompress=False,
-            keepalive_timeout=KEEP_ALIVE_S,
             lingering_time=LINGER_S,
         )
+        self.server.configure(self.view.node_values)
         self.runner = web.ServerRunner(self.server, shutdown_timeout=0.5)
         await self.runner.setup()
         self.site = web.TCPSite(self.runner, host, port, backlog=1024)
@@ -119,9 +117,10 @@
 
     async def answer(self, http: web.BaseRequest, now: float) -> web.StreamResponse:
         body: RequestBody | None = None
+        request: Request | None = None
         try:
             self.check_open()
-            request, settings = read_request(http, self.view, self.tracer, now)
+            request, settings = self.protocol.read(http, self.view, self.tracer, now)
             self.check_room(request)
             body = await self.read_body(http, request, settings)
             with self.tracer.span("ingress", request.trace) as span:
@@ -134,7 +133,7 @@
             return await self.send(http, request, answer)
         except MarjoramtideError as error:
             broken = body.error if body is not None else None
-            return self.refuse(http, broken or error)
+            return self.refuse(http, broken or error, request)
 
     async def read_body(
         self, http: web.BaseRequest, request: Request, settings: RouteSettings
@@ -186,10 +185,13 @@
                 retry_after_ms=COME_BACK_MS,
             )
 
-    def refuse(self, http: web.BaseRequest, error: MarjoramtideError) -> web.Response:
+    def refuse(
+        self, http: web.BaseRequest, error: MarjoramtideError, request: Request | None
+    ) -> web.Response:
         self.metrics.count(f"ingress.refused.{error.code}")
-        log.info("ingress.refused", **log_fields(error, http.remote))
-        response = refusal(error, self.node)
+        request_id = request.request_id if request is not None else ""
+        log.info("ingress.refused", request=request_id, **log_fields(error, http.remote))
+        response = self.protocol.refusal(error, self.node, request_id)
         if self.leaving or not http.content.at_eof():
             # The rest of a body that was not read would be taken for the next request.
             response.force_close()
@@ -243,11 +245,8 @@
             http.transport.abort()
 
     def add_headers(self, response: web.StreamResponse, answer: Answer) -> None:
-        for name, value in answer.headers:
+        for name, value in self.protocol.answer_headers(answer, self.node):
             response.headers.add(name, value)
-        response.headers["Request-Outcome"] = Outcome.COMPLETED
-        response.headers["Marjoramtide-Node"] = self.node
-        response.headers["Server"] = "marjoramtide"
         if self.leaving:
             # Kept open, it would be closed at the end of the stop, perhaps amid the caller's next
             # booking, which would then be unknown to its caller.
--- /dev/null
+++ b/src/marjoramtide/ingress/_own_callers.py
@@ -0,0 +1,44 @@
+"""What callers speak to us by our own headers and those of the RFCs."""
+
+from collections.abc import Iterator
+
+from aiohttp import web
+
+from marjoramtide.errors import MarjoramtideError
+from marjoramtide.exchange import Answer, Outcome, Request
+from marjoramtide.ingress._caller_protocol import CallerProtocol
+from marjoramtide.ingress._read_request import read_request
+from marjoramtide.ingress._refusal import refusal
+from marjoramtide.settings import RouteSettings, SettingsView
+from marjoramtide.telemetry import Tracer
+
+TURNED_AWAY = (
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n"
+    b"Request-Outcome: not-run\r\nRetry-After: 1\r\nRetry-After-Ms: 1000\r\n"
+    b'Proxy-Status: marjoramtide; error=connection_limit_reached; details="overloaded"\r\n'
+    b"Server: marjoramtide\r\n\r\n"
+)
+
+
+class OwnCallers(CallerProtocol):
+    """``Request-Timeout-Ms``, ``Priority`` and ``Idempotency-Key``; ``Request-Outcome`` back."""
+
+    turned_away = TURNED_AWAY
+
+    def read(
+        self, http: web.BaseRequest, view: SettingsView, tracer: Tracer, now: float
+    ) -> tuple[Request, RouteSettings]:
+        return read_request(http, view, tracer, now)
+
+    def refusal(self, error: MarjoramtideError, node: str, request_id: str = "") -> web.Response:
+        return refusal(error, node)
+
+    def answer_headers(self, answer: Answer, node: str) -> Iterator[tuple[str, str]]:
+        own = {
+            "Request-Outcome": str(Outcome.COMPLETED),
+            "Marjoramtide-Node": node,
+            "Server": "marjoramtide",
+        }
+        names = {name.lower() for name in own}
+        yield from (header for header in answer.headers if header[0].lower() not in names)
+        yield from own.items()
--- a/src/marjoramtide/ingress/_read_request.py
+++ b/src/marjoramtide/ingress/_read_request.py
@@ -111,14 +111,14 @@
     return True
 
 
-def check_head(http: web.BaseRequest) -> None:
+def check_head(http: web.BaseRequest, max_bytes: int = MAX_HEAD_BYTES) -> None:
     """Raise where the head is too large, or leaves open where the body ends."""
     if http.version not in VERSIONS:
         raise bad("HTTP version; allowed: 1.0 and 1.1")
     size = len(http.raw_path) + sum(len(name) + len(value) for name, value in http.raw_headers)
-    if size > MAX_HEAD_BYTES:
+    if size > max_bytes:
         raise MarjoramtideError(
-            ErrorCode.HEAD_TOO_LARGE, f"the head is over {MAX_HEAD_BYTES} bytes", step=STEP
+            ErrorCode.HEAD_TOO_LARGE, f"the head is over {max_bytes} bytes", step=STEP
         )
     codings = http.headers.getall("Transfer-Encoding", ())
     if not codings:
@@ -136,31 +136,33 @@
         raise bad("Transfer-Encoding needs HTTP/1.1")
 
 
-def read_request(
-    http: web.BaseRequest, view: SettingsView, tracer: Tracer, now: float
-) -> tuple[Request, RouteSettings]:
-    """Return the request with the settings of its route; raises what the caller is to be told."""
-    check_head(http)
+def read_route(http: web.BaseRequest, view: SettingsView) -> RouteSettings:
+    """Check what every request must keep to, and return the settings of its route.
+
+    Raises ``bad-request``, ``head-too-large`` or ``unknown-service``.
+    """
+    check_head(http, view.node_values["max_head_bytes"])
     check_values(http)
-    target = http.raw_path
-    if not is_origin_form(target):
+    if not is_origin_form(http.raw_path):
         raise bad("the request target; allowed: a path with its query, without a fragment")
     if http.method in REFUSED_METHODS:
         raise bad(f"method {http.method} is not served")
     host = single(http, "Host")
     if not host:
         raise bad("no Host header")
-    service = view.service_for_host(host)
-    if service is None:
-        raise MarjoramtideError(
-            ErrorCode.UNKNOWN_SERVICE, f"no service answers for host {host[:100]!r}", step=STEP
-        )
-    settings = view.route(service, target)
+    return view.find(host, http.raw_path)
+
+
+def read_request(
+    http: web.BaseRequest, view: SettingsView, tracer: Tracer, now: float
+) -> tuple[Request, RouteSettings]:
+    """Return the request with the settings of its route; raises what the caller is to be told."""
+    settings = read_route(http, view)
     trace = tracer.begin(http.headers.get("Traceparent", ""), settings.trace_share)
     request = Request(
-        service=service,
+        service=settings.service,
         method=http.method,
-        target=target,
+        target=http.raw_path,
         headers=end_to_end(http.headers.items(), OWN_REQUEST),
         urgent=read_urgent(http, settings),
         idempotent=read_idempotent(http.method, settings),
@@ -168,5 +170,8 @@
         depth=read_depth(http, settings),
         key=read_key(http),
         trace=trace.header(),
+        request_id=http.headers.get("X-Request-Id", "")[:MAX_KEY_CHARACTERS],
+        rank=settings.rank,
+        goal=now + settings.goal_ms / 1000 if settings.goal_ms else float("inf"),
     )
     return request, settings
--- /dev/null
+++ b/src/marjoramtide/interface/_interface.py
@@ -0,0 +1,30 @@
+"""The set of protocols that a node speaks with others than its peers."""
+
+from collections.abc import Callable
+
+import attrs
+from aiohttp import web
+
+from marjoramtide.ingress import CallerProtocol
+from marjoramtide.serving import BackendProtocol, Registrar
+from marjoramtide.settings.sync import TreeSource
+from marjoramtide.store import StoreProtocol
+
+
+@attrs.frozen(slots=True)
+class Interface:
+    """One protocol for each party.
+
+    ``registration_app`` makes the HTTP application at which the backend server registers, ``None``
+    where it doesn't and is taken for registered; ``readiness_app`` the one that tells whether
+    callers may be sent here. ``stop_grace_s`` is how long a planned stop may take, in seconds,
+    where the interface tells it.
+    """
+
+    store: StoreProtocol
+    tree: TreeSource
+    callers: CallerProtocol
+    backend: BackendProtocol
+    readiness_app: Callable[[Callable[[], bool]], web.Application] | None = None
+    registration_app: Callable[[Registrar], web.Application] | None = None
+    stop_grace_s: float | None = None
--- a/src/marjoramtide/membership/_announcer.py
+++ b/src/marjoramtide/membership/_announcer.py
@@ -14,7 +14,7 @@
     decode_announcement,
 )
 from marjoramtide.membership._member import Member
-from marjoramtide.platform import ObjectStore, StoredObject
+from marjoramtide.store import ObjectStore, StoredObject
 
 log = structlog.get_logger()
 
--- a/src/marjoramtide/membership/_membership_service.py
+++ b/src/marjoramtide/membership/_membership_service.py
@@ -21,8 +21,8 @@
 from marjoramtide.membership._packet_codec import MAX_IDENTITY_BYTES, PacketCodec
 from marjoramtide.membership._swim_core import SwimCore
 from marjoramtide.membership._swim_options import SwimOptions
-from marjoramtide.platform import ObjectStore
 from marjoramtide.settings import NodeSettings, parse_address
+from marjoramtide.store import ObjectStore
 
 log = structlog.get_logger()
 
--- a/src/marjoramtide/peers/_link.py
+++ b/src/marjoramtide/peers/_link.py
@@ -84,6 +84,9 @@
             body=body.inline or b"",
             more=body.inline is None,
             length=-1 if body.length is None else body.length,
+            request_id=request.request_id,
+            rank=request.rank,
+            goal_ms=goal_ms(request, remaining_ms),
         )
         frame = encode(message)
         if self.closed:
@@ -300,6 +303,13 @@
         await self.socket.close()
 
 
+def goal_ms(request: Request, remaining_ms: float) -> float:
+    """Return what remains until the goal, in milliseconds; below 0 where there is none."""
+    if request.goal > request.deadline:
+        return -1.0
+    return max(0.0, remaining_ms - (request.deadline - request.goal) * 1000)
+
+
 def failure_error(message: FailureMessage, peer: str) -> RequestFailedError:
     """Return the error that a peer's failure message stands for."""
     cls = NotRunError if message.not_run else UnknownOutcomeError
@@ -311,4 +321,5 @@
         peer=peer,
         retry_after_ms=message.retry_after_ms if message.retry_after_ms >= 0 else None,
         report=unpack_report(message.report),
+        reached=message.reached,
     )
--- a/src/marjoramtide/peers/_messages.py
+++ b/src/marjoramtide/peers/_messages.py
@@ -7,7 +7,10 @@
 
 @attrs.frozen(slots=True)
 class RequestMessage:
-    """A request; ``more`` tells that its body follows in chunks once it is admitted."""
+    """A request; ``more`` tells that its body follows in chunks once it is admitted.
+
+    ``goal_ms`` is what remains until the answer is worth less, below 0 where that is not known.
+    """
 
     id: int
     service: str
@@ -24,6 +27,9 @@
     body: bytes
     more: bool
     length: int
+    request_id: str = ""
+    rank: int = 0
+    goal_ms: float = -1.0
 
 
 @attrs.frozen(slots=True)
@@ -67,7 +73,10 @@
 
 @attrs.frozen(slots=True)
 class FailureMessage:
-    """No answer, or no rest of one; ``not_run`` tells that the request certainly did not run."""
+    """No answer, or no rest of one; ``not_run`` tells that the request certainly did not run.
+
+    ``reached`` tells that the backend server was sent it all the same.
+    """
 
     id: int
     not_run: bool
@@ -75,6 +84,7 @@
     text: str
     retry_after_ms: int
     report: list[Any] | None
+    reached: bool = False
 
 
 @attrs.frozen(slots=True)
--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -218,6 +218,9 @@
             key=message.key,
             trace=message.trace,
             attempt=message.attempt,
+            request_id=message.request_id,
+            rank=message.rank,
+            goal=math.inf if message.goal_ms < 0 else now + message.goal_ms / 1000,
         )
         if not message.more:
             return await self.handler.handle(request, inline_body(message.body))
@@ -267,7 +270,7 @@
         retry_after_ms = -1 if error.retry_after_ms is None else error.retry_after_ms
         report = pack_report(error.report)
         message = FailureMessage(
-            number, not_run, str(error.code), error.message, retry_after_ms, report
+            number, not_run, str(error.code), error.message, retry_after_ms, report, error.reached
         )
         with contextlib.suppress(ConnectionClosed):
             await self.send(message)
--- a/src/marjoramtide/platform/__init__.py
+++ b/src/marjoramtide/platform/__init__.py
@@ -1,23 +1,9 @@
-"""The platform's object API as the product sees it."""
+"""The adapter to the users' platform: its names, formats and calls.
 
-from marjoramtide.platform._http_object_store import HttpObjectStore, open_object_store
-from marjoramtide.platform._listing import Listing
-from marjoramtide.platform._object_store import ObjectStore
-from marjoramtide.platform._resolution import Resolution
-from marjoramtide.platform._resolved_write import create_resolved, update_resolved
-from marjoramtide.platform._store_limits import StoreLimits
-from marjoramtide.platform._stored_object import StoredObject
-from marjoramtide.platform._watch_event import WatchEvent
+Nothing here decides anything, and nothing outside of this package knows a name of the platform's
+wire. Each module translates between one part of that wire and types of the product.
+"""
 
-__all__ = [
-    "HttpObjectStore",
-    "Listing",
-    "ObjectStore",
-    "Resolution",
-    "StoreLimits",
-    "StoredObject",
-    "WatchEvent",
-    "create_resolved",
-    "open_object_store",
-    "update_resolved",
-]
+from marjoramtide.platform._interface import platform_interface
+
+__all__ = ["platform_interface"]
--- /dev/null
+++ b/src/marjoramtide/platform/_bounds.py
@@ -0,0 +1,37 @@
+"""The platform's figures, which a node's settings hold as a list of texts."""
+
+from collections.abc import Iterable
+
+import attrs
+
+
+@attrs.frozen(slots=True)
+class Bounds:
+    """Those that a node goes by, in seconds, or as shares and numbers; ``None`` where not told.
+
+    ``stop_grace_s`` is the time between the signal to stop and the end by force.
+    ``retry_ratio`` and ``retry_slack`` bound the arrivals at a service beyond the first of each
+    request, over ``retry_window_s``: a share of its requests, and a number besides.
+    """
+
+    stop_grace_s: float | None = None
+    retry_ratio: float | None = None
+    retry_slack: float | None = None
+    retry_window_s: float | None = None
+
+
+FIELDS = {
+    "GraceS": "stop_grace_s",
+    "RetryBudgetRatio": "retry_ratio",
+    "RetryBudgetSlack": "retry_slack",
+    "BudgetWindowS": "retry_window_s",
+}
+
+
+def read_bounds(texts: Iterable[str]) -> Bounds:
+    """Read ``name=value`` texts; names that a node doesn't go by are passed over.
+
+    Raises ``ValueError`` for a figure of ours that isn't a number.
+    """
+    pairs = [text.partition("=")[::2] for text in texts]
+    return Bounds(**{FIELDS[name]: float(value) for name, value in pairs if name in FIELDS})
--- /dev/null
+++ b/src/marjoramtide/platform/_interface.py
@@ -0,0 +1,46 @@
+"""All that a node needs to run on the platform."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.interface import Interface
+from marjoramtide.platform._apps import make_readiness_app, make_registration_app
+from marjoramtide.platform._backends import PlatformBackend
+from marjoramtide.platform._bounds import read_bounds
+from marjoramtide.platform._callers import PlatformCallers
+from marjoramtide.platform._configuration import OperatorConfiguration
+from marjoramtide.platform._store_protocol import PlatformStore
+from marjoramtide.settings import NodeSettings
+
+
+def platform_interface(settings: NodeSettings) -> Interface:
+    """Return the platform's interface; raises ``bad-settings`` for a base tree that isn't one."""
+    try:
+        bounds = read_bounds(settings.bounds)
+    except ValueError as error:
+        raise MarjoramtideError(
+            ErrorCode.BAD_SETTINGS, f"bounds: {error}", step="settings.load"
+        ) from error
+    return Interface(
+        store=PlatformStore(),
+        tree=OperatorConfiguration(read_base(settings.base_tree)),
+        callers=PlatformCallers(settings.service),
+        backend=PlatformBackend(),
+        readiness_app=make_readiness_app,
+        registration_app=make_registration_app,
+        stop_grace_s=bounds.stop_grace_s,
+    )
+
+
+def read_base(path: str) -> dict[str, Any]:
+    """Read the tree that the operator's configuration is laid over; none without a path."""
+    if not path:
+        return {}
+    try:
+        return tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise MarjoramtideError(
+            ErrorCode.BAD_SETTINGS, f"base_tree: {path}: {error}", step="settings.load"
+        ) from error
--- a/src/marjoramtide/policy/__init__.py
+++ b/src/marjoramtide/policy/__init__.py
@@ -10,6 +10,7 @@
 from marjoramtide.policy._measuring_budget import MeasuringBudget
 from marjoramtide.policy._retry_budget import RetryBudget
 from marjoramtide.policy._selector import Selector
+from marjoramtide.policy._weighted_split import WeightedSplit, make_weighted_split
 
 __all__ = [
     "LIMITERS",
@@ -24,6 +25,8 @@
     "RetryBudget",
     "Selector",
     "Verdict",
+    "WeightedSplit",
     "make_admission",
     "make_selector",
+    "make_weighted_split",
 ]
--- a/src/marjoramtide/policy/_admission.py
+++ b/src/marjoramtide/policy/_admission.py
@@ -42,6 +42,10 @@
         What is queued or started stays: a planned stop cuts off nothing that was taken.
         """
 
+    @abstractmethod
+    def release(self) -> list[int]:
+        """Drop and return all queued tickets: they have not run and may go elsewhere."""
+
     @abstractmethod
     def reconfigure(self, settings: RouteSettings) -> None:
         """Go on by changed settings; what is queued or started stays."""
--- a/src/marjoramtide/policy/_edf_admission.py
+++ b/src/marjoramtide/policy/_edf_admission.py
@@ -73,6 +73,12 @@
     def set_accepting(self, accepting: bool) -> None:
         self.accepting = accepting
 
+    def release(self) -> list[int]:
+        queued = [ticket for _, ticket in self.urgent.entries + self.routine.entries]
+        for ticket in queued:
+            self._drop_queued(ticket)
+        return queued
+
     def offer(self, ticket: int, profile: CallProfile, now: float) -> Decision:
         if not self.accepting:
             return _reject(ErrorCode.DRAINING, DRAINING_RETRY_MS)
--- a/src/marjoramtide/serving/_backend_connection.py
+++ b/src/marjoramtide/serving/_backend_connection.py
@@ -7,6 +7,7 @@
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import RequestBody
 from marjoramtide.serving._backend_reply import BackendReply
+from marjoramtide.sockets import notice_silence
 
 
 class BackendConnection(asyncio.Protocol):
@@ -28,6 +29,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        notice_silence(transport.get_extra_info("socket"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.writable.set()
@@ -53,10 +55,19 @@
     def usable(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
-    def send(self, head: bytes, body: RequestBody, *, head_only: bool = False) -> BackendReply:
+    def send(
+        self,
+        head: bytes,
+        body: RequestBody,
+        *,
+        head_only: bool = False,
+        belongs: Callable[[BackendReply], bool] | None = None,
+    ) -> BackendReply:
         """Send a request and return its reply to be."""
         assert self.transport is not None
-        self.reply = reply = BackendReply(self.transport, self.peer, head_only=head_only)
+        self.reply = reply = BackendReply(
+            self.transport, self.peer, head_only=head_only, belongs=belongs
+        )
         if body.inline is not None:
             self.transport.write(head + body.inline)
         else:
--- a/src/marjoramtide/serving/_backend_reply.py
+++ b/src/marjoramtide/serving/_backend_reply.py
@@ -1,6 +1,7 @@
 """What comes back from the backend server for one request."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import httptools
@@ -18,9 +19,24 @@
     The parser is llhttp without leniencies: two lengths, a length beside a transfer coding, bare
     line feeds and folded fields are errors. A parser is made for each request, so nothing of one
     answer can be taken for a part of the next.
+
+    Failure: a backend server answers a request twice, and the second answer arrives when the next
+    request has been sent on the same connection: its caller would get another's answer.
+    ``belongs`` tells by the head whether an answer is the awaited one; any other is dropped, and
+    the connection is not used again.
     """
 
-    def __init__(self, transport: asyncio.Transport, peer: str, *, head_only: bool) -> None:
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        peer: str,
+        *,
+        head_only: bool,
+        belongs: "Callable[[BackendReply], bool] | None" = None,
+    ) -> None:
+        self.belongs = belongs
+        self.is_stray = False
+        self.strays = 0
         self.transport = transport
         self.peer = peer
         self.head_only = head_only
@@ -119,7 +135,12 @@
         if status < 200:
             self.headers.clear()
             return
-        self.status, self.has_head = status, True
+        self.status = status
+        if self.belongs is not None and not self.belongs(self):
+            self.is_stray = True
+            self.headers.clear()
+            return
+        self.has_head = True
         length = self.header("content-length")
         self.length = int(length) if length else None
         coding = self.header("transfer-encoding").lower()
@@ -131,7 +152,7 @@
             self.complete = True
 
     def on_body(self, data: bytes) -> None:
-        if self.complete:
+        if self.complete or self.is_stray:
             return
         self.pieces.append(data)
         self.size += len(data)
@@ -140,9 +161,13 @@
             self.transport.pause_reading()
 
     def on_message_complete(self) -> None:
+        if self.is_stray:
+            self.is_stray = False
+            self.strays += 1
+            return
         if self.has_head and not self.complete and self.error is None:
             self.complete = True
-            self.reusable = self.parser.should_keep_alive()
+            self.reusable = self.parser.should_keep_alive() and not self.strays
 
 
 def readable(value: bytes) -> str:
--- a/src/marjoramtide/serving/_backend_transport.py
+++ b/src/marjoramtide/serving/_backend_transport.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from marjoramtide.exchange import Answer, Request, RequestBody
+from marjoramtide.serving._endpoint_answer import EndpointAnswer
 
 
 class BackendTransport(ABC):
@@ -26,8 +27,8 @@
         """
 
     @abstractmethod
-    async def read(self, path: str, timeout_s: float) -> tuple[int, bytes]:
-        """Read one of the backend server's own endpoints: its status and body.
+    async def read(self, path: str, timeout_s: float) -> EndpointAnswer:
+        """Read one of the backend server's own endpoints.
 
         Raises ``NotRunError``, ``UnknownOutcomeError`` or ``TimeoutError`` where it can't.
         """
--- /dev/null
+++ b/src/marjoramtide/serving/_health_reading.py
@@ -0,0 +1,15 @@
+"""What a backend server's health endpoint says."""
+
+import attrs
+
+from marjoramtide.serving._backend_state import BackendState
+from marjoramtide.serving._server_load import ServerLoad
+
+
+@attrs.frozen(slots=True)
+class HealthReading:
+    """Its state, the identity it states (or empty), and its load where it tells it."""
+
+    state: BackendState
+    instance: str = ""
+    load: ServerLoad | None = None
--- a/src/marjoramtide/serving/_http_transport.py
+++ b/src/marjoramtide/serving/_http_transport.py
@@ -6,10 +6,8 @@
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import (
     INLINE_BYTES,
-    OWN_ANSWER,
     Answer,
     NotRunError,
-    Outcome,
     Request,
     RequestBody,
     UnknownOutcomeError,
@@ -17,14 +15,17 @@
     inline_body,
 )
 from marjoramtide.serving._backend_connection import BackendConnection
+from marjoramtide.serving._backend_protocol import BackendProtocol
 from marjoramtide.serving._backend_reply import BackendReply
 from marjoramtide.serving._backend_transport import BackendTransport
+from marjoramtide.serving._endpoint_answer import EndpointAnswer
+from marjoramtide.serving._own_backend import OwnBackend
+from marjoramtide.serving._reply_reading import ReplyReading, ReplyVerdict
 from marjoramtide.serving._request_head import encode_head
 
 CONNECT_TIMEOUT_S = 1.0
 # Shorter than servers commonly keep an idle connection, so that a request seldom meets a close.
 KEEP_ALIVE_S = 4.0
-MAX_DIGITS = 7
 
 
 class HttpTransport(BackendTransport):
@@ -34,7 +35,11 @@
     node alone.
     """
 
-    def __init__(self, address: str, limit: int) -> None:
+    def __init__(self, address: str, limit: int, protocol: BackendProtocol | None = None) -> None:
+        self.protocol = protocol or OwnBackend()
+        # Whom requests are for, where the backend server has told its identity.
+        self.instance = ""
+        self.on_reading: Callable[[ReplyReading], None] | None = None
         self.address = address
         self.host, _, port = address.rpartition(":")
         self.port = int(port)
@@ -52,11 +57,17 @@
         remaining_ms: float,
         begun: Callable[[], None],
     ) -> Answer:
-        head = encode_head(request, body, remaining_ms, self.address)
+        added = self.protocol.request_headers(request, remaining_ms, self.instance)
+        head = encode_head(request, body, added, self.address)
         connection = await self.take()
         begun()
         try:
-            reply = connection.send(head, body, head_only=request.method == "HEAD")
+            reply = connection.send(
+                head,
+                body,
+                head_only=request.method == "HEAD",
+                belongs=lambda reply: self.protocol.belongs(request.request_id, reply),
+            )
             first = await reply.first(INLINE_BYTES)
         except UnknownOutcomeError as error:
             connection.abort()
@@ -65,10 +76,22 @@
         except BaseException:
             connection.abort()
             raise
-        if reply.header("request-outcome") == Outcome.NOT_RUN:
+        reading = self.protocol.read_reply(reply)
+        if self.on_reading is not None:
+            self.on_reading(reading)
+        if reading.verdict in (ReplyVerdict.REFUSED, ReplyVerdict.MISDIRECTED):
             self.give_back(connection)
-            raise self.refused(reply)
-        answer = Answer(reply.status, end_to_end(reply.headers, OWN_ANSWER), length=reply.length)
+            raise self.refused(reading)
+        if reading.verdict is ReplyVerdict.SPOILED:
+            connection.abort()
+            raise UnknownOutcomeError(
+                ErrorCode.BACKEND_FAILED,
+                f"an answer of status {reply.status} that no caller may be given",
+                step="serving.read",
+                peer=self.address,
+            )
+        headers = end_to_end(reply.headers, self.protocol.own_answer_headers)
+        answer = Answer(reply.status, headers, length=reply.length)
         if reply.complete:
             self.give_back(connection)
             if not reply.head_only:
@@ -95,24 +118,24 @@
             # With an unread rest the connection is closed: the rest would be the next one's answer.
             self.give_back(connection)
 
-    def refused(self, reply: BackendReply) -> NotRunError:
-        draining = reply.header("connection").lower() == "close"
+    def refused(self, reading: ReplyReading) -> NotRunError:
         return NotRunError(
-            ErrorCode.DRAINING if draining else ErrorCode.OVERLOADED,
+            ErrorCode.DRAINING if reading.leaving else ErrorCode.OVERLOADED,
             "the backend server refused the request",
             step="serving.read",
             peer=self.address,
-            retry_after_ms=come_back_ms(reply),
+            retry_after_ms=reading.retry_after_ms,
+            reached=True,
         )
 
-    async def read(self, path: str, timeout_s: float) -> tuple[int, bytes]:
+    async def read(self, path: str, timeout_s: float) -> EndpointAnswer:
         head = f"GET {path} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode()
         async with asyncio.timeout(timeout_s):
             connection = await self.take()
             try:
                 reply = connection.send(head, inline_body())
                 body = await reply.first(INLINE_BYTES)
-                return reply.status, body
+                return EndpointAnswer(reply.status, tuple(reply.headers), body)
             finally:
                 self.give_back(connection)
 
@@ -176,16 +199,3 @@
             self.sweeper.cancel()
         for connection in list(self.open):
             connection.abort()
-
-
-def come_back_ms(reply: BackendReply) -> int | None:
-    """Return when the backend server wants a refused request back, in milliseconds, if it says so.
-
-    What is no small whole number counts as not said: digits of other scripts, or thousands of them,
-    would end a provable "not run" in an error.
-    """
-    for name, unit_ms in (("retry-after-ms", 1), ("retry-after", 1000)):
-        text = reply.header(name)
-        if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS:
-            return int(text) * unit_ms
-    return None
--- a/src/marjoramtide/serving/_measurer.py
+++ b/src/marjoramtide/serving/_measurer.py
@@ -1,6 +1,5 @@
 """Reads the backend server's health endpoint, within its budget."""
 
-import json
 from collections.abc import Callable
 
 import structlog
@@ -8,8 +7,11 @@
 from marjoramtide.clock import Clock
 from marjoramtide.errors import MarjoramtideError
 from marjoramtide.policy import MeasuringBudget
+from marjoramtide.serving._backend_protocol import BackendProtocol
 from marjoramtide.serving._backend_state import BackendState
 from marjoramtide.serving._backend_transport import BackendTransport
+from marjoramtide.serving._health_reading import HealthReading
+from marjoramtide.serving._own_backend import OwnBackend
 from marjoramtide.settings import RouteSettings
 from marjoramtide.telemetry import Metrics
 
@@ -33,7 +35,11 @@
         clock: Clock,
         metrics: Metrics,
         listener: Callable[[BackendState], None],
+        protocol: BackendProtocol | None = None,
+        read_listener: Callable[[HealthReading], None] | None = None,
     ) -> None:
+        self.protocol = protocol or OwnBackend()
+        self.read_listener = read_listener
         self.transport = transport
         self.clock = clock
         self.metrics = metrics
@@ -84,26 +90,18 @@
             self.budget.read(started)
             return BackendState.READY
         try:
-            status, body = await self.transport.read(self.path, READ_TIMEOUT_S)
-            state = parse_state(status, body)
+            answer = await self.transport.read(self.path, READ_TIMEOUT_S)
+            reading = self.protocol.read_health(answer)
         except (MarjoramtideError, TimeoutError):
-            state = BackendState.DOWN
+            reading = HealthReading(BackendState.DOWN)
         now = self.clock.monotonic()
         self.budget.read(now, (now - started) * 1000)
         self.metrics.count("serving.measuring_reads")
+        state = reading.state
+        if self.read_listener is not None:
+            self.read_listener(reading)
         if state is not BackendState.DOWN:
             self.failed_reads = 0
             return state
         self.failed_reads += 1
         return state if self.failed_reads >= FAILED_READS or self.state is None else None
-
-
-def parse_state(status: int, body: bytes) -> BackendState:
-    """Return the state in a health answer: its JSON ``state``, or by its status alone."""
-    try:
-        state = json.loads(body).get("state", "")
-    except (ValueError, AttributeError, RecursionError):  # the last one for what is nested deeply
-        state = ""
-    if state == "draining":
-        return BackendState.DRAINING
-    return BackendState.READY if status < 400 else BackendState.DOWN
--- /dev/null
+++ b/src/marjoramtide/serving/_reply_reading.py
@@ -0,0 +1,32 @@
+"""What an answer of the backend server says, beyond HTTP."""
+
+from enum import Enum
+
+import attrs
+
+from marjoramtide.serving._server_load import ServerLoad
+
+
+class ReplyVerdict(Enum):
+    """What the head of an answer says of the request."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"  # it did not run, and never will
+    MISDIRECTED = "misdirected"  # as refused: another backend server has this address now
+    SPOILED = "spoiled"  # it may have run, but this is no answer that a caller may be given
+
+
+@attrs.frozen(slots=True)
+class ReplyReading:
+    """The head of an answer, decoded.
+
+    ``leaving`` tells that the backend server takes no new work; ``retry_after_ms`` when it wants a
+    refused request back, ``load`` what it says of itself, each ``None`` where it doesn't.
+    ``instance`` is the identity it states, or empty.
+    """
+
+    verdict: ReplyVerdict
+    leaving: bool = False
+    retry_after_ms: int | None = None
+    load: ServerLoad | None = None
+    instance: str = ""
--- a/src/marjoramtide/serving/_request_head.py
+++ b/src/marjoramtide/serving/_request_head.py
@@ -1,5 +1,7 @@
 """The head of a request as it goes to the backend server."""
 
+from collections.abc import Iterable
+
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import NotRunError, Request, RequestBody
 
@@ -7,17 +9,18 @@
 METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 
 
-def encode_head(request: Request, body: RequestBody, remaining_ms: float, address: str) -> bytes:
-    """Return the head; raises ``NotRunError`` for a request that can't be written safely."""
+def encode_head(
+    request: Request, body: RequestBody, added: Iterable[tuple[str, str]], address: str
+) -> bytes:
+    """Return the head, with the headers that this node adds.
+
+    Raises ``NotRunError`` for a request that can't be written safely.
+    """
     lines = [f"{request.method} {request.target} HTTP/1.1"]
     if not any(name.lower() == "host" for name, _ in request.headers):
         lines.append(f"Host: {address}")
     lines += [f"{name}: {value}" for name, value in request.headers]
-    lines += [
-        f"Request-Timeout-Ms: {max(1, int(remaining_ms))}",
-        f"Marjoramtide-Depth: {request.depth}",
-        f"Traceparent: {request.trace}",
-    ]
+    lines += [f"{name}: {value}" for name, value in added]
     lines += framing(request, body)
     text = "\r\n".join(lines)
     breaks = len(lines) - 1
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -320,22 +320,28 @@
 
     def expire(self) -> None:
         """Refuse at once the queued requests that can no longer finish in time."""
-        now = self.clock.monotonic()
-        report = None
-        for ticket in self.admission.expire(now):
+        late = self.admission.expire(self.clock.monotonic())
+        self.give_up(late, ErrorCode.DEADLINE, "it could no longer finish in time")
+        self.schedule_expiry()
+
+    def hand_back(self) -> None:
+        """Refuse what is queued as not run, so that other nodes may take it.
+
+        For a backend server that leaves: what waits for it would reach it seconds after it was told
+        that nothing new would.
+        """
+        self.give_up(self.admission.release(), ErrorCode.DRAINING, "the backend server leaves")
+        self.schedule_expiry()
+
+    def give_up(self, tickets: list[int], code: ErrorCode, reason: str) -> None:
+        """Refuse requests that were queued; they have certainly not run."""
+        report = self.admission.report(self.clock.monotonic()) if tickets else None
+        for ticket in tickets:
             waiter = self.waiting.get(ticket)
             if waiter is not None and not waiter.done():
-                report = report or self.admission.report(now)
                 waiter.set_exception(
-                    NotRunError(
-                        ErrorCode.DEADLINE,
-                        "it could no longer finish in time",
-                        step="serving.queue",
-                        retry_after_ms=0,
-                        report=report,
-                    )
+                    NotRunError(code, reason, step="serving.queue", retry_after_ms=0, report=report)
                 )
-        self.schedule_expiry()
 
     async def close(self) -> None:
         """Close the connections to the backend server."""
--- a/src/marjoramtide/settings/__init__.py
+++ b/src/marjoramtide/settings/__init__.py
@@ -13,12 +13,13 @@
 from marjoramtide.settings._place import Place
 from marjoramtide.settings._resolved import Resolved
 from marjoramtide.settings._route_settings import RouteSettings
-from marjoramtide.settings._schema import SCHEMA
+from marjoramtide.settings._schema import DEFAULTS, SCHEMA
 from marjoramtide.settings._settings_view import SettingsView
 from marjoramtide.settings._tree import SettingsTree, parse_tree
 from marjoramtide.settings._tree_view import TreeSettingsView
 
 __all__ = [
+    "DEFAULTS",
     "SCHEMA",
     "Branch",
     "Edit",
--- a/src/marjoramtide/settings/_branch.py
+++ b/src/marjoramtide/settings/_branch.py
@@ -7,8 +7,8 @@
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.settings._level import Level
 
-NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
-NAME_RULE = "1 to 63 of a-z, 0-9 and '-', neither first nor last a '-'"
+NAME = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
+NAME_RULE = "1 to 63 of a-z, 0-9, '-' and '.', beginning and ending with a letter or a digit"
 FORMS = (
     "/, /regions/R, /regions/R/data_centres/D, or one of these followed by "
     "services/S or services/S/routes/PREFIX"
--- a/src/marjoramtide/settings/_editing.py
+++ b/src/marjoramtide/settings/_editing.py
@@ -1,11 +1,13 @@
-"""Edits of the tree: applied to its text, found by comparison, and checked for conflicts."""
+"""Edits of the tree: applied to its text, found by comparison, and checked for conflicts.
 
-from collections.abc import Iterable, Iterator
-from typing import Any
+The library that edits TOML is imported where it is used: a node that only follows what others write
+never needs it, and starts by as much sooner.
+"""
+
+from __future__ import annotations
 
-import tomlkit
-from tomlkit.container import Container
-from tomlkit.items import Table
+from collections.abc import Iterable, Iterator
+from typing import TYPE_CHECKING, Any
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.settings._branch import Branch
@@ -13,6 +15,9 @@
 from marjoramtide.settings._schema import SCHEMA
 from marjoramtide.settings._tree import SettingsTree, bad_settings, check_value, nearest_name
 
+if TYPE_CHECKING:
+    import tomlkit
+
 STEP = "settings.edit"
 
 
@@ -22,6 +27,8 @@
     Raises ``not-found`` where a branch or key to change isn't there, ``bad-settings`` for a key or
     value that isn't allowed or a branch to create that is there already.
     """
+    import tomlkit
+
     document = tomlkit.parse(text)
     for edit in edits:
         _apply(document, edit)
@@ -131,6 +138,8 @@
 
 
 def _create(document: tomlkit.TOMLDocument, branch: Branch) -> None:
+    import tomlkit
+
     if _find(document, branch) is not None:
         raise bad_settings([f"{branch}: this branch exists already"])
     table: Any = document
@@ -142,6 +151,9 @@
 
 
 def _remove(document: tomlkit.TOMLDocument, branch: Branch) -> None:
+    from tomlkit.container import Container
+    from tomlkit.items import Table
+
     *parents, last = branch.keys
     parent: Any = document
     for key in parents:
--- a/src/marjoramtide/settings/_hosts_key.py
+++ b/src/marjoramtide/settings/_hosts_key.py
@@ -16,12 +16,12 @@
 
     @property
     def allowed(self) -> str:
-        return "a list of 1 to 64 different host names in lower case, without ports"
+        return "a list of at most 64 different host names in lower case, without ports"
 
     def accepts(self, value: Any) -> bool:
         return (
             isinstance(value, list)
-            and 1 <= len(value) <= 64
+            and len(value) <= 64
             and all(isinstance(host, str) and HOST.fullmatch(host) for host in value)
             and len(set(value)) == len(value)
         )
--- a/src/marjoramtide/settings/_node_settings.py
+++ b/src/marjoramtide/settings/_node_settings.py
@@ -14,7 +14,9 @@
 
 PLACE_KEYS = ("service", "region", "data_centre")
 ADDRESS_KEYS = ("callers", "peers", "gossip", "operators", "backend")
+OPTIONAL_ADDRESS_KEYS = ("statsd", "readiness", "registration")
 LOG_LEVELS = ("debug", "info", "warning", "error")
+INTERFACES = ("own", "platform")
 MIN_KEY_CHARACTERS = 16
 MAX_STOP_GRACE_S = 3600
 
@@ -41,6 +43,10 @@
 
     All addresses are ``IP:PORT`` and explicit; nothing is bound to a wildcard unless it is written
     here. ``key`` is shared by all nodes of a fleet and authenticates peers and datagrams.
+    ``interface`` names what the node speaks with callers, backend servers and the store.
+    ``base_tree`` is a TOML file over which another system's configuration is laid; ``readiness``
+    and ``registration`` are the addresses for whoever runs the machines and for the backend server,
+    and ``bounds`` are figures of theirs as ``name=value``, where the interface has such.
     """
 
     service: str
@@ -60,6 +66,11 @@
     log_level: str = "info"
     trace_file: str = ""
     stop_grace_s: float = 30.0
+    interface: str = "own"
+    base_tree: str = ""
+    readiness: str = ""
+    registration: str = ""
+    bounds: list[str] = attrs.Factory(list)
 
     @key.validator
     def _check_key(self, attribute: "attrs.Attribute[Any]", value: str) -> None:
@@ -103,11 +114,14 @@
         number = isinstance(value, int | float) and not isinstance(value, bool)
         right = number and 0 <= value <= MAX_STOP_GRACE_S
         return "" if right else f"{name} = {value!r}; allowed: seconds from 0 to {MAX_STOP_GRACE_S}"
+    if name == "bounds":
+        sound = isinstance(value, list) and all(isinstance(text, str) for text in value)
+        return "" if sound else f"bounds = {value!r}; allowed: a list of strings"
     if not isinstance(value, str):
         return f"{name}{'' if name == 'key' else f' = {value!r}'}; allowed: a string"
     if name in PLACE_KEYS and not NAME.fullmatch(value):
         return f"{name} = {value!r}; allowed: {NAME_RULE}"
-    if name in ADDRESS_KEYS or (name == "statsd" and value):
+    if name in ADDRESS_KEYS or (name in OPTIONAL_ADDRESS_KEYS and value):
         try:
             parse_address(value)
         except ValueError as error:
@@ -116,6 +130,8 @@
         return f"key: at least {MIN_KEY_CHARACTERS} characters"
     if name == "store" and not value.startswith(("http://", "https://")):
         return f"{name} = {value!r}; allowed: a URL that begins with http:// or https://"
+    if name == "interface" and value not in INTERFACES:
+        return f"{name} = {value!r}; allowed: one of {', '.join(INTERFACES)}"
     if name == "log_level" and value not in LOG_LEVELS:
         return f"{name} = {value!r}; allowed: one of {', '.join(LOG_LEVELS)}"
     return ""
--- a/src/marjoramtide/settings/_route_settings.py
+++ b/src/marjoramtide/settings/_route_settings.py
@@ -14,6 +14,10 @@
     service: str = ""
     route: str = "/"
     # Requests
+    unmatched: str = "serve"  # serve | refuse
+    split: tuple[tuple[str, int], ...] = ()
+    rank: int = 0
+    goal_ms: int = 0  # 0: not known
     timeout_ms: int = 1000
     max_timeout_ms: int = 10000
     max_depth: int = 20
@@ -35,6 +39,7 @@
     spill_over: float = 1.0  # how much slower, in network hops, another data centre may seem
     # Second tries
     max_attempts: int = 3
+    max_asks: int = 0  # 0: as many as max_attempts
     retry_budget: float = 0.1
     rejection_budget: float = 0.5
     hedge_budget: float = 0.02
--- a/src/marjoramtide/settings/_schema.py
+++ b/src/marjoramtide/settings/_schema.py
@@ -1,5 +1,7 @@
 """Every key of the settings tree: the one table that checks and the reference page come from."""
 
+from typing import Any
+
 import attrs
 
 from marjoramtide.settings._choice_key import ChoiceKey
@@ -9,6 +11,7 @@
 from marjoramtide.settings._number_key import NumberKey
 from marjoramtide.settings._path_key import PathKey
 from marjoramtide.settings._route_settings import RouteSettings
+from marjoramtide.settings._split_key import SplitKey
 
 REQUESTS = "Requests"
 CAPACITY = "Capacity of one backend server"
@@ -26,6 +29,36 @@
         levels=frozenset({Level.SERVICE}),
         meaning="Host names by which callers address the service; its own name by default.",
     ),
+    ChoiceKey(
+        name="unmatched",
+        group=REQUESTS,
+        levels=frozenset({Level.SERVICE}),
+        choices=("serve", "refuse"),
+        meaning="What becomes of a request whose path no route covers: served by the settings of "
+        "the service, or refused as not found.",
+    ),
+    SplitKey(
+        name="split",
+        group=REQUESTS,
+        levels=frozenset({Level.SERVICE, Level.ROUTE}),
+        meaning="Services whose backend servers run the requests, with the weight of each; empty "
+        "where the service's own backend servers do.",
+    ),
+    NumberKey(
+        name="rank",
+        group=REQUESTS,
+        minimum=0,
+        maximum=1000,
+        meaning="The order of requests inside a class: lower ranks go first.",
+    ),
+    NumberKey(
+        name="goal_ms",
+        group=REQUESTS,
+        minimum=0,
+        maximum=600_000,
+        meaning="Milliseconds within which an answer is worth most to its caller; 0 where that is "
+        "not known.",
+    ),
     NumberKey(
         name="timeout_ms",
         group=REQUESTS,
@@ -169,8 +202,16 @@
         name="max_attempts",
         group=SECOND_TRIES,
         minimum=1,
-        maximum=10,
-        meaning="Backend servers that are asked at most for one request.",
+        maximum=100,
+        meaning="Backend servers that are sent one request at most.",
+    ),
+    NumberKey(
+        name="max_asks",
+        group=SECOND_TRIES,
+        minimum=0,
+        maximum=100,
+        meaning="Nodes that are asked at most for one request, those included that refused before "
+        "their backend server saw it; 0 stands for `max_attempts`.",
     ),
     NumberKey(
         name="retry_budget",
@@ -252,6 +293,38 @@
         fraction=True,
         meaning="The share of requests that are traced.",
     ),
+    NumberKey(
+        name="max_head_bytes",
+        group=NODES,
+        levels=NODE_WIDE,
+        minimum=1024,
+        maximum=1 << 20,
+        meaning="The largest request head, in bytes.",
+    ),
+    NumberKey(
+        name="max_line_bytes",
+        group=NODES,
+        levels=NODE_WIDE,
+        minimum=1024,
+        maximum=1 << 20,
+        meaning="The longest request line or header field, in bytes.",
+    ),
+    NumberKey(
+        name="head_timeout_ms",
+        group=NODES,
+        levels=NODE_WIDE,
+        minimum=100,
+        maximum=600_000,
+        meaning="Milliseconds in which a caller must send a request's head once it has begun.",
+    ),
+    NumberKey(
+        name="idle_timeout_ms",
+        group=NODES,
+        levels=NODE_WIDE,
+        minimum=100,
+        maximum=3_600_000,
+        meaning="Milliseconds for which a caller's connection may stay without a request.",
+    ),
     NumberKey(
         name="freshness_s",
         group=NODES,
@@ -274,7 +347,14 @@
 
 SCHEMA: dict[str, KeySpec] = {spec.name: spec for spec in _TABLE}
 
-NODE_DEFAULTS = {"freshness_s": 6.0, "watchers": 3}
-DEFAULTS: dict[str, object] = {
+NODE_DEFAULTS = {
+    "max_head_bytes": 32 * 1024,
+    "max_line_bytes": 8190,
+    "head_timeout_ms": 5000,
+    "idle_timeout_ms": 75_000,
+    "freshness_s": 6.0,
+    "watchers": 3,
+}
+DEFAULTS: dict[str, Any] = {
     field.name: field.default for field in attrs.fields(RouteSettings) if field.name in SCHEMA
 } | NODE_DEFAULTS
--- a/src/marjoramtide/settings/_settings_view.py
+++ b/src/marjoramtide/settings/_settings_view.py
@@ -1,7 +1,8 @@
 """The shared settings in force, as the other parts of a node read them."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import Any
 
 from marjoramtide.settings._route_settings import RouteSettings
 
@@ -14,6 +15,11 @@
     def revision(self) -> int:
         """Return the revision in force; 0 before the first one."""
 
+    @property
+    @abstractmethod
+    def node_values(self) -> Mapping[str, Any]:
+        """Return the values that hold for a node as a whole, by key."""
+
     @property
     @abstractmethod
     def is_current(self) -> bool:
@@ -31,6 +37,10 @@
     def route(self, service: str, path: str) -> RouteSettings:
         """Return the settings of the longest route of ``service`` that is a prefix of ``path``."""
 
+    @abstractmethod
+    def find(self, host: str, path: str) -> RouteSettings:
+        """Return the settings of a request for ``host``; raises ``unknown-service``."""
+
     @abstractmethod
     def on_change(self, listener: Callable[[int], None]) -> None:
         """Call ``listener`` with each revision that comes into force."""
--- a/src/marjoramtide/settings/_tree.py
+++ b/src/marjoramtide/settings/_tree.py
@@ -2,6 +2,7 @@
 
 import difflib
 import itertools
+import json
 import tomllib
 from collections.abc import Collection, Iterator
 from typing import Any
@@ -18,6 +19,8 @@
 
 STEP = "settings.check"
 PROBLEMS_NAMED = 10
+# No TOML text begins with a brace.
+JSON_BEGINS = "{"
 CONTAINERS: dict[Level, tuple[str, ...]] = {
     Level.ROOT: ("regions", "services"),
     Level.REGION: ("data_centres", "services"),
@@ -38,14 +41,18 @@
         """Return the names of all services, in order."""
         return sorted({branch.service for branch in self.branches if branch.service})
 
-    def routes(self, service: str) -> list[str]:
-        """Return the route prefixes of a service anywhere in the tree, the longest first."""
-        found = {
+    def own_routes(self, service: str) -> set[str]:
+        """Return the route prefixes that branches of a service name, anywhere in the tree."""
+        return {
             branch.route
             for branch in self.branches
             if branch.service == service and branch.route is not None
         }
-        return sorted(found | {"/"}, key=lambda prefix: (-len(prefix), prefix))
+
+    def routes(self, service: str) -> list[str]:
+        """Return the route prefixes of a service with ``/`` for all else, the longest first."""
+        found = self.own_routes(service) | {"/"}
+        return sorted(found, key=lambda prefix: (-len(prefix), prefix))
 
     def places(self) -> list[Place]:
         """Return the places that the tree names, and the one for all others."""
@@ -81,14 +88,19 @@
 
 
 def parse_tree(text: str, places: Collection[Place] | None = None) -> SettingsTree:
-    """Read and check the TOML text of a tree.
+    """Read and check the text of a tree: TOML, or the same tables as JSON.
+
+    JSON is what an adapter writes that makes the tree from another system's configuration: reading
+    it takes a thirtieth of the time, which counts where a change brings hundreds of routes.
 
     Values are checked against each other for all places, or for ``places`` alone: a node that
     applies a revision checks its own place, since the whole was checked before it was written.
     Raises ``bad-settings`` that names each problem with its path, value and what is allowed.
     """
     try:
-        raw = tomllib.loads(text)
+        raw = json.loads(text) if text.startswith(JSON_BEGINS) else tomllib.loads(text)
+    except json.JSONDecodeError as error:
+        raise bad_settings([f"not JSON: {error}"]) from error
     except tomllib.TOMLDecodeError as error:
         raise bad_settings([f"not TOML: {error}"]) from error
     branches: dict[Branch, dict[str, Any]] = {}
--- a/src/marjoramtide/settings/_tree_view.py
+++ b/src/marjoramtide/settings/_tree_view.py
@@ -38,9 +38,11 @@
         self.freshness = freshness
         self.envelope: Envelope | None = None
         self.tree = SettingsTree({})
-        self.node_values: dict[str, Any] = Resolved.of([]).values
+        self.own_values: dict[str, Any] = Resolved.of([]).values
         self.routes: dict[str, list[tuple[str, RouteSettings]]] = {}
         self.hosts: dict[str, str] = {}
+        # Services that refuse a path which no route of theirs covers.
+        self.closed: set[str] = set()
         self.listeners: list[Callable[[int], None]] = []
 
     @property
@@ -51,6 +53,10 @@
     def digest(self) -> str:
         return self.envelope.digest if self.envelope else ""
 
+    @property
+    def node_values(self) -> dict[str, Any]:
+        return self.own_values
+
     @property
     def is_current(self) -> bool:
         return self.freshness.is_current
@@ -74,6 +80,24 @@
             (settings for prefix, settings in routes if matches(prefix, path)), routes[-1][1]
         )
 
+    def find(self, host: str, path: str) -> RouteSettings:
+        """Return the settings of a caller's request; raises ``unknown-service``."""
+        service = self.service_for_host(host)
+        if service is None:
+            raise MarjoramtideError(
+                ErrorCode.UNKNOWN_SERVICE,
+                f"no service answers for host {host[:100]!r}",
+                step="settings.route",
+            )
+        settings = self.route(service, path)
+        if settings.route == "/" and service in self.closed:
+            raise MarjoramtideError(
+                ErrorCode.UNKNOWN_SERVICE,
+                f"no route of {service!r} covers {path[:100]!r}",
+                step="settings.route",
+            )
+        return settings
+
     def on_change(self, listener: Callable[[int], None]) -> None:
         self.listeners.append(listener)
 
@@ -92,7 +116,12 @@
             for service in tree.services()
         }
         self.hosts = {host: service for service in routes for host in tree.hosts(service)}
-        self.node_values = tree.resolve(self.place).values
+        self.closed = {
+            service
+            for service, found in routes.items()
+            if found[-1][1].unmatched == "refuse" and "/" not in tree.own_routes(service)
+        }
+        self.own_values = tree.resolve(self.place).values
         self.envelope, self.tree, self.routes = envelope, tree, routes
         self.freshness.bound_s = self.node_values["freshness_s"]
         for listener in self.listeners:
--- a/src/marjoramtide/settings/sync/__init__.py
+++ b/src/marjoramtide/settings/sync/__init__.py
@@ -2,9 +2,11 @@
 
 from marjoramtide.settings.sync._change_outcome import ChangeOutcome
 from marjoramtide.settings.sync._change_request import ChangeRequest
+from marjoramtide.settings.sync._own_tree_source import TREE_KEY, OwnTreeSource
 from marjoramtide.settings.sync._progress import Progress, Report
 from marjoramtide.settings.sync._service import SettingsService, make_settings_service
-from marjoramtide.settings.sync._tree_store import HISTORY_PREFIX, TREE_KEY
+from marjoramtide.settings.sync._tree_source import TreeSource
+from marjoramtide.settings.sync._tree_store import HISTORY_PREFIX
 from marjoramtide.settings.sync._watchers import choose_watchers
 
 __all__ = [
@@ -12,9 +14,11 @@
     "TREE_KEY",
     "ChangeOutcome",
     "ChangeRequest",
+    "OwnTreeSource",
     "Progress",
     "Report",
     "SettingsService",
+    "TreeSource",
     "choose_watchers",
     "make_settings_service",
 ]
--- a/src/marjoramtide/settings/sync/_follower.py
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -9,13 +9,12 @@
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.membership import Directory, Member
-from marjoramtide.settings._envelope import decode_envelope
 from marjoramtide.settings._freshness import Freshness
 from marjoramtide.settings._tree_view import TreeSettingsView
 from marjoramtide.settings.sync._adopter import Adopter
 from marjoramtide.settings.sync._backoff import backoff
 from marjoramtide.settings.sync._peer_settings import PeerSettings
-from marjoramtide.settings.sync._tree_store import TREE_KEY, TreeStore
+from marjoramtide.settings.sync._tree_store import TreeStore
 from marjoramtide.settings.sync._watchers import choose_watchers
 
 CHECKS_IN_BOUND = 4
@@ -138,7 +137,7 @@
         self.store_answers = True
         if stored is None:
             # No tree: true of a fleet that has none yet, but also what a stale read says.
-            return self.view.revision == 0
+            return self.view.revision == 0 and self.trees.source.may_be_absent
         level = self.adopter.adopt(stored.envelope, "store")
         # An answer older than what is in force here is a stale one: it proves nothing.
         return level and stored.envelope.revision >= self.view.revision
@@ -198,15 +197,15 @@
         Each watch begins with a read, so that what a watch missed without saying so (a lapsed one,
         or a gap in its history) is missed for one watch at most.
         """
-        stored = await self.trees.read()
+        stored, since = await self.trees.read_with_position()
         self.store_answers = True
         if stored:
             self.adopter.adopt(stored.envelope, "store")
-        since = stored.version if stored else 0
+        source = self.trees.source
         try:
-            async for event in self.trees.store.watch(TREE_KEY, since, wait=WATCH_WAIT_S):
-                if event.stored and event.key == TREE_KEY:
-                    self.adopter.adopt(decode_envelope(event.stored.value), "watch")
+            async for event in self.trees.store.watch(source.key, since, wait=WATCH_WAIT_S):
+                if event.stored and event.key == source.key:
+                    self.adopter.adopt(source.decode(event.stored), "watch")
         except MarjoramtideError as error:
             if error.code is not ErrorCode.NOT_FOUND:
                 raise
--- /dev/null
+++ b/src/marjoramtide/settings/sync/_own_tree_source.py
@@ -0,0 +1,28 @@
+"""The tree as our own command line writes it."""
+
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.settings._envelope import Envelope, decode_envelope
+from marjoramtide.settings.sync._tree_source import TreeSource
+from marjoramtide.store import ObjectStore, StoredObject
+
+TREE_KEY = "settings/tree"
+
+
+class OwnTreeSource(TreeSource):
+    """An envelope under one key."""
+
+    key = TREE_KEY
+    may_be_absent = True
+    is_ours = True
+
+    async def read(self, store: ObjectStore) -> tuple[StoredObject | None, int]:
+        try:
+            stored = await store.get(self.key)
+        except MarjoramtideError as error:
+            if error.code is ErrorCode.NOT_FOUND:
+                return None, 0
+            raise
+        return stored, stored.version
+
+    def decode(self, stored: StoredObject) -> Envelope:
+        return decode_envelope(stored.value)
--- a/src/marjoramtide/settings/sync/_service.py
+++ b/src/marjoramtide/settings/sync/_service.py
@@ -10,7 +10,6 @@
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.membership import Directory
 from marjoramtide.peers import ControlChannel
-from marjoramtide.platform import ObjectStore
 from marjoramtide.settings._edit import EditAction, parse_edits
 from marjoramtide.settings._envelope import Envelope
 from marjoramtide.settings._freshness import Freshness
@@ -23,6 +22,7 @@
 from marjoramtide.settings.sync._change_outcome import ChangeOutcome
 from marjoramtide.settings.sync._change_request import ChangeRequest
 from marjoramtide.settings.sync._follower import Follower
+from marjoramtide.settings.sync._own_tree_source import OwnTreeSource
 from marjoramtide.settings.sync._peer_settings import (
     PREPARE,
     PULL,
@@ -30,7 +30,9 @@
     encode_answer,
 )
 from marjoramtide.settings.sync._progress import Progress, Report
+from marjoramtide.settings.sync._tree_source import TreeSource
 from marjoramtide.settings.sync._tree_store import TreeStore
+from marjoramtide.store import ObjectStore
 
 
 def _silent(_: Progress) -> None:
@@ -71,6 +73,12 @@
         The change goes on when the operator's connection breaks: given up half-way, a write whose
         answer was lost would stay unresolved. Asking again with the same change id tells its end.
         """
+        if not self.follower.trees.source.is_ours:
+            raise MarjoramtideError(
+                ErrorCode.BAD_SETTINGS,
+                "the settings of this fleet are written by another system; change them there",
+                step="settings.change",
+            )
         task = asyncio.create_task(self.maker.make(request, report))
         self.changes.add(task)
         task.add_done_callback(self.changes.discard)
@@ -117,6 +125,7 @@
     clock: Clock,
     rng: random.Random | None = None,
     freeze: FreezeDetector | None = None,
+    source: TreeSource | None = None,
 ) -> SettingsService:
     """Return the settings part of the node that ``node_settings`` describes.
 
@@ -126,7 +135,7 @@
     detector = freeze or FreezeDetector(clock)
     place = Place(node_settings.region, node_settings.data_centre)
     view = TreeSettingsView(place, Freshness(clock, detector))
-    trees = TreeStore(store, clock, rng)
+    trees = TreeStore(store, clock, rng, source or OwnTreeSource())
     peers = PeerSettings(directory, control_channel, rng)
     adopter = Adopter(view, directory)
     follower = Follower(view, adopter, trees, peers, directory, clock, rng)
--- a/src/marjoramtide/settings/sync/_tree_store.py
+++ b/src/marjoramtide/settings/sync/_tree_store.py
@@ -9,11 +9,12 @@
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.membership import ANNOUNCEMENTS, Announcement, decode_announcement
-from marjoramtide.platform import ObjectStore
 from marjoramtide.settings._envelope import Envelope, decode_envelope
 from marjoramtide.settings.sync._backoff import backoff
+from marjoramtide.settings.sync._own_tree_source import OwnTreeSource
+from marjoramtide.settings.sync._tree_source import TreeSource
+from marjoramtide.store import ObjectStore
 
-TREE_KEY = "settings/tree"
 HISTORY_PREFIX = "settings/history/"
 HISTORY_KEPT = 1000
 ATTEMPTS = 4
@@ -32,21 +33,23 @@
 
 @attrs.define(slots=True)
 class TreeStore:
-    """Reads and writes the tree; the only code that knows its keys."""
+    """Reads and writes the tree; ``source`` tells where it lies."""
 
     store: ObjectStore
     clock: Clock
     rng: random.Random
+    source: TreeSource = attrs.field(factory=OwnTreeSource)
 
     async def read(self) -> StoredTree | None:
         """Return the tree, or ``None`` where none was ever written; raises what the store does."""
-        try:
-            stored = await self.store.get(TREE_KEY)
-        except MarjoramtideError as error:
-            if error.code is ErrorCode.NOT_FOUND:
-                return None
-            raise
-        return StoredTree(decode_envelope(stored.value), stored.version)
+        return (await self.read_with_position())[0]
+
+    async def read_with_position(self) -> tuple[StoredTree | None, int]:
+        """Return the tree, and the store's version from which a watch goes on."""
+        stored, position = await self.source.read(self.store)
+        if stored is None:
+            return None, position
+        return StoredTree(self.source.decode(stored), stored.version), position
 
     async def read_history(self, revision: int) -> Envelope:
         """Return an earlier revision; raises ``not-found`` where it is no longer kept."""
@@ -133,9 +136,9 @@
 
     async def _put(self, prior: StoredTree | None, data: bytes) -> None:
         if prior is None:
-            await self.store.create(TREE_KEY, data)
+            await self.store.create(self.source.key, data)
         else:
-            await self.store.update(TREE_KEY, data, prior.version)
+            await self.store.update(self.source.key, data, prior.version)
 
     async def _find(
         self, prior: StoredTree | None, envelope: Envelope, doubt: Callable[[str], None]
--- a/src/marjoramtide/operators/_server.py
+++ b/src/marjoramtide/sockets/_app_server.py
@@ -1,4 +1,4 @@
-"""Owns the socket on which a node listens to operators."""
+"""Owns the socket on which a node serves one HTTP application."""
 
 from aiohttp import web
 
@@ -7,16 +7,17 @@
 SHUTDOWN_S = 1.0
 
 
-class OperatorsServer:
-    """Serves an operators' application at one address.
+class AppServer:
+    """Serves an application at one address; ``name`` is that of its key in the node's settings.
 
     For example::
 
-        server = OperatorsServer(make_operators_app(handle))
+        server = AppServer("operators", make_operators_app(handle))
         await server.start("10.0.0.7", 7002)
     """
 
-    def __init__(self, app: web.Application) -> None:
+    def __init__(self, name: str, app: web.Application) -> None:
+        self.name = name
         self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_S)
 
     async def start(self, host: str, port: int) -> None:
@@ -27,11 +28,11 @@
         except OSError as error:
             raise MarjoramtideError(
                 ErrorCode.BAD_SETTINGS,
-                f"operators: {error}",
-                step="operators.start",
+                f"{self.name}: {error}",
+                step=f"{self.name}.start",
                 peer=f"{host}:{port}",
             ) from error
 
     async def close(self) -> None:
-        """Stop listening; commands under way get ``SHUTDOWN_S`` seconds to end."""
+        """Stop listening; calls under way get ``SHUTDOWN_S`` seconds to end."""
         await self.runner.cleanup()
--- /dev/null
+++ b/src/marjoramtide/store/__init__.py
@@ -0,0 +1,32 @@
+"""The store of what must last: the interface, the one client, and what it does when calls fail."""
+
+from marjoramtide.store._call import Answer, Call, Meaning
+from marjoramtide.store._http_object_store import HttpObjectStore, open_object_store
+from marjoramtide.store._listing import Listing
+from marjoramtide.store._object_store import ObjectStore
+from marjoramtide.store._own_protocol import OwnStoreProtocol
+from marjoramtide.store._resolution import Resolution
+from marjoramtide.store._resolved_write import create_resolved, update_resolved
+from marjoramtide.store._store_limits import StoreLimits
+from marjoramtide.store._store_protocol import Page, StoreProtocol
+from marjoramtide.store._stored_object import StoredObject
+from marjoramtide.store._watch_event import WatchEvent
+
+__all__ = [
+    "Answer",
+    "Call",
+    "HttpObjectStore",
+    "Listing",
+    "Meaning",
+    "ObjectStore",
+    "OwnStoreProtocol",
+    "Page",
+    "Resolution",
+    "StoreLimits",
+    "StoreProtocol",
+    "StoredObject",
+    "WatchEvent",
+    "create_resolved",
+    "open_object_store",
+    "update_resolved",
+]
--- a/src/marjoramtide/platform/_http_object_store.py
+++ b/src/marjoramtide/store/_http_object_store.py
@@ -1,78 +1,42 @@
 """The platform's object API over HTTP."""
 
-import base64
-import json
 import random
-from collections.abc import AsyncIterator, Iterator, Mapping
-from contextlib import AbstractAsyncContextManager, contextmanager, suppress
+import socket
+from collections import deque
+from collections.abc import AsyncIterator, Iterator, Mapping, Sequence
+from contextlib import AbstractAsyncContextManager, asynccontextmanager, contextmanager, suppress
 from email.utils import parsedate_to_datetime
 from http import HTTPStatus
-from urllib.parse import quote
 
 import aiohttp
-import attrs
 
 from marjoramtide.clock import Clock, SystemClock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.platform._backoff import full_jitter
-from marjoramtide.platform._call_budget import CallBudget
-from marjoramtide.platform._call_failed import AnswerLostError, CallNotSentError, no_resend
-from marjoramtide.platform._circuit import Circuit
-from marjoramtide.platform._listing import Listing
-from marjoramtide.platform._object_store import ObjectStore
-from marjoramtide.platform._store_limits import StoreLimits
-from marjoramtide.platform._stored_object import StoredObject
-from marjoramtide.platform._watch_event import WatchEvent
+from marjoramtide.sockets import notice_silence
+from marjoramtide.store._backoff import full_jitter
+from marjoramtide.store._call import Answer, Call, Meaning
+from marjoramtide.store._call_budget import CallBudget
+from marjoramtide.store._call_failed import AnswerLostError, CallNotSentError, no_resend
+from marjoramtide.store._circuit import Circuit
+from marjoramtide.store._listing import Listing
+from marjoramtide.store._object_store import ObjectStore
+from marjoramtide.store._own_protocol import OwnStoreProtocol
+from marjoramtide.store._store_limits import StoreLimits
+from marjoramtide.store._store_protocol import StoreProtocol
+from marjoramtide.store._stored_object import StoredObject
+from marjoramtide.store._watch_event import WatchEvent
 
 MAX_TRIES = 4
 MAX_VALUE_BYTES = 1024 * 1024
 MAX_LINE_BYTES = 2 * 1024 * 1024
 WATCH_GRACE_S = 2.0
+# What is left of a watch's time below this is not worth a call, which counts like any other.
+SHORTEST_POLL_S = 0.5
 CONNECTIONS = 16
 SHORTEST_COUNTED_S = 0.25
 LONGEST_TIMING_S = 5.0
 RETRIED = (ErrorCode.STORE_UNAVAILABLE, ErrorCode.STORE_THROTTLED)
 
-FOUND_OR_NOT = frozenset({HTTPStatus.OK, HTTPStatus.NOT_FOUND})
-LISTED = frozenset({HTTPStatus.OK})
-WATCHED_OR_GAP = frozenset({HTTPStatus.OK, HTTPStatus.GONE})
-WRITTEN_OR_LOST = frozenset(
-    {HTTPStatus.OK, HTTPStatus.CREATED, HTTPStatus.NO_CONTENT, HTTPStatus.PRECONDITION_FAILED}
-)
-
-
-@attrs.frozen(slots=True)
-class Answer:
-    """A whole answer of the store."""
-
-    status: int
-    headers: Mapping[str, str]
-    body: bytes
-
-    @property
-    def version(self) -> int:
-        return int(self.headers["ETag"].strip('"'))
-
-
-@attrs.frozen(slots=True)
-class Call:
-    """One call to the store, as it may be made several times.
-
-    ``answers`` are the statuses that say something of the object.
-    """
-
-    step: str
-    method: str
-    path: str
-    answers: frozenset[HTTPStatus]
-    params: Mapping[str, str] = attrs.field(factory=dict)
-    headers: Mapping[str, str] = attrs.field(factory=dict)
-    body: bytes | None = None
-
-    @property
-    def is_write(self) -> bool:
-        return self.method in ("PUT", "DELETE")
-
 
 class HttpObjectStore(ObjectStore):
     """Calls the platform's object API with aiohttp.
@@ -82,8 +46,16 @@
     and ``update_resolved`` find out what became of it.
     """
 
-    def __init__(self, url: str, clock: Clock, rng: random.Random, limits: StoreLimits) -> None:
+    def __init__(
+        self,
+        url: str,
+        protocol: StoreProtocol,
+        clock: Clock,
+        rng: random.Random,
+        limits: StoreLimits,
+    ) -> None:
         self.url = url.rstrip("/")
+        self.protocol = protocol
         self.clock = clock
         self.rng = rng
         self.writes = CallBudget(clock, limits.writes_per_s, limits.write_burst)
@@ -91,59 +63,86 @@
         self.circuit = Circuit(clock, rng)
         self.offset: float | None = None
         self.session: aiohttp.ClientSession | None = None
+        self.calls_made = 0
 
     async def get(self, key: str, *, timeout: float = 2.0) -> StoredObject:
-        step = "store.get"
-        answer = await self.call(Call(step, "GET", object_path(key), FOUND_OR_NOT), timeout)
-        if answer.status == HTTPStatus.NOT_FOUND:
-            raise self.error(ErrorCode.NOT_FOUND, key, step)
-        with self.parsing(ErrorCode.STORE_UNAVAILABLE, step):
-            return StoredObject(key, answer.body, answer.version)
-
-    async def list(self, prefix: str, *, timeout: float = 2.0) -> Listing:
-        call = Call("store.list", "GET", "/v1/objects", LISTED, params={"prefix": prefix})
+        call = self.protocol.get(key)
         answer = await self.call(call, timeout)
+        if answer.meaning is Meaning.MISSING:
+            raise self.error(ErrorCode.NOT_FOUND, key, call.step)
         with self.parsing(ErrorCode.STORE_UNAVAILABLE, call.step):
-            listed = json.loads(answer.body)
-            return Listing(map(stored_object, listed["objects"]), int(listed["version"]))
+            return self.protocol.read_object(key, answer)
+
+    async def list(self, prefix: str, *, timeout: float = 2.0) -> Listing:
+        objects: deque[StoredObject] = deque()
+        after = ""
+        while True:
+            call = self.protocol.list_page(prefix, after)
+            answer = await self.call(call, timeout)
+            with self.parsing(ErrorCode.STORE_UNAVAILABLE, call.step):
+                page = self.protocol.read_page(prefix, answer)
+            objects += page.objects
+            if not page.after:
+                return Listing(objects, page.version)
+            after = page.after
 
     async def create(self, key: str, value: bytes, *, timeout: float = 2.0) -> StoredObject:
-        return await self.put("store.create", key, value, {"If-None-Match": "*"}, timeout)
+        return await self.put(self.protocol.create(key, value), key, value, timeout)
 
     async def update(
         self, key: str, value: bytes, version: int, *, timeout: float = 2.0
     ) -> StoredObject:
-        return await self.put("store.update", key, value, {"If-Match": f'"{version}"'}, timeout)
+        return await self.put(self.protocol.update(key, value, version), key, value, timeout)
 
     async def delete(self, key: str, version: int, *, timeout: float = 2.0) -> None:
-        headers = {"If-Match": f'"{version}"'}
-        path = object_path(key)
-        call = Call("store.delete", "DELETE", path, WRITTEN_OR_LOST, headers=headers)
-        await self.write(call, key, timeout)
+        await self.write(self.protocol.delete(key, version), key, timeout)
 
     async def watch(
         self, prefix: str, since: int, *, wait: float = 30.0
     ) -> AsyncIterator[WatchEvent]:
-        step = "store.watch"
-        await self.reads.take(self.clock.monotonic() + wait, step)
-        self.circuit.enter(step, self.url)
-        params = {"prefix": prefix, "since": str(since), "wait": f"{wait:g}"}
+        if self.protocol.streams_watches:
+            async for event in self.stream(prefix, since, wait):
+                yield event
+            return
+        ends = self.clock.monotonic() + wait
+        while (left := ends - self.clock.monotonic()) > SHORTEST_POLL_S:
+            events, since = await self.poll(prefix, since, left)
+            for event in events:
+                yield event
+
+    async def stream(self, prefix: str, since: int, wait: float) -> AsyncIterator[WatchEvent]:
+        """Watch by one call whose answer brings a line for each change."""
+        call = self.protocol.watch(prefix, since, wait)
+        async with self.watching(call, wait) as response:
+            async for line in response.content:
+                with self.parsing(ErrorCode.STORE_UNAVAILABLE, call.step):
+                    event = self.protocol.read_event(prefix, line)
+                yield event
+
+    async def poll(self, prefix: str, since: int, wait: float) -> tuple[Sequence[WatchEvent], int]:
+        """Watch by one call that is answered when something has changed, or after ``wait``."""
+        call = self.protocol.watch(prefix, since, wait)
+        async with self.watching(call, wait) as response:
+            body = await response.read()
+        with self.parsing(ErrorCode.STORE_UNAVAILABLE, call.step):
+            return self.protocol.read_events(prefix, body)
+
+    @asynccontextmanager
+    async def watching(self, call: Call, wait: float) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Make a call that may wait; raises ``not-found`` where its history is gone."""
+        await self.reads.take(self.clock.monotonic() + wait, call.step)
+        self.circuit.enter(call.step, self.url)
         timeout = aiohttp.ClientTimeout(total=wait + WATCH_GRACE_S, connect=WATCH_GRACE_S)
-        call = Call(step, "GET", "/v1/watch", WATCHED_OR_GAP, params=params)
         has_answered = False
         try:
             async with self.request(call, timeout) as response:
                 has_answered = True
-                self.settle(call, response.status, response.headers)
-                if response.status == HTTPStatus.GONE:
-                    raise self.error(ErrorCode.NOT_FOUND, f"no history since {since}", step)
-                async for line in response.content:
-                    with self.parsing(ErrorCode.STORE_UNAVAILABLE, step):
-                        event = watch_event(json.loads(line))
-                    yield event
+                if self.settle(call, response.status, response.headers) is Meaning.GAP:
+                    raise self.error(ErrorCode.NOT_FOUND, "the history is gone", call.step)
+                yield response
         except (AnswerLostError, CallNotSentError, aiohttp.ClientError, TimeoutError) as error:
             self.circuit.failed()
-            raise self.error(ErrorCode.STORE_UNAVAILABLE, describe(error), step) from error
+            raise self.error(ErrorCode.STORE_UNAVAILABLE, describe(error), call.step) from error
         finally:
             if not has_answered:
                 self.circuit.abandoned()
@@ -166,22 +165,20 @@
             await self.session.close()
             self.session = None
 
-    async def put(
-        self, step: str, key: str, value: bytes, condition: Mapping[str, str], timeout: float
-    ) -> StoredObject:
+    async def put(self, call: Call, key: str, value: bytes, timeout: float) -> StoredObject:
         if len(value) > MAX_VALUE_BYTES:
             message = f"{key}: {len(value)} bytes; at most {MAX_VALUE_BYTES} are allowed"
-            raise self.error(ErrorCode.BAD_REQUEST, message, step)
-        path = object_path(key)
-        call = Call(step, "PUT", path, WRITTEN_OR_LOST, headers=condition, body=value)
+            raise self.error(ErrorCode.BAD_REQUEST, message, call.step)
         answer = await self.write(call, key, timeout)
-        with self.parsing(ErrorCode.STORE_AMBIGUOUS, step):
-            return StoredObject(key, value, answer.version)
+        with self.parsing(ErrorCode.STORE_AMBIGUOUS, call.step):
+            return self.protocol.read_written(key, value, answer)
 
     async def write(self, call: Call, key: str, timeout: float) -> Answer:
         answer = await self.call(call, timeout)
-        if answer.status == HTTPStatus.PRECONDITION_FAILED:
+        if answer.meaning is Meaning.CONFLICT:
             raise self.error(ErrorCode.VERSION_CONFLICT, key, call.step)
+        if answer.meaning is Meaning.MISSING:
+            raise self.error(ErrorCode.NOT_FOUND, key, call.step)
         return answer
 
     async def call(self, call: Call, timeout: float) -> Answer:
@@ -226,7 +223,6 @@
             self.circuit.abandoned()
             raise
         self.note_time(answer.headers.get("Date", ""), wall, self.clock.monotonic() - began)
-        self.settle(call, answer.status, answer.headers)
         return answer
 
     async def exchange(self, call: Call, left: float) -> Answer:
@@ -234,11 +230,14 @@
         # told apart from one whose answer did not come.
         timeout = aiohttp.ClientTimeout(total=left, connect=left * 0.9)
         async with self.request(call, timeout) as response:
-            return Answer(response.status, response.headers, await response.read())
+            body = await response.read()
+            meaning = self.settle(call, response.status, response.headers)
+            return Answer(response.status, response.headers, body, meaning)
 
     def request(
         self, call: Call, timeout: aiohttp.ClientTimeout
     ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        self.calls_made += 1
         return self.opened().request(
             call.method,
             self.url + call.path,
@@ -249,14 +248,11 @@
             allow_redirects=False,
         )
 
-    def settle(self, call: Call, status: int, headers: Mapping[str, str]) -> None:
-        """Raise what a status means that says nothing of the object; the others pass."""
+    def settle(self, call: Call, status: int, headers: Mapping[str, str]) -> Meaning:
+        """Return what a status says of the object; raises for those that say nothing of it."""
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self.circuit.failed()
-            # A gateway may answer 5xx for a write that the store behind it applied. Only the
-            # store's own word that it did not look at the write makes a 5xx a certain refusal.
-            refused = headers.get("Write-Applied") == "no"
-            unsure = call.is_write and not refused
+            unsure = call.is_write and not self.protocol.certainly_refused(status, headers)
             code = ErrorCode.STORE_AMBIGUOUS if unsure else ErrorCode.STORE_UNAVAILABLE
             raise self.error(code, f"status {status}", call.step)
         self.circuit.succeeded()
@@ -264,13 +260,16 @@
             (self.writes if call.is_write else self.reads).throttled()
             message = "the store's rate is used up"
             raise self.error(ErrorCode.STORE_THROTTLED, message, call.step)
-        if status not in call.answers:
+        if status not in call.meanings:
             raise self.error(ErrorCode.BAD_REQUEST, f"status {status}", call.step)
+        return call.meanings[status]
 
     def opened(self) -> aiohttp.ClientSession:
         """Return the session; made on first use, since it belongs to the running loop."""
         if self.session is None:
-            connector = aiohttp.TCPConnector(limit=CONNECTIONS, keepalive_timeout=10)
+            connector = aiohttp.TCPConnector(
+                limit=CONNECTIONS, keepalive_timeout=10, socket_factory=silence_noticing_socket
+            )
             self.session = aiohttp.ClientSession(
                 connector=connector,
                 middlewares=[no_resend],
@@ -291,31 +290,29 @@
         return MarjoramtideError(code, message, step=step, peer=self.url)
 
 
-def object_path(key: str) -> str:
-    return f"/v1/objects/{quote(key)}"
+def silence_noticing_socket(info: aiohttp.AddrInfoType) -> socket.socket:
+    """Return a socket for a connection to the store that ends when nothing answers any more.
+
+    Failure: a connection goes silent without a reset while a watch waits on it. For half a minute
+    the node takes the silence for "no change", and serves by settings replaced long ago.
+    """
+    family, kind, proto, _, _ = info
+    made = socket.socket(family, kind, proto)
+    notice_silence(made)
+    return made
 
 
 def describe(error: BaseException) -> str:
     return str(error) or type(error).__name__
 
 
-def stored_object(entry: dict[str, object]) -> StoredObject:
-    """Return an object from its entry in a list or a watch."""
-    value = base64.b64decode(str(entry["value"]))
-    return StoredObject(str(entry["key"]), value, int(str(entry["version"])))
-
-
-def watch_event(entry: dict[str, object]) -> WatchEvent:
-    stored = None if entry["value"] is None else stored_object(entry)
-    return WatchEvent(str(entry["key"]), int(str(entry["version"])), stored)
-
-
 def open_object_store(
     url: str,
     *,
     clock: Clock | None = None,
     rng: random.Random | None = None,
     limits: StoreLimits | None = None,
+    protocol: StoreProtocol | None = None,
 ) -> HttpObjectStore:
     """Return the store at ``url`` (``http://10.0.0.5:8500``); connects when first called.
 
@@ -328,5 +325,9 @@
             step="store.open",
         )
     return HttpObjectStore(
-        url, clock or SystemClock(), rng or random.Random(), limits or StoreLimits()
+        url,
+        protocol or OwnStoreProtocol(),
+        clock or SystemClock(),
+        rng or random.Random(),
+        limits or StoreLimits(),
     )
--- a/src/marjoramtide/platform/_listing.py
+++ b/src/marjoramtide/store/_listing.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from marjoramtide.platform._stored_object import StoredObject
+from marjoramtide.store._stored_object import StoredObject
 
 
 class Listing(list[StoredObject]):
--- a/src/marjoramtide/platform/_object_store.py
+++ b/src/marjoramtide/store/_object_store.py
@@ -3,9 +3,9 @@
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 
-from marjoramtide.platform._listing import Listing
-from marjoramtide.platform._stored_object import StoredObject
-from marjoramtide.platform._watch_event import WatchEvent
+from marjoramtide.store._listing import Listing
+from marjoramtide.store._stored_object import StoredObject
+from marjoramtide.store._watch_event import WatchEvent
 
 
 class ObjectStore(ABC):
--- a/src/marjoramtide/platform/_resolved_write.py
+++ b/src/marjoramtide/store/_resolved_write.py
@@ -7,10 +7,10 @@
 
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.platform._backoff import full_jitter
-from marjoramtide.platform._object_store import ObjectStore
-from marjoramtide.platform._resolution import Resolution
-from marjoramtide.platform._stored_object import StoredObject
+from marjoramtide.store._backoff import full_jitter
+from marjoramtide.store._object_store import ObjectStore
+from marjoramtide.store._resolution import Resolution
+from marjoramtide.store._stored_object import StoredObject
 
 READS_AFTER_CONFLICT = 4
 
--- a/src/marjoramtide/platform/_watch_event.py
+++ b/src/marjoramtide/store/_watch_event.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from marjoramtide.platform._stored_object import StoredObject
+from marjoramtide.store._stored_object import StoredObject
 
 
 @attrs.frozen(slots=True)
--- a/src/marjoramtide/telemetry/_logs.py
+++ b/src/marjoramtide/telemetry/_logs.py
@@ -1,4 +1,4 @@
-"""Structured logs: one JSON line for each event, on standard error."""
+"""Structured logs: one JSON line for each event, on standard output."""
 
 import asyncio
 import logging
@@ -11,10 +11,10 @@
 from marjoramtide.telemetry._standard_log import StandardLog
 
 SUMMARY_S = 1.0
-STANDARD_ERROR = 2
+STANDARD_OUTPUT = 1
 
 limit = LogLimit()
-log_output = LineOutput(STANDARD_ERROR)
+log_output = LineOutput(STANDARD_OUTPUT)
 
 
 def configure_logs(level: str, **fields: str) -> None:
