Stand-ins that speak the platform's protocol, and scenarios of registration, configuration and requests

Linger after SIGTERM until callers are sent elsewhere; hand queued work back where others can take it. Open: two scenarios' own clean-up times out at times.

--- /dev/null
+++ b/features/platform/configuration.feature
@@ -0,0 +1,47 @@
+Feature: The operator's configuration is followed
+  The operator writes to the platform's store and calls no node. What is acknowledged there is in
+  force on every node within two seconds, and stays so.
+
+  Scenario: A change is in force everywhere within two seconds
+    Given a fleet on the platform: mapdesk, mapdesk, licencehub
+    When the operator adds a route "/new/" to mapdesk as version 9
+    Then "/new/1" is served through every node within 2 s
+
+  Scenario: A route that was dropped is not found any more
+    Given a fleet on the platform: mapdesk, mapdesk
+    When the operator drops all routes as version 9
+    Then "/tiles/7" is answered 404 through every node within 2 s
+
+  Scenario: An older version changes nothing
+    # A stale answer of the store, or a peer that was frozen, brings a version from before. Applied,
+    # it would take back what was acknowledged.
+    Given a fleet on the platform: mapdesk
+    And the operator adds a route "/new/" to mapdesk as version 9
+    And "/new/1" is served through every node within 2 s
+    When the operator drops all routes as version 3
+    And 1 s pass
+    Then a client that asks node 1 for "/new/1" gets 200
+
+  Scenario: A change in a gap of the history is not missed
+    # The store drops its history and cuts the watches while the operator writes. A watch that went
+    # on from where it was would never hear of that change.
+    Given a fleet on the platform: mapdesk, mapdesk
+    When the store goes away
+    And the operator adds a route "/new/" to mapdesk as version 9
+    And the store forgets its history
+    And the store comes back
+    Then "/new/1" is served through every node within 4 s
+
+  Scenario: A configuration that can't be read leaves the one in force
+    Given a fleet on the platform: mapdesk
+    When the operator writes a configuration without routes' names of services as version 9
+    And 1 s pass
+    Then a client that asks node 1 for "/tiles/7" gets 200
+
+  Scenario: The tree shows where a value of the operator's comes from
+    Given a fleet on the platform: mapdesk
+    Then the resolved settings of host "shop.example" and path "/tiles/7" hold
+      | key            | value | origin                                        |
+      | max_timeout_ms | 1000  | /services/shop.example/routes/tiles/          |
+      | selector       | forecast | /                                          |
+    And an operator who changes the settings through a node is told where to do so
--- /dev/null
+++ b/features/platform/users_platform.feature
@@ -0,0 +1,71 @@
+Feature: A node on the users' platform
+  Real nodes over loopback, with stand-ins of the platform's store, its operator and its backend
+  servers. Clients, servers and the store speak what the platform speaks.
+
+  Scenario: A request is served whole by the service of its route, whichever node takes it
+    Given a fleet on the platform: mapdesk, mapdesk, licencehub
+    When a client asks node 3 for "/tiles/7"
+    Then the client gets 200 with the seal and the whole body of its own request
+    And a mapdesk server ran it with the service "licencehub" as the caller
+    And it ran for the instance that is registered, with less time than the client gives
+
+  Scenario: A path that no route covers is not found, and reaches no server
+    Given a fleet on the platform: mapdesk
+    When a client asks node 1 for "/nowhere/7"
+    Then the client gets 404
+    And no server ran anything
+
+  Scenario: A node that holds no configuration refuses instead of denying
+    # A node has just started and the store does not answer. Any route may exist: a 404 would tell
+    # the client never to come back. It is told that nothing ran, and when to come back.
+    Given a node on the platform whose store is away
+    When a client asks node 1 for "/tiles/7"
+    Then the client gets 503 and when to come back
+    And node 1 does not take callers
+
+  Scenario: What the system sets itself is set anew, whatever a client sends
+    # A client names another calling service and another instance, as one that tries to pass for
+    # somebody else would. Passed on, the server would believe the one and refuse for the other.
+    Given a fleet on the platform: mapdesk
+    When a client asks node 1 for "/tiles/7" with headers
+      | name                | value    |
+      | X-Calling-Service   | intruder |
+      | X-Expected-Instance | i-other  |
+    Then the client gets 200 with the seal and the whole body of its own request
+    And a mapdesk server ran it with the service "mapdesk" as the caller
+
+  Scenario: Parts of a route get their shares
+    Given a fleet on the platform: mapdesk, licencehub
+    And a route "/split/" that is 9 parts mapdesk and 1 part licencehub
+    When a client asks node 1 for "/split/1" 200 times
+    Then mapdesk ran 175 to 185 of them
+
+  Scenario: The second answer to one request is nobody else's
+    # A server answers a request twice, and the second answer arrives when the next request has been
+    # sent on the same connection. Its client would get the answer of another.
+    Given a fleet on the platform: mapdesk
+    And the server of node 1 answers the next request twice
+    When a client asks node 1 for "/tiles/1"
+    And a client asks node 1 for "/tiles/2"
+    Then the client gets 200 with the seal and the whole body of its own request
+
+  Scenario: A success without a seal is no answer
+    # A server hands out bytes that are not its answer: a success without its signature. A lookup
+    # is tried again; the client gets the sealed answer.
+    Given a fleet on the platform: mapdesk, mapdesk
+    And every server answers the next request without a seal
+    When a client asks node 1 for "/tiles/7"
+    Then the client gets no success without a seal
+
+  Scenario: Another server at the same address runs nothing, and the word of it is not "unknown"
+    # The server beside a node was replaced and has not registered yet. Requests name the one that
+    # was registered, so that the new one refuses them: "not run" is true, and the booking is free to
+    # go elsewhere.
+    Given a fleet on the platform: mapdesk
+    And the server of node 1 becomes instance "i-2" without a word
+    When a client books through node 1
+    Then the client gets 503 and when to come back
+    And no server ran anything
+    When the server of node 1 registers as "i-2"
+    And a client books through node 1
+    Then the client gets 200 with the seal and the whole body of its own request
--- /dev/null
+++ b/features/platform_harness.py
@@ -0,0 +1,205 @@
+"""Nodes on the platform's interface, with stand-ins around them, inside a scenario's event loop."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+from marjoramtide.daemon._node import Node
+from marjoramtide.platform import platform_interface
+from marjoramtide.settings import NodeSettings
+from standins.free_port import free_port, loopback_host
+from standins.platform import (
+    PlatformBackendServer,
+    PlatformStoreServer,
+    Registrant,
+    start_platform_backend,
+)
+
+HOST_NAME = "shop.example"
+WAIT_S = 10.0
+BOUNDS = ["GraceS=6", "RetryBudgetRatio=0.2", "RetryBudgetSlack=64", "BudgetWindowS=10"]
+
+
+@attrs.define(slots=True, eq=False)
+class Seat:
+    """One node with the backend server beside it."""
+
+    settings: NodeSettings
+    node: Node
+    server: PlatformBackendServer
+    registrant: Registrant
+
+    @property
+    def callers(self) -> str:
+        return self.settings.callers
+
+    async def ready(self) -> bool:
+        """Tell whether the platform would send callers here."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{self.settings.readiness}/readiness") as response,
+        ):
+            return response.status == 200
+
+
+class PlatformFleet:
+    """A store, an operator and seats; ``close`` ends them."""
+
+    def __init__(self) -> None:
+        self.host = loopback_host()
+        self.store = PlatformStoreServer()
+        self.runner = web.AppRunner(self.store.app(), access_log=None, shutdown_timeout=0.2)
+        self.seats: list[Seat] = []
+        self.rng = random.Random(1)
+        self.routes: list[dict[str, Any]] = []
+        self.store_url = ""
+
+    async def start(self) -> None:
+        await self.runner.setup()
+        await web.TCPSite(self.runner, self.host, 0).start()
+        self.store_url = "http://{}:{}".format(*self.runner.addresses[0][:2])
+
+    def configure(self, version: int, routes: list[dict[str, Any]] | None = None) -> None:
+        """Write a configuration as the operator does."""
+        services = sorted({seat.settings.service for seat in self.seats})
+        if routes is not None:
+            self.routes = routes
+        self.store.state.put(
+            "config",
+            "main",
+            Specification={
+                "Version": f"r{version}",
+                "Routes": self.routes,
+                "Services": [
+                    {"Name": name, "HealthPath": "/health", "MaxConns": 100} for name in services
+                ],
+                "Limits": {
+                    "MaxHeaderBytes": 16384,
+                    "MaxBodyBytes": 1 << 20,
+                    "HeaderTimeoutMs": 3000,
+                    "IdleTimeoutMs": 15000,
+                },
+            },
+        )
+
+    async def add_seat(self, service: str, *, service_ms: float = 5.0, slots: int = 10) -> Seat:
+        """Start a backend server and the node beside it; nothing is registered yet."""
+        server = await start_platform_backend(self.host, service_ms=service_ms, slots=slots)
+        addresses = [f"{self.host}:{free_port(self.host)}" for _ in range(6)]
+        callers, peers, gossip, operators, readiness, registration = addresses
+        settings = NodeSettings(
+            name=f"node-{len(self.seats) + 1}",
+            service=service,
+            region="r",
+            data_centre="z",
+            callers=callers,
+            peers=peers,
+            gossip=gossip,
+            operators=operators,
+            readiness=readiness,
+            registration=registration,
+            backend=server.name,
+            store=self.store_url,
+            key="a key for tests on loopback only",
+            interface="platform",
+            base_tree="deploy/base-tree.toml",
+            bounds=BOUNDS,
+        )
+        node = Node(settings, platform_interface(settings))
+        registrant = Registrant(registration, service, server.name, slots)
+        seat = Seat(settings, node, server, registrant)
+        self.seats.append(seat)
+        await node.start()
+        return seat
+
+    async def settle(self) -> None:
+        """Register each backend server, and wait until all nodes know all and take callers."""
+        for seat in self.seats:
+            await seat.registrant.heartbeat(seat.server.instance)
+        await self.wait_for(lambda: all(self.knows_all(seat) for seat in self.seats))
+        # From here on changes are heard of at once; before, nodes that start look in turn.
+        await self.wait_for(lambda: self.store.calls["watches"] > 0)
+
+    def knows_all(self, seat: Seat) -> bool:
+        services = {each.settings.service for each in self.seats}
+        known = sum(len(seat.node.membership.members_of(service)) for service in services)
+        return seat.node.takes_callers() and known == len(self.seats)
+
+    async def wait_for(self, condition: Callable[[], bool], timeout: float = WAIT_S) -> None:
+        async with asyncio.timeout(timeout):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def call(
+        self,
+        seat: Seat,
+        path: str = "/tiles/7",
+        *,
+        method: str = "GET",
+        attempt: str = "",
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> "CallResult":
+        """Make one request of a client through a seat's node."""
+        sent = {
+            "Host": HOST_NAME,
+            "X-Attempt-Id": attempt or f"{self.rng.getrandbits(64):016x}",
+            "X-Deadline-Ms": "1500",
+        } | (headers or {})
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(
+                method, f"http://{seat.callers}{path}", headers=sent, data=body
+            ) as response,
+        ):
+            content = await response.read()
+            return CallResult(
+                sent["X-Attempt-Id"], response.status, dict(response.headers), content
+            )
+
+    async def close(self) -> None:
+        for seat in self.seats:
+            await seat.node.membership.stop(leave=False)
+            await seat.node.ingress.close()
+            await seat.node.close()
+            await seat.server.close()
+        self.store.mode = "reset"
+        self.store.state.forget_history()
+        await self.runner.cleanup()
+
+
+@attrs.frozen(slots=True)
+class CallResult:
+    """What a client got."""
+
+    attempt: str
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def route(
+    prefix: str, split: dict[str, int], *, kind: str = "idempotent", **fields: Any
+) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    parts = [{"Service": name, "Weight": weight} for name, weight in split.items()]
+    where: dict[str, Any] = (
+        {"Service": parts[0]["Service"]} if len(parts) == 1 else {"WeightedSplit": parts}
+    )
+    return {
+        "Name": f"r{prefix.replace('/', '-')}",
+        "Host": HOST_NAME,
+        "PathPrefix": prefix,
+        "Kind": kind,
+        "TimeoutMs": 1000,
+        "TargetLatencyMs": 300,
+        "Priority": 1,
+        "MaxAttempts": 2,
+        **where,
+        **fields,
+    }
--- /dev/null
+++ b/features/steps/platform_node_steps.py
@@ -0,0 +1,375 @@
+"""Steps with real nodes on the platform's interface."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+from behave import given, step, then, use_step_matcher, when  # type: ignore[attr-defined]
+
+from features.platform_harness import HOST_NAME, PlatformFleet, Seat, route
+from marjoramtide.errors import MarjoramtideError
+from marjoramtide.settings.sync import ChangeRequest
+from standins.expected_body import expected_body
+from standins.platform._backend import SEAL
+
+use_step_matcher("parse")
+
+BODY_BYTES = 256
+TRIES_PAUSE_S = 0.05
+
+
+def run(context: Any, work: Any) -> Any:
+    return context.runner.run(asyncio.wait_for(work, 30))
+
+
+def seat(context: Any, number: int) -> Seat:
+    return context.fleet.seats[number - 1]
+
+
+def start_fleet(context: Any) -> PlatformFleet:
+    context.runner = context.cleanup.enter_context(asyncio.Runner())
+    context.fleet = PlatformFleet()
+    run(context, context.fleet.start())
+    context.cleanup.callback(lambda: run(context, context.fleet.close()))
+    return context.fleet
+
+
+async def fill(fleet: PlatformFleet, services: list[str], **seats: Any) -> None:
+    for service in services:
+        await fleet.add_seat(service, **seats)
+    fleet.configure(
+        4,
+        [
+            route("/tiles/", {"mapdesk": 1}),
+            route("/book/", {"mapdesk": 1}, kind="non_idempotent"),
+        ],
+    )
+
+
+@given("a fleet on the platform: {services}")
+def given_fleet(context: Any, services: str) -> None:
+    fleet = start_fleet(context)
+    run(context, fill(fleet, services.split(", ")))
+    run(context, fleet.settle())
+
+
+@given("a fleet on the platform with 1 slot of {milliseconds:d} ms: {services}")
+def given_slow_fleet(context: Any, milliseconds: int, services: str) -> None:
+    fleet = start_fleet(context)
+    run(context, fill(fleet, services.split(", "), slots=1, service_ms=float(milliseconds)))
+
+
+@given("a node on the platform whose store is away")
+def given_no_store(context: Any) -> None:
+    fleet = start_fleet(context)
+    fleet.store.mode = "refuse"
+    run(context, fleet.add_seat("mapdesk"))
+
+
+@given('a route "{prefix}" that is {first:d} parts mapdesk and {second:d} part licencehub')
+def given_split(context: Any, prefix: str, first: int, second: int) -> None:
+    split = {"mapdesk": first, "licencehub": second}
+    context.fleet.configure(5, [*context.fleet.routes, route(prefix, split)])
+    run(context, context.fleet.wait_for(lambda: all_at(context, 5)))
+
+
+def all_at(context: Any, revision: int) -> bool:
+    return all(each.node.view.revision == revision for each in context.fleet.seats)
+
+
+@given("the server of node {number:d} answers the next request twice")
+def given_twice(context: Any, number: int) -> None:
+    seat(context, number).server.extra_answers = 1
+
+
+@given("every server answers the next request without a seal")
+def given_unsealed(context: Any) -> None:
+    for each in context.fleet.seats:
+        each.server.unsealed = 1
+
+
+@step('the server of node {number:d} becomes instance "{instance}" without a word')
+def becomes(context: Any, number: int, instance: str) -> None:
+    seat(context, number).server.instance = instance
+
+
+@when('the server of node {number:d} registers as "{instance}"')
+def registers(context: Any, number: int, instance: str) -> None:
+    assert run(context, seat(context, number).registrant.heartbeat(instance, sequence=1)) == 200
+    run(context, context.fleet.wait_for(lambda: context.fleet.knows_all(seat(context, number))))
+
+
+@when('a client asks node {number:d} for "{path}"')
+def asks(context: Any, number: int, path: str) -> None:
+    context.result = run(context, context.fleet.call(seat(context, number), path))
+
+
+@when('a client asks node {number:d} for "{path}" with headers')
+def asks_with(context: Any, number: int, path: str) -> None:
+    headers = {row["name"]: row["value"] for row in context.table}
+    work = context.fleet.call(seat(context, number), path, headers=headers)
+    context.result = run(context, work)
+
+
+@when('a client asks node {number:d} for "{path}" {count:d} times')
+def asks_often(context: Any, number: int, path: str, count: int) -> None:
+    context.before = [len(each.server.seen) for each in context.fleet.seats]
+    for _ in range(count):
+        context.result = run(context, context.fleet.call(seat(context, number), path))
+        assert context.result.status == 200, context.result
+
+
+@when("a client books through node {number:d}")
+def books(context: Any, number: int) -> None:
+    work = context.fleet.call(seat(context, number), "/book/7", method="POST", body=b"booking")
+    context.result = run(context, work)
+
+
+@then("the client gets 200 with the seal and the whole body of its own request")
+def gets_whole(context: Any) -> None:
+    result = context.result
+    assert result.status == 200, result
+    assert result.headers["X-Response-Seal"] == SEAL + result.attempt, result.headers
+    assert result.headers["X-Attempt-Id"] == result.attempt
+    assert result.body == expected_body(result.attempt, BODY_BYTES)
+
+
+@then("the client gets no success without a seal")
+def gets_no_unsealed(context: Any) -> None:
+    result = context.result
+    assert result.status >= 500 or "X-Response-Seal" in result.headers, result
+
+
+@then("the client gets {status:d}")
+def gets(context: Any, status: int) -> None:
+    assert context.result.status == status, context.result
+
+
+@then("the client gets {status:d} and when to come back")
+def gets_hint(context: Any, status: int) -> None:
+    assert context.result.status == status, context.result
+    assert float(context.result.headers["Retry-After"]) >= 0
+
+
+@then('a mapdesk server ran it with the service "{service}" as the caller')
+def ran_with(context: Any, service: str) -> None:
+    headers = last_run(context)
+    assert headers["x-calling-service"] == service, headers
+
+
+@then("it ran for the instance that is registered, with less time than the client gives")
+def ran_for(context: Any) -> None:
+    headers = last_run(context)
+    assert headers["x-expected-instance"] == "i-1", headers
+    assert 0 < float(headers["x-deadline-ms"]) <= 1000, headers
+
+
+def last_run(context: Any) -> dict[str, str]:
+    attempt = context.result.attempt
+    found = [
+        headers
+        for each in context.fleet.seats
+        for headers in each.server.seen
+        if headers["x-attempt-id"] == attempt
+    ]
+    assert len(found) == 1, found
+    return found[0]
+
+
+@then("no server ran anything")
+def ran_nothing(context: Any) -> None:
+    assert not any(each.server.seen for each in context.fleet.seats)
+
+
+@then("node {number:d} does not take callers")
+def not_ready(context: Any, number: int) -> None:
+    assert not run(context, seat(context, number).ready())
+
+
+@then("mapdesk ran {least:d} to {most:d} of them")
+def ran_share(context: Any, least: int, most: int) -> None:
+    count = sum(
+        len(each.server.seen) for each in context.fleet.seats if each.settings.service == "mapdesk"
+    )
+    assert least <= count <= most, count
+
+
+@when("the server of node {number:d} says that it drains")
+def drains(context: Any, number: int) -> None:
+    seat(context, number).server.faults.drain = True
+    assert run(context, seat(context, number).registrant.heartbeat("i-1", state="draining")) == 200
+
+
+@when("the server of node {number:d} leaves")
+def leaves(context: Any, number: int) -> None:
+    assert run(context, seat(context, number).registrant.leave("i-1")) == 200
+
+
+@when("an old heartbeat of the server of node {number:d} arrives")
+def old_heartbeat(context: Any, number: int) -> None:
+    assert run(context, seat(context, number).registrant.heartbeat("i-1", sequence=1)) == 200
+
+
+@when('a heartbeat of a start "{instance}" arrives at node {number:d}')
+def dead_heartbeat(context: Any, instance: str, number: int) -> None:
+    assert run(context, seat(context, number).registrant.heartbeat(instance, sequence=99)) == 200
+
+
+@then("the server of node {number:d} ran none of them")
+def ran_none(context: Any, number: int) -> None:
+    before = context.before[number - 1]
+    assert len(seat(context, number).server.seen) == before
+
+
+@then("the server of node {number:d} ran {count:d} of them")
+def ran_count(context: Any, number: int, count: int) -> None:
+    assert len(seat(context, number).server.seen) == count
+
+
+@given("{count:d} bookings are under way through node 1, where only node 1 has a server")
+def given_bookings(context: Any, count: int) -> None:
+    first = seat(context, 1)
+
+    async def begin() -> None:
+        await first.registrant.heartbeat("i-1")
+        ready = first.node.serving.admission
+        await context.fleet.wait_for(lambda: ready.report(0.0).accepts)
+        await context.fleet.wait_for(first.node.takes_callers)
+        context.bookings = [
+            asyncio.create_task(
+                context.fleet.call(first, "/book/7", method="POST", body=b"booking")
+            )
+            for _ in range(count)
+        ]
+        await context.fleet.wait_for(lambda: len(first.node.serving.waiting) == count - 1)
+
+    run(context, begin())
+
+
+@when("the server of node 1 says that it drains and that of node 2 registers")
+def drains_and_registers(context: Any) -> None:
+    async def change() -> None:
+        second = seat(context, 2)
+        await second.registrant.heartbeat("i-1")
+        name = second.node.name
+        members = seat(context, 1).node.membership.members_of
+        await context.fleet.wait_for(
+            lambda: any(member.node == name for member in members("mapdesk"))
+        )
+        await seat(context, 1).registrant.heartbeat("i-1", state="draining")
+
+    run(context, change())
+
+
+@then("all {count:d} bookings are answered 200, each run once")
+def all_booked(context: Any, count: int) -> None:
+    async def collect() -> list[Any]:
+        return await asyncio.gather(*context.bookings)
+
+    results = run(context, collect())
+    assert [result.status for result in results] == [200] * count, results
+    ran = [headers["x-attempt-id"] for each in context.fleet.seats for headers in each.server.seen]
+    assert sorted(ran) == sorted(result.attempt for result in results)
+
+
+@then("node {number:d} refuses the heartbeat of another service with {status:d}")
+def other_service(context: Any, number: int, status: int) -> None:
+    registrant = seat(context, number).registrant
+    registrant.service = "another"
+    assert run(context, registrant.heartbeat("i-9")) == status
+
+
+@then("node {number:d} refuses a heartbeat that is no JSON with {status:d}")
+def no_json(context: Any, number: int, status: int) -> None:
+    async def send() -> int:
+        url = f"http://{seat(context, number).settings.registration}/instances/i-9"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.put(url, data=b"{{{") as response,
+        ):
+            return response.status
+
+    assert run(context, send()) == status
+
+
+@step('the operator adds a route "{prefix}" to {service} as version {version:d}')
+def adds_route(context: Any, prefix: str, service: str, version: int) -> None:
+    context.fleet.configure(version, [*context.fleet.routes, route(prefix, {service: 1})])
+
+
+@when("the operator drops all routes as version {version:d}")
+def drops_routes(context: Any, version: int) -> None:
+    context.fleet.configure(version, [])
+
+
+@when(
+    "the operator writes a configuration without routes' names of services as version {version:d}"
+)
+def writes_nonsense(context: Any, version: int) -> None:
+    broken = [{"Host": HOST_NAME, "PathPrefix": "/tiles/"}]
+    context.fleet.configure(version, broken)
+
+
+@step('"{path}" is served through every node within {seconds:d} s')
+def served_everywhere(context: Any, path: str, seconds: int) -> None:
+    run(context, answered_everywhere(context, path, 200, seconds))
+
+
+@then('"{path}" is answered {status:d} through every node within {seconds:d} s')
+def answered(context: Any, path: str, status: int, seconds: int) -> None:
+    run(context, answered_everywhere(context, path, status, seconds))
+
+
+async def answered_everywhere(context: Any, path: str, status: int, seconds: float) -> None:
+    async with asyncio.timeout(seconds):
+        for each in context.fleet.seats:
+            while (await context.fleet.call(each, path)).status != status:
+                await asyncio.sleep(TRIES_PAUSE_S)
+
+
+@when("{seconds:d} s pass")
+def pass_time(context: Any, seconds: int) -> None:
+    run(context, asyncio.sleep(seconds))
+
+
+@then('a client that asks node {number:d} for "{path}" gets {status:d}')
+def asks_and_gets(context: Any, number: int, path: str, status: int) -> None:
+    result = run(context, context.fleet.call(seat(context, number), path))
+    assert result.status == status, result
+
+
+@when("the store goes away")
+def store_away(context: Any) -> None:
+    context.fleet.store.mode = "reset"
+    context.fleet.store.state.wake()
+
+
+@when("the store forgets its history")
+def store_forgets(context: Any) -> None:
+    context.fleet.store.state.forget_history()
+
+
+@when("the store comes back")
+def store_back(context: Any) -> None:
+    context.fleet.store.mode = "up"
+
+
+@then('the resolved settings of host "{host}" and path "{path}" hold')
+def resolved(context: Any, host: str, path: str) -> None:
+    _, found = seat(context, 1).node.view.resolved(host, path)
+    for row in context.table:
+        told = str(found.values[row["key"]]), found.origins[row["key"]]
+        assert told == (row["value"], row["origin"]), told
+
+
+@then("an operator who changes the settings through a node is told where to do so")
+def told_where(context: Any) -> None:
+    async def change() -> str:
+        request = ChangeRequest(change="c", author="a", base=None, edits=None, text="x = 1")
+        try:
+            await seat(context, 1).node.settings_service.change(request)
+        except MarjoramtideError as error:
+            return error.message
+        return ""
+
+    assert "another system" in run(context, change())
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -49,8 +49,9 @@
 LEAVE_PAUSE_S = 0.3
 # The backend server waits a second for the acknowledgement of its heartbeat.
 IDENTITY_TIMEOUT_S = 0.3
-# Of the time for a planned stop: for telling the others and closing what is open.
-STOP_MARGIN_S = 0.0
+# The share of the time for a planned stop in which requests may end; the rest is for telling the
+# others and for closing what is open.
+STOP_SHARE = 0.9
 
 
 class Node:
@@ -307,14 +308,25 @@
         elif member.state is MemberState.DEAD and not own:
             self.spawn(self.peer_client.drop(member.peer_address))
 
+    def has_substitutes(self) -> bool:
+        """Tell whether other nodes take work of the service that this one serves."""
+        own = self.membership.self_member
+        members = self.membership.members_of(own.service)
+        return any(member.node != own.node for member in members)
+
     async def stop(self) -> None:
         """Refuse what is new, finish what is in progress, then leave."""
         log.info("daemon.stopping", in_progress=len(self.serving.in_progress))
         self.stopping = True
         self.update_state()
-        await self.ingress.leave()
+        if self.has_substitutes():
+            # What waits for the own backend server is passed on while there is time for it.
+            self.serving.hand_back()
+        self.ingress.leaving = True
         try:
-            async with asyncio.timeout(self.stop_grace_s - STOP_MARGIN_S):
+            async with asyncio.timeout(self.stop_grace_s * STOP_SHARE):
+                await asyncio.sleep(min(self.interface.stop_linger_s, self.stop_grace_s / 2))
+                await self.ingress.leave()
                 # Requests that others sent before they heard still get a "not run" in place of a
                 # broken connection, which would be an unknown outcome to a booking.
                 await asyncio.sleep(LEAVE_PAUSE_S)
--- a/src/marjoramtide/interface/_interface.py
+++ b/src/marjoramtide/interface/_interface.py
@@ -18,7 +18,8 @@
     ``registration_app`` makes the HTTP application at which the backend server registers, ``None``
     where it doesn't and is taken for registered; ``readiness_app`` the one that tells whether
     callers may be sent here. ``stop_grace_s`` is how long a planned stop may take, in seconds,
-    where the interface tells it.
+    where the interface tells it; for ``stop_linger_s`` of it callers may still be sent here, since
+    whoever sends them has not yet noticed.
     """
 
     store: StoreProtocol
@@ -28,3 +29,4 @@
     readiness_app: Callable[[Callable[[], bool]], web.Application] | None = None
     registration_app: Callable[[Registrar], web.Application] | None = None
     stop_grace_s: float | None = None
+    stop_linger_s: float = 0.0
--- a/src/marjoramtide/platform/_interface.py
+++ b/src/marjoramtide/platform/_interface.py
@@ -15,6 +15,11 @@
 from marjoramtide.settings import NodeSettings
 
 
+# The platform asks for readiness once a second and sends callers elsewhere after two refusals; they
+# come within this time of the first one, in seconds.
+READINESS_MISSES_S = 2.2
+
+
 def platform_interface(settings: NodeSettings) -> Interface:
     """Return the platform's interface; raises ``bad-settings`` for a base tree that isn't one."""
     try:
@@ -31,6 +36,7 @@
         readiness_app=make_readiness_app,
         registration_app=make_registration_app,
         stop_grace_s=bounds.stop_grace_s,
+        stop_linger_s=READINESS_MISSES_S,
     )
 
 
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -96,12 +96,10 @@
             self.interference = Interference()
         had_grid = self.interference.grid is not None
         changed = self.interference.observe(load.slowdown, now)
-        if had_grid != (self.interference.grid is not None):
-            log.info(
-                "serving.interference_grid",
-                known=not had_grid,
-                period_ms=None if had_grid else round(self.interference.grid.period * 1000, 1),
-            )
+        grid = self.interference.grid
+        if had_grid != (grid is not None):
+            period_ms = None if grid is None else round(grid.period * 1000, 1)
+            log.info("serving.interference_grid", period_ms=period_ms)
         holds_s = self.interference.holds_s(now)
         self.admission.set_pace(
             self.interference.slowdown,
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,14 @@
+"""Stand-ins that speak what the users' platform and its backend servers speak."""
+
+from standins.platform._backend import PlatformBackendServer, start_platform_backend
+from standins.platform._registrant import Registrant
+from standins.platform._store import PlatformStoreServer
+from standins.platform._store_state import PlatformStoreState
+
+__all__ = [
+    "PlatformBackendServer",
+    "PlatformStoreServer",
+    "PlatformStoreState",
+    "Registrant",
+    "start_platform_backend",
+]
--- /dev/null
+++ b/standins/platform/_backend.py
@@ -0,0 +1,90 @@
+"""A backend server that speaks the platform's headers."""
+
+import asyncio
+
+from standins.backend._answer import Answer
+from standins.backend._connection import Connection
+from standins.backend._request import Request
+from standins.backend._server import BackendServer
+
+SEAL = "seal-"
+REFUSED = 503
+HEALTH_PATH = "/health"
+
+
+class PlatformBackendServer(BackendServer):
+    """The stand-in with identities, seals, load headers and the platform's faults.
+
+    ``instance`` is the identity of this start; ``slowdown`` what it tells of its neighbours.
+    ``extra_answers`` is how many answers are followed by a second one, ``unsealed`` how many
+    successes come without a seal. ``seen`` holds the headers of each request that ran.
+    """
+
+    instance = "i-1"
+    slowdown = 1.0
+    extra_answers = 0
+    unsealed = 0
+
+    def __init__(self, *, slots: int, service_ms: float, seed: int = 1) -> None:
+        super().__init__(name="", slots=slots, connections=250, service_ms=service_ms, seed=seed)
+        self.seen: list[dict[str, str]] = []
+        self.targets: list[str] = []
+        self.bodies: list[bytes] = []
+
+    async def answer(self, request: Request, connection: Connection) -> Answer | None:
+        if request.path == HEALTH_PATH:
+            status = REFUSED if self.faults.drain else 200
+            return Answer(status, {"X-Instance-Id": self.instance, **self.load_header()})
+        expected = request.headers.get("x-expected-instance", self.instance)
+        if expected != self.instance:
+            return Answer(421, {"X-Instance-Id": self.instance, "X-Not-Executed": "1"})
+        request.headers["x-request-id"] = attempt = request.headers.get("x-attempt-id", "")
+        request.headers["request-timeout-ms"] = request.headers.get("x-deadline-ms", "")
+        answer = await self.serve(request, connection)
+        if answer is None:
+            return None
+        if answer.headers.pop("Request-Outcome", ""):
+            return Answer(REFUSED, {"X-Not-Executed": "1", "X-Attempt-Id": attempt})
+        self.note(request)
+        answer.headers |= {"X-Attempt-Id": attempt, **self.load_header()}
+        if self.unsealed:
+            self.unsealed -= 1
+        else:
+            answer.headers["X-Response-Seal"] = SEAL + attempt
+        if self.extra_answers:
+            self.extra_answers -= 1
+            self.answer_again(answer, connection)
+        return answer
+
+    def note(self, request: Request) -> None:
+        self.seen.append(request.headers)
+        self.targets.append(request.target)
+        self.bodies.append(request.body)
+
+    def load_header(self) -> dict[str, str]:
+        running, waiting = self.slots.in_use, self.slots.queued
+        percent = round(self.slowdown * 100)
+        return {"X-Server-Load": f"{running},{waiting},{self.slots.total},{percent}"}
+
+    def answer_again(self, answer: Answer, connection: Connection) -> None:
+        """Send the same answer once more, where the next request's answer is due."""
+
+        def write() -> None:
+            if connection.pending or connection.task is not None:
+                if connection.transport is not None:
+                    connection.transport.write(answer.encode(close=False))
+            else:
+                asyncio.get_running_loop().call_later(0.001, write)
+
+        asyncio.get_running_loop().call_later(0.001, write)
+
+
+async def start_platform_backend(
+    host: str, *, slots: int = 10, service_ms: float = 5.0, port: int = 0
+) -> PlatformBackendServer:
+    """Start a stand-in; its name is its address."""
+    server = PlatformBackendServer(slots=slots, service_ms=service_ms)
+    loop = asyncio.get_running_loop()
+    server.listener = await loop.create_server(lambda: Connection(server), host, port, backlog=512)
+    server.name = "{}:{}".format(*server.listener.sockets[0].getsockname())
+    return server
--- /dev/null
+++ b/standins/platform/_store_state.py
@@ -0,0 +1,76 @@
+"""The objects of the platform's store, their revisions and the history of changes."""
+
+import asyncio
+import copy
+from typing import Any
+
+import attrs
+
+Item = dict[str, Any]
+
+
+@attrs.frozen(slots=True)
+class Change:
+    """One change of one object."""
+
+    revision: int
+    kind: str
+    item: Item
+    removed: bool
+
+
+class PlatformStoreState:
+    """Objects by kind and name, under one counter of revisions."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.kinds: dict[str, dict[str, Item]] = {}
+        self.history: list[Change] = []
+        self.forgotten = 0
+        self.changed = asyncio.Event()
+
+    def get(self, kind: str, name: str) -> Item | None:
+        return self.kinds.get(kind, {}).get(name)
+
+    def page(self, kind: str, after: str, size: int) -> tuple[list[Item], bool]:
+        """Return the objects of a kind behind ``after``, and whether there are more."""
+        names = sorted(name for name in self.kinds.get(kind, {}) if name > after)
+        return [self.kinds[kind][name] for name in names[:size]], len(names) > size
+
+    def put(self, kind: str, name: str, **fields: Any) -> Item:
+        """Write an object; a write that changes nothing leaves its revision."""
+        held = self.get(kind, name)
+        if held is not None and all(held.get(key) == value for key, value in fields.items()):
+            return held
+        item = copy.deepcopy(held) if held is not None else self.new_item(name)
+        item.update(fields)
+        self.kinds.setdefault(kind, {})[name] = item
+        self.note(kind, item, removed=False)
+        return item
+
+    def new_item(self, name: str) -> Item:
+        metadata = {"Name": name, "Created": self.revision + 1, "Finalizers": [], "Deleting": False}
+        return {"Metadata": metadata, "Specification": None, "Status": None}
+
+    def remove(self, kind: str, name: str) -> None:
+        self.note(kind, self.kinds[kind].pop(name), removed=True)
+
+    def note(self, kind: str, item: Item, *, removed: bool) -> None:
+        self.revision += 1
+        item["Metadata"]["Revision"] = self.revision
+        self.history.append(Change(self.revision, kind, copy.deepcopy(item), removed))
+        self.wake()
+
+    def wake(self) -> None:
+        """Let those that wait for a change look again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget_history(self) -> None:
+        """Drop all history, as the platform may at any time; watches that wait are cut."""
+        self.history.clear()
+        self.forgotten = self.revision
+        self.wake()
+
+    def changes(self, kind: str, since: int) -> list[Change]:
+        return [each for each in self.history if each.revision > since and each.kind == kind]
