Order and refuse by the goal; stay below the knee of a server; ask no full nodes a second time

Change: what can still meet its goal goes first and the rest is refused at once or waits behind; a limiter compares the work done at each share of the slots; a second try needs a node that is expected to be in time. A request's later tries see members that came meanwhile (found by a scenario).

--- a/features/platform/registration.feature
+++ b/features/platform/registration.feature
@@ -12,7 +12,7 @@
   Scenario: What waits for a server that drains is run by another
     # Slots are full and bookings wait in the node when the server says that it drains. They have not
     # run: handed back, another server runs them, and no client hears of it.
-    Given a fleet on the platform with 1 slot of 100 ms: mapdesk, mapdesk
+    Given a fleet on the platform with 1 slot of 1500 ms: mapdesk, mapdesk
     And 3 bookings are under way through node 1, where only node 1 has a server
     When the server of node 1 says that it drains and that of node 2 registers
     Then all 3 bookings are answered 200, each run once
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -16,6 +16,7 @@
 
 BODY_BYTES = 256
 TRIES_PAUSE_S = 0.05
+PATIENT = {"TimeoutMs": 9000, "TargetLatencyMs": 8500}
 
 
 def run(context: Any, work: Any) -> Any:
@@ -41,7 +42,7 @@
         4,
         [
             route("/tiles/", {"mapdesk": 1}),
-            route("/book/", {"mapdesk": 1}, kind="non_idempotent"),
+            route("/book/", {"mapdesk": 1}, kind="non_idempotent", **PATIENT),
         ],
     )
 
@@ -237,7 +238,13 @@
         await context.fleet.wait_for(first.node.takes_callers)
         context.bookings = [
             asyncio.create_task(
-                context.fleet.call(first, "/book/7", method="POST", body=b"booking")
+                context.fleet.call(
+                    first,
+                    "/book/7",
+                    method="POST",
+                    body=b"booking",
+                    headers={"X-Deadline-Ms": "9000"},
+                )
             )
             for _ in range(count)
         ]
--- a/src/marjoramtide/ingress/_class_budgets.py
+++ b/src/marjoramtide/ingress/_class_budgets.py
@@ -12,8 +12,9 @@
 # Of what all nodes together may send, the parts for retries and for hedges. The rest is for what
 # budgets that were saved up by several nodes at once spend in one moment: a budget holds up to ten
 # seconds of income, and what a service sees in ten seconds is that and the income of those ten.
-RETRIES_PART = 0.3
-HEDGES_PART = 0.25
+# Besides, what runs twice makes the calls of its own twice, which count at the services called.
+RETRIES_PART = 0.25
+HEDGES_PART = 0.15
 CLASSES = 2
 
 
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -215,6 +215,9 @@
         """Return a node that was not tried yet, and count the try."""
         profile = self.profile(attempts)
         now = self.clock.monotonic()
+        # Also between the tries of one request: whoever has come since its beginning may be the
+        # only one left, as where the server that queued it leaves when its successor is up.
+        attempts.state.refresh(self.directory, now)
         node = attempts.state.selector.choose(profile, now, attempts.excluded)
         if node is None and attempts.rejected_by:
             # A node may turn a first try away because others probably have room. Where there is
--- a/src/marjoramtide/platform/_interface.py
+++ b/src/marjoramtide/platform/_interface.py
@@ -14,7 +14,6 @@
 from marjoramtide.platform._store_protocol import PlatformStore
 from marjoramtide.settings import NodeSettings
 
-
 # The platform asks for readiness once a second and sends callers elsewhere after two refusals; they
 # come within this time of the first one, in seconds.
 READINESS_MISSES_S = 2.2
--- a/src/marjoramtide/policy/_adaptive_limiter.py
+++ b/src/marjoramtide/policy/_adaptive_limiter.py
@@ -47,7 +47,7 @@
     def limit(self) -> int:
         return int(self.exact)
 
-    def observe(self, duration_ms: float, pressed: bool, succeeded: bool) -> None:
+    def observe(self, duration_ms: float, pressed: bool, succeeded: bool, running: int = 1) -> None:
         if not succeeded:
             # A shed or failed request says too much is asked; quick errors must not count as speed.
             self._set(self.exact * FAILURE_FACTOR)
--- a/src/marjoramtide/policy/_edf_admission.py
+++ b/src/marjoramtide/policy/_edf_admission.py
@@ -23,6 +23,11 @@
 # A server that takes so many times longer than undisturbed counts as slow: above what many busy
 # slots do to each other, below what a neighbour that takes the processor does.
 SLOW = 1.5
+# What one rank counts for in the order of a queue, in seconds: less than a common goal, so that a
+# lower rank goes first among those that came together, and none waits for ever.
+RANK_STEP_S = 0.05
+# Puts what can no longer meet its goal behind all that can, in seconds; above any deadline.
+AFTER_ALL_OTHERS_S = 1000.0
 
 
 @attrs.define(slots=True)
@@ -46,6 +51,9 @@
     urgent: ClassQueue = attrs.Factory(ClassQueue)
     routine: ClassQueue = attrs.Factory(ClassQueue)
     profiles: dict[int, CallProfile] = attrs.Factory(dict)
+    dues: dict[int, float] = attrs.Factory(dict)
+    orders: dict[int, float] = attrs.Factory(dict)
+    began_with: dict[int, int] = attrs.Factory(dict)
     sequence: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(1))
     urgent_share: Smoothed = attrs.Factory(lambda: Smoothed(0.05, 0.05, 0.0, 1))
     routine_running: int = 0
@@ -109,9 +117,26 @@
             # at once it costs a hop; whoever asks again has found nobody quicker.
             holds_s = (self.holds_until or now) - now
             return _reject(ErrorCode.SLOWED, max(0.0, holds_s * 1000))
+        self.dues[ticket] = self._due(profile, now)
         if self._may_start(profile.urgent):
-            return self._start_or_reject(ticket, profile, remaining_ms, now)
-        return self._queue_or_reject(ticket, profile, remaining_ms, now)
+            decision = self._start_or_reject(ticket, profile, remaining_ms, now)
+        else:
+            decision = self._queue_or_reject(ticket, profile, now)
+        if decision.verdict is Verdict.REJECT:
+            del self.dues[ticket]
+        return decision
+
+    def _due(self, profile: CallProfile, now: float) -> float:
+        """Return when a request is to be answered: by its goal, or its deadline after that.
+
+        Failure: more comes than can be done, and requests wait in the order of their deadlines. All
+        are answered, and nearly all too late to be worth much to their callers. Where the goal
+        counts, those that can still meet it do, and the rest is refused at once.
+        """
+        if profile.goal >= profile.deadline:
+            return profile.deadline
+        work_ms = self.times.kind(profile.kind).mean.value
+        return profile.goal if now + work_ms / 1000 < profile.goal else profile.deadline
 
     def _misses_goal(self, profile: CallProfile, now: float) -> bool:
         """Tell whether neighbours make a request late here that would not be late elsewhere."""
@@ -133,15 +158,18 @@
         self._start(ticket, profile, now)
         return Decision(Verdict.START)
 
-    def _queue_or_reject(
-        self, ticket: int, profile: CallProfile, remaining_ms: float, now: float
-    ) -> Decision:
+    def _queue_or_reject(self, ticket: int, profile: CallProfile, now: float) -> Decision:
         service_ms = self.times.expected_ms(now)
-        wait_ms = self._wait_ms(self._ahead(profile), profile.urgent, service_ms)
+        due = self.dues[ticket]
+        remaining_ms = (due - now) * 1000
+        order = due + profile.rank * RANK_STEP_S
+        if due > profile.goal:
+            order += AFTER_ALL_OTHERS_S
+        ahead = self._ahead(profile.urgent, order)
+        wait_ms = self._wait_ms(ahead, profile.urgent, service_ms)
         own_ms = self._own_ms(profile, now)
         if profile.urgent and self.urgent_slots and own_ms:
             # Slots that only urgent requests use free at their pace, not at that of the rest.
-            ahead = self._ahead(profile)
             wait_ms = min(wait_ms, (ahead + 1) * own_ms / min(self.urgent_slots, self.limit))
         queue = self._queue(profile.urgent)
         if len(queue) >= self.queue_limit:
@@ -151,7 +179,8 @@
             # Failure: a request waits its whole deadline in a queue that could never have served
             # it, and the caller is told at the end. Refused now, the caller can go elsewhere.
             return _reject(ErrorCode.OVERLOADED, min(lateness_ms, wait_ms))
-        queue.add(profile.deadline, ticket)
+        queue.add(order, ticket)
+        self.orders[ticket] = order
         self.profiles[ticket] = profile
         if profile.urgent and len(self.routine):
             self.recheck_at = now
@@ -160,12 +189,13 @@
     def finished(self, ticket: int, now: float, duration_ms: float, succeeded: bool) -> list[int]:
         pressed = self._is_pressed()
         kind = self.profiles[ticket].kind if ticket in self.profiles else ""
+        running = (self.began_with.get(ticket, 1) + self.in_use) // 2
         if self._end(ticket, now) is None:
             return []
         comparable_ms = self.times.comparable_ms(duration_ms, kind)
         self.times.learn(duration_ms, succeeded, kind)
         before = self.limit
-        self.limiter.observe(comparable_ms, pressed, succeeded)
+        self.limiter.observe(comparable_ms, pressed, succeeded, running)
         if self.limit < before and self.profiles:
             self.recheck_at = now
         return self._start_queued(now)
@@ -215,11 +245,11 @@
     def _queue(self, urgent: bool) -> ClassQueue:
         return self.urgent if urgent else self.routine
 
-    def _ahead(self, profile: CallProfile) -> int:
-        """Return how many queued requests would start before this one."""
-        if profile.urgent:
-            return self.urgent.ahead_of(profile.deadline)
-        return len(self.urgent) + self.routine.ahead_of(profile.deadline)
+    def _ahead(self, urgent: bool, order: float) -> int:
+        """Return how many queued requests would start before one with this place in the order."""
+        if urgent:
+            return self.urgent.ahead_of(order)
+        return len(self.urgent) + self.routine.ahead_of(order)
 
     def _may_start(self, urgent: bool) -> bool:
         if urgent and self.in_use - self.routine_running < self.urgent_slots:
@@ -252,7 +282,9 @@
         return (ahead + 1) * service_ms * bursts / (self.routine_limit * left)
 
     def _start(self, ticket: int, profile: CallProfile, now: float) -> None:
+        self.orders.pop(ticket, None)
         self.times.start(ticket, now, profile.kind)
+        self.began_with[ticket] = self.in_use
         self.profiles[ticket] = profile
         self.urgent_share.add(1.0 if profile.urgent else 0.0)
         if not profile.urgent:
@@ -260,6 +292,8 @@
 
     def _end(self, ticket: int, now: float) -> float | None:
         ran_ms = self.times.end(ticket, now)
+        self.dues.pop(ticket, None)
+        self.began_with.pop(ticket, None)
         if ran_ms is not None and not self.profiles.pop(ticket).urgent:
             self.routine_running -= 1
         return ran_ms
@@ -277,17 +311,19 @@
     def _drop_queued(self, ticket: int) -> None:
         profile = self.profiles.pop(ticket, None)
         if profile is not None:
-            self._queue(profile.urgent).remove(profile.deadline, ticket)
+            del self.dues[ticket]
+            self._queue(profile.urgent).remove(self.orders.pop(ticket), ticket)
 
     def _own_ms(self, profile: CallProfile, now: float) -> float:
         """Return how long this request itself is expected to run, 0 while its kind is new."""
         own_ms = self.times.kind(profile.kind).mean.value
-        return max(own_ms, self.times.silence_ms(now)) if own_ms else 0.0
+        return max(own_ms * self.times.pace, self.times.silence_ms(now)) if own_ms else 0.0
 
     def _latest_start(self, queue: ClassQueue) -> float:
         """Return until when the first of a queue must start to end in time."""
-        deadline, ticket = queue.entries[0]
-        return deadline - self.times.kind(self.profiles[ticket].kind).mean.value / 1000
+        _, ticket = queue.entries[0]
+        work_ms = self.times.kind(self.profiles[ticket].kind).mean.value
+        return self.dues[ticket] - work_ms * self.times.pace / 1000
 
     def _too_late(self, queue: ClassQueue, now: float) -> list[int]:
         """Drop and return what could not finish even if it started now."""
@@ -295,7 +331,7 @@
         while len(queue) and self._latest_start(queue) <= now:
             late.append(queue.pop())
         for ticket in late:
-            del self.profiles[ticket]
+            del self.profiles[ticket], self.dues[ticket], self.orders[ticket]
         return late
 
     def _next_stall(self) -> float | None:
@@ -326,10 +362,10 @@
         the middle of their wait many that would have been served.
         """
         late: list[int] = []
-        for deadline, ticket in list(self.routine.entries):
-            ahead = len(self.urgent) + self.routine.ahead_of(deadline) - 1
+        for order, ticket in list(self.routine.entries):
+            ahead = len(self.urgent) + self.routine.ahead_of(order) - 1
             need_ms = self._wait_ms(ahead, False, service_ms) + service_ms
-            if need_ms > (deadline - now) * 1000 * RECHECK_SLACK:
+            if need_ms > (self.dues[ticket] - now) * 1000 * RECHECK_SLACK:
                 self._drop_queued(ticket)
                 late.append(ticket)
         return late
--- a/src/marjoramtide/policy/_fixed_limiter.py
+++ b/src/marjoramtide/policy/_fixed_limiter.py
@@ -15,5 +15,5 @@
     def limit(self) -> int:
         return max(1, self.slots)
 
-    def observe(self, duration_ms: float, pressed: bool, succeeded: bool) -> None:
+    def observe(self, duration_ms: float, pressed: bool, succeeded: bool, running: int = 1) -> None:
         """Learn nothing."""
--- a/src/marjoramtide/policy/_forecast_selector.py
+++ b/src/marjoramtide/policy/_forecast_selector.py
@@ -58,7 +58,20 @@
             pool = self._sampled(pool)
         work_ms = self._planned_ms(profile)
         left_ms = self._left_ms(profile, now)
-        return min(pool, key=lambda view: self._order(view, work_ms, left_ms, now)).node
+        order, chosen = min(
+            ((self._order(view, work_ms, left_ms, now), view) for view in pool),
+            key=lambda each: each[0],
+        )
+        if profile.attempt > 1 and order[0] == math.inf and not self._is_last_resort(profile, now):
+            # Failure: more comes than can be done, and each request asks one full node after the
+            # other. The asking alone then takes the processor time that the answers need. A first
+            # try asks, since only the node itself knows; a second one needs a reason.
+            return None
+        return chosen.node
+
+    def _is_last_resort(self, profile: CallProfile, now: float) -> bool:
+        """Tell whether a request is past its goal, so that any answer is better than none."""
+        return not now < profile.goal < profile.deadline
 
     def _sampled(self, pool: list[NodeView]) -> list[NodeView]:
         """Return nodes of the nearest data centre first, and others drawn at random."""
--- a/src/marjoramtide/policy/_limiter.py
+++ b/src/marjoramtide/policy/_limiter.py
@@ -12,5 +12,8 @@
         """Return the limit at this moment, at least 1."""
 
     @abstractmethod
-    def observe(self, duration_ms: float, pressed: bool, succeeded: bool) -> None:
-        """Learn from an execution that ended; ``pressed`` tells if the limit was being used."""
+    def observe(self, duration_ms: float, pressed: bool, succeeded: bool, running: int = 1) -> None:
+        """Learn from an execution that ended; ``pressed`` tells if the limit was being used.
+
+        ``running`` is how many ran at once, itself included, on the mean of its begin and its end.
+        """
--- a/src/marjoramtide/policy/_limiters.py
+++ b/src/marjoramtide/policy/_limiters.py
@@ -5,10 +5,11 @@
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.policy._adaptive_limiter import AdaptiveLimiter
 from marjoramtide.policy._fixed_limiter import FixedLimiter
+from marjoramtide.policy._knee_limiter import KneeLimiter
 from marjoramtide.policy._limiter import Limiter
 from marjoramtide.settings import RouteSettings
 
-LIMITERS = ("adaptive", "fixed")
+LIMITERS = ("adaptive", "fixed", "knee")
 
 
 def make_limiter(settings: RouteSettings) -> Limiter:
@@ -17,6 +18,8 @@
         return AdaptiveLimiter(settings.slots, settings.min_limit or math.ceil(settings.slots / 2))
     if settings.limiter == "fixed":
         return FixedLimiter(settings.slots)
+    if settings.limiter == "knee":
+        return KneeLimiter(settings.slots)
     raise unknown_policy("limiter", settings.limiter, LIMITERS, "policy.make_admission")
 
 
--- a/src/marjoramtide/settings/_route_settings.py
+++ b/src/marjoramtide/settings/_route_settings.py
@@ -29,7 +29,7 @@
     urgent_slots: int = 1
     connections: int = 250
     queue_limit: int = 40
-    limiter: str = "adaptive"  # adaptive | fixed
+    limiter: str = "adaptive"  # adaptive | fixed | knee
     min_limit: int = 0  # 0: half of the slots
     # Choice of a backend server
     selector: str = "predicted"
--- a/src/marjoramtide/settings/_schema.py
+++ b/src/marjoramtide/settings/_schema.py
@@ -136,8 +136,9 @@
         name="limiter",
         group=CAPACITY,
         levels=NOT_ON_ROUTES,
-        choices=("adaptive", "fixed"),
-        meaning="Whether the number of slots in use follows the times observed, or is fixed.",
+        choices=("adaptive", "fixed", "knee"),
+        meaning="Whether the number of slots in use follows the times observed, is fixed, or stays "
+        "below where the backend server becomes slow because it is nearly full.",
     ),
     NumberKey(
         name="min_limit",
