--- /dev/null
+++ b/features/steps/interference_steps.py
@@ -0,0 +1,266 @@
+"""Steps on the decisions that go by a server's slowdown."""
+
+import heapq
+import random
+from typing import Any
+
+from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
+
+from marjoramtide.membership import Member, MemberState
+from marjoramtide.policy import (
+    CallProfile,
+    Interference,
+    LoadReport,
+    Verdict,
+    make_admission,
+    make_selector,
+)
+from marjoramtide.policy._forecast_selector import ForecastSelector
+from marjoramtide.policy._knee_limiter import KneeLimiter
+from marjoramtide.settings import RouteSettings
+
+use_step_matcher("parse")
+
+PERIOD_S = 1 / 3
+SLOW_SHARE = 0.25
+NOW = 100.0
+LOOK_S = 0.001
+
+
+class Neighbours:
+    """A server that is four times slower in a quarter of its stretches."""
+
+    def __init__(self, *, regular: bool) -> None:
+        self.rng = random.Random(7)
+        self.regular = regular
+        self.slowdown = 1.0
+        self.changes_at = 0.17
+
+    def at(self, now: float) -> float:
+        while now >= self.changes_at:
+            self.slowdown = 4.0 if self.rng.random() < SLOW_SHARE else 1.0
+            self.changes_at += PERIOD_S if self.regular else self.rng.expovariate(1 / PERIOD_S)
+        return self.slowdown
+
+
+@given("a server whose neighbours come and go at every third of a second, seen 40 times a second")
+def given_regular(context: Any) -> None:
+    context.neighbours = Neighbours(regular=True)
+
+
+@given("a server whose neighbours come and go at any time, seen 40 times a second")
+def given_irregular(context: Any) -> None:
+    context.neighbours = Neighbours(regular=False)
+
+
+@when("it is followed for {seconds:d} s")
+def when_passed(context: Any, seconds: int) -> None:
+    context.interference = Interference()
+    context.now = 0.0
+    context.said, context.broken = 0, 0
+    look(context, float(seconds))
+
+
+def look(context: Any, until: float) -> int:
+    """Look at the server when it is worth most; return how often."""
+    looks = 0
+    seen = context.interference
+    while context.now < until:
+        before = seen.slowdown
+        held_until = context.now + (seen.holds_s(context.now) or 0.0)
+        context.now = max(context.now + 0.002, seen.next_look_at(context.now))
+        changed = seen.observe(context.neighbours.at(context.now), context.now)
+        context.said += 1
+        context.broken += changed and context.now < held_until and before != seen.slowdown
+        looks += 1
+    return looks
+
+
+@then("the next change is known to within {milliseconds:d} ms")
+def change_known(context: Any, milliseconds: int) -> None:
+    holds_s = context.interference.holds_s(context.now)
+    assert holds_s is not None
+    off = (context.now + holds_s - context.neighbours.changes_at) / PERIOD_S
+    assert abs(off - round(off)) * PERIOD_S * 1000 <= milliseconds, off
+
+
+@then("looks for the next {seconds:d} s are fewer than {count:d} a second")
+def looks_few(context: Any, seconds: int, count: int) -> None:
+    assert look(context, context.now + seconds) < seconds * count
+
+
+@then("what was said to hold broke at most 1 time in {count:d}")
+def rarely_broken(context: Any, count: int) -> None:
+    assert context.broken * count <= context.said, (context.broken, context.said)
+
+
+@given("a server that was {factor:d} times slower from {begin:f} s to {end:f} s")
+def given_stretch(context: Any, factor: int, begin: float, end: float) -> None:
+    context.interference = Interference()
+    for step in range(round((end + 1) / LOOK_S)):
+        now = step * LOOK_S
+        slowed = begin <= now < end
+        context.interference.observe(factor if slowed else 1.0, now)
+
+
+@then("work from {begin:f} s to {end:f} s counts as {milliseconds:d} ms")
+def counts_as(context: Any, begin: float, end: float, milliseconds: int) -> None:
+    counted = context.interference.work_ms(begin, end)
+    assert abs(counted - milliseconds) < 2, counted
+
+
+@given("nodes that tell their speed")
+def given_nodes(context: Any) -> None:
+    rows = list(context.table)
+    members = [
+        Member(row["node"], "s", "r", row["data centre"], "p", "g", "o", MemberState.READY)
+        for row in rows
+    ]
+    own = next((each for each in members if each.node == "own"), None)
+    here = own or Member("ingress", "t", "r", "a", "p", "g", "o", MemberState.READY)
+    settings = RouteSettings(service="s", selector="forecast")
+    selector = make_selector(settings, here, random.Random(3))
+    assert isinstance(selector, ForecastSelector)
+    selector.update_members(members, NOW)
+    for sequence, row in enumerate(rows, start=1):
+        report = LoadReport(
+            in_use=1,
+            limit=8,
+            service_time_ms=100.0,
+            sequence=sequence,
+            slowdown=float(row["slowdown"]),
+            holds_ms=float(row["holds for ms"]),
+            period_ms=300.0,
+            usual_slowdown=1.75,
+        )
+        selector.reported(row["node"], report, NOW)
+    context.selector = selector
+
+
+@given("requests of a kind that runs {milliseconds:d} ms")
+def given_kind(context: Any, milliseconds: int) -> None:
+    for _ in range(30):
+        context.selector.answered(
+            "nobody", None, 1.0, True, NOW, kind="k", work_ms=float(milliseconds)
+        )
+    for view in context.selector.views.values():
+        context.selector.work.setdefault("k", _work(milliseconds))
+        assert view.report is not None
+
+
+def _work(milliseconds: float) -> Any:
+    from marjoramtide.policy._work_times import WorkTimes
+
+    work = WorkTimes()
+    work.learn(milliseconds)
+    return work
+
+
+def profile(left_ms: float, attempt: int = 1) -> CallProfile:
+    goal = NOW + left_ms / 1000
+    return CallProfile(False, False, goal + 0.5, attempt, "k", goal)
+
+
+@when("one with {left_ms:d} ms left is placed {count:d} times")
+def when_placed(context: Any, left_ms: int, count: int) -> None:
+    context.places = [context.selector.choose(profile(left_ms), NOW) for _ in range(count)]
+
+
+@then('it goes to "{node}" {count:d} times')
+def goes_to(context: Any, node: str, count: int) -> None:
+    assert context.places.count(node) == count, context.places
+
+
+@then("a first try with {left_ms:d} ms left asks one of them")
+def asks_one(context: Any, left_ms: int) -> None:
+    assert context.selector.choose(profile(left_ms), NOW) is not None
+
+
+@then("a second try with {left_ms:d} ms left asks none")
+def asks_none(context: Any, left_ms: int) -> None:
+    assert context.selector.choose(profile(left_ms, 2), NOW) is None
+
+
+@given("a server of {slots:d} slots that takes {factor:f} times as long above {knee:d} at once")
+def given_knee(context: Any, slots: int, factor: float, knee: int) -> None:
+    context.limiter = KneeLimiter(slots)
+    context.duration_ms = lambda running: 100.0 * (factor if running > knee else 1.0)
+
+
+@when("it is driven with all slots that it is given")
+def when_driven(context: Any) -> None:
+    rng = random.Random(5)
+    for _ in range(200):
+        running = rng.randint(max(1, context.limiter.limit - 4), context.limiter.limit)
+        duration_ms = context.duration_ms(running) * rng.uniform(0.7, 1.3)
+        context.limiter.observe(duration_ms, True, True, running)
+
+
+@then("at most {limit:d} run at once after 200 executions")
+def then_limit(context: Any, limit: int) -> None:
+    assert context.limiter.limit == limit, context.limiter
+
+
+@given(
+    "a server of {slots:d} slots that runs {run_ms:d} ms, and requests with a goal of "
+    "{goal_ms:d} ms and {left_ms:d} ms in all"
+)
+def given_server(context: Any, slots: int, run_ms: int, goal_ms: int, left_ms: int) -> None:
+    settings = RouteSettings(service="s", slots=slots, limiter="fixed", urgent_slots=0)
+    context.admission = make_admission(settings, 0.0)
+    context.run_s, context.goal_s, context.left_s = run_ms / 1000, goal_ms / 1000, left_ms / 1000
+
+
+@when("{per_s:d} a second come for {seconds:d} s")
+def when_load(context: Any, per_s: int, seconds: int) -> None:
+    """Play the load: arrivals, ends and expiries in the order of their times."""
+    admission, rng = context.admission, random.Random(11)
+    arrived: dict[int, float] = {}
+    context.answered_ms, context.refused_ms = [], []
+    events: list[tuple[float, str, int]] = []
+    at = 0.0
+    for ticket in range(1, per_s * seconds + 1):
+        at += rng.expovariate(per_s)
+        events.append((at, "arrives", ticket))
+    heapq.heapify(events)
+
+    def start(tickets: list[int], now: float) -> None:
+        for ticket in tickets:
+            heapq.heappush(events, (now + context.run_s * rng.uniform(0.8, 1.2), "ends", ticket))
+
+    while events:
+        now, what, ticket = heapq.heappop(events)
+        if what == "arrives":
+            arrived[ticket] = now
+            goal, deadline = now + context.goal_s, now + context.left_s
+            asked = CallProfile(False, True, deadline, 2, "k", goal)
+            verdict = admission.offer(ticket, asked, now).verdict
+            if verdict is Verdict.START:
+                start([ticket], now)
+            elif verdict is Verdict.REJECT:
+                context.refused_ms.append(0.0)
+        elif what == "ends":
+            context.answered_ms.append((now - arrived[ticket]) * 1000)
+            start(admission.finished(ticket, now, context.run_s * 1000, True), now)
+        due = admission.next_expiry()
+        if due is not None and (not events or due <= events[0][0]):
+            late = admission.expire(max(now, due))
+            context.refused_ms += [(max(now, due) - arrived[each]) * 1000 for each in late]
+    context.seconds = seconds
+
+
+@then("at least {share:d} in 100 of the answers come before the goal")
+def in_time(context: Any, share: int) -> None:
+    good = sum(took <= context.goal_s * 1000 for took in context.answered_ms)
+    assert good * 100 >= share * len(context.answered_ms), (good, len(context.answered_ms))
+
+
+@then("at least {per_s:d} a second are answered")
+def rate(context: Any, per_s: int) -> None:
+    assert len(context.answered_ms) >= per_s * context.seconds, len(context.answered_ms)
+
+
+@then("{share:d} in 100 refusals come within {milliseconds:d} ms")
+def refused_soon(context: Any, share: int, milliseconds: int) -> None:
+    soon = sum(took <= milliseconds for took in context.refused_ms)
+    assert soon * 100 >= share * len(context.refused_ms), (soon, len(context.refused_ms))
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -201,8 +201,11 @@
         return self.interface.backend.read_health(answer).instance
 
     def note_health(self, reading: HealthReading) -> None:
-        if reading.load is not None:
-            self.serving.note_load(reading.load)
+        if reading.load is None:
+            return
+        self.serving.note_load(reading.load)
+        if self.registrar is not None and reading.state is BackendState.READY:
+            self.registrar.found(reading.instance, reading.load.slots)
 
     def note_reply(self, reading: ReplyReading) -> None:
         if reading.load is not None:
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -23,7 +23,7 @@
 from marjoramtide.ingress._service_state import ServiceState, make_service_state
 from marjoramtide.membership import Directory, Member
 from marjoramtide.peers import PeerClient
-from marjoramtide.policy import CallProfile, LoadReport, WeightedSplit, make_weighted_split
+from marjoramtide.policy import CallProfile, LoadReport, SmoothSplit, make_smooth_split
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, Tracer
 
@@ -51,7 +51,7 @@
         self.metrics = metrics
         self.tracer = tracer
         self.states: dict[str, ServiceState] = {}
-        self.splits: dict[tuple[str, str], WeightedSplit] = {}
+        self.splits: dict[tuple[str, str], SmoothSplit] = {}
         view.on_change(self.settings_changed)
 
     def settings_changed(self, revision: int) -> None:
@@ -88,7 +88,7 @@
         name = (settings.service, settings.route)
         split = self.splits.get(name)
         if split is None:
-            split = self.splits[name] = make_weighted_split(settings.split, self.rng)
+            split = self.splits[name] = make_smooth_split(settings.split, self.rng)
         return split.draw()
 
     async def dispatch(
--- a/src/marjoramtide/policy/__init__.py
+++ b/src/marjoramtide/policy/__init__.py
@@ -11,7 +11,7 @@
 from marjoramtide.policy._measuring_budget import MeasuringBudget
 from marjoramtide.policy._retry_budget import RetryBudget
 from marjoramtide.policy._selector import Selector
-from marjoramtide.policy._weighted_split import WeightedSplit, make_weighted_split
+from marjoramtide.policy._smooth_split import SmoothSplit, make_smooth_split
 
 __all__ = [
     "LIMITERS",
@@ -26,9 +26,9 @@
     "MeasuringBudget",
     "RetryBudget",
     "Selector",
+    "SmoothSplit",
     "Verdict",
-    "WeightedSplit",
     "make_admission",
     "make_selector",
-    "make_weighted_split",
+    "make_smooth_split",
 ]
--- a/src/marjoramtide/policy/_forecast_selector.py
+++ b/src/marjoramtide/policy/_forecast_selector.py
@@ -9,7 +9,7 @@
 from marjoramtide.policy._call_profile import CallProfile
 from marjoramtide.policy._load_report import LoadReport
 from marjoramtide.policy._node_view import NodeView
-from marjoramtide.policy._predicted_selector import PredictedSelector
+from marjoramtide.policy._predicted_selector import DISTANCES_MS, PredictedSelector
 from marjoramtide.policy._run_forecast import run_ms
 from marjoramtide.policy._work_times import WorkTimes
 
@@ -26,6 +26,8 @@
 # itself is slow, for reasons that it does not tell.
 STRAGGLES = 1.6
 SOUND_SUCCESS = 0.8
+# What takes so many times longer than undisturbed is slowed: above what a short wait adds.
+SLOWED = 1.4
 
 
 @attrs.define(slots=True)
@@ -83,14 +85,16 @@
     def _order(
         self, view: NodeView, work_ms: float, left_ms: float, now: float
     ) -> tuple[float, float]:
-        """Return what nodes are compared by, the smallest first: in time, near, idle."""
+        """Return what nodes are compared by, the smallest first: in time, quick, near, idle."""
         expected_ms = self.forecast_ms(view, work_ms, now)
         if expected_ms > left_ms or not self._is_sound(view, now):
             return math.inf, expected_ms / max(0.05, view.success_rate(now))
         load = self._load(view, now) + self.rng.random() * LOAD_JITTER
         if view.node == self.self_member.node:
             load -= OWN_BONUS
-        return view.tier, load
+        # A slowed server may be in time, but each request holds its slot there for longer.
+        is_slow = expected_ms > SLOWED * (view.network.value + work_ms)
+        return view.tier + len(DISTANCES_MS) * is_slow, load
 
     def _is_sound(self, view: NodeView, now: float) -> bool:
         return (
--- a/src/marjoramtide/policy/_weighted_split.py
+++ b/src/marjoramtide/policy/_smooth_split.py
@@ -7,7 +7,7 @@
 
 
 @attrs.define(slots=True)
-class WeightedSplit:
+class SmoothSplit:
     """Draws parts so that each gets its share of any run of requests, not only of very long ones.
 
     Smooth weighted round robin, as proxies commonly use it: each draw adds every weight to its
@@ -33,15 +33,15 @@
         return self.parts[best][0]
 
 
-def make_weighted_split(
+def make_smooth_split(
     parts: Sequence[tuple[str, int]], rng: random.Random | None = None
-) -> WeightedSplit:
+) -> SmoothSplit:
     """Return a split that begins at a random place of its round, or at its start without ``rng``.
 
-    For example, ``make_weighted_split([("a", 3), ("b", 1)])`` draws a, a, b, a.
+    For example, ``make_smooth_split([("a", 3), ("b", 1)])`` draws a, a, b, a.
     """
     weighted = [(name, weight) for name, weight in parts if weight > 0]
-    split = WeightedSplit(weighted, [0.0] * len(weighted))
+    split = SmoothSplit(weighted, [0.0] * len(weighted))
     if rng is not None:
         for _ in range(rng.randrange(sum(weight for _, weight in weighted) % 1000 or 1)):
             split.draw()
--- a/src/marjoramtide/serving/_registrar.py
+++ b/src/marjoramtide/serving/_registrar.py
@@ -63,6 +63,29 @@
             self._end(held.instance)
             self._take(heard)
 
+    def found(self, instance: str, slots: int) -> None:
+        """Take a backend server that is sound and states its identity, before its first heartbeat.
+
+        Failure: all nodes lose power and start again. Their backend servers serve on, but the next
+        heartbeat of each comes up to an interval later, and until then nobody is served. Only a
+        node that has heard nothing yet goes by this: one that has knows more than the identity.
+        """
+        if self.current is None and not self.ended and instance and slots > 0:
+            log.info("serving.found", instance=instance, slots=slots)
+            self._take(
+                Registration(
+                    instance=instance,
+                    address="",
+                    service=self.service,
+                    data_centre="",
+                    software="",
+                    slots=slots,
+                    draining=False,
+                    sequence=0,
+                    cold_left_s=0.0,
+                )
+            )
+
     def depart(self, instance: str) -> None:
         """Take the word that a backend server leaves, also before any heartbeat of it came."""
         if instance not in self.ended:
