Stories of failed requests, a metrics address, reload of the settings file, a planned stop that lingers

One line for a refused request names its route, revision, time left and each try with what was believed and how old that was; a serving node's failure names the request. Scenarios with each.

--- /dev/null
+++ b/features/platform/life.feature
@@ -0,0 +1,54 @@
+Feature: A node starts, changes and stops on the platform without a caller noticing
+
+  Scenario: A node that is stopped serves callers until they are sent elsewhere
+    # The platform asks for readiness once a second and sends callers elsewhere after two refusals.
+    # Until then they come here: a node that closed its port at once would cut them off.
+    Given a fleet on the platform: mapdesk, mapdesk
+    When node 1 is told to stop
+    Then node 1 does not take callers
+    And for 1 s every request through node 1 is answered 200, on connections that are closed
+    And the server of node 1 runs none of them
+    And node 1 has ended within 6 s of being told
+
+  Scenario: A backend server that is sound serves before its next heartbeat
+    # All nodes lost power and start again. Their servers serve on, and the next heartbeat of each
+    # comes up to an interval later. Its health states who it is and how many slots it has.
+    Given a fleet on the platform whose servers send no heartbeat: mapdesk
+    When a client asks node 1 for "/tiles/7"
+    Then the client gets 200 with the seal and the whole body of its own request
+    And it ran for the instance that is registered, with less time than the client gives
+
+  Scenario: A server that leaves is not taken for sound after a restart
+    Given a fleet on the platform whose servers leave and send no heartbeat: mapdesk
+    When a client asks node 1 for "/tiles/7"
+    Then the client gets 503 and when to come back
+
+  Scenario: A changed settings file is taken up, and what can't be is named
+    Given a fleet on the platform: mapdesk
+    When the settings file of node 1 changes its bounds and its name
+    Then node 1 goes by the new bounds and logs that the name waits for a restart
+
+  Scenario: The metrics address serves counters, gauges and histograms
+    Given a fleet on the platform: mapdesk
+    When a client asks node 1 for "/tiles/7" 5 times
+    Then the metrics of node 1 hold
+      | line                                      |
+      | marjoramtide_ingress_completed_total 5    |
+      | marjoramtide_members 1                    |
+      | marjoramtide_serving_execution_ms_count 5 |
+
+  Scenario: A refusal tells its whole story in one line of the log
+    # An engineer has a request's id and the logs, nothing else. The line names the route, the
+    # revision, and each try with what was believed of the node that was asked.
+    Given a fleet on the platform: mapdesk
+    And the server of node 1 becomes instance "i-2" without a word
+    When a client books through node 1
+    Then the log tells of that request with the fields
+      | field          |
+      | code           |
+      | outcome        |
+      | revision       |
+      | service        |
+      | left_ms        |
+      | tries          |
+      | retry_after_ms |
--- a/features/platform_harness.py
+++ b/features/platform_harness.py
@@ -90,8 +90,8 @@
     async def add_seat(self, service: str, *, service_ms: float = 5.0, slots: int = 10) -> Seat:
         """Start a backend server and the node beside it; nothing is registered yet."""
         server = await start_platform_backend(self.host, service_ms=service_ms, slots=slots)
-        addresses = [f"{self.host}:{free_port(self.host)}" for _ in range(6)]
-        callers, peers, gossip, operators, readiness, registration = addresses
+        addresses = [f"{self.host}:{free_port(self.host)}" for _ in range(7)]
+        callers, peers, gossip, operators, readiness, registration, metrics = addresses
         settings = NodeSettings(
             name=f"node-{len(self.seats) + 1}",
             service=service,
@@ -101,6 +101,7 @@
             peers=peers,
             gossip=gossip,
             operators=operators,
+            metrics=metrics,
             readiness=readiness,
             registration=registration,
             backend=server.name,
--- /dev/null
+++ b/features/steps/platform_life_steps.py
@@ -0,0 +1,118 @@
+"""Steps on the start, change and stop of nodes on the platform."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import attrs
+import structlog
+from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
+
+from features.platform_harness import PlatformFleet
+from features.steps.platform_node_steps import fill, run, seat, start_fleet
+from marjoramtide.platform import platform_interface
+
+use_step_matcher("parse")
+
+
+@when("node {number:d} is told to stop")
+def told_to_stop(context: Any, number: int) -> None:
+    async def stop() -> None:
+        context.stopping = asyncio.create_task(seat(context, number).node.stop())
+        await asyncio.sleep(0.05)
+
+    context.before = [len(each.server.seen) for each in context.fleet.seats]
+    run(context, stop())
+
+
+@then(
+    "for {seconds:d} s every request through node 1 is answered {status:d}, "
+    "on connections that are closed"
+)
+def answered_meanwhile(context: Any, seconds: int, status: int) -> None:
+    async def ask() -> None:
+        ends = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < ends:
+            result = await context.fleet.call(seat(context, 1))
+            assert result.status == status, result
+            assert result.headers.get("Connection") == "close", result.headers
+
+    run(context, ask())
+
+
+@then("the server of node {number:d} runs none of them")
+def runs_none(context: Any, number: int) -> None:
+    assert len(seat(context, number).server.seen) == context.before[number - 1]
+
+
+@then("node 1 has ended within {seconds:d} s of being told")
+def has_ended(context: Any, seconds: int) -> None:
+    async def wait() -> None:
+        async with asyncio.timeout(seconds):
+            await context.stopping
+
+    run(context, wait())
+
+
+@given("a fleet on the platform whose servers send no heartbeat: {services}")
+def given_silent(context: Any, services: str) -> None:
+    start_silent(context, services, leaving=False)
+
+
+@given("a fleet on the platform whose servers leave and send no heartbeat: {services}")
+def given_leaving(context: Any, services: str) -> None:
+    start_silent(context, services, leaving=True)
+
+
+def start_silent(context: Any, services: str, *, leaving: bool) -> None:
+    fleet: PlatformFleet = start_fleet(context)
+
+    async def start() -> None:
+        await fill(fleet, services.split(", "))
+        for each in fleet.seats:
+            each.server.faults.drain = leaving
+        await fleet.wait_for(lambda: all(each.node.takes_callers() for each in fleet.seats))
+        await asyncio.sleep(0.5)
+
+    run(context, start())
+
+
+@when("the settings file of node {number:d} changes its bounds and its name")
+def changes_settings(context: Any, number: int) -> None:
+    node = seat(context, number).node
+    changed = attrs.evolve(node.settings, bounds=["GraceS=4"], name="another")
+    with structlog.testing.capture_logs() as lines:
+        node.reload(changed, platform_interface(changed))
+    context.lines = lines
+
+
+@then("node {number:d} goes by the new bounds and logs that the name waits for a restart")
+def goes_by(context: Any, number: int) -> None:
+    assert seat(context, number).node.stop_grace_s == 4
+    line = next(each for each in context.lines if each["event"] == "daemon.reloaded")
+    assert line["changed"] == ["bounds"] and line["waiting_for_restart"] == ["name"], line
+
+
+@then("the metrics of node {number:d} hold")
+def metrics_hold(context: Any, number: int) -> None:
+    async def read() -> str:
+        address = seat(context, number).settings.metrics
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{address}/metrics") as response,
+        ):
+            return await response.text()
+
+    text = run(context, read())
+    missing = [row["line"] for row in context.table if row["line"] not in text.splitlines()]
+    assert not missing, (missing, text)
+
+
+@then("the log tells of that request with the fields")
+def log_tells(context: Any) -> None:
+    with structlog.testing.capture_logs() as lines:
+        work = context.fleet.call(seat(context, 1), "/book/9", method="POST", body=b"booking")
+        result = run(context, work)
+    line = next(each for each in lines if each.get("request") == result.attempt)
+    missing = [row["field"] for row in context.table if row["field"] not in line]
+    assert not missing, (missing, line)
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -40,13 +40,21 @@
 from marjoramtide.settings.sync import make_settings_service
 from marjoramtide.sockets import AppServer
 from marjoramtide.store import open_object_store
-from marjoramtide.telemetry import Metrics, Tracer, summarise_logs
+from marjoramtide.telemetry import (
+    Metrics,
+    Tracer,
+    log_output,
+    make_metrics_app,
+    summarise_logs,
+)
 
 log = structlog.get_logger()
 
 # Until the settings say how many connections the backend server takes.
 FIRST_CONNECTIONS = 10
 LEAVE_PAUSE_S = 0.3
+# Keys of the settings file that are taken over while the node runs.
+RELOADED = frozenset(("bounds", "base_tree", "stop_grace_s"))
 # The backend server waits a second for the acknowledgement of its heartbeat.
 IDENTITY_TIMEOUT_S = 0.3
 # The share of the time for a planned stop in which requests may end; the rest is for telling the
@@ -178,6 +186,9 @@
         settings = self.settings
         operators = make_operators_app(make_node_handle(self))
         servers = {settings.operators: AppServer("operators", operators)}
+        if settings.metrics:
+            app = make_metrics_app(self.metrics, self.refresh_gauges)
+            servers[settings.metrics] = AppServer("metrics", app)
         if self.interface.readiness_app is not None and settings.readiness:
             app = self.interface.readiness_app(self.takes_callers)
             servers[settings.readiness] = AppServer("readiness", app)
@@ -186,6 +197,27 @@
             servers[settings.registration] = AppServer("registration", app)
         return servers
 
+    def refresh_gauges(self) -> None:
+        """Set what is a state rather than a count, for whoever reads the metrics."""
+        now = self.clock.monotonic()
+        report = self.serving.report(now)
+        for name, level in {
+            "members": len(self.membership.members()),
+            "settings.revision": self.view.revision,
+            "settings.current": self.view.is_current,
+            "ingress.in_progress": self.ingress.in_progress,
+            "serving.in_use": report.in_use,
+            "serving.queued": report.queued_urgent + report.queued_routine,
+            "serving.limit": report.limit,
+            "serving.accepts": report.accepts,
+            "serving.slowdown": report.slowdown,
+            "serving.connections": len(self.transport.open),
+            "store.calls": self.store.calls_made,
+            "log.lines_lost": log_output.lost,
+            "freezes": self.freeze.count,
+        }.items():
+            self.metrics.gauge(name, float(level))
+
     def takes_callers(self) -> bool:
         """Tell whether callers may be sent to this node."""
         return self.view.revision > 0 and self.view.is_current and not self.stopping
@@ -311,6 +343,34 @@
         elif member.state is MemberState.DEAD and not own:
             self.spawn(self.peer_client.drop(member.peer_address))
 
+    def reload(self, settings: NodeSettings, interface: Interface) -> None:
+        """Go on by a changed settings file, as far as that is possible without a new start.
+
+        Addresses, places and keys belong to sockets and identities that others know; a change of
+        one is told in the log, and waits for the next start.
+        """
+        before = attrs.asdict(self.settings)
+        changed = sorted(
+            key for key, value in attrs.asdict(settings).items() if value != before[key]
+        )
+        waiting = [key for key in changed if key not in RELOADED]
+        self.stop_grace_s = interface.stop_grace_s or settings.stop_grace_s
+        self.interface = attrs.evolve(
+            self.interface,
+            stop_grace_s=interface.stop_grace_s,
+            stop_linger_s=interface.stop_linger_s,
+        )
+        self.settings_service.follower.trees.source = interface.tree
+        self.settings = attrs.evolve(
+            self.settings, **{key: getattr(settings, key) for key in changed if key in RELOADED}
+        )
+        log.info(
+            "daemon.reloaded",
+            step="daemon.reload",
+            changed=[key for key in changed if key in RELOADED],
+            waiting_for_restart=waiting,
+        )
+
     def has_substitutes(self) -> bool:
         """Tell whether other nodes take work of the service that this one serves."""
         own = self.membership.self_member
--- a/src/marjoramtide/daemon/main.py
+++ b/src/marjoramtide/daemon/main.py
@@ -9,6 +9,7 @@
 import structlog
 
 from marjoramtide.daemon._node import Node
+from marjoramtide.daemon._settings_watch import SettingsWatch
 from marjoramtide.errors import MarjoramtideError
 from marjoramtide.interface import Interface, own_interface
 from marjoramtide.settings import NodeSettings, load_node_settings
@@ -28,11 +29,15 @@
     return platform_interface(settings)
 
 
-async def run(settings: NodeSettings) -> None:
+async def run(settings: NodeSettings, path: str) -> None:
     """Run a node until SIGTERM, SIGINT or its own replacement, then stop it as planned."""
     node = Node(settings, make_interface(settings))
+    loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, node.stop_asked.set)
+        loop.add_signal_handler(number, node.stop_asked.set)
+    watch = SettingsWatch(path, lambda changed: node.reload(changed, make_interface(changed)))
+    loop.add_signal_handler(signal.SIGHUP, watch.look_now)
+    node.spawn(watch.run())
     try:
         await node.start()
     except BaseException:
@@ -62,7 +67,7 @@
             node=settings.name or settings.peers,
             data_centre=settings.data_centre,
         )
-        asyncio.run(run(settings))
+        asyncio.run(run(settings, options.settings))
     except MarjoramtideError as error:
         print(str(error), file=sys.stderr)
         return BAD_SETTINGS_STATUS
--- a/src/marjoramtide/exchange/_failures.py
+++ b/src/marjoramtide/exchange/_failures.py
@@ -1,5 +1,8 @@
 """The two ways in which a request can fail."""
 
+from collections.abc import Sequence
+from typing import Any
+
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.policy import LoadReport
 
@@ -7,6 +10,7 @@
 class RequestFailedError(MarjoramtideError):
     """A request without an answer; ``report`` is the load of the serving node, where it said so.
 
+    ``tries`` are the decisions that the ingress node made on the way, for its log.
     ``reached`` tells whether the backend server was sent the request, even if it did not run it.
     """
 
@@ -24,6 +28,7 @@
         super().__init__(code, message, step=step, peer=peer, retry_after_ms=retry_after_ms)
         self.report = report
         self.reached = reached
+        self.tries: Sequence[Any] = ()
 
 
 class NotRunError(RequestFailedError):
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -12,6 +12,7 @@
     UnknownOutcomeError,
 )
 from marjoramtide.ingress._class_budgets import ClassBudgets
+from marjoramtide.ingress._decision import Decision
 from marjoramtide.ingress._service_state import ServiceState
 from marjoramtide.settings import RouteSettings
 
@@ -25,6 +26,7 @@
     ``unknown`` is the first failure after which a backend server may have begun the request. While
     it is set, "not run" would be a lie whatever later tries say. ``count`` is how many nodes were
     asked, ``turned_away`` how many of them refused before their backend server saw the request.
+    ``story`` holds what became of each try, for the log of a request that fails.
     """
 
     request: Request
@@ -38,6 +40,7 @@
     unknown: UnknownOutcomeError | None = None
     refused: RequestFailedError | None = None
     answers: list[Answer] = attrs.Factory(list)
+    story: list[Decision] = attrs.Factory(list)
 
     @property
     def budgets(self) -> ClassBudgets:
--- a/src/marjoramtide/ingress/_decision.py
+++ b/src/marjoramtide/ingress/_decision.py
@@ -8,6 +8,7 @@
     """Which node a try went to and what became of it.
 
     ``time`` is in seconds since the Unix epoch; ``elapsed_ms`` counts from the choice to the end.
+    ``believed`` is what the choice rested on, with the age of the report it came from.
     ``outcome`` is ``answered`` or the code of the error, ``detail`` the status or its message.
     """
 
@@ -19,3 +20,4 @@
     outcome: str
     detail: str
     elapsed_ms: float
+    believed: dict[str, object] = attrs.Factory(dict)
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -27,6 +27,8 @@
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, Tracer
 
+ANSWERED = "answered"
+
 
 class Dispatcher:
     """Sends each request to the node that the selector chooses, again where that is safe."""
@@ -111,13 +113,18 @@
                     attempts.budgets.hedges.deposit(now)
                     return await self.try_hedged(attempts)
                 return await self.try_in_turn(attempts)
+        except RequestFailedError as error:
+            error.tries = attempts.story
+            raise
         except TimeoutError as error:
-            raise UnknownOutcomeError(
+            late = UnknownOutcomeError(
                 ErrorCode.DEADLINE,
                 "the deadline passed before the answer came",
                 step="ingress.dispatch",
                 retry_after_ms=attempts.state.selector.retry_after_ms(self.clock.monotonic()),
-            ) from error
+            )
+            late.tries = attempts.story
+            raise late from error
 
     async def try_in_turn(self, attempts: Attempts) -> Answer:
         """Try one node after the other."""
@@ -256,7 +263,7 @@
             self.note_decision(attempts, node, started, str(code), getattr(error, "message", ""))
             raise
         now = self.clock.monotonic()
-        self.note_decision(attempts, node, started, "answered", str(answer.status))
+        self.note_decision(attempts, node, started, ANSWERED, str(answer.status))
         selector.answered(
             node,
             answer.report,
@@ -273,20 +280,22 @@
         self, attempts: Attempts, node: str, started: float, outcome: str, detail: str
     ) -> None:
         """Keep what became of a try for ``explain``."""
-        elapsed_ms = (self.clock.monotonic() - started) * 1000
+        now = self.clock.monotonic()
         request = attempts.request
-        attempts.state.decisions.append(
-            Decision(
-                self.clock.wall(),
-                node,
-                attempts.count,
-                request.urgent,
-                request.idempotent,
-                outcome,
-                detail,
-                elapsed_ms,
-            )
+        good = outcome == ANSWERED
+        decision = Decision(
+            self.clock.wall(),
+            node,
+            attempts.count,
+            request.urgent,
+            request.idempotent,
+            outcome,
+            detail,
+            round((now - started) * 1000, 1),
+            {} if good else attempts.state.selector.believed(node, now),
         )
+        attempts.state.decisions.append(decision)
+        attempts.story.append(decision)
 
     def note_report(self, member: Member, report: LoadReport) -> None:
         """Take in the load of a member that has published it unasked."""
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from typing import Any
 
 import attrs
 import structlog
@@ -14,6 +15,7 @@
     NotRunError,
     Request,
     RequestBody,
+    RequestFailedError,
     UnknownOutcomeError,
     inline_body,
 )
@@ -190,13 +192,44 @@
     ) -> web.Response:
         self.metrics.count(f"ingress.refused.{error.code}")
         request_id = request.request_id if request is not None else ""
-        log.info("ingress.refused", request=request_id, **log_fields(error, http.remote))
+        log.info(
+            "ingress.refused",
+            request=request_id,
+            revision=self.view.revision,
+            retry_after_ms=error.retry_after_ms,
+            **self.told(http, request, error),
+            **log_fields(error, http.remote),
+        )
         response = self.protocol.refusal(error, self.node, request_id)
         if self.leaving or not http.content.at_eof():
             # The rest of a body that was not read would be taken for the next request.
             response.force_close()
         return response
 
+    def told(
+        self, http: web.BaseRequest, request: Request | None, error: MarjoramtideError
+    ) -> dict[str, Any]:
+        """Return what the log tells of a request that failed: its route, its time and its tries."""
+        if request is None:
+            return {"host": http.headers.get("Host", "")[:100], "path": http.raw_path[:100]}
+        tries = error.tries if isinstance(error, RequestFailedError) else ()
+        return {
+            "service": request.service,
+            "path": request.target[:100],
+            "idempotent": request.idempotent,
+            "left_ms": round((request.deadline - self.clock.monotonic()) * 1000),
+            "tries": [
+                {
+                    "node": each.node,
+                    "outcome": each.outcome,
+                    "detail": each.detail,
+                    "ms": each.elapsed_ms,
+                    **each.believed,
+                }
+                for each in tries
+            ],
+        }
+
     async def send(
         self, http: web.BaseRequest, request: Request, answer: Answer
     ) -> web.StreamResponse:
--- a/src/marjoramtide/peers/_client.py
+++ b/src/marjoramtide/peers/_client.py
@@ -25,6 +25,7 @@
     PING_TIMEOUT_S,
 )
 from marjoramtide.peers._link import Link
+from marjoramtide.sockets import notice_silence
 
 CONNECT_TIMEOUT_S = 0.5
 
@@ -109,6 +110,7 @@
                     proxy=None,
                     user_agent_header=None,
                 )
+            notice_silence(socket.transport.get_extra_info("socket"))
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
                 await open_as_client(socket, self.key, lane, address)
         except (OSError, TimeoutError, WebSocketException) as error:
--- a/src/marjoramtide/peers/_server.py
+++ b/src/marjoramtide/peers/_server.py
@@ -19,6 +19,7 @@
 )
 from marjoramtide.peers._peer_connection import PeerConnection
 from marjoramtide.peers._session import QuestionHandler, Session
+from marjoramtide.sockets import notice_silence
 
 log = structlog.get_logger()
 
@@ -59,6 +60,7 @@
     async def accept(self, socket: ServerConnection) -> None:
         """Serve one connection after its handshake."""
         peer = "{}:{}".format(*socket.remote_address[:2])
+        notice_silence(socket.transport.get_extra_info("socket"))
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
                 await open_as_server(socket, self.key, peer)
--- a/src/marjoramtide/policy/_predicted_selector.py
+++ b/src/marjoramtide/policy/_predicted_selector.py
@@ -257,6 +257,21 @@
         base_ms = max(0.0, min(waits, default=1.0)) * 1000
         return self.hint.next_ms(max(base_ms, self.model.typical_ms()), self.rate_per_s, now)
 
+    def believed(self, node: str, now: float) -> dict[str, object]:
+        view = self.views.get(node)
+        if view is None or view.report is None:
+            return {"known": view is not None}
+        report = view.report
+        return {
+            "age_ms": round((now - view.reported_at) * 1000),
+            "in_use": report.in_use,
+            "queued": report.queued_urgent + report.queued_routine,
+            "limit": report.limit,
+            "slowdown": round(report.slowdown, 2),
+            "outstanding": len(view.outstanding),
+            "success_rate": round(view.success_rate(now), 2),
+        }
+
     def explain(self, now: float) -> list[dict[str, object]]:
         return [
             {
--- a/src/marjoramtide/policy/_selector.py
+++ b/src/marjoramtide/policy/_selector.py
@@ -95,6 +95,10 @@
         """Take in a load report that came beside any request."""
         return None
 
+    def believed(self, node: str, now: float) -> dict[str, object]:
+        """Return, for the log, what the choice of a node rests on."""
+        return {}
+
     def explain(self, now: float) -> list[dict[str, object]]:
         """Return, for operators, what is believed of each member and how it scores."""
         return []
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -259,6 +259,18 @@
                 answer.cancel = self.finish_on_cancel(execution, answer)
         except RequestFailedError as error:
             self.metrics.count(f"serving.failed.{error.code}")
+            log.info(
+                "serving.failed",
+                request=request.request_id,
+                code=error.code,
+                step=error.step,
+                peer=error.peer,
+                reason=error.message,
+                began=execution.begun,
+                ran_ms=round((self.clock.monotonic() - execution.started) * 1000, 1),
+                slowdown=None if self.interference is None else self.interference.slowdown,
+                in_use=len(self.in_progress),
+            )
             raise
         except asyncio.CancelledError:
             cancelled = True
--- a/src/marjoramtide/settings/_node_settings.py
+++ b/src/marjoramtide/settings/_node_settings.py
@@ -14,7 +14,7 @@
 
 PLACE_KEYS = ("service", "region", "data_centre")
 ADDRESS_KEYS = ("callers", "peers", "gossip", "operators", "backend")
-OPTIONAL_ADDRESS_KEYS = ("statsd", "readiness", "registration")
+OPTIONAL_ADDRESS_KEYS = ("statsd", "metrics", "readiness", "registration")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 INTERFACES = ("own", "platform")
 MIN_KEY_CHARACTERS = 16
@@ -44,6 +44,7 @@
     All addresses are ``IP:PORT`` and explicit; nothing is bound to a wildcard unless it is written
     here. ``key`` is shared by all nodes of a fleet and authenticates peers and datagrams.
     ``interface`` names what the node speaks with callers, backend servers and the store.
+    ``metrics`` is where counters and histograms are served, besides ``statsd``.
     ``base_tree`` is a TOML file over which another system's configuration is laid; ``readiness``
     and ``registration`` are the addresses for whoever runs the machines and for the backend server,
     and ``bounds`` are figures of theirs as ``name=value``, where the interface has such.
@@ -68,6 +69,7 @@
     stop_grace_s: float = 30.0
     interface: str = "own"
     base_tree: str = ""
+    metrics: str = ""
     readiness: str = ""
     registration: str = ""
     bounds: list[str] = attrs.Factory(list)
--- a/src/marjoramtide/telemetry/__init__.py
+++ b/src/marjoramtide/telemetry/__init__.py
@@ -1,5 +1,6 @@
 """Logs, metrics and spans."""
 
+from marjoramtide.telemetry._exposition import make_metrics_app
 from marjoramtide.telemetry._logs import configure_logs, log_output, summarise_logs
 from marjoramtide.telemetry._metrics import Metrics
 from marjoramtide.telemetry._span import Span
@@ -13,6 +14,7 @@
     "Tracer",
     "configure_logs",
     "log_output",
+    "make_metrics_app",
     "new_trace",
     "read_trace",
     "summarise_logs",
--- a/src/marjoramtide/telemetry/_metrics.py
+++ b/src/marjoramtide/telemetry/_metrics.py
@@ -1,11 +1,27 @@
 """Counters and timings, aggregated in the process and sent as statsd datagrams once a second."""
 
 import asyncio
+import bisect
 from collections import defaultdict
 
 import statsd
 
 FLUSH_S = 1.0
+# Upper limits of the histograms' buckets, in milliseconds: about a factor of two apart, from a hop
+# on a quiet machine to the longest deadlines.
+BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 300, 500, 800, 1000, 2000, 5000)
+
+
+class Histogram:
+    """How many durations fell into each bucket, and their sum in milliseconds."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_MS) + 1)
+        self.total = 0.0
+
+    def add(self, milliseconds: float) -> None:
+        self.counts[bisect.bisect_left(BUCKETS_MS, milliseconds)] += 1
+        self.total += milliseconds
 
 
 class Metrics:
@@ -23,6 +39,7 @@
         self.totals: defaultdict[str, int] = defaultdict(int)
         self.timings: dict[str, list[float]] = {}
         self.gauges: dict[str, float] = {}
+        self.histograms: dict[str, Histogram] = {}
 
     def count(self, name: str, number: int = 1) -> None:
         """Add to a counter."""
@@ -30,6 +47,10 @@
 
     def timing(self, name: str, milliseconds: float) -> None:
         """Note one duration."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = self.histograms[name] = Histogram()
+        histogram.add(milliseconds)
         entry = self.timings.get(name)
         if entry is None:
             self.timings[name] = [1, milliseconds, milliseconds]
@@ -42,6 +63,11 @@
         """Set a value that is sent as it stands."""
         self.gauges[name] = value
 
+    def all_counts(self) -> dict[str, int]:
+        """Return the counts since the start, those not yet flushed included."""
+        names = self.totals.keys() | self.counts.keys()
+        return {name: self.totals.get(name, 0) + self.counts.get(name, 0) for name in names}
+
     def flush(self) -> None:
         """Send what was collected, and begin anew."""
         counts, self.counts = self.counts, defaultdict(int)
