--- a/src/marjoramtide/cli/_commands.py
+++ b/src/marjoramtide/cli/_commands.py
@@ -7,6 +7,7 @@
 
 from marjoramtide.cli._node_client import NodeClient, ask_all
 from marjoramtide.cli._output import format_records
+from marjoramtide.cli._request_story import format_story, read_story
 from marjoramtide.cli._service_commands import ServiceCommands
 from marjoramtide.cli._session import Session
 from marjoramtide.cli._settings_commands import HEAD_PATTERN, SettingsCommands, read_file
@@ -67,8 +68,17 @@
         self._session.output.result(found, f"{members}\n\nlast decisions:\n{decisions}")
 
     @SetParseFns(trace_id=str)
-    def trace(self, trace_id: str) -> None:
-        """Print the spans of a trace, collected from all members, in the order of their starts."""
+    def trace(self, trace_id: str, logs: str = "") -> None:
+        """Print what happened to one request.
+
+        With --logs FILE[,FILE...] (- for standard input) the lines of its story, found by the
+        request's id or the trace's; else the spans of the trace, collected from all members.
+        """
+        if logs:
+            story = read_story(str(trace_id), logs.split(","))
+            text = format_story(story) or "no line of the logs names this request"
+            self._session.output.result({"lines": story}, text)
+            return
         members = self._session.node.get("/members")["members"]
         addresses = [member["operators_address"] for member in members]
         answers = ask_all(addresses, "/trace", id=trace_id)
