A node whose place another has taken is no reason to deny a request

Cause, by the scenario that was seen failing first: an address belongs to a node of another service now; it says that it doesn't serve this one, and that word was told on to the caller as not found. Ruled out: a route that the node did not know, since the 404 came 19 ms after the request.

Now such a refusal is a node lost: membership looks, others are asked, and at the end the caller is told that nobody may be asked, and when to come back.

--- a/features/platform/users_platform.feature
+++ b/features/platform/users_platform.feature
@@ -64,6 +64,16 @@
     When a client asks node 1 for "/tiles/7"
     Then the client gets no success without a seal
 
+  Scenario: A node whose place another has taken is no reason to deny a request
+    # An instance was replaced, and its address belongs to a node of another service. Nodes that have
+    # not heard of it yet send there and are told that this service is not served. The route exists:
+    # told "not found", the client would never come back.
+    Given a fleet on the platform: mapdesk, licencehub
+    And the place of node 1 is taken by a node of another service
+    When a client asks node 2 for "/tiles/7"
+    Then the client gets 503 and when to come back
+    And no server ran anything
+
   Scenario: Another server at the same address runs nothing, and the word of it is not "unknown"
     # The server beside a node was replaced and has not registered yet. Requests name the one that
     # was registered, so that the new one refuses them: "not run" is true, and the booking is free to
--- a/features/platform_harness.py
+++ b/features/platform_harness.py
@@ -53,6 +53,8 @@
     def __init__(self) -> None:
         self.host = loopback_host()
         self.store = PlatformStoreServer()
+        # Not 0, which the library takes for no limit: a watch that waits would hold up the end of a
+        # scenario by its half minute.
         self.runner = web.AppRunner(self.store.app(), access_log=None, shutdown_timeout=0.2)
         self.seats: list[Seat] = []
         self.rng = random.Random(1)
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -105,6 +105,11 @@
     seat(context, number).server.instance = instance
 
 
+@given("the place of node {number:d} is taken by a node of another service")
+def place_taken(context: Any, number: int) -> None:
+    seat(context, number).node.serving.service = "another"
+
+
 @when('the server of node {number:d} registers as "{instance}"')
 def registers(context: Any, number: int, instance: str) -> None:
     assert run(context, seat(context, number).registrant.heartbeat(instance, sequence=1)) == 200
@@ -150,7 +155,9 @@
 
 @then("the client got 200 with the seal and the whole body of its own request each time")
 def got_whole_each_time(context: Any) -> None:
-    for context.result in context.results:
+    assert context.results
+    for result in context.results:
+        context.result = result
         gets_whole(context)
 
 
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -51,6 +51,11 @@
         if isinstance(error, UnknownOutcomeError):
             self.unknown = self.unknown or error
         else:
+            if error.code is ErrorCode.UNKNOWN_SERVICE:
+                # Failure: an instance was replaced, and its address belongs to a node of another
+                # service, which says so. Told on, the caller hears "not found" of a route that is
+                # there. Whether a route is there is this node's own knowledge alone.
+                error.code = ErrorCode.NO_CANDIDATE
             self.refused = error
             self.turned_away += not error.reached
 
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -324,7 +324,11 @@
             case _ if attempts.body.error is not None:
                 # The caller's body broke off; the node that was to read it is not to blame.
                 selector.cancelled(node, now, elapsed_ms=elapsed_ms)
-            case NotRunError(code=ErrorCode.CONNECT_FAILED | ErrorCode.PEER_LOST):
+            case NotRunError(
+                code=ErrorCode.CONNECT_FAILED | ErrorCode.PEER_LOST | ErrorCode.UNKNOWN_SERVICE
+            ):
+                # Also where a node of another service answers at the address: the one that was
+                # meant is gone, and membership has not noticed yet.
                 selector.lost(node, now, elapsed_ms=elapsed_ms, unreachable=True)
                 self.directory.report_failure(node)
             case NotRunError(code=ErrorCode.STORE_UNAVAILABLE | ErrorCode.KEY_REUSED):
