One seal for all datagrams; one way to the nodes that may be chosen

Found by reading the change again: the codec of bulletins had the authentication of the gossip's codec a second time, and the forecast selector the beginning of the predicted one. Both are one piece now; what differs is the purpose of the seal, and the choice among the nodes that may be asked.

--- a/src/marjoramtide/membership/_packet_codec.py
+++ b/src/marjoramtide/membership/_packet_codec.py
@@ -1,12 +1,15 @@
 """Datagrams to bytes and back, authenticated."""
 
-import hashlib
-import hmac
 import struct
 from typing import Any
 
 import cbor2
 
+from marjoramtide.membership._datagram_seal import (
+    MAC_BYTES,
+    MAX_DATAGRAM_BYTES,
+    DatagramSeal,
+)
 from marjoramtide.membership._health import Health
 from marjoramtide.membership._packet import (
     DECLARED_STATES,
@@ -18,8 +21,6 @@
 )
 from marjoramtide.membership._packet_error import DropCode, PacketError
 
-MAX_DATAGRAM_BYTES = 1200
-MAC_BYTES = 16
 FORMAT = 1
 MAX_DIGEST_CHARACTERS = 64
 MAX_IDENTITY_BYTES = 400
@@ -35,26 +36,24 @@
     """
 
     def __init__(self, key: str) -> None:
-        self.key = hashlib.blake2b(key.encode(), digest_size=32, person=b"mt-membership").digest()
+        self.seal = DatagramSeal(key, b"mt-membership")
 
     def mac(self, body: bytes) -> bytes:
         """Return the authentication code of ``body``."""
-        return hashlib.blake2b(body, digest_size=MAC_BYTES, key=self.key).digest()
+        return self.seal.mac(body)
 
     def encode(self, packet: Packet) -> bytes:
         """Return the datagram; raises ``ValueError`` where it would be too large."""
         body = cbor2.dumps(_to_wire(packet))
         if len(body) + MAC_BYTES > MAX_DATAGRAM_BYTES:
             raise ValueError(f"datagram of {len(body) + MAC_BYTES} bytes")
-        return self.mac(body) + body
+        return self.seal.close(body)
 
     def decode(self, data: bytes) -> Packet:
         """Return the packet; raises ``PacketError`` for all that this fleet did not send."""
         if len(data) > MAX_DATAGRAM_BYTES:
             raise PacketError(DropCode.OVERSIZED, f"{len(data)} bytes")
-        mac, body = data[:MAC_BYTES], data[MAC_BYTES:]
-        if not hmac.compare_digest(mac, self.mac(body)):
-            raise PacketError(DropCode.BAD_MAC, "not authenticated with this fleet's key")
+        body = self.seal.open(data)
         try:
             return _from_wire(cbor2.loads(body))
         except _MALFORMED as error:
--- a/src/marjoramtide/policy/_forecast_selector.py
+++ b/src/marjoramtide/policy/_forecast_selector.py
@@ -1,7 +1,6 @@
 """The policy that asks where an answer is expected before it loses its worth."""
 
 import math
-from collections.abc import Collection
 
 import attrs
 
@@ -41,21 +40,9 @@
 
     work: dict[str, WorkTimes] = attrs.Factory(dict)
 
-    def choose(
-        self, profile: CallProfile, now: float, excluded: Collection[str] = ()
-    ) -> str | None:
-        candidates = [
-            view
-            for node, view in self.views.items()
-            if view.closed_until <= now and node not in excluded
-        ]
-        if not candidates:
-            return None
-        if profile.idempotent and not profile.urgent and profile.attempt == 1:
-            explored = self.explorer.pick(candidates, now)
-            if explored is not None:
-                return explored.node
-        pool = [view for view in candidates if not view.ejected] or candidates
+    def _choose_from(
+        self, pool: list[NodeView], profile: CallProfile, now: float
+    ) -> NodeView | None:
         if len(pool) > MOST_COMPARED:
             pool = self._sampled(pool)
         work_ms = self._planned_ms(profile)
@@ -69,7 +56,7 @@
             # other. The asking alone then takes the processor time that the answers need. A first
             # try asks, since only the node itself knows; a second one needs a reason.
             return None
-        return chosen.node
+        return chosen
 
     def _is_last_resort(self, profile: CallProfile, now: float) -> bool:
         """Tell whether a request is past its goal, so that any answer is better than none."""
--- a/src/marjoramtide/policy/_predicted_selector.py
+++ b/src/marjoramtide/policy/_predicted_selector.py
@@ -92,9 +92,14 @@
                 return explored.node
         pool = [view for view in candidates if not view.ejected]
         # Where all that is left is ejected, asking it is still better than refusing unasked.
-        return self._choose_from(pool or candidates, profile.urgent, now).node
+        chosen = self._choose_from(pool or candidates, profile, now)
+        return None if chosen is None else chosen.node
 
-    def _choose_from(self, pool: list[NodeView], urgent: bool, now: float) -> NodeView:
+    def _choose_from(
+        self, pool: list[NodeView], profile: CallProfile, now: float
+    ) -> NodeView | None:
+        """Return the node to ask of those that may be asked, ``None`` where none should be."""
+        urgent = profile.urgent
         near_tier = min(view.tier for view in pool)
         near = [view for view in pool if view.tier == near_tier]
         best, best_ms = self._best_of_sample(near, urgent, now)
