The operator's limits are in force at callers' ports, at the start and at each change

Cause: Ingress.start gave the callers' server its bounds once, before a node holds any configuration, and nobody called CallerServer.configure at a change. The shipped defaults (5 s for a head, 75 s of rest, 8190 bytes a line) were in force in place of the operator's.

Ruled out: the translation of the limits; the tree held them and the bound on the whole head worked.

Before: the new scenario 'The operator's limits bound what callers send' fails (10,000 bytes of one header are refused with 431). The library reads the idle timeout once for each connection, so that connections that are open take what a longer one adds by an override; 'A longer time of rest holds for connections that are open already' fails without it.

--- a/features/platform/configuration.feature
+++ b/features/platform/configuration.feature
@@ -45,3 +45,23 @@
       | max_timeout_ms | 1000  | /services/shop.example/routes/tiles/          |
       | selector       | forecast | /                                          |
     And an operator who changes the settings through a node is told where to do so
+
+  Scenario: The operator's limits bound what callers send, also after a change
+    # A node starts before it holds a configuration. A limit that is read once at the start stays at
+    # what the software ships with: callers that never finish a head hold their connections for
+    # longer than the operator allows, and heads that are allowed are refused.
+    Given a fleet on the platform: mapdesk
+    When the operator allows heads of 12000 bytes, 500 ms for a head and 700 ms of rest as version 9
+    Then a request with a header of 10000 bytes through node 1 gets 200
+    And a head that never ends is given up by node 1 within 1.2 s
+    And a connection that rests is closed by node 1 within 1.5 s
+
+  Scenario: A longer time of rest holds for connections that are open already
+    # The operator raises the idle timeout, and callers reuse connections that have rested for up to
+    # four fifths of the new one. Closed after the old one, each meets a caller's next booking.
+    Given a fleet on the platform: mapdesk
+    And the operator allows heads of 12000 bytes, 500 ms for a head and 700 ms of rest as version 9
+    And a client keeps a connection to node 1 open
+    When the operator allows heads of 12000 bytes, 500 ms for a head and 4000 ms of rest as version 10
+    And 2 s pass
+    Then that connection answers another request
--- a/features/platform_harness.py
+++ b/features/platform_harness.py
@@ -59,6 +59,12 @@
         self.seats: list[Seat] = []
         self.rng = random.Random(1)
         self.routes: list[dict[str, Any]] = []
+        self.limits = {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 1 << 20,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        }
         self.store_url = ""
 
     async def start(self) -> None:
@@ -80,12 +86,7 @@
                 "Services": [
                     {"Name": name, "HealthPath": "/health", "MaxConns": 100} for name in services
                 ],
-                "Limits": {
-                    "MaxHeaderBytes": 16384,
-                    "MaxBodyBytes": 1 << 20,
-                    "HeaderTimeoutMs": 3000,
-                    "IdleTimeoutMs": 15000,
-                },
+                "Limits": self.limits,
             },
         )
 
--- a/src/marjoramtide/ingress/_caller_connection.py
+++ b/src/marjoramtide/ingress/_caller_connection.py
@@ -24,6 +24,7 @@
     """The library's connection, with bounds on slow callers' time and our own refusals."""
 
     __slots__ = (
+        "added_idle_s",
         "head_timeout_s",
         "head_timer",
         "max_connections",
@@ -51,6 +52,7 @@
         self.metrics = metrics
         self.head_timeout_s = head_timeout_s
         self.head_timer: asyncio.TimerHandle | None = None
+        self.added_idle_s = 0.0
         self.stall_timeout_s = stall_timeout_s
         self.max_connections = max_connections
         self.stall_timer: asyncio.TimerHandle | None = None
@@ -63,6 +65,24 @@
         # The library's own timer only ends connections that have answered a request before.
         self.start_head_timer(self.keepalive_timeout)
 
+    def configure(self, head_timeout_s: float, idle_timeout_s: float) -> None:
+        """Go on by changed times.
+
+        Failure: the operator raises the idle timeout, callers reuse connections that have rested
+        for longer than the old one, and a booking is sent into a connection that closes. A shorter
+        one holds for new connections only, since callers of this one were promised the longer.
+        """
+        self.head_timeout_s = head_timeout_s
+        # The library reads its own figure once, when the connection opens.
+        self.added_idle_s = max(0.0, idle_timeout_s - self.keepalive_timeout)
+
+    def _process_keepalive(self) -> None:
+        due = self._next_keepalive_close_time + self.added_idle_s
+        if self._loop.time() < due:
+            self._keepalive_handle = self._loop.call_at(due, self._process_keepalive)
+            return
+        super()._process_keepalive()
+
     def turn_away(self) -> None:
         """Refuse a connection that is one too many.
 
--- a/src/marjoramtide/ingress/_caller_server.py
+++ b/src/marjoramtide/ingress/_caller_server.py
@@ -42,11 +42,14 @@
         self.max_connections = max_connections()
 
     def configure(self, values: Mapping[str, Any]) -> None:
-        """Go on by changed settings; connections that are open keep the times they began with."""
+        """Go on by changed settings, on open connections too, but for the bounds of a line."""
         self.head_timeout_s = values["head_timeout_ms"] / 1000
-        self._kwargs["keepalive_timeout"] = values["idle_timeout_ms"] / 1000
+        idle_timeout_s = values["idle_timeout_ms"] / 1000
+        self._kwargs["keepalive_timeout"] = idle_timeout_s
         self._kwargs["max_line_size"] = values["max_line_bytes"]
         self._kwargs["max_field_size"] = values["max_line_bytes"]
+        for connection in self.connections:
+            connection.configure(self.head_timeout_s, idle_timeout_s)
 
     @property
     def has_unsent(self) -> bool:
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -86,12 +86,18 @@
             auto_decompress=False,
             lingering_time=LINGER_S,
         )
-        self.server.configure(self.view.node_values)
+        self.configure(self.view.revision)
+        self.view.on_change(self.configure)
         self.runner = web.ServerRunner(self.server, shutdown_timeout=0.5)
         await self.runner.setup()
         self.site = web.TCPSite(self.runner, host, port, backlog=1024)
         await self.site.start()
 
+    def configure(self, revision: int) -> None:
+        """Put the bounds on what callers may send into force, at the start and at each change."""
+        assert self.server is not None
+        self.server.configure(self.view.node_values)
+
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of a caller."""
         self.in_progress += 1
