What the last read of the diff found: status, heartbeats, the watch of the settings file, beliefs

Causes: node_status read the admission's report, which knows no slowdown. Each heartbeat went through settings_changed. SettingsWatch ran without keep_running, so a fault of ours in one reload ended it. A try's beliefs were read after the selector had learned from its failure, so that the log showed the refusal as known before the choice.

The beliefs are taken before a try is sent; costs a small dict for each try.

--- a/features/platform/life.feature
+++ b/features/platform/life.feature
@@ -38,6 +38,27 @@
       | marjoramtide_members 1                    |
       | marjoramtide_serving_execution_ms_count 5 |
 
+  Scenario: What a node shows its operators of its load is what it tells other nodes
+    # An operator looks for the server that its neighbours slow down. A page of its own that leaves
+    # the slowdown out shows a sound server.
+    Given a fleet on the platform: mapdesk
+    When the server of node 1 is slowed to 4 times
+    Then the operators of node 1 are shown a slowdown of 4
+
+  Scenario: A heartbeat that tells nothing new changes nothing
+    # A heartbeat comes every second and a half. Taken for a change of the settings, each would
+    # rebuild what a node has of its own service, at every node, for as long as it runs.
+    Given a fleet on the platform: mapdesk
+    When 3 more heartbeats of the server of node 1 arrive
+    Then the settings of node 1 were put into force no further time
+
+  Scenario: A fault in a reload does not end the watch of the settings file
+    # A reload meets a fault of ours. The task that looks at the file ends, and no later change is
+    # taken up for as long as the process lives.
+    Given a node's watch of its settings file whose first reload fails unexpectedly
+    When the settings file changes twice
+    Then the second change is taken up
+
   Scenario: A refusal tells its whole story in one line of the log
     # An engineer has a request's id and the logs, nothing else. The line names the route, the
     # revision, and each try with what was believed of the node that was asked.
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -143,6 +143,7 @@
             interface.callers,
         )
         self.registrar: Registrar | None = None
+        self.registered_slots: int | None = None
         if interface.registration_app is not None:
             self.registrar = Registrar(
                 settings.service, self.ask_identity, self.registration_changed
@@ -270,7 +271,10 @@
         assert self.registrar is not None
         current = self.registrar.current
         self.transport.instance = current.instance if current is not None else ""
-        self.settings_changed(self.view.revision)
+        slots = current.slots if current is not None else None
+        if slots != self.registered_slots:
+            self.registered_slots = slots
+            self.settings_changed(self.view.revision)
         self.update_state()
         if not self.registrar.is_ready:
             self.serving.hand_back()
--- a/src/marjoramtide/daemon/_operators.py
+++ b/src/marjoramtide/daemon/_operators.py
@@ -28,7 +28,7 @@
 
 def node_status(node: Node) -> dict[str, Any]:
     """Return what the parts of a node tell of themselves."""
-    report = node.serving.admission.report(node.clock.monotonic())
+    report = node.serving.report(node.clock.monotonic())
     return {
         "version": __version__,
         "backend": str(node.backend_state or "unknown"),
--- a/src/marjoramtide/daemon/main.py
+++ b/src/marjoramtide/daemon/main.py
@@ -10,6 +10,7 @@
 
 from marjoramtide.daemon._node import Node
 from marjoramtide.daemon._settings_watch import SettingsWatch
+from marjoramtide.daemon._supervision import keep_running
 from marjoramtide.errors import MarjoramtideError
 from marjoramtide.interface import Interface, own_interface
 from marjoramtide.settings import NodeSettings, load_node_settings
@@ -37,7 +38,7 @@
         loop.add_signal_handler(number, node.stop_asked.set)
     watch = SettingsWatch(path, lambda changed: node.reload(changed, make_interface(changed)))
     loop.add_signal_handler(signal.SIGHUP, watch.look_now)
-    node.spawn(watch.run())
+    node.spawn(keep_running("settings file", watch.run, node.clock, node.metrics))
     try:
         await node.start()
     except BaseException:
--- a/src/marjoramtide/ingress/_caller_server.py
+++ b/src/marjoramtide/ingress/_caller_server.py
@@ -3,7 +3,7 @@
 import resource
 import sys
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, cast
 
 from aiohttp import web
 
@@ -48,7 +48,7 @@
         self._kwargs["keepalive_timeout"] = idle_timeout_s
         self._kwargs["max_line_size"] = values["max_line_bytes"]
         self._kwargs["max_field_size"] = values["max_line_bytes"]
-        for connection in self.connections:
+        for connection in cast(list[CallerConnection], self.connections):
             connection.configure(self.head_timeout_s, idle_timeout_s)
 
     @property
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -254,16 +254,19 @@
         """Send the request to one node, and let the selector learn from what becomes of it."""
         selector = attempts.state.selector
         started = self.clock.monotonic()
+        # Taken now, since the log is to tell what the choice rested on, not what came of it.
+        believed = selector.believed(node, started)
         selector.sent(node, started)
         try:
             answer = await self.send(attempts, node)
         except BaseException as error:
-            self.learn_failure(attempts, node, error, started)
             code = getattr(error, "code", ErrorCode.CANCELLED)
-            self.note_decision(attempts, node, started, str(code), getattr(error, "message", ""))
+            self.learn_failure(attempts, node, error, started)
+            message = getattr(error, "message", "")
+            self.note_decision(attempts, node, started, str(code), message, believed)
             raise
         now = self.clock.monotonic()
-        self.note_decision(attempts, node, started, ANSWERED, str(answer.status))
+        self.note_decision(attempts, node, started, ANSWERED, str(answer.status), believed)
         selector.answered(
             node,
             answer.report,
@@ -277,12 +280,16 @@
         return answer
 
     def note_decision(
-        self, attempts: Attempts, node: str, started: float, outcome: str, detail: str
+        self,
+        attempts: Attempts,
+        node: str,
+        started: float,
+        outcome: str,
+        detail: str,
+        believed: dict[str, object],
     ) -> None:
         """Keep what became of a try for ``explain``."""
-        now = self.clock.monotonic()
         request = attempts.request
-        good = outcome == ANSWERED
         decision = Decision(
             self.clock.wall(),
             node,
@@ -291,8 +298,8 @@
             request.idempotent,
             outcome,
             detail,
-            round((now - started) * 1000, 1),
-            {} if good else attempts.state.selector.believed(node, now),
+            round((self.clock.monotonic() - started) * 1000, 1),
+            believed,
         )
         attempts.state.decisions.append(decision)
         attempts.story.append(decision)
