Place and start by the pace at which a run begins; wait for the next change of pace

Hypothesis of before: a run on a server that its neighbours slow down goes on at the pace of each moment, so that a server about to change is not to be counted on and work is the sum over stretches. A run keeps the pace of its start.

Changed: work is reckoned by the pace at the start; a quick server is quick however soon it may change; at a slowed server a request waits for the next time of change where it then ends sooner; just after a time of change it waits some milliseconds for the look; a state unheard of for longer than it holds counts as the mean unless the node is followed; each node follows 8 of a service in its data centre and about 8 elsewhere, the same ones, in place of 24 drawn anew for each change.

Replaced scenarios: 'Work is counted as if it had run undisturbed' and 'A server that is about to change is not one to count on' asserted the old model; the ones in their place are as strict. The fake view of the callers' scenarios takes listeners now.

Without the waiting 553 of 1020 requests of the new load scenario are answered in their goal, with it more than 816.

--- a/features/policy/interference.feature
+++ b/features/policy/interference.feature
@@ -12,11 +12,13 @@
     When it is followed for 30 s
     Then what was said to hold broke at most 1 time in 10
 
-  Scenario: Work is counted as if it had run undisturbed
-    # A booking of 90 ms ran through a slow stretch and took 210 ms. Learned as it was, the server
-    # would seem to have turned slow for good.
+  Scenario: Work is counted by the pace with which it began
+    # A booking of 90 ms began on a slowed server and took 360 ms, another began just before the slow
+    # stretch and took 90 ms, as it would have without. Learned as they were, the server would seem
+    # to have turned slow for good; spread over the stretches they met, both would be wrong.
     Given a server that was 4 times slower from 1.0 s to 1.16 s
-    Then work from 0.95 s to 1.16 s counts as 90 ms
+    Then work from 1.02 s to 1.38 s counts as 90 ms
+    And work from 0.95 s to 1.04 s counts as 90 ms
 
   Scenario: A request goes where it ends before its goal, the nearest first
     Given nodes that tell their speed
@@ -28,15 +30,42 @@
     When one with 300 ms left is placed 20 times
     Then it goes to "near" 20 times
 
-  Scenario: A server that is about to change is not one to count on
+  Scenario: A quick server is one to count on, however soon it may change
+    # A request runs to its end at the pace with which it began.
     Given nodes that tell their speed
       | node | data centre | slowdown | holds for ms |
       | near | a           | 1        | 10           |
       | far  | b           | 1        | 280          |
     And requests of a kind that runs 150 ms
     When one with 200 ms left is placed 20 times
+    Then it goes to "near" 20 times
+
+  Scenario: Where a node's pace may have changed unheard, one that is known to be quick is asked
+    # A node tells only some of the others when its pace changes. To the rest it stands still at
+    # what it was, and half of what is sent there meets a server four times as slow.
+    Given nodes that tell their speed
+      | node | data centre | slowdown | holds for ms |
+      | near | a           | 1        | 250          |
+      | far  | b           | 1        | 250          |
+    And requests of a kind that runs 150 ms
+    And this node is not among those that "near" tells of its changes
+    When one with 200 ms left is placed 20 times, 400 ms later
     Then it goes to "far" 20 times
 
+  Scenario: Each node follows as many nodes of a service, and the same ones while the fleet stays
+    # Where chance decides who is told, some nodes know no quick server of a service at all, and
+    # send to slow ones what others could run in time.
+    Given a fleet of 4 data centres with 14 nodes of "desk" and 5 nodes of "ledger" in each
+    Then each node follows 8 to 10 of "desk" and all of "ledger" in its own data centre
+    And each node follows 8 to 12 of "desk" and 8 to 12 of "ledger" elsewhere
+    And nobody is told by more than 36 nodes
+    When a node of "desk" leaves
+    Then 3 in 4 of all pairs of teller and reader stay as they were
+
+  Scenario: In a small fleet everybody follows everybody
+    Given a fleet of 3 data centres with 3 nodes of "desk" and 1 nodes of "ledger" in each
+    Then each node follows everybody
+
   Scenario: Where nobody is in time, a second try asks nobody
     # More comes than can be done. Each request that asked one full node after the other would take
     # the processor time that the answers need, to be refused four times in place of once.
@@ -60,6 +89,31 @@
     When it is driven with all slots that it is given
     Then at most 11 run at once after 200 executions
 
+  Scenario: A slowed server lets requests wait for its next change of pace
+    # A server is four times slower in a third of its stretches of 0.3 s. What begins then keeps its
+    # slot and its caller waiting four times as long, although the server is quick again soon.
+    # Begun at once, 54 in 100 of all requests were answered within their goal.
+    Given a server of 8 slots that runs 200 ms, and requests with a goal of 600 ms and 1500 ms in all
+    And its neighbours slow it down 4 times in a third of its stretches of 300 ms
+    When 34 a second come for 30 s
+    Then at least 80 in 100 of all requests are answered before the goal
+
+  Scenario: A request that comes just after a change may have taken place waits for the look
+    # The pace may have changed, and the next look comes 10 ms later. Begun blindly, a third of what
+    # comes in between runs four times as long.
+    Given an admission that knows requests of 200 ms, quick until a moment ago
+    When a request comes 5 ms after the time of change
+    Then it waits
+    When a look tells that the server is quick
+    Then it starts
+
+  Scenario: Nothing waits longer for a look that does not come
+    # The reader of the server's health has failed. What waits for its word would wait for ever.
+    Given an admission that knows requests of 200 ms, quick until a moment ago
+    When a request comes 5 ms after the time of change
+    And no look comes for 80 ms
+    Then it starts
+
   Scenario: Under more than can be done, answers come before their goal
     # Twice what the server can do arrives for 10 s. In the order of deadlines nearly every request
     # is answered, and nearly every answer is late. By the goal, as many are answered, in time.
--- /dev/null
+++ b/features/steps/bulletin_readers_steps.py
@@ -0,0 +1,86 @@
+"""Steps on who is told of a change of a server's pace."""
+
+from collections import Counter
+from typing import Any
+
+from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
+
+from marjoramtide.membership import Member, MemberState
+from marjoramtide.policy import bulletin_readers
+
+use_step_matcher("parse")
+
+
+@given(
+    'a fleet of {centres:d} data centres with {desks:d} nodes of "desk" '
+    'and {ledgers:d} nodes of "ledger" in each'
+)
+def given_fleet(context: Any, centres: int, desks: int, ledgers: int) -> None:
+    context.members = [
+        Member(
+            f"{service}-{centre}-{number}", service, "r", centre, "p", "g", "o", MemberState.READY
+        )
+        for centre in "abcdefgh"[:centres]
+        for service, count in (("desk", desks), ("ledger", ledgers))
+        for number in range(count)
+    ]
+
+
+def pairs(members: list[Member]) -> list[tuple[Member, Member]]:
+    """Return each teller with each of its readers."""
+    return [(own, reader) for own in members for reader in bulletin_readers(own, members)]
+
+
+def followed(context: Any, service: str, *, near: bool) -> list[int]:
+    """Return for each node how many nodes of a service it follows, itself counted as one."""
+    counts = Counter(
+        reader.node
+        for own, reader in pairs(context.members)
+        if own.service == service and (own.data_centre == reader.data_centre) is near
+    )
+    for member in context.members:
+        counts[member.node] += near and member.service == service
+    return [counts[member.node] for member in context.members]
+
+
+@then(
+    'each node follows {least:d} to {most:d} of "desk" and all of "ledger" in its own data centre'
+)
+def follows_near(context: Any, least: int, most: int) -> None:
+    desks, ledgers = followed(context, "desk", near=True), followed(context, "ledger", near=True)
+    assert least <= min(desks) and max(desks) <= most, sorted(desks)
+    assert set(ledgers) == {5}, sorted(ledgers)
+
+
+@then(
+    'each node follows {least:d} to {most:d} of "desk" '
+    'and {few:d} to {many:d} of "ledger" elsewhere'
+)
+def follows_far(context: Any, least: int, most: int, few: int, many: int) -> None:
+    desks, ledgers = followed(context, "desk", near=False), followed(context, "ledger", near=False)
+    assert least <= min(desks) and max(desks) <= most, sorted(desks)
+    assert few <= min(ledgers) and max(ledgers) <= many, sorted(ledgers)
+
+
+@then("nobody is told by more than {most:d} nodes")
+def told_by(context: Any, most: int) -> None:
+    counts = Counter(reader.node for _, reader in pairs(context.members))
+    assert max(counts.values()) <= most, counts.most_common(3)
+
+
+@when('a node of "desk" leaves')
+def node_leaves(context: Any) -> None:
+    context.before = {(own.node, reader.node) for own, reader in pairs(context.members)}
+    context.members = [each for each in context.members if each.node != "desk-b-3"]
+
+
+@then("{share:d} in {of:d} of all pairs of teller and reader stay as they were")
+def pairs_stay(context: Any, share: int, of: int) -> None:
+    after = {(own.node, reader.node) for own, reader in pairs(context.members)}
+    kept = len(after & context.before) / len(context.before)
+    assert kept * of >= share, kept
+
+
+@then("each node follows everybody")
+def follows_everybody(context: Any) -> None:
+    assert len(pairs(context.members)) == len(context.members) * (len(context.members) - 1)
--- a/features/steps/ingress_callers_steps.py
+++ b/features/steps/ingress_callers_steps.py
@@ -35,6 +35,7 @@
         revision=1,
         node_values=DEFAULTS,
         find=lambda host, path: RouteSettings(service=host),
+        on_change=lambda listener: None,
     )
     context.metrics = Metrics()
     context.ingress = Ingress(
--- a/features/steps/interference_steps.py
+++ b/features/steps/interference_steps.py
@@ -161,11 +161,23 @@
     return CallProfile(False, False, goal + 0.5, attempt, "k", goal)
 
 
+@given('this node is not among those that "{node}" tells of its changes')
+def given_not_followed(context: Any, node: str) -> None:
+    context.selector.views[node].followed = False
+
+
 @when("one with {left_ms:d} ms left is placed {count:d} times")
 def when_placed(context: Any, left_ms: int, count: int) -> None:
     context.places = [context.selector.choose(profile(left_ms), NOW) for _ in range(count)]
 
 
+@when("one with {left_ms:d} ms left is placed {count:d} times, {later_ms:d} ms later")
+def when_placed_later(context: Any, left_ms: int, count: int, later_ms: int) -> None:
+    now = NOW + later_ms / 1000
+    wanted = profile(left_ms + later_ms)
+    context.places = [context.selector.choose(wanted, now) for _ in range(count)]
+
+
 @then('it goes to "{node}" {count:d} times')
 def goes_to(context: Any, node: str, count: int) -> None:
     assert context.places.count(node) == count, context.places
@@ -211,22 +223,36 @@
     context.run_s, context.goal_s, context.left_s = run_ms / 1000, goal_ms / 1000, left_ms / 1000
 
 
+@given(
+    "its neighbours slow it down {times:d} times in a third of its stretches of {stretch_ms:d} ms"
+)
+def given_neighbours(context: Any, times: int, stretch_ms: int) -> None:
+    context.times, context.stretch_s = float(times), stretch_ms / 1000
+
+
 @when("{per_s:d} a second come for {seconds:d} s")
 def when_load(context: Any, per_s: int, seconds: int) -> None:
-    """Play the load: arrivals, ends and expiries in the order of their times."""
+    """Play the load: arrivals, ends, changes of pace and expiries in the order of their times."""
     admission, rng = context.admission, random.Random(11)
     arrived: dict[int, float] = {}
+    slowed: dict[int, float] = {}
+    pace = 1.0
     context.answered_ms, context.refused_ms = [], []
     events: list[tuple[float, str, int]] = []
     at = 0.0
     for ticket in range(1, per_s * seconds + 1):
         at += rng.expovariate(per_s)
         events.append((at, "arrives", ticket))
+    if "stretch_s" in context:
+        count = int(seconds / context.stretch_s)
+        events += [(number * context.stretch_s, "changes", 0) for number in range(count)]
     heapq.heapify(events)
 
     def start(tickets: list[int], now: float) -> None:
         for ticket in tickets:
-            heapq.heappush(events, (now + context.run_s * rng.uniform(0.8, 1.2), "ends", ticket))
+            slowed[ticket] = pace
+            run_s = context.run_s * rng.uniform(0.8, 1.2) * pace
+            heapq.heappush(events, (now + run_s, "ends", ticket))
 
     while events:
         now, what, ticket = heapq.heappop(events)
@@ -242,11 +268,62 @@
         elif what == "ends":
             context.answered_ms.append((now - arrived[ticket]) * 1000)
             start(admission.finished(ticket, now, context.run_s * 1000, True), now)
+        else:
+            pace = context.times if rng.random() < 1 / 3 else 1.0
+            admission.set_pace(pace, now + context.stretch_s, 1 + (context.times - 1) / 3)
+            start(admission.resume(now), now)
         due = admission.next_expiry()
         if due is not None and (not events or due <= events[0][0]):
             late = admission.expire(max(now, due))
             context.refused_ms += [(max(now, due) - arrived[each]) * 1000 for each in late]
-    context.seconds = seconds
+    context.seconds, context.asked = seconds, per_s * seconds
+
+
+@then("at least {share:d} in 100 of all requests are answered before the goal")
+def all_in_time(context: Any, share: int) -> None:
+    good = sum(took <= context.goal_s * 1000 for took in context.answered_ms)
+    assert good * 100 >= share * context.asked, (good, context.asked)
+
+
+@given("an admission that knows requests of {run_ms:d} ms, quick until a moment ago")
+def given_blind(context: Any, run_ms: int) -> None:
+    settings = RouteSettings(service="s", slots=8, limiter="fixed", urgent_slots=0)
+    context.admission = make_admission(settings, NOW)
+    known = CallProfile(False, True, NOW + 9, 1, "k", NOW + 9)
+    assert context.admission.offer(1, known, NOW).verdict is Verdict.START
+    context.admission.finished(1, NOW + run_ms / 1000, float(run_ms), True)
+    context.now = context.changed_at = NOW + 1.0
+    context.admission.set_pace(1.0, context.changed_at, 2.0)
+
+
+@when("a request comes {milliseconds:d} ms after the time of change")
+def when_comes_blind(context: Any, milliseconds: int) -> None:
+    context.now += milliseconds / 1000
+    asked = CallProfile(False, True, context.now + 9, 1, "k", context.now + 9)
+    context.verdict = context.admission.offer(2, asked, context.now).verdict
+
+
+@then("it waits")
+def then_waits(context: Any) -> None:
+    assert context.verdict is Verdict.QUEUE, context.verdict
+    assert context.admission.resume(context.now) == []
+
+
+@when("a look tells that the server is quick")
+def when_look(context: Any) -> None:
+    context.admission.set_pace(1.0, context.changed_at + 0.3, 2.0)
+
+
+@when("no look comes for {milliseconds:d} ms")
+def when_no_look(context: Any, milliseconds: int) -> None:
+    due = context.admission.next_expiry()
+    context.now = context.changed_at + milliseconds / 1000
+    assert due is not None and due <= context.now, due
+
+
+@then("it starts")
+def then_starts(context: Any) -> None:
+    assert context.admission.resume(context.now) == [2]
 
 
 @then("at least {share:d} in 100 of the answers come before the goal")
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -24,7 +24,7 @@
     report_fields,
     unpack_report,
 )
-from marjoramtide.policy import LoadReport
+from marjoramtide.policy import LoadReport, bulletin_readers
 from marjoramtide.serving import (
     BackendState,
     ClaimGate,
@@ -53,9 +53,6 @@
 # Until the settings say how many connections the backend server takes.
 FIRST_CONNECTIONS = 10
 LEAVE_PAUSE_S = 0.3
-# Nodes that are told of a change of a backend server's speed at once: all of a small fleet. With a
-# change a second that is as many datagrams of some 100 bytes, whatever the size of the fleet.
-BULLETIN_READERS = 24
 # Keys of the settings file that are taken over while the node runs.
 RELOADED = frozenset(("bounds", "base_tree", "stop_grace_s"))
 # The backend server waits a second for the acknowledgement of its heartbeat.
@@ -254,12 +251,8 @@
         own = self.membership.self_member
         if own.state is not MemberState.READY:
             return
-        others = [member for member in self.membership.members() if member.node != own.node]
-        if len(others) > BULLETIN_READERS:
-            # Each change to each node would grow with the square of the fleet: 7,000 datagrams a
-            # second among 75. The rest hears with the answers that it gets.
-            others = self.rng.sample(others, BULLETIN_READERS)
-        self.membership.publish(report_fields(report), others)
+        readers = bulletin_readers(own, self.membership.members())
+        self.membership.publish(report_fields(report), readers)
 
     def take_load(self, member: Member, fields: list[Any]) -> None:
         report = unpack_report(fields)
--- a/src/marjoramtide/policy/_admission.py
+++ b/src/marjoramtide/policy/_admission.py
@@ -49,6 +49,10 @@
         Durations that ``finished`` is given are then those of undisturbed work.
         """
 
+    @abstractmethod
+    def resume(self, now: float) -> list[int]:
+        """Return the queued tickets that start now, since the pace has changed or nobody tells."""
+
     @abstractmethod
     def release(self) -> list[int]:
         """Drop and return all queued tickets: they have not run and may go elsewhere."""
--- a/src/marjoramtide/policy/_class_queue.py
+++ b/src/marjoramtide/policy/_class_queue.py
@@ -31,6 +31,11 @@
         position = bisect.bisect_left(self.entries, (deadline, ticket))
         del self.entries[position]
 
+    @property
+    def first(self) -> int:
+        """Return the ticket with the earliest deadline."""
+        return self.entries[0][1]
+
     def pop(self) -> int:
         """Remove and return the ticket with the earliest deadline."""
         return self.entries.pop(0)[1]
--- a/src/marjoramtide/policy/_edf_admission.py
+++ b/src/marjoramtide/policy/_edf_admission.py
@@ -12,7 +12,7 @@
 from marjoramtide.policy._limiter import Limiter
 from marjoramtide.policy._limiters import make_limiter
 from marjoramtide.policy._load_report import LoadReport
-from marjoramtide.policy._run_forecast import run_ms
+from marjoramtide.policy._pace import LOOK_S, Pace
 from marjoramtide.policy._smoothed import Smoothed
 from marjoramtide.settings import RouteSettings
 
@@ -20,9 +20,6 @@
 RECHECK_SLACK = 3.0
 LEAST_LEFT_FOR_ROUTINE = 0.02
 URGENT_BURSTS = 6.0
-# A server that takes so many times longer than undisturbed counts as slow: above what many busy
-# slots do to each other, below what a neighbour that takes the processor does.
-SLOW = 1.5
 # What one rank counts for in the order of a queue, in seconds: less than a common goal, so that a
 # lower rank goes first among those that came together, and none waits for ever.
 RANK_STEP_S = 0.05
@@ -60,9 +57,8 @@
     stall_seen: float | None = None
     limited_by: tuple[str, int, int] = ("", 0, 0)
     recheck_at: float | None = None
-    slowdown: float = 1.0
-    holds_until: float | None = None
-    usual_slowdown: float = 1.0
+    pace: Pace = attrs.Factory(Pace)
+    resume_at: float | None = None
 
     @property
     def in_use(self) -> int:
@@ -89,10 +85,14 @@
         self.accepting = accepting
 
     def set_pace(self, slowdown: float, holds_until: float | None, usual: float) -> None:
-        self.slowdown = slowdown
-        self.holds_until = holds_until
-        self.usual_slowdown = usual
+        self.pace = Pace(slowdown, holds_until, usual)
         self.times.pace = slowdown
+        self.resume_at = None if holds_until is None else holds_until + LOOK_S
+
+    def resume(self, now: float) -> list[int]:
+        if self.resume_at is not None and self.resume_at <= now:
+            self.resume_at = None
+        return self._start_queued(now)
 
     def release(self) -> list[int]:
         queued = [ticket for _, ticket in self.urgent.entries + self.routine.entries]
@@ -115,10 +115,9 @@
             # Failure: a neighbour has slowed this server down since its last report, and a booking
             # that arrives now takes four times as long here, although others are quick. Turned away
             # at once it costs a hop; whoever asks again has found nobody quicker.
-            holds_s = (self.holds_until or now) - now
-            return _reject(ErrorCode.SLOWED, max(0.0, holds_s * 1000))
+            return _reject(ErrorCode.SLOWED, self.pace.holds_ms(now) or 0.0)
         self.dues[ticket] = self._due(profile, now)
-        if self._may_start(profile.urgent):
+        if self._may_start(profile.urgent) and not self._waits(profile, now):
             decision = self._start_or_reject(ticket, profile, remaining_ms, now)
         else:
             decision = self._queue_or_reject(ticket, profile, now)
@@ -142,10 +141,14 @@
         """Tell whether neighbours make a request late here that would not be late elsewhere."""
         work_ms = self.times.kind(profile.kind).mean.value
         left_ms = (profile.goal - now) * 1000
-        if self.slowdown < SLOW or not work_ms or left_ms < work_ms:
+        if not self.pace.is_slow or not work_ms or left_ms < work_ms:
             return False
-        holds_ms = None if self.holds_until is None else max(0.0, self.holds_until - now) * 1000
-        return run_ms(work_ms, self.slowdown, holds_ms, self.usual_slowdown) > left_ms
+        return self.pace.run_ms(work_ms) > left_ms
+
+    def _waits(self, profile: CallProfile, now: float) -> bool:
+        """Tell whether a request should wait for the server's pace, see ``Pace.waits_until``."""
+        work_ms = self.times.kind(profile.kind).mean.value
+        return bool(work_ms) and self.pace.waits_until(work_ms, now) is not None
 
     def _start_or_reject(
         self, ticket: int, profile: CallProfile, remaining_ms: float, now: float
@@ -159,7 +162,7 @@
         return Decision(Verdict.START)
 
     def _queue_or_reject(self, ticket: int, profile: CallProfile, now: float) -> Decision:
-        service_ms = self.times.expected_ms(now)
+        service_ms = self.times.expected_ms(now) / self._wait_gain()
         due = self.dues[ticket]
         remaining_ms = (due - now) * 1000
         order = due + profile.rank * RANK_STEP_S
@@ -168,6 +171,11 @@
         ahead = self._ahead(profile.urgent, order)
         wait_ms = self._wait_ms(ahead, profile.urgent, service_ms)
         own_ms = self._own_ms(profile, now)
+        if self._may_start(profile.urgent):
+            # Slots are free, and it waits for the pace alone.
+            wait_ms = self.pace.holds_ms(now) or 0.0
+        elif self._wait_gain() > 1:
+            wait_ms += self.pace.holds_ms(now) or 0.0
         if profile.urgent and self.urgent_slots and own_ms:
             # Slots that only urgent requests use free at their pace, not at that of the rest.
             wait_ms = min(wait_ms, (ahead + 1) * own_ms / min(self.urgent_slots, self.limit))
@@ -227,6 +235,8 @@
         stalls_at = self._next_stall()
         if stalls_at is not None:
             times.append(stalls_at)
+        if self.resume_at is not None and times:
+            times.append(self.resume_at)
         return min(times, default=None)
 
     def report(self, now: float) -> LoadReport:
@@ -303,6 +313,8 @@
         for urgent in (True, False):
             queue = self._queue(urgent)
             while len(queue) and self._may_start(urgent):
+                if self._waits(self.profiles[queue.first], now):
+                    break
                 ticket = queue.pop()
                 self._start(ticket, self.profiles[ticket], now)
                 started.append(ticket)
@@ -317,13 +329,26 @@
     def _own_ms(self, profile: CallProfile, now: float) -> float:
         """Return how long this request itself is expected to run, 0 while its kind is new."""
         own_ms = self.times.kind(profile.kind).mean.value
-        return max(own_ms * self.times.pace, self.times.silence_ms(now)) if own_ms else 0.0
+        if not own_ms:
+            return 0.0
+        paced_ms = self.pace.run_ms(own_ms) / self._wait_gain()
+        return max(paced_ms, self.times.silence_ms(now))
+
+    def _wait_gain(self) -> float:
+        """Return how many times sooner what waits for the next change of pace may be done.
+
+        The quick pace is reckoned with: what would only be late at the usual one still has a good
+        chance, and nobody else has taken it.
+        """
+        may_wait = self.pace.is_slow and self.pace.holds_until is not None
+        return self.pace.slowdown if may_wait else 1.0
 
     def _latest_start(self, queue: ClassQueue) -> float:
         """Return until when the first of a queue must start to end in time."""
         _, ticket = queue.entries[0]
         work_ms = self.times.kind(self.profiles[ticket].kind).mean.value
-        return self.dues[ticket] - work_ms * self.times.pace / 1000
+        paced_ms = self.pace.run_ms(work_ms) / self._wait_gain()
+        return self.dues[ticket] - paced_ms / 1000
 
     def _too_late(self, queue: ClassQueue, now: float) -> list[int]:
         """Drop and return what could not finish even if it started now."""
--- a/src/marjoramtide/policy/_execution_times.py
+++ b/src/marjoramtide/policy/_execution_times.py
@@ -13,7 +13,8 @@
 class ExecutionTimes:
     """The smoothed time of executions, and the tickets that run now.
 
-    Times are those of undisturbed work where ``pace`` tells how many times longer it takes now.
+    Times are those of undisturbed work where ``pace`` tells how many times longer it takes now;
+    ``usual`` is how long each of the running ones may well take, at the pace with which it began.
 
     ``mean`` is over all of them and tells how soon slots free; ``kinds`` holds the times of each
     kind of request. Failure without them: surveys of two seconds make the only estimate, so an
@@ -25,6 +26,7 @@
     success: Smoothed = attrs.Factory(lambda: Smoothed(0.1, 0.1, 1.0, 1))
     running: dict[int, float] = attrs.Factory(dict)
     usual: dict[int, float] = attrs.Factory(dict)
+    paces: dict[int, float] = attrs.Factory(dict)
     reference: KindTimes | None = None
     last_end: float = 0.0
     pace: float = 1.0
@@ -35,16 +37,21 @@
 
     def start(self, ticket: int, now: float, kind: str) -> None:
         self.running[ticket] = now
-        self.usual[ticket] = self.kind(kind).mean.value
+        self.paces[ticket] = self.pace
+        self.usual[ticket] = max(self.mean.value, self.kind(kind).mean.value) * self.pace
 
     def end(self, ticket: int, now: float) -> float | None:
-        """Forget a ticket; return the milliseconds it ran, or ``None`` if it didn't run."""
+        """Forget a ticket; return the milliseconds it ran, or ``None`` if it didn't run.
+
+        They are those of undisturbed work, reckoned by the pace with which it began.
+        """
         self.usual.pop(ticket, None)
+        pace = self.paces.pop(ticket, 1.0)
         started = self.running.pop(ticket, None)
         if started is None:
             return None
         self.last_end = now
-        return (now - started) * 1000
+        return (now - started) * 1000 / pace
 
     def learn(self, duration_ms: float, succeeded: bool, kind: str) -> None:
         """Take in an execution that came to its end."""
@@ -94,7 +101,7 @@
         """Return how long the oldest running one may well take."""
         ticket = next(iter(self.running), None)
         own_ms = self.usual.get(ticket, 0.0) if ticket is not None else 0.0
-        return max(self.mean.value, own_ms) * self.pace
+        return max(self.mean.value, own_ms)
 
     def stalls_at(self) -> float | None:
         """Return when the running ones become overdue if none of them ends, in seconds."""
--- a/src/marjoramtide/policy/_forecast_selector.py
+++ b/src/marjoramtide/policy/_forecast_selector.py
@@ -21,6 +21,10 @@
 OWN_BONUS = 0.1
 # How long, in milliseconds, a slowdown is believed where nothing is known of when it ends.
 UNCERTAIN_MS = 300.0
+# How long, in milliseconds, a followed node that tells nothing new is believed to be as it was.
+# News is lost with a datagram or a change of who follows whom. Of servers that are slow a third of
+# the time in stretches of 0.3 s, one in seventy stays as it is for so long.
+FOLLOWED_MS = 2000.0
 # Where undisturbed work takes so many times longer than at the median of the service, the server
 # itself is slow, for reasons that it does not tell.
 STRAGGLES = 1.6
@@ -105,7 +109,7 @@
         if report is None:
             return network_ms + work_ms
         age_ms = (now - view.reported_at) * 1000
-        slowdown, holds_ms = pace_after(report, age_ms + network_ms)
+        slowdown, holds_ms = pace_after(report, age_ms + network_ms, view.followed)
         own_ms = work_ms * self._straggling(view, now)
         wait_ms = max(0.0, self._load(view, now) - 1) * report.service_time_ms * slowdown
         if wait_ms and holds_ms is not None:
@@ -134,6 +138,7 @@
     def reported(self, node: str, report: LoadReport, now: float) -> None:
         view = self.views.get(node)
         if view is not None:
+            view.followed = True
             view.take_report(report, now)
 
     def answered(
@@ -172,20 +177,23 @@
         return max(need_ms, self._left_ms(profile, now) - need_ms)
 
 
-def pace_after(report: LoadReport, age_ms: float) -> tuple[float, float | None]:
+def pace_after(report: LoadReport, age_ms: float, followed: bool) -> tuple[float, float | None]:
     """Return the slowdown that a report stands for after a time, and for how long it holds.
 
-    A change is published at once, so a state whose time has passed without news holds for another
-    period. Where no period is known, a state is believed ever less.
+    A node tells those that follow it of each change, so there a state whose time has passed without
+    news holds for another period, up to ``FOLLOWED_MS``. Elsewhere the mean is all that is known
+    then. Where no period is known, a state is believed ever less.
     """
+    usual = usual_of(report)
     if report.holds_ms < 0:
         believed = math.exp(-age_ms / UNCERTAIN_MS)
-        usual = usual_of(report)
         return usual + (report.slowdown - usual) * believed, None
     left_ms = report.holds_ms - age_ms
-    if left_ms <= 0 and report.period_ms > 0:
-        left_ms %= report.period_ms
-    return report.slowdown, max(0.0, left_ms)
+    if left_ms > 0:
+        return report.slowdown, left_ms
+    if followed and report.period_ms > 0 and age_ms < FOLLOWED_MS:
+        return report.slowdown, left_ms % report.period_ms
+    return usual, None
 
 
 def usual_of(report: LoadReport) -> float:
--- a/src/marjoramtide/policy/_interference.py
+++ b/src/marjoramtide/policy/_interference.py
@@ -116,14 +116,9 @@
         return min(max(grid.error_at(due), LEAST_ASIDE_S), MOST_ASIDE_S)
 
     def work_ms(self, began: float, ended: float) -> float:
-        """Return how long what ran between two times, in seconds, would have taken undisturbed."""
-        work = 0.0
-        until = ended
-        for at, slowdown in reversed(self.history):
-            since = max(at, began)
-            if since < until:
-                work += (until - since) / slowdown
-                until = since
-            if until <= began:
-                break
-        return (work + max(0.0, until - began)) * 1000
+        """Return how long what ran between two times, in seconds, would have taken undisturbed.
+
+        What begins on a slowed server runs slowly to its end, see ``run_ms``.
+        """
+        at_begin = (slowdown for at, slowdown in reversed(self.history) if at <= began)
+        return (ended - began) * 1000 / next(at_begin, 1.0)
--- a/src/marjoramtide/policy/_node_view.py
+++ b/src/marjoramtide/policy/_node_view.py
@@ -21,6 +21,7 @@
     ``network_ms`` begins at the distance and follows the low end of what is seen. ``sent_since``
     counts own requests that the held report can't know of. ``closed_until`` and ``back_off_until``
     come from refusals: closed while the node takes nothing, back-off while it is full.
+    ``followed`` is true once the node has told this one of a change unasked, as it then goes on to.
     ``last_answer_at`` is when it last answered a request; ``judged_at`` when one was last answered,
     lost or given up. A refusal is neither: a server that hangs still has a node that refuses.
 
@@ -37,6 +38,7 @@
     network: Smoothed = attrs.field(init=False)
     report: LoadReport | None = None
     reported_at: float = 0.0
+    followed: bool = False
     outstanding: list[float] = attrs.Factory(list)
     sent_since: int = 0
     elapsed: Smoothed = attrs.Factory(lambda: Smoothed(0.3, 0.3))
--- /dev/null
+++ b/src/marjoramtide/policy/_pace.py
@@ -0,0 +1,62 @@
+"""Whether a request should wait until its server may be quicker."""
+
+import attrs
+
+from marjoramtide.policy._run_forecast import run_ms
+
+# A server that takes so many times longer than undisturbed counts as slow: above what many busy
+# slots do to each other, below what a neighbour that takes the processor does.
+SLOW = 1.5
+# How long after a time of change, in seconds, the look that tells of it is waited for. Looks come
+# 6 to 28 ms after it and take some milliseconds; where none comes, its reader has failed.
+LOOK_S = 0.06
+
+
+@attrs.define(slots=True)
+class Pace:
+    """How many times longer work takes on a backend server now, until when, and on the mean.
+
+    ``holds_until`` is in seconds of the monotonic clock, ``None`` while it isn't known.
+    """
+
+    slowdown: float = 1.0
+    holds_until: float | None = None
+    usual: float = 1.0
+
+    @property
+    def is_slow(self) -> bool:
+        """Tell whether neighbours slow the server down."""
+        return self.slowdown >= SLOW
+
+    def holds_ms(self, now: float) -> float | None:
+        """Return for how long the pace stays, in milliseconds; ``None`` while it isn't known."""
+        return None if self.holds_until is None else max(0.0, self.holds_until - now) * 1000
+
+    def run_ms(self, work_ms: float) -> float:
+        """Return how long work that begins now will take, in milliseconds."""
+        return work_ms * self.slowdown
+
+    def is_blind(self, now: float) -> bool:
+        """Tell whether the pace may have changed and no look has told yet."""
+        until = self.holds_until
+        return until is not None and until <= now < until + LOOK_S
+
+    def waits_until(self, work_ms: float, now: float) -> float | None:
+        """Return until when work should wait, in seconds; ``None`` where it should begin now.
+
+        Failure: a request that begins while its server is slow takes four times as long to its very
+        end, and holds its slot for as long, although the server is quick again some tenths of a
+        second later. It waits where it is then expected to end sooner. Just after a time at which
+        the pace may change, whatever it has been, it waits for the look that tells: some
+        milliseconds against a chance of a quarter to a third of running four times as long.
+        """
+        until = self.holds_until
+        if until is None or now >= until + LOOK_S:
+            return None
+        if now >= until:
+            risk_ms = work_ms * (self.usual - 1)
+            left_ms = (until + LOOK_S - now) * 1000
+            return until + LOOK_S if risk_ms > left_ms else None
+        slow_ms = self.run_ms(work_ms)
+        waits = self.is_slow and run_ms(work_ms, self.slowdown, self.holds_ms(now), self.usual)
+        return until if waits and waits < slow_ms else None
--- a/src/marjoramtide/policy/_run_forecast.py
+++ b/src/marjoramtide/policy/_run_forecast.py
@@ -2,12 +2,18 @@
 
 
 def run_ms(work_ms: float, slowdown: float, holds_ms: float | None, usual: float) -> float:
-    """Return the expected milliseconds for ``work_ms`` of undisturbed work that begins now.
+    """Return the expected milliseconds until ``work_ms`` of undisturbed work that comes now ends.
 
-    ``slowdown`` holds for ``holds_ms`` (``None``: not known, taken to hold on), and ``usual`` is
-    the mean after that. For example, 90 ms of work on a server that is four times slower for the
-    next 100 ms and 1.75 times on the mean: 25 ms of it are done by then, the rest takes 114 ms.
+    A request runs to its end at the pace that its server had when it began. Measured: of 129
+    bookings of 370 ms on servers that change between once and four times as long every 0.3 s, those
+    that began at once took 381 ms on the mean, those at four times 1253 ms, although nearly all of
+    them saw several changes.
+
+    ``slowdown`` holds for ``holds_ms`` (``None``: not known), and ``usual`` is the mean after that.
+    Since a node may let a request wait for the next change, the sooner of both ends counts. For
+    example, 370 ms of work on a server that is four times slower for the next 100 ms and 1.75 times
+    on the mean: 1480 ms if it begins now, 748 ms if it waits.
     """
-    if holds_ms is None or work_ms * slowdown <= holds_ms:
+    if holds_ms is None:
         return work_ms * slowdown
-    return holds_ms + (work_ms - holds_ms / slowdown) * usual
+    return min(work_ms * slowdown, holds_ms + work_ms * usual)
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -106,9 +106,17 @@
             None if holds_s is None else now + holds_s,
             self.interference.usual,
         )
+        self.resume(now)
         if changed and self.pace_listener is not None:
             self.pace_listener(self.report(now))
 
+    def resume(self, now: float) -> None:
+        """Start what waited for the backend server's pace."""
+        started = self.admission.resume(now) if self.waiting else []
+        if started:
+            self.start(started)
+            self.schedule_expiry()
+
     def report(self, now: float) -> LoadReport:
         """Return the load at this moment, as other nodes are told."""
         report = self.admission.report(now)
@@ -396,8 +404,11 @@
 
     def expire(self) -> None:
         """Refuse at once the queued requests that can no longer finish in time."""
-        late = self.admission.expire(self.clock.monotonic())
-        self.give_up(late, ErrorCode.DEADLINE, "it could no longer finish in time")
+        now = self.clock.monotonic()
+        self.give_up(
+            self.admission.expire(now), ErrorCode.DEADLINE, "it could no longer finish in time"
+        )
+        self.start(self.admission.resume(now))
         self.schedule_expiry()
 
     def hand_back(self) -> None:
