--- a/features/policy/budgets.feature
+++ b/features/policy/budgets.feature
@@ -23,6 +23,13 @@
     Then no tenth of a second sees more than 30 of them return
     And all of them are told to return within 5 s
 
+  Scenario: Callers that a node refuses before it knows anybody come back soon
+    # All nodes lose power and start again. In their first moments they know nobody of a service,
+    # refuse what is for it, and callers that could be served half a second later are told to come
+    # back in many seconds, each later than the one before.
+    Given 30 callers are refused by a node that knows no server and has seen no answer
+    Then all of them are told to return within 0.5 s
+
   Scenario: Measuring stays within its budget and follows the traffic
     # A small pool loses capacity to being measured: each read occupies a slot that case work needs.
     Given a measuring budget of 1 read a second and 0.005 of 10 slots
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -517,8 +517,15 @@
     assert busiest <= most, busiest
 
 
-@then("all of them are told to return within {seconds:d} s")
-def step_return_in_time(context: Any, seconds: int) -> None:
+@given("{count:d} callers are refused by a node that knows no server and has seen no answer")
+def step_lonely_callers(context: Any, count: int) -> None:
+    own = Member("own", "t", "r", "a", "p", "g", "o", MemberState.STARTING)
+    selector = make_selector(RouteSettings(service="s"), own, random.Random(1))
+    context.returns = [selector.retry_after_ms(START + number / 100) for number in range(count)]
+
+
+@then("all of them are told to return within {seconds:g} s")
+def step_return_in_time(context: Any, seconds: float) -> None:
     assert max(context.returns) <= seconds * 1000, max(context.returns)
 
 
--- a/src/marjoramtide/policy/_predicted_selector.py
+++ b/src/marjoramtide/policy/_predicted_selector.py
@@ -22,6 +22,9 @@
 TIE = 0.95
 CLOSED_AT_LEAST_MS = 1000.0
 UNREACHABLE_MS = 500.0
+# When to come back, in seconds, where no node of the service is known: a node that starts knows the
+# others some 0.3 to 0.7 s later.
+NOBODY_S = 0.3
 SHORTEST_HEDGE_MS = 1.0
 
 
@@ -259,7 +262,7 @@
 
     def retry_after_ms(self, now: float) -> int:
         waits = [max(view.back_off_until, view.closed_until) - now for view in self.views.values()]
-        base_ms = max(0.0, min(waits, default=1.0)) * 1000
+        base_ms = max(0.0, min(waits, default=NOBODY_S)) * 1000
         return self.hint.next_ms(max(base_ms, self.model.typical_ms()), self.rate_per_s, now)
 
     def believed(self, node: str, now: float) -> dict[str, object]:
