After a start: wait for short slow stretches before the grid is known, begin below the knee

The grid of changes is known 1.5 s to 3 s after a start.

Scenarios: each seen failing without its part.

--- a/features/policy/interference.feature
+++ b/features/policy/interference.feature
@@ -113,6 +113,27 @@
     When a request comes
     Then it starts at once
 
+  Scenario: A slowed server is waited for before anybody knows when it changes
+    # A node has just started: it reads that its server is slowed, and not yet for how long that
+    # usually stays. What begins now keeps its slot four times as long.
+    Given an admission that knows requests of 300 ms, and a server that was found slowed 4 times
+    When a request comes
+    Then it waits
+    When a look tells that the server is quick
+    Then it starts
+
+  Scenario: A server that stays slow is not waited for any longer
+    Given an admission that knows requests of 300 ms, and a server that was found slowed 4 times
+    When a request comes
+    And the server is still slow 700 ms later
+    Then it starts
+
+  Scenario: A server that nothing is known of is not filled to its last slot
+    # All nodes start again amid their traffic. With all slots given out everything takes 1.7 times
+    # as long from the first moment on.
+    Given a server of 11 slots that takes 1.7 times as long above 8 at once
+    Then at most 8 run at once at first
+
   Scenario: Nothing waits longer for a look that does not come
     # The reader of the server's health has failed. What waits for its word would wait for ever.
     Given an admission that knows requests of 200 ms, quick until a moment ago
--- a/features/steps/interference_steps.py
+++ b/features/steps/interference_steps.py
@@ -319,6 +319,31 @@
     context.admission.set_pace(cold.pace(context.now))
 
 
+@given(
+    "an admission that knows requests of {run_ms:d} ms, "
+    "and a server that was found slowed {times:d} times"
+)
+def given_found_slowed(context: Any, run_ms: int, times: int) -> None:
+    given_blind(context, run_ms)
+    context.now = NOW + 2.0
+    context.interference = Interference()
+    context.interference.observe(float(times), context.now)
+    context.admission.set_pace(context.interference.pace(context.now))
+    context.now += LOOK_S
+
+
+@when("the server is still slow {milliseconds:d} ms later")
+def when_still_slow(context: Any, milliseconds: int) -> None:
+    context.now += milliseconds / 1000
+    context.interference.observe(context.interference.slowdown, context.now)
+    context.admission.set_pace(context.interference.pace(context.now))
+
+
+@then("at most {limit:d} run at once at first")
+def limit_at_first(context: Any, limit: int) -> None:
+    assert context.limiter.limit <= limit, context.limiter
+
+
 @when("a request comes")
 def when_comes(context: Any) -> None:
     when_comes_blind(context, 0)
--- a/src/marjoramtide/policy/_edf_admission.py
+++ b/src/marjoramtide/policy/_edf_admission.py
@@ -12,7 +12,7 @@
 from marjoramtide.policy._limiter import Limiter
 from marjoramtide.policy._limiters import make_limiter
 from marjoramtide.policy._load_report import LoadReport
-from marjoramtide.policy._pace import LOOK_S, Pace
+from marjoramtide.policy._pace import LOOK_S, SHORT_S, Pace
 from marjoramtide.policy._smoothed import Smoothed
 from marjoramtide.settings import RouteSettings
 
@@ -87,7 +87,8 @@
     def set_pace(self, pace: Pace) -> None:
         self.pace = pace
         self.times.pace = pace.slowdown
-        self.resume_at = None if pace.holds_until is None else pace.holds_until + LOOK_S
+        until = pace.holds_until
+        self.resume_at = pace.since + SHORT_S if until is None else until + LOOK_S
 
     def resume(self, now: float) -> list[int]:
         if self.resume_at is not None and self.resume_at <= now:
@@ -340,7 +341,7 @@
         The quick pace is reckoned with: what would only be late at the usual one still has a good
         chance, and nobody else has taken it.
         """
-        may_wait = self.pace.is_slow and self.pace.holds_until is not None
+        may_wait = self.pace.is_slow and self.resume_at is not None
         return self.pace.slowdown / self.pace.best if may_wait else 1.0
 
     def _latest_start(self, queue: ClassQueue) -> float:
--- a/src/marjoramtide/policy/_interference.py
+++ b/src/marjoramtide/policy/_interference.py
@@ -27,6 +27,9 @@
 # How far back, in seconds, the quickest state counts as the server's own best: five stretches of
 # 0.3 s, all of which are slow once in two hundred times where a third of them is.
 BEST_OVER_S = 1.5
+# What a server's own best may be at most: cold ones were seen to take twice as long. Above it, the
+# first figure that a node reads is one of a slowed server.
+COLD_AT_MOST = 2.5
 # Over how long, in seconds, the usual slowdown is taken: many stretches of some tenths of one.
 USUAL_OVER_S = 8.0
 
@@ -106,14 +109,16 @@
         """
         ends = (*(at for at, _ in islice(self.history, 1, None)), now)
         states = zip(ends, self.history, strict=bool(self.history))
-        return min((state for end, (_, state) in states if end >= now - BEST_OVER_S), default=1.0)
+        late = (state for end, (_, state) in states if end >= now - BEST_OVER_S)
+        return min(COLD_AT_MOST, min(late, default=1.0))
 
     def pace(self, now: float) -> Pace:
         """Return the pace of work that begins now."""
         holds_s = self.holds_s(now)
         best = self.best(now)
         until = None if holds_s is None else now + holds_s
-        return Pace(self.slowdown, until, max(self.usual, best), best)
+        since = self.history[-1][0] if self.history else now
+        return Pace(self.slowdown, until, max(self.usual, best), best, since)
 
     def holds_s(self, now: float) -> float | None:
         """Return for how many seconds the slowdown stays as it is, ``None`` while unknown."""
