--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -7,3 +7,14 @@
 
   Scenario: The adapter has no part in any decision
     Then the adapter imports neither decisions nor clocks, chance or the event loop
+
+  Scenario: The settings that the platform fills in name every bound that a node goes by
+    # The template writes the figures without their names. Nothing complains, no figure is known: a
+    # stop takes its own time and is cut off by force, and second tries are not bounded together.
+    Given the settings of a machine, filled into the deployed template
+    Then the node stops within 6 s and shares 0.2 second tries for each request and 5.6 a second
+
+  Scenario: A bound without a name is refused at the start
+    Given the settings of a machine, filled into the deployed template
+    When a bound is written without its name
+    Then the settings are refused, and told is what is allowed
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -2,12 +2,41 @@
 
 import ast
 import re
+import tomllib
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
-from behave import then  # type: ignore[attr-defined]
+from behave import given, then, when  # type: ignore[attr-defined]
 
+from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.platform import platform_interface
+from marjoramtide.settings import NodeSettings
+from standins.platform import fill
+
+TEMPLATE = Path(__file__).resolve().parents[2] / "deploy" / "node.toml.in"
+MACHINE = {
+    "NodeName": "sidecar-1",
+    "Service": "s",
+    "Region": "r",
+    "Zone": "z",
+    "Ip": "10.1.0.38",
+    "InnerPortRange": [7380, 7395],
+    "AppAddr": "10.1.0.38:8145",
+    "ListenAddrs": {
+        "Outbound": "10.1.0.38:8147",
+        "Ready": "10.1.0.38:8141",
+        "Control": "10.1.0.38:8144",
+    },
+    "Platform": {"Address": "10.200.1.7:8142"},
+    "Bounds": {
+        "GraceS": 6,
+        "RetryBudgetRatio": 0.2,
+        "BudgetWindowS": 10,
+        "RetryBudgetSlack": 56,
+        "ProbesPerS": 60,
+    },
+}
 SOURCES = Path(__file__).resolve().parents[2] / "src" / "marjoramtide"
 ADAPTER = SOURCES / "platform"
 WIRE_NAME = re.compile(r"X-[A-Za-z-]+|[A-Z][a-z]+(?:[A-Z][a-z]*)+")
@@ -57,3 +86,36 @@
                 names = [alias.name for alias in node.names]
             found += [(path.name, name) for name in names if name in DECIDING]
     assert not found, found
+
+
+@given("the settings of a machine, filled into the deployed template")
+def given_filled(context: Any) -> None:
+    filled = fill(TEMPLATE.read_text(encoding="utf-8"), MACHINE)
+    context.settings = NodeSettings(**tomllib.loads(filled))
+
+
+@then(
+    "the node stops within {grace_s:g} s and shares {ratio:g} second tries for each request "
+    "and {per_s:g} a second"
+)
+def goes_by_bounds(context: Any, grace_s: float, ratio: float, per_s: float) -> None:
+    interface = platform_interface(context.settings)
+    assert interface.stop_grace_s == grace_s, interface.stop_grace_s
+    told = interface.tree.base
+    assert (told["second_try_ratio"], told["second_tries_per_s"]) == (ratio, per_s), told
+
+
+@when("a bound is written without its name")
+def without_name(context: Any) -> None:
+    context.settings.bounds.append("6")
+
+
+@then("the settings are refused, and told is what is allowed")
+def settings_refused(context: Any) -> None:
+    try:
+        platform_interface(context.settings)
+    except MarjoramtideError as error:
+        assert error.code is ErrorCode.BAD_SETTINGS
+        assert "name=value" in error.message, error.message
+    else:
+        raise AssertionError("taken")
--- a/src/marjoramtide/platform/_bounds.py
+++ b/src/marjoramtide/platform/_bounds.py
@@ -31,7 +31,11 @@
 def read_bounds(texts: Iterable[str]) -> Bounds:
     """Read ``name=value`` texts; names that a node doesn't go by are passed over.
 
-    Raises ``ValueError`` for a figure of ours that isn't a number.
+    Raises ``ValueError`` for a text of another form and for a figure of ours that isn't a number.
     """
+    texts = list(texts)
+    if nameless := [text for text in texts if "=" not in text]:
+        # Passed over, it would leave the node without any bound, and nobody would hear of it.
+        raise ValueError(f"{', '.join(nameless)}; allowed: name=value")
     pairs = [text.partition("=")[::2] for text in texts]
     return Bounds(**{FIELDS[name]: float(value) for name, value in pairs if name in FIELDS})
