A late answer writes a line with its tries, its time at the server and its undisturbed work

Gap: from the id of a slow request nothing led to the server that had answered it, once the last fifty decisions had gone. Scenario seen failing (no such line) and passing.

--- a/features/platform/life.feature
+++ b/features/platform/life.feature
@@ -82,3 +82,17 @@
       | left_ms        |
       | tries          |
       | retry_after_ms |
+
+  Scenario: A late answer tells which server took long, and what was believed of it
+    # A caller complains of slowness. The answer was a success: without a line of its own nothing
+    # tells which server gave it, and the last decisions are forgotten within seconds.
+    Given a fleet on the platform: mapdesk
+    And the route "/tiles/" is to be answered within 1 ms, as version 9
+    Then the log tells of a late answer with the fields
+      | field     |
+      | late_ms   |
+      | served_ms |
+      | work_ms   |
+      | service   |
+      | revision  |
+      | tries     |
--- a/features/steps/platform_life_steps.py
+++ b/features/steps/platform_life_steps.py
@@ -8,8 +8,8 @@
 import structlog
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
 
-from features.platform_harness import PlatformFleet
-from features.steps.platform_node_steps import fill, run, seat, start_fleet
+from features.platform_harness import PlatformFleet, route
+from features.steps.platform_node_steps import all_at, fill, run, seat, start_fleet
 from marjoramtide.platform import platform_interface
 
 use_step_matcher("parse")
@@ -126,5 +126,26 @@
         work = context.fleet.call(seat(context, 1), "/book/9", method="POST", body=b"booking")
         result = run(context, work)
     line = next(each for each in lines if each.get("request") == result.attempt)
+    check_fields(context, line)
+
+
+def check_fields(context: Any, line: dict[str, Any]) -> None:
     missing = [row["field"] for row in context.table if row["field"] not in line]
     assert not missing, (missing, line)
+
+
+@given('the route "{prefix}" is to be answered within {milliseconds:d} ms, as version {version:d}')
+def given_goal(context: Any, prefix: str, milliseconds: int, version: int) -> None:
+    tight = route(prefix, {"mapdesk": 1}, TargetLatencyMs=milliseconds)
+    context.fleet.configure(version, [tight])
+    run(context, context.fleet.wait_for(lambda: all_at(context, version)))
+
+
+@then("the log tells of a late answer with the fields")
+def log_tells_late(context: Any) -> None:
+    with structlog.testing.capture_logs() as lines:
+        result = run(context, context.fleet.call(seat(context, 1)))
+    assert result.status == 200, result
+    line = next(each for each in lines if each["event"] == "ingress.late")
+    assert line["request"] == result.attempt and line["tries"][0]["outcome"] == "answered", line
+    check_fields(context, line)
--- a/src/marjoramtide/cli/_request_story.py
+++ b/src/marjoramtide/cli/_request_story.py
@@ -12,7 +12,7 @@
 
 STANDARD_INPUT = "-"
 # The line with which the node that took the request gives its final answer.
-FINAL = ("ingress.refused", "ingress.broken_off")
+FINAL = ("ingress.refused", "ingress.broken_off", "ingress.late")
 
 
 def read_story(request: str, files: Iterable[str]) -> list[dict[str, Any]]:
--- a/src/marjoramtide/exchange/_answer.py
+++ b/src/marjoramtide/exchange/_answer.py
@@ -1,6 +1,7 @@
 """The answer of a backend server on its way to the caller."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from typing import Any
 
 import attrs
 
@@ -17,7 +18,8 @@
     ``work_ms`` how long the backend server would have taken undisturbed, 0 where that isn't known.
     ``stream`` raises ``UnknownOutcomeError`` where the rest of the body does not arrive, so that a
     truncated answer can't be taken for a whole one. ``cancel`` tells whoever is still producing the
-    body to stop; it is called once, by whoever does not read the stream to its end.
+    body to stop; it is called once, by whoever does not read the stream to its end. ``tries`` are
+    those that led to this answer, for the log.
     """
 
     status: int
@@ -29,6 +31,7 @@
     served_ms: float | None = None
     work_ms: float = 0.0
     cancel: Callable[[], Awaitable[None]] | None = None
+    tries: Sequence[Any] = ()
 
     @property
     def is_server_error(self) -> bool:
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -112,8 +112,11 @@
             async with asyncio.timeout(max(0.0, request.deadline - now)):
                 if request.idempotent and body.inline is not None:
                     attempts.budgets.hedges.deposit(now)
-                    return await self.try_hedged(attempts)
-                return await self.try_in_turn(attempts)
+                    answer = await self.try_hedged(attempts)
+                else:
+                    answer = await self.try_in_turn(attempts)
+                answer.tries = attempts.story
+                return answer
         except RequestFailedError as error:
             error.tries = attempts.story
             raise
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -22,6 +23,7 @@
 from marjoramtide.ingress._caller_connection import log_fields
 from marjoramtide.ingress._caller_protocol import CallerProtocol
 from marjoramtide.ingress._caller_server import CallerServer
+from marjoramtide.ingress._decision import Decision
 from marjoramtide.ingress._dispatcher import Dispatcher
 from marjoramtide.ingress._own_callers import OwnCallers
 from marjoramtide.ingress._read_body import read_body
@@ -140,6 +142,7 @@
                         span.parent_id = ""
                     request = attrs.evolve(request, trace=span.header())
                 answer = await self.dispatcher.dispatch(request, body, settings)
+            self.note_late(request, answer)
             return await self.send(http, request, answer)
         except MarjoramtideError as error:
             broken = body.error if body is not None else None
@@ -221,22 +224,24 @@
         if request is None:
             return {"host": http.headers.get("Host", "")[:100], "path": http.raw_path[:100]}
         tries = error.tries if isinstance(error, RequestFailedError) else ()
-        return {
-            "service": request.service,
-            "path": request.target[:100],
-            "idempotent": request.idempotent,
-            "left_ms": round((request.deadline - self.clock.monotonic()) * 1000),
-            "tries": [
-                {
-                    "node": each.node,
-                    "outcome": each.outcome,
-                    "detail": each.detail,
-                    "ms": each.elapsed_ms,
-                    **each.believed,
-                }
-                for each in tries
-            ],
-        }
+        left_ms = round((request.deadline - self.clock.monotonic()) * 1000)
+        return request_fields(request, tries) | {"left_ms": left_ms}
+
+    def note_late(self, request: Request, answer: Answer) -> None:
+        """Tell of an answer that comes later than the operator wants it, and of its tries."""
+        late_s = self.clock.monotonic() - request.goal
+        if late_s > 0:
+            self.metrics.count("ingress.late")
+            log.info(
+                "ingress.late",
+                request=request.request_id,
+                revision=self.view.revision,
+                status=answer.status,
+                late_ms=round(late_s * 1000),
+                served_ms=None if answer.served_ms is None else round(answer.served_ms),
+                work_ms=round(answer.work_ms),
+                **request_fields(request, answer.tries),
+            )
 
     async def send(
         self, http: web.BaseRequest, request: Request, answer: Answer
@@ -318,3 +323,22 @@
         """Stop listening and close callers' connections."""
         if self.runner is not None:
             await self.runner.cleanup()
+
+
+def request_fields(request: Request, tries: Iterable[Decision]) -> dict[str, Any]:
+    """Return what the log tells of a request and of its tries."""
+    return {
+        "service": request.service,
+        "path": request.target[:100],
+        "idempotent": request.idempotent,
+        "tries": [
+            {
+                "node": each.node,
+                "outcome": each.outcome,
+                "detail": each.detail,
+                "ms": each.elapsed_ms,
+                **each.believed,
+            }
+            for each in tries
+        ],
+    }
