Nodes that nothing was heard of come after those known to be quick; early bulletins count

Bulletins were passed over until the first request for a service had come, and an unheard node was taken for quick.

--- a/features/policy/interference.feature
+++ b/features/policy/interference.feature
@@ -167,3 +167,20 @@
     Given an admission that knows nothing, and a server that was found slowed 4 times
     When a request comes
     Then it waits
+
+  Scenario: A node that nothing was heard of yet comes after one that is known to be quick
+    Given nodes that tell their speed
+      | node | data centre | slowdown | holds for ms |
+      | near | a           | 1        | 250          |
+      | far  | b           | 1        | 250          |
+    And requests of a kind that runs 150 ms
+    And nothing was heard of "near" yet
+    When one with 500 ms left is placed 20 times
+    Then it goes to "far" 20 times
+
+  Scenario: What a node tells before anything is asked of its service is kept
+    # A node tells of changes alone. Passed over since no request has come yet, its pace stays
+    # unknown until the next change, and the first requests are sent there blindly.
+    Given a dispatcher of which one node refuses first tries as slowed and one answers
+    When the slowed node tells of its pace before any request
+    Then what is believed of it holds the slowdown
--- a/features/steps/interference_steps.py
+++ b/features/steps/interference_steps.py
@@ -170,6 +170,11 @@
     context.selector.views[node].followed = False
 
 
+@given('nothing was heard of "{node}" yet')
+def given_unheard(context: Any, node: str) -> None:
+    context.selector.views[node].report = None
+
+
 @when("one with {left_ms:d} ms left is placed {count:d} times")
 def when_placed(context: Any, left_ms: int, count: int) -> None:
     context.places = [context.selector.choose(profile(left_ms), NOW) for _ in range(count)]
--- a/features/steps/slowed_steps.py
+++ b/features/steps/slowed_steps.py
@@ -100,3 +100,15 @@
     assert context.answer.status == 200
     assert context.nodes.asked[-1] == "b", context.nodes.asked
     assert context.nodes.asked.count("a") <= 1, context.nodes.asked
+
+
+@when("the slowed node tells of its pace before any request")
+def tells_early(context: Any) -> None:
+    context.dispatcher.note_report(context.dispatcher.directory.find("a"), SLOWED)
+
+
+@then("what is believed of it holds the slowdown")
+def believed(context: Any) -> None:
+    state = context.dispatcher.state("mapdesk")
+    told = state.selector.believed("a", SystemClock().monotonic())
+    assert told.get("slowdown") == SLOWED.slowdown, told
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -324,9 +324,13 @@
 
     def note_report(self, member: Member, report: LoadReport) -> None:
         """Take in the load of a member that has published it unasked."""
-        state = self.states.get(member.service)
-        if state is not None:
-            state.selector.reported(member.node, report, self.clock.monotonic())
+        try:
+            # Also before the first request for the service: a node tells of changes alone, so what
+            # is passed over now is not heard again until the next one.
+            state = self.state(member.service)
+        except MarjoramtideError:
+            return  # the settings don't know the service, so nothing is asked of it either
+        state.selector.reported(member.node, report, self.clock.monotonic())
 
     def explain(self, service: str) -> dict[str, list[dict[str, Any]]]:
         """Return what is believed of each member of a service, and the last decisions.
--- a/src/marjoramtide/policy/_forecast_selector.py
+++ b/src/marjoramtide/policy/_forecast_selector.py
@@ -109,7 +109,7 @@
         report = view.report
         network_ms = view.network.value
         if report is None:
-            return network_ms + work_ms
+            return network_ms + work_ms * self._usual_slowdown()
         age_ms = (now - view.reported_at) * 1000
         slowdown, holds_ms = pace_after(report, age_ms + network_ms, view.followed)
         own_ms = work_ms * self._straggling(view, now)
@@ -119,6 +119,15 @@
         expected_ms = network_ms + wait_ms + run_ms(own_ms, slowdown, holds_ms, usual_of(report))
         return max(expected_ms, view.silence_ms(expected_ms, now))
 
+    def _usual_slowdown(self) -> float:
+        """Return the mean slowdown of the nodes that have told of theirs, 1 where none has.
+
+        Failure: a node that nothing was heard of yet is taken for quick, and preferred to those
+        that are known to be. In the first seconds two in five late answers came from such nodes.
+        """
+        told = [usual_of(view.report) for view in self.views.values() if view.report is not None]
+        return sum(told) / len(told) if told else 1.0
+
     def _straggling(self, view: NodeView, now: float) -> float:
         """Return how many times longer a server takes than the others, for reasons of its own."""
         usual_ms = self.model.usual.service_ms
