A node that starts again while the store is down is found at its address by the others

The others knew its address: the process before had left from there.

Each node now tries an address that a member has left in the last 30 s, one datagram a second, until somebody lives there. Who answers is known by that, and learns settings from its peers.

The scenario in memory fails without it (the newcomer knows 1 member after 2 s, the others 11) and passes with it.

--- a/features/membership/detection.feature
+++ b/features/membership/detection.feature
@@ -42,6 +42,17 @@
     Given 75 membership nodes that come up within 200 ms and know the addresses of all
     Then every node knows all 75 within 800 ms
 
+  Scenario: A node that starts again without a list is found by the others
+    # The caller sees refusals at a node that has just been restarted, while all others serve. The
+    # store is down, so it can't read who is there, and nobody reads of it.
+    Given a membership network with seed 42 and 12 nodes
+    When 10 seconds of membership pass
+    And membership node 3 leaves
+    And 1 second of membership pass
+    And a process starts at the address of membership node 3 and knows nobody
+    And 2 seconds of membership pass
+    Then every running node holds the same 12 members
+
   Scenario: A broken path between two nodes accuses neither
     # The caller sees: both nodes keep their work. Nodes 2 and 5 can't reach each other, all others
     # can; helpers reach the target over other paths, so the probe does not count as failed.
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -261,6 +261,12 @@
     )
 
 
+@when("a process starts at the address of membership node {number:d} and knows nobody")
+def start_lonely(context: Any, number: int) -> None:
+    replace_with_clock(context, number, 0)
+    context.network.nodes[f"new-{number}"].core.add_seeds([])
+
+
 @when("membership node {number:d} leaves")
 def leave(context: Any, number: int) -> None:
     node = node_of(context, number)
--- a/src/marjoramtide/membership/_swim_core.py
+++ b/src/marjoramtide/membership/_swim_core.py
@@ -36,6 +36,10 @@
 # eight runs and 0.7 s at worst; with the usual interval 1.25 s and 1.5 s.
 NEW_INTERVAL_S = 0.2
 NEW_FOR_S = 1.0
+# For how long after a member has gone its address is tried for a successor, and between two tries
+# of one node, in seconds. A process that is started again is up after a second or two.
+SUCCESSOR_FOR_S = 30.0
+SUCCESSOR_INTERVAL_S = 1.0
 WANT_INTERVAL_S = 0.5
 UNMATCHED_S = 5.0
 URGENT_FANOUT = 4
@@ -88,6 +92,7 @@
         self.last_match = 0.0
         self.last_sync = 0.0
         self.last_seed = -SEED_INTERVAL_S
+        self.next_successor_at = 0.0
         self.last_housekeeping = 0.0
         # While learning, this node has no fresh view of its own and accuses nobody.
         self.learning = True
@@ -169,6 +174,9 @@
         self._verify_claims(now)
         self.detector.tick(now)
         self._join(now)
+        if now >= self.next_successor_at:
+            self.next_successor_at = now + SUCCESSOR_INTERVAL_S * self.rng.uniform(0.5, 1.5)
+            self._try_successor(now)
         self.news.gossip(now, self.options.gossip_fanout)
         if now - self.last_housekeeping > HOUSEKEEPING_S:
             self._housekeeping(now)
@@ -298,6 +306,23 @@
         for address in self.rng.sample(self.seeds, min(SEEDS_TRIED, len(self.seeds))):
             self.try_address(address)
 
+    def _try_successor(self, now: float) -> None:
+        """Try an address that a member has left, where another process may be up by now.
+
+        Failure: a node is started again while the store is down. It can't read who is there, nobody
+        looks where it is, and it refuses every caller until the store is back, though the rest of
+        the fleet serves. The others know its address; one datagram a second each finds it.
+        """
+        since = now - SUCCESSOR_FOR_S
+        held = {entry.member.gossip_address for entry in self.view.live()}
+        left = {
+            entry.member.gossip_address
+            for entry in self.view.gone.values()
+            if entry.gone_at > since and entry.key != self.key
+        } - held
+        if left:
+            self.try_address(self.rng.choice(sorted(left)))
+
     def _learned(self) -> None:
         self.learning = False
         detail = f"{self.view.alive_count()} members"
