Four packages under policy/: placing, admission, pace, budgets; behaviour as it was

Cause: some fifty modules stood side by side, and who asks why a request was refused opened ten of them. Each package says which question it answers and which load it was made for. LoadReport, which peers and exchange use too, moves to exchange, so that exchange no longer imports policy. Ruled out: any change of behaviour; only imports differ, and the error for an unknown policy is a module of its own because both factories raise it.

--- a/features/steps/interference_steps.py
+++ b/features/steps/interference_steps.py
@@ -6,19 +6,19 @@
 
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
 
+from marjoramtide.exchange import LoadReport
 from marjoramtide.membership import Member, MemberState
 from marjoramtide.policy import (
     CallProfile,
     Interference,
-    LoadReport,
     Verdict,
     make_admission,
     make_selector,
 )
-from marjoramtide.policy._change_grid import ChangeGrid
-from marjoramtide.policy._forecast_selector import ForecastSelector
-from marjoramtide.policy._knee_limiter import KneeLimiter
-from marjoramtide.policy._pace import Pace
+from marjoramtide.policy.admission._knee_limiter import KneeLimiter
+from marjoramtide.policy.pace._change_grid import ChangeGrid
+from marjoramtide.policy.pace._pace import Pace
+from marjoramtide.policy.placing._forecast_selector import ForecastSelector
 from marjoramtide.settings import RouteSettings
 
 use_step_matcher("parse")
@@ -153,7 +153,7 @@
 
 
 def _work(milliseconds: float) -> Any:
-    from marjoramtide.policy._work_times import WorkTimes
+    from marjoramtide.policy.pace._work_times import WorkTimes
 
     work = WorkTimes()
     work.learn(milliseconds)
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -8,13 +8,13 @@
 
 from behave import given, then, when
 
+from marjoramtide.exchange import LoadReport
 from marjoramtide.membership import Member, MemberState
 from marjoramtide.policy import (
     Admission,
     CallProfile,
     ComeBackHint,
     Decision,
-    LoadReport,
     MeasuringBudget,
     RetryBudget,
     Selector,
@@ -22,7 +22,7 @@
     make_admission,
     make_selector,
 )
-from marjoramtide.policy._spill_over import SpillOver
+from marjoramtide.policy.placing._spill_over import SpillOver
 from marjoramtide.settings import RouteSettings
 
 START = 1000.0
--- a/features/steps/slowed_steps.py
+++ b/features/steps/slowed_steps.py
@@ -10,10 +10,9 @@
 
 from marjoramtide.clock import SystemClock
 from marjoramtide.errors import ErrorCode
-from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, inline_body
+from marjoramtide.exchange import Answer, LoadReport, NotRunError, Request, RequestBody, inline_body
 from marjoramtide.ingress import Dispatcher
 from marjoramtide.membership import Member, MemberState
-from marjoramtide.policy import LoadReport
 from marjoramtide.settings import RouteSettings
 from marjoramtide.telemetry import Metrics, Tracer
 
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -14,6 +14,7 @@
 from marjoramtide.daemon._planned_stop import stop_as_planned
 from marjoramtide.daemon._supervision import keep_running
 from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.exchange import LoadReport
 from marjoramtide.ingress import Dispatcher, Ingress
 from marjoramtide.interface import Interface, own_interface
 from marjoramtide.membership import Member, MemberState, make_membership
@@ -25,7 +26,7 @@
     report_fields,
     unpack_report,
 )
-from marjoramtide.policy import LoadReport, bulletin_readers
+from marjoramtide.policy import bulletin_readers
 from marjoramtide.serving import (
     BackendState,
     ClaimGate,
--- a/src/marjoramtide/exchange/_answer.py
+++ b/src/marjoramtide/exchange/_answer.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from marjoramtide.policy import LoadReport
+from marjoramtide.exchange._load_report import LoadReport
 
 SERVER_ERROR = 500
 
--- a/src/marjoramtide/exchange/_failures.py
+++ b/src/marjoramtide/exchange/_failures.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.policy import LoadReport
+from marjoramtide.exchange._load_report import LoadReport
 
 
 class RequestFailedError(MarjoramtideError):
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -11,6 +11,7 @@
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import (
     Answer,
+    LoadReport,
     NotRunError,
     Request,
     RequestBody,
@@ -25,7 +26,7 @@
 from marjoramtide.ingress._service_state import ServiceState, make_service_state
 from marjoramtide.membership import Directory, Member
 from marjoramtide.peers import PeerClient
-from marjoramtide.policy import CallProfile, LoadReport, SmoothSplit, make_smooth_split
+from marjoramtide.policy import CallProfile, SmoothSplit, make_smooth_split
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, Tracer
 
--- a/src/marjoramtide/peers/_codec.py
+++ b/src/marjoramtide/peers/_codec.py
@@ -6,8 +6,8 @@
 import cbor2
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.exchange import LoadReport
 from marjoramtide.peers import _messages as messages
-from marjoramtide.policy import LoadReport
 
 # The position in this list is the number on the wire: append only.
 MESSAGE_TYPES: list[type] = [
--- a/src/marjoramtide/policy/__init__.py
+++ b/src/marjoramtide/policy/__init__.py
@@ -1,18 +1,27 @@
-"""Decisions, as pure functions of what they are handed: no clock, no randomness, no I/O."""
+"""Decisions, as pure functions of what they are handed: no clock, no randomness, no I/O.
+
+Four packages, each with one question: ``placing``, ``admission``, ``pace`` and ``budgets``.
+"""
 
-from marjoramtide.policy._admission import Admission, Decision, Verdict
-from marjoramtide.policy._bulletin_readers import bulletin_readers
 from marjoramtide.policy._call_profile import CallProfile
-from marjoramtide.policy._come_back_hint import ComeBackHint
-from marjoramtide.policy._factories import SELECTORS, make_admission, make_selector
-from marjoramtide.policy._interference import Interference
-from marjoramtide.policy._limiter import Limiter
-from marjoramtide.policy._limiters import LIMITERS
-from marjoramtide.policy._load_report import LoadReport
-from marjoramtide.policy._measuring_budget import MeasuringBudget
-from marjoramtide.policy._retry_budget import WINDOW_S, RetryBudget
-from marjoramtide.policy._selector import Selector
-from marjoramtide.policy._smooth_split import SmoothSplit, make_smooth_split
+from marjoramtide.policy.admission import (
+    LIMITERS,
+    Admission,
+    Decision,
+    Limiter,
+    Verdict,
+    make_admission,
+)
+from marjoramtide.policy.budgets import WINDOW_S, ComeBackHint, MeasuringBudget, RetryBudget
+from marjoramtide.policy.pace import Interference
+from marjoramtide.policy.placing import (
+    SELECTORS,
+    Selector,
+    SmoothSplit,
+    bulletin_readers,
+    make_selector,
+    make_smooth_split,
+)
 
 __all__ = [
     "LIMITERS",
@@ -24,7 +33,6 @@
     "Decision",
     "Interference",
     "Limiter",
-    "LoadReport",
     "MeasuringBudget",
     "RetryBudget",
     "Selector",
--- a/src/marjoramtide/policy/_adaptive_limiter.py
+++ b/src/marjoramtide/policy/admission/_adaptive_limiter.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from marjoramtide.policy._cut import Cut
-from marjoramtide.policy._limiter import Limiter
 from marjoramtide.policy._smoothed import Smoothed
+from marjoramtide.policy.admission._cut import Cut
+from marjoramtide.policy.admission._limiter import Limiter
 
 TOLERANCE = 2.0
 SMALLEST_GRADIENT = 0.5
--- a/src/marjoramtide/policy/_admission.py
+++ b/src/marjoramtide/policy/admission/_admission.py
@@ -5,9 +5,9 @@
 
 import attrs
 
+from marjoramtide.exchange import LoadReport
 from marjoramtide.policy._call_profile import CallProfile
-from marjoramtide.policy._load_report import LoadReport
-from marjoramtide.policy._pace import Pace
+from marjoramtide.policy.pace import Pace
 from marjoramtide.settings import RouteSettings
 
 
--- a/src/marjoramtide/policy/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -5,16 +5,15 @@
 import attrs
 
 from marjoramtide.errors import ErrorCode
-from marjoramtide.policy._admission import Admission, Decision, Verdict
+from marjoramtide.exchange import LoadReport
 from marjoramtide.policy._call_profile import CallProfile
-from marjoramtide.policy._class_queue import ClassQueue
-from marjoramtide.policy._execution_times import ExecutionTimes
-from marjoramtide.policy._limiter import Limiter
-from marjoramtide.policy._limiters import make_limiter
-from marjoramtide.policy._load_report import LoadReport
-from marjoramtide.policy._pace import LOOK_S, SHORT_S, Pace
 from marjoramtide.policy._smoothed import Smoothed
-from marjoramtide.policy._work_times import ASSUMED_WORK_MS
+from marjoramtide.policy.admission._admission import Admission, Decision, Verdict
+from marjoramtide.policy.admission._class_queue import ClassQueue
+from marjoramtide.policy.admission._execution_times import ExecutionTimes
+from marjoramtide.policy.admission._limiter import Limiter
+from marjoramtide.policy.admission._limiters import make_limiter
+from marjoramtide.policy.pace import ASSUMED_WORK_MS, LOOK_S, SHORT_S, Pace
 from marjoramtide.settings import RouteSettings
 
 DRAINING_RETRY_MS = 1000
--- a/src/marjoramtide/policy/_execution_times.py
+++ b/src/marjoramtide/policy/admission/_execution_times.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from marjoramtide.policy._kind_times import KindTimes
-from marjoramtide.policy._silence import patience_ms, silence_ms
 from marjoramtide.policy._smoothed import Smoothed
+from marjoramtide.policy.admission._kind_times import KindTimes
+from marjoramtide.policy.pace import patience_ms, silence_ms
 
 UNKNOWN = KindTimes()
 
--- a/src/marjoramtide/policy/_fixed_limiter.py
+++ b/src/marjoramtide/policy/admission/_fixed_limiter.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from marjoramtide.policy._limiter import Limiter
+from marjoramtide.policy.admission._limiter import Limiter
 
 
 @attrs.define(slots=True)
--- a/src/marjoramtide/policy/_knee_limiter.py
+++ b/src/marjoramtide/policy/admission/_knee_limiter.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from marjoramtide.policy._limiter import Limiter
 from marjoramtide.policy._smoothed import Smoothed
+from marjoramtide.policy.admission._limiter import Limiter
 
 # Shares of the slots that are tried as a limit. Servers that slow down when nearly full commonly do
 # so in the last quarter; a lower limit would give away more than it could gain.
--- a/src/marjoramtide/policy/_interference.py
+++ b/src/marjoramtide/policy/pace/_interference.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from marjoramtide.policy._change_grid import ChangeGrid, Window, fit_grid
-from marjoramtide.policy._load_report import LoadReport
-from marjoramtide.policy._pace import Pace
+from marjoramtide.exchange import LoadReport
+from marjoramtide.policy.pace._change_grid import ChangeGrid, Window, fit_grid
+from marjoramtide.policy.pace._pace import Pace
 
 # Figures that differ by less than this factor are the same state.
 SAME_STATE = 1.15
--- a/src/marjoramtide/policy/_pace.py
+++ b/src/marjoramtide/policy/pace/_pace.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from marjoramtide.policy._run_forecast import run_ms
+from marjoramtide.policy.pace._run_forecast import run_ms
 
 # A server that takes so many times longer than at its best counts as slow: above what many busy
 # slots do to each other, below what a neighbour that takes the processor does.
--- a/src/marjoramtide/policy/_completion_model.py
+++ b/src/marjoramtide/policy/placing/_completion_model.py
@@ -3,9 +3,9 @@
 import attrs
 
 from marjoramtide.membership import MemberState
-from marjoramtide.policy._node_view import NodeView
-from marjoramtide.policy._recent_latency import RecentLatency
-from marjoramtide.policy._service_mean import ServiceMean
+from marjoramtide.policy.placing._node_view import NodeView
+from marjoramtide.policy.placing._recent_latency import RecentLatency
+from marjoramtide.policy.placing._service_mean import ServiceMean
 
 ASSUMED_LATENCY_MS = 10.0
 REPORT_TRUST_SERVICE_TIMES = 2.0
--- a/src/marjoramtide/policy/_counting_selector.py
+++ b/src/marjoramtide/policy/placing/_counting_selector.py
@@ -5,10 +5,10 @@
 
 import attrs
 
+from marjoramtide.exchange import LoadReport
 from marjoramtide.membership import Member
 from marjoramtide.policy._call_profile import CallProfile
-from marjoramtide.policy._load_report import LoadReport
-from marjoramtide.policy._selector import Selector
+from marjoramtide.policy.placing._selector import Selector
 
 RETRY_AFTER_MS = (50, 150)
 
--- a/src/marjoramtide/policy/_explorer.py
+++ b/src/marjoramtide/policy/placing/_explorer.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from marjoramtide.policy._node_view import NodeView
-from marjoramtide.policy._outlier_ejection import OutlierEjection
+from marjoramtide.policy.placing._node_view import NodeView
+from marjoramtide.policy.placing._outlier_ejection import OutlierEjection
 
 SHARE = 0.005
 PER_S = 0.2
--- a/src/marjoramtide/policy/_factories.py
+++ b/src/marjoramtide/policy/placing/_factories.py
@@ -1,23 +1,21 @@
-"""Builds the policies that the settings name."""
+"""Builds the selector that the settings name."""
 
 import random
 from collections.abc import Callable
 
 from marjoramtide.membership import Member
-from marjoramtide.policy._admission import Admission
-from marjoramtide.policy._completion_model import CompletionModel
-from marjoramtide.policy._edf_admission import EdfAdmission
-from marjoramtide.policy._explorer import Explorer
-from marjoramtide.policy._forecast_selector import ForecastSelector
-from marjoramtide.policy._least_outstanding import LeastOutstanding
-from marjoramtide.policy._limiters import make_limiter, unknown_policy
-from marjoramtide.policy._outlier_ejection import OutlierEjection
-from marjoramtide.policy._polled_reports import PolledReports
-from marjoramtide.policy._predicted_selector import PredictedSelector
-from marjoramtide.policy._random_choice import RandomChoice
-from marjoramtide.policy._round_robin import RoundRobin
-from marjoramtide.policy._selector import Selector
-from marjoramtide.policy._two_choices import TwoChoices
+from marjoramtide.policy._unknown_policy import unknown_policy
+from marjoramtide.policy.placing._completion_model import CompletionModel
+from marjoramtide.policy.placing._explorer import Explorer
+from marjoramtide.policy.placing._forecast_selector import ForecastSelector
+from marjoramtide.policy.placing._least_outstanding import LeastOutstanding
+from marjoramtide.policy.placing._outlier_ejection import OutlierEjection
+from marjoramtide.policy.placing._polled_reports import PolledReports
+from marjoramtide.policy.placing._predicted_selector import PredictedSelector
+from marjoramtide.policy.placing._random_choice import RandomChoice
+from marjoramtide.policy.placing._round_robin import RoundRobin
+from marjoramtide.policy.placing._selector import Selector
+from marjoramtide.policy.placing._two_choices import TwoChoices
 from marjoramtide.settings import RouteSettings
 
 BASELINES: dict[str, Callable[[random.Random], Selector]] = {
@@ -58,16 +56,3 @@
         spill_over=settings.spill_over,
         hedge_quantile=hedge_quantile,
     )
-
-
-def make_admission(settings: RouteSettings, now: float) -> Admission:
-    """Build the admission of one backend server that began to serve at ``now``.
-
-    Raises ``bad-settings`` for a limiter that isn't one of ``LIMITERS``.
-    """
-    return EdfAdmission(
-        limiter=make_limiter(settings),
-        urgent_slots=settings.urgent_slots,
-        queue_limit=settings.queue_limit,
-        started_at=now,
-    )
--- a/src/marjoramtide/policy/_forecast_selector.py
+++ b/src/marjoramtide/policy/placing/_forecast_selector.py
@@ -4,13 +4,12 @@
 
 import attrs
 
+from marjoramtide.exchange import LoadReport
 from marjoramtide.membership import MemberState
 from marjoramtide.policy._call_profile import CallProfile
-from marjoramtide.policy._load_report import LoadReport
-from marjoramtide.policy._node_view import NodeView
-from marjoramtide.policy._predicted_selector import DISTANCES_MS, PredictedSelector
-from marjoramtide.policy._run_forecast import run_ms
-from marjoramtide.policy._work_times import ASSUMED_WORK_MS, WorkTimes
+from marjoramtide.policy.pace import ASSUMED_WORK_MS, WorkTimes, run_ms
+from marjoramtide.policy.placing._node_view import NodeView
+from marjoramtide.policy.placing._predicted_selector import DISTANCES_MS, PredictedSelector
 
 # Nodes that are compared for one request at most; looking at one takes some five microseconds.
 MOST_COMPARED = 24
--- a/src/marjoramtide/policy/_least_outstanding.py
+++ b/src/marjoramtide/policy/placing/_least_outstanding.py
@@ -5,7 +5,7 @@
 import attrs
 
 from marjoramtide.policy._call_profile import CallProfile
-from marjoramtide.policy._counting_selector import CountingSelector
+from marjoramtide.policy.placing._counting_selector import CountingSelector
 
 
 @attrs.define(slots=True)
--- a/src/marjoramtide/policy/_node_view.py
+++ b/src/marjoramtide/policy/placing/_node_view.py
@@ -4,10 +4,10 @@
 
 import attrs
 
+from marjoramtide.exchange import LoadReport
 from marjoramtide.membership import Member
-from marjoramtide.policy._load_report import LoadReport
-from marjoramtide.policy._silence import silence_ms
 from marjoramtide.policy._smoothed import Smoothed
+from marjoramtide.policy.pace import silence_ms
 
 BELIEVED_S = 0.2
 BELIEVED_AT_MOST_S = 20.0
--- a/src/marjoramtide/policy/_outlier_ejection.py
+++ b/src/marjoramtide/policy/placing/_outlier_ejection.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from marjoramtide.policy._node_view import NodeView
+from marjoramtide.policy.placing._node_view import NodeView
 
 ENOUGH_RESULTS = 5
 FAILING_BELOW = 0.5
--- a/src/marjoramtide/policy/_polled_reports.py
+++ b/src/marjoramtide/policy/placing/_polled_reports.py
@@ -4,9 +4,9 @@
 
 import attrs
 
+from marjoramtide.exchange import LoadReport
 from marjoramtide.policy._call_profile import CallProfile
-from marjoramtide.policy._counting_selector import CountingSelector
-from marjoramtide.policy._load_report import LoadReport
+from marjoramtide.policy.placing._counting_selector import CountingSelector
 
 
 @attrs.define(slots=True)
--- a/src/marjoramtide/policy/_predicted_selector.py
+++ b/src/marjoramtide/policy/placing/_predicted_selector.py
@@ -5,16 +5,16 @@
 
 import attrs
 
+from marjoramtide.exchange import LoadReport
 from marjoramtide.membership import Member
 from marjoramtide.policy._call_profile import CallProfile
-from marjoramtide.policy._come_back_hint import ComeBackHint
-from marjoramtide.policy._completion_model import CompletionModel
-from marjoramtide.policy._explorer import Explorer
-from marjoramtide.policy._load_report import LoadReport
-from marjoramtide.policy._node_view import NodeView
-from marjoramtide.policy._outlier_ejection import OutlierEjection
-from marjoramtide.policy._selector import Selector
-from marjoramtide.policy._spill_over import SpillOver
+from marjoramtide.policy.budgets import ComeBackHint
+from marjoramtide.policy.placing._completion_model import CompletionModel
+from marjoramtide.policy.placing._explorer import Explorer
+from marjoramtide.policy.placing._node_view import NodeView
+from marjoramtide.policy.placing._outlier_ejection import OutlierEjection
+from marjoramtide.policy.placing._selector import Selector
+from marjoramtide.policy.placing._spill_over import SpillOver
 
 DISTANCES_MS = (0.7, 2.7, 20.0)
 OWN_DISTANCE_MS = 0.0
--- a/src/marjoramtide/policy/_selector.py
+++ b/src/marjoramtide/policy/placing/_selector.py
@@ -3,9 +3,9 @@
 from abc import ABC, abstractmethod
 from collections.abc import Collection
 
+from marjoramtide.exchange import LoadReport
 from marjoramtide.membership import Member
 from marjoramtide.policy._call_profile import CallProfile
-from marjoramtide.policy._load_report import LoadReport
 
 
 class Selector(ABC):
--- a/src/marjoramtide/policy/_service_mean.py
+++ b/src/marjoramtide/policy/placing/_service_mean.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from marjoramtide.policy._node_view import NodeView
+from marjoramtide.policy.placing._node_view import NodeView
 
 LOAD_AT_MOST = 0.7
 
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -11,6 +11,7 @@
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import (
     Answer,
+    LoadReport,
     NotRunError,
     Request,
     RequestBody,
@@ -22,7 +23,6 @@
     Admission,
     CallProfile,
     Interference,
-    LoadReport,
     Verdict,
     make_admission,
 )
