Looks at a server's load are not counted in requests where they take no slot

Cause: a look counted as if it took as long as an execution. Ruled out: the grid, which is lost for the same reason; the choice of the server.

--- a/features/policy/budgets.feature
+++ b/features/policy/budgets.feature
@@ -39,3 +39,10 @@
     And with executions of 200 ms and reads of 5 ms it reads between 10 and 17 times in 60 s
     And a failed request brings the next read forward to 1 s after the last
     And with failures and reads of 2000 ms it reads between 2 and 4 times in 120 s
+
+  Scenario: Where a look takes no slot, long executions don't make looks rare
+    # Half of the requests begin on servers that their neighbours slow down. Executions take two
+    # seconds there, looks are counted as if each took as long, and what is known of a server's
+    # pace is 400 ms old while it changes every 200 ms.
+    Given looks of 1 ms at a server of 5 slots whose executions take 2000 ms
+    Then with a share of 1 there is one every 400 ms, and with 100 one every 25 ms
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -557,6 +557,26 @@
     assert low <= reads <= high, reads
 
 
+@given("looks of {took:d} ms at a server of {slots:d} slots whose executions take {ms:d} ms")
+def step_looks(context: Any, took: int, slots: int, ms: int) -> None:
+    def interval_ms(share: float) -> float:
+        budget = MeasuringBudget(per_s=40.0, share=share, slots=slots)
+        budget.traffic(START, succeeded=True, took_ms=float(ms))
+        budget.read(START, float(took))
+        return budget.min_interval_s * 1000
+
+    context.interval_ms = interval_ms
+
+
+@then(
+    "with a share of {low:g} there is one every {rare:g} ms, "
+    "and with {high:g} one every {often:g} ms"
+)
+def step_interval(context: Any, low: float, rare: float, high: float, often: float) -> None:
+    found = (context.interval_ms(low), context.interval_ms(high))
+    assert (round(found[0]), round(found[1])) == (rare, often), found
+
+
 @then("a failed request brings the next read forward to {seconds:g} s after the last")
 def step_read_forward(context: Any, seconds: float) -> None:
     budget = context.measuring()
--- a/src/marjoramtide/settings/_schema.py
+++ b/src/marjoramtide/settings/_schema.py
@@ -285,9 +285,10 @@
         group=MEASURING,
         levels=NOT_ON_ROUTES,
         minimum=0,
-        maximum=1,
+        maximum=100,
         fraction=True,
-        meaning="Measuring calls, as a share of the requests of a backend server.",
+        meaning="Measuring calls, as a share of the requests that a backend server can do; above 1 "
+        "where it answers them without a slot.",
     ),
     NumberKey(
         name="claim_retention_s",
