Slow stretches are reckoned with as they are observed, not as 0.3 s long

Cause: what has been slow for 0.6 s was taken to stay slow, the quickest state of 1.5 s for the server's best, and a followed node's state for believable for 2 s: figures of one kind of neighbour. Now a node learns how long its server's stretches last, waits for the rest that is expected, and with nothing to go by as long as the work would lose; the best is that of 12 s, and begins anew with another start of the server; what is waited for is not given up for the pace of the moment. Ruled out: reports out of date (next to none of the slow starts since looks come often).

--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -139,6 +139,7 @@
         )
         self.registrar: Registrar | None = None
         self.registered_slots: int | None = None
+        self.served_instance = ""
         if interface.registration_app is not None:
             self.registrar = Registrar(
                 settings.service, self.ask_identity, self.registration_changed
@@ -262,7 +263,11 @@
         """Go on by what the backend server has told of itself."""
         assert self.registrar is not None
         current = self.registrar.current
-        self.transport.instance = current.instance if current is not None else ""
+        instance = current.instance if current is not None else ""
+        if instance and self.served_instance not in ("", instance):
+            self.serving.server_replaced()
+        self.served_instance = instance or self.served_instance
+        self.transport.instance = instance
         slots = current.slots if current is not None else None
         if slots != self.registered_slots:
             self.registered_slots = slots
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -1,6 +1,7 @@
 """Admission by deadline, with slots kept for urgent requests."""
 
 import itertools
+import math
 
 import attrs
 
@@ -13,7 +14,7 @@
 from marjoramtide.policy.admission._execution_times import ExecutionTimes
 from marjoramtide.policy.admission._limiter import Limiter
 from marjoramtide.policy.admission._limiters import make_limiter
-from marjoramtide.policy.pace import ASSUMED_WORK_MS, LOOK_S, SHORT_S, Pace
+from marjoramtide.policy.pace import ASSUMED_WORK_MS, Pace
 from marjoramtide.settings import RouteSettings
 
 DRAINING_RETRY_MS = 1000
@@ -89,8 +90,7 @@
     def set_pace(self, pace: Pace) -> None:
         self.pace = pace
         self.times.pace = pace.slowdown
-        until = pace.holds_until
-        self.resume_at = pace.since + SHORT_S if until is None else until + LOOK_S
+        self.resume_at = pace.settles_at if pace.settles_at < math.inf else None
 
     def resume(self, now: float) -> list[int]:
         if self.resume_at is not None and self.resume_at <= now:
@@ -118,7 +118,7 @@
             # Failure: a neighbour has slowed this server down since its last report, and a booking
             # that arrives now takes four times as long here, although others are quick. Turned away
             # at once it costs a hop; whoever asks again has found nobody quicker.
-            return _reject(ErrorCode.SLOWED, self.pace.holds_ms(now) or 0.0)
+            return _reject(ErrorCode.SLOWED, self.pace.quick_in_ms(now))
         self.dues[ticket] = self._due(profile, now)
         if self._may_start(profile.urgent) and not self._waits(profile, now):
             decision = self._start_or_reject(ticket, profile, remaining_ms, now)
@@ -149,9 +149,13 @@
         return self.pace.run_ms(work_ms) > left_ms
 
     def _waits(self, profile: CallProfile, now: float) -> bool:
-        """Tell whether a request should wait for the server's pace, see ``Pace.waits_until``."""
+        """Tell whether a request should wait for the server's pace, see ``Pace.waits``."""
+        return self.pace.waits(self._work_ms(profile), now)
+
+    def _work_ms(self, profile: CallProfile) -> float:
+        """Return how long a request runs undisturbed, or others do while its kind is new."""
         known_ms = self.times.kind(profile.kind).mean.value or self.times.mean.value
-        return self.pace.waits_until(known_ms or ASSUMED_WORK_MS, now) is not None
+        return known_ms or ASSUMED_WORK_MS
 
     def _start_or_reject(
         self, ticket: int, profile: CallProfile, remaining_ms: float, now: float
@@ -165,7 +169,10 @@
         return Decision(Verdict.START)
 
     def _queue_or_reject(self, ticket: int, profile: CallProfile, now: float) -> Decision:
-        service_ms = self.times.expected_ms(now) / self._wait_gain()
+        waits = self._waits(profile, now)
+        service_ms = self.times.expected_ms(now)
+        if waits:
+            service_ms *= self.pace.best / self.pace.slowdown
         due = self.dues[ticket]
         remaining_ms = (due - now) * 1000
         order = self._order(profile, due)
@@ -174,9 +181,9 @@
         own_ms = self._own_ms(profile, now)
         if self._may_start(profile.urgent):
             # Slots are free, and it waits for the pace alone.
-            wait_ms = self.pace.holds_ms(now) or 0.0
-        elif self._wait_gain() > 1:
-            wait_ms += self.pace.holds_ms(now) or 0.0
+            wait_ms = 0.0
+        if waits:
+            wait_ms += self.pace.quick_in_ms(now)
         if profile.urgent and self.urgent_slots and own_ms:
             # Slots that only urgent requests use free at their pace, not at that of the rest.
             wait_ms = min(wait_ms, (ahead + 1) * own_ms / min(self.urgent_slots, self.limit))
@@ -344,24 +351,19 @@
         own_ms = self.times.kind(profile.kind).mean.value
         if not own_ms:
             return 0.0
-        paced_ms = self.pace.run_ms(own_ms) / self._wait_gain()
+        waits = self.pace.waits(own_ms, now)
+        paced_ms = own_ms * (self.pace.best if waits else self.pace.slowdown)
         return max(paced_ms, self.times.silence_ms(now))
 
-    def _wait_gain(self) -> float:
-        """Return how many times sooner what waits for the next change of pace may be done.
+    def _latest_start(self, queue: ClassQueue) -> float:
+        """Return until when the first of a queue must start to end in time, at the best pace.
 
-        The quick pace is reckoned with: what would only be late at the usual one still has a good
-        chance, and nobody else has taken it.
+        Failure: a server is slow for a moment, and all that waits there for its quick state is
+        given up, since by the pace of that moment none of it would end in time.
         """
-        may_wait = self.pace.is_slow and self.resume_at is not None
-        return self.pace.slowdown / self.pace.best if may_wait else 1.0
-
-    def _latest_start(self, queue: ClassQueue) -> float:
-        """Return until when the first of a queue must start to end in time."""
         _, ticket = queue.entries[0]
         work_ms = self.times.kind(self.profiles[ticket].kind).mean.value
-        paced_ms = self.pace.run_ms(work_ms) / self._wait_gain()
-        return self.dues[ticket] - paced_ms / 1000
+        return self.dues[ticket] - work_ms * min(self.pace.slowdown, self.pace.best) / 1000
 
     def _too_late(self, queue: ClassQueue, now: float) -> list[int]:
         """Drop and return what could not finish even if it started now."""
--- a/src/marjoramtide/policy/pace/__init__.py
+++ b/src/marjoramtide/policy/pace/__init__.py
@@ -5,15 +5,13 @@
 """
 
 from marjoramtide.policy.pace._interference import Interference
-from marjoramtide.policy.pace._pace import LOOK_S, SHORT_S, Pace
+from marjoramtide.policy.pace._pace import Pace
 from marjoramtide.policy.pace._run_forecast import run_ms
 from marjoramtide.policy.pace._silence import patience_ms, silence_ms
 from marjoramtide.policy.pace._work_times import ASSUMED_WORK_MS, WorkTimes
 
 __all__ = [
     "ASSUMED_WORK_MS",
-    "LOOK_S",
-    "SHORT_S",
     "Interference",
     "Pace",
     "WorkTimes",
--- a/src/marjoramtide/policy/pace/_interference.py
+++ b/src/marjoramtide/policy/pace/_interference.py
@@ -7,8 +7,10 @@
 import attrs
 
 from marjoramtide.exchange import LoadReport
+from marjoramtide.policy._smoothed import Smoothed
 from marjoramtide.policy.pace._change_grid import ChangeGrid, Window, fit_grid
-from marjoramtide.policy.pace._pace import Pace
+from marjoramtide.policy.pace._pace import SLOW, Pace
+from marjoramtide.policy.pace._stretches import Stretches
 
 # Figures that differ by less than this factor are the same state.
 SAME_STATE = 1.15
@@ -23,11 +25,11 @@
 EARLY_S = 0.002
 MISSES_BORNE = 2
 CHANGES_KEPT = 24
-# How far back the slowdown is known, in seconds: longer than any request runs.
+# How far back the slowdown is known, in seconds: longer than any request runs, and than the slow
+# stretches after which a server's quickest state must still be known.
 HISTORY_S = 12.0
-# How far back, in seconds, the quickest state counts as the server's own best: five stretches of
-# 0.3 s, all of which are slow once in two hundred times where a third of them is.
-BEST_OVER_S = 1.5
+# What was told is gone by for so many times the usual distance between two looks.
+LOOKS_MISSED = 4.0
 # What a server's own best may be at most: cold ones were seen to take twice as long. Above it, the
 # first figure that a node reads is one of a slowed server.
 COLD_AT_MOST = 2.5
@@ -55,6 +57,10 @@
     misses: int = 0
     changes: deque[Window] = attrs.Factory(lambda: deque(maxlen=CHANGES_KEPT))
     history: deque[tuple[float, float]] = attrs.Factory(deque)
+    slow_since: float | None = None
+    stretches: Stretches = attrs.Factory(Stretches)
+    states: Stretches = attrs.Factory(Stretches)
+    gap_s: Smoothed = attrs.Factory(lambda: Smoothed(0.2, 0.2))
 
     @property
     def is_told(self) -> bool:
@@ -69,6 +75,7 @@
             self._begin(slowdown, now)
             return True
         gap = now - before
+        self.gap_s.add(gap)
         self.usual += (self.slowdown - self.usual) * (1 - math.exp(-gap / USUAL_OVER_S))
         if max(slowdown, self.slowdown) < SAME_STATE * min(slowdown, self.slowdown):
             return False
@@ -102,11 +109,23 @@
         return (before + now) / 2
 
     def _begin(self, slowdown: float, at: float) -> None:
+        self._note_stretch(slowdown, at)
         self.slowdown = slowdown
         self.history.append((at, slowdown))
         while len(self.history) > 1 and self.history[1][0] < at - HISTORY_S:
             self.history.popleft()
 
+    def _note_stretch(self, slowdown: float, at: float) -> None:
+        """Note how long the state that ends at ``at`` has lasted, and the slow stretch it is of."""
+        if self.history:
+            self.states.note(at - self.history[-1][0])
+        is_slow = slowdown >= SLOW * self.best(at)
+        if is_slow and self.slow_since is None:
+            self.slow_since = at
+        elif not is_slow and self.slow_since is not None:
+            self.stretches.note(at - self.slow_since)
+            self.slow_since = None
+
     def best(self, now: float) -> float:
         """Return the quickest state of late: above 1 on a server that is still cold.
 
@@ -115,29 +134,35 @@
         """
         ends = (*(at for at, _ in islice(self.history, 1, None)), now)
         states = zip(ends, self.history, strict=bool(self.history))
-        late = (state for end, (_, state) in states if end >= now - BEST_OVER_S)
+        late = (state for end, (_, state) in states if end >= now - HISTORY_S)
         return min(COLD_AT_MOST, min(late, default=1.0))
 
     def pace(self, now: float) -> Pace:
         """Return the pace of work that begins now."""
         holds_s = self.holds_s(now)
         best = self.best(now)
-        until = None if holds_s is None else now + holds_s
-        since = self.history[-1][0] if self.history else now
-        return Pace(self.slowdown, until, max(self.usual, best), best, since)
+        told_at = now if self.seen_at is None else self.seen_at
+        return Pace(
+            slowdown=self.slowdown,
+            holds_until=None if holds_s is None else now + holds_s,
+            usual=max(self.usual, best),
+            best=best,
+            slow_since=now if self.slow_since is None else self.slow_since,
+            trusted_until=told_at + LOOKS_MISSED * max(self.gap_s.value, SEARCH_S),
+            stretches=self.stretches,
+        )
 
     def annotate(self, report: LoadReport, now: float) -> LoadReport:
         """Return a report with what is known of the pace, and the time of undisturbed work."""
         if not self.is_told:
             return report
         pace = self.pace(now)
-        holds_ms = pace.holds_ms(now)
         return attrs.evolve(
             report,
             service_time_ms=report.service_time_ms / pace.slowdown,
             slowdown=pace.slowdown,
-            holds_ms=-1.0 if holds_ms is None else holds_ms,
-            period_ms=0.0 if self.grid is None else self.grid.period * 1000,
+            holds_ms=-1.0 if self.grid is None else pace.quick_in_ms(now),
+            period_ms=1000 * (self.states.mean_s if self.grid is None else self.grid.period),
             usual_slowdown=pace.usual,
         )
 
--- a/src/marjoramtide/policy/pace/_pace.py
+++ b/src/marjoramtide/policy/pace/_pace.py
@@ -1,8 +1,11 @@
 """Whether a request should wait until its server may be quicker."""
 
+import math
+
 import attrs
 
 from marjoramtide.policy.pace._run_forecast import run_ms
+from marjoramtide.policy.pace._stretches import Stretches
 
 # A server that takes so many times longer than at its best counts as slow: above what many busy
 # slots do to each other, below what a neighbour that takes the processor does.
@@ -10,40 +13,60 @@
 # How long after a time of change, in seconds, the look that tells of it is waited for. Looks come
 # 6 to 28 ms after it and take some milliseconds; where none comes, its reader has failed.
 LOOK_S = 0.06
-# Up to which length, in seconds, a slow stretch is taken for a short one where nothing else is
-# known. Two periods of the schedulers seen so far, 0.3 s each.
-SHORT_S = 0.6
 
 
 @attrs.define(slots=True)
 class Pace:
     """How many times longer work takes on a backend server now, until when, and on the mean.
 
-    ``since`` and ``holds_until`` are in seconds of the monotonic clock, the latter ``None`` while
-    it isn't known. ``best`` is how many times longer work takes at the server's quickest of late.
+    ``since``, ``holds_until`` and ``trusted_until`` are in seconds of the monotonic clock.
+    ``holds_until`` is when the pace may next change, ``None`` while that isn't known;
+    ``slow_since`` when the server turned slow. ``best`` is how many times longer work takes at the
+    server's quickest, and ``stretches`` how long it was slow before. After ``trusted_until`` nobody
+    has told of the pace for so long that it is not gone by.
     """
 
     slowdown: float = 1.0
     holds_until: float | None = None
     usual: float = 1.0
     best: float = 1.0
-    since: float = 0.0
+    slow_since: float = 0.0
+    trusted_until: float = math.inf
+    stretches: Stretches = attrs.Factory(Stretches)
 
     @property
     def is_slow(self) -> bool:
         """Tell whether neighbours slow the server down."""
         return self.slowdown >= SLOW * self.best
 
-    def holds_ms(self, now: float) -> float | None:
-        """Return for how long the pace stays, in milliseconds; ``None`` while it isn't known."""
-        return None if self.holds_until is None else max(0.0, self.holds_until - now) * 1000
+    @property
+    def settles_at(self) -> float:
+        """Return when to decide anew, in seconds, if nobody has told of the pace by then."""
+        until = self.holds_until
+        return self.trusted_until if until is None else until + LOOK_S
+
+    def quick_in_ms(self, now: float) -> float:
+        """Return after how many milliseconds a slow server may be quick again."""
+        if self.holds_until is not None:
+            return max(0.0, self.holds_until - now) * 1000
+        return self.stretches.left_s(max(0.0, now - self.slow_since)) * 1000
 
     def run_ms(self, work_ms: float) -> float:
         """Return how long work that begins now will take, in milliseconds."""
         return work_ms * self.slowdown
 
-    def waits_until(self, work_ms: float, now: float) -> float | None:
-        """Return until when work should wait, in seconds; ``None`` where it should begin now.
+    def soonest_ms(self, work_ms: float, now: float) -> float:
+        """Return when work may be done that begins now, or that waits where it then ends sooner.
+
+        The quick pace is reckoned with: what would only be late at the usual one still has a good
+        chance, and nobody else has taken it.
+        """
+        if not self.waits(work_ms, now):
+            return self.run_ms(work_ms)
+        return self.quick_in_ms(now) + work_ms * self.best
+
+    def waits(self, work_ms: float, now: float) -> bool:
+        """Tell whether work should wait for a change of pace rather than begin now.
 
         Failure: a request that begins while its server is slow takes four times as long to its very
         end, and holds its slot for as long, although the server is quick again some tenths of a
@@ -51,30 +74,14 @@
         the pace may change, whatever it has been, it waits for the look that tells: some
         milliseconds against a chance of a quarter to a third of running four times as long.
         """
-        until = self.holds_until
-        if until is None:
-            return self._blind_until(work_ms, now)
-        if now >= until + LOOK_S:
-            return None
-        if now >= until:
+        if now >= self.settles_at:
+            return False
+        if self.holds_until is not None and now >= self.holds_until:
             risk_ms = work_ms * (self.usual - 1)
-            left_ms = (until + LOOK_S - now) * 1000
-            return until + LOOK_S if risk_ms > left_ms else None
-        slow_ms = self.run_ms(work_ms)
-        waits = self.is_slow and run_ms(work_ms, self.slowdown, self.holds_ms(now), self.usual)
-        return until if waits and waits < slow_ms else None
-
-    def _blind_until(self, work_ms: float, now: float) -> float | None:
-        """Return until when to wait where nobody knows when the pace may change.
-
-        Failure: all nodes lose power and start again, and know for three seconds neither when their
-        servers' pace changes nor for how long it stays. A third of what comes begins on a slowed
-        server, fills its slots for a second, and the rest finds no room. Neighbours' work comes in
-        short stretches; what has been slow for longer is taken to stay so.
-        """
-        until = self.since + SHORT_S
-        if not self.is_slow or now >= until:
-            return None
-        # On the mean a short stretch is over halfway.
-        waits_ms = (until - now) * 1000 / 2 + work_ms * self.best
-        return until if waits_ms < self.run_ms(work_ms) else None
+            return risk_ms > (self.settles_at - now) * 1000
+        if not self.is_slow:
+            return False
+        # Where the times of change are known, the server may still be slow after the next one.
+        # Elsewhere the stretches that are reckoned with last until it is quick.
+        after = self.best if self.holds_until is None else self.usual
+        return run_ms(work_ms, self.slowdown, self.quick_in_ms(now), after) < self.run_ms(work_ms)
--- a/src/marjoramtide/policy/placing/_forecast_selector.py
+++ b/src/marjoramtide/policy/placing/_forecast_selector.py
@@ -20,10 +20,10 @@
 OWN_BONUS = 0.1
 # How long, in milliseconds, a slowdown is believed where nothing is known of when it ends.
 UNCERTAIN_MS = 300.0
-# How long, in milliseconds, a followed node that tells nothing new is believed to be as it was.
-# News is lost with a datagram or a change of who follows whom. Of servers that are slow a third of
-# the time in stretches of 0.3 s, one in seventy stays as it is for so long.
-FOLLOWED_MS = 2000.0
+# For how many of its usual states a followed node that tells nothing new is believed to be as it
+# was. News is lost with a datagram or a change of who follows whom; of servers that are slow a
+# third of the time, one in seventy stays as it is for seven states.
+FOLLOWED_STATES = 7.0
 # Where undisturbed work takes so many times longer than at the median of the service, the server
 # itself is slow, for reasons that it does not tell.
 STRAGGLES = 1.6
@@ -192,17 +192,18 @@
     """Return the slowdown that a report stands for after a time, and for how long it holds.
 
     A node tells those that follow it of each change, so there a state whose time has passed without
-    news holds for another period, up to ``FOLLOWED_MS``. Elsewhere the mean is all that is known
-    then. Where no period is known, a state is believed ever less.
+    news holds for another period, for ``FOLLOWED_STATES`` of them. Elsewhere the mean is all that
+    is known then. Where no times of change are known, a state is believed ever less.
     """
     usual = usual_of(report)
     if report.holds_ms < 0:
-        believed = math.exp(-age_ms / UNCERTAIN_MS)
-        return usual + (report.slowdown - usual) * believed, None
+        period_ms = report.period_ms or UNCERTAIN_MS
+        believed = math.exp(-age_ms / (period_ms * (FOLLOWED_STATES if followed else 1)))
+        return usual + (report.slowdown - usual) * believed, report.period_ms or None
     left_ms = report.holds_ms - age_ms
     if left_ms > 0:
         return report.slowdown, left_ms
-    if followed and report.period_ms > 0 and age_ms < FOLLOWED_MS:
+    if followed and report.period_ms > 0 and age_ms < FOLLOWED_STATES * report.period_ms:
         return report.slowdown, left_ms % report.period_ms
     return usual, None
 
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -85,6 +85,14 @@
         self.is_open = True
         self.admission.reconfigure(settings)
 
+    def server_replaced(self) -> None:
+        """Forget the pace of a backend server whose place another start of it has taken.
+
+        Failure: the new one is cold and twice as slow for seconds. By the quickest state of the old
+        one it passes for slowed by neighbours, and requests wait for a change that does not come.
+        """
+        self.interference = Interference()
+
     def set_accepting(self, accepting: bool) -> None:
         """Take new requests, or reject them while those in progress go on."""
         self.admission.set_accepting(accepting)
