The knee of a server is found wherever it lies, by each number of requests at once

Cause: limits were compared at four fixed shares of the slots, after thirty executions each, by the mean of how many ran at the begin and at the end. Servers of 4 slots that slow down above 2 stayed at 3, and one that was full from its start was never seen below its knee. Now the time is kept for each number at once that an execution began with, as a geometric mean; numbers whose times differ by less than a fifth count as one level, and of levels that do nearly the same the lower one is taken. Ruled out: means over begin and end (what runs is as slow as it began); plain means (one execution of ten times the length passed for a knee); taking the limit of the most done whatever the chance.

--- a/features/policy/interference.feature
+++ b/features/policy/interference.feature
@@ -84,6 +84,20 @@
     When it is driven with all slots that it is given
     Then at most 8 run at once after 200 executions
 
+  Scenario Outline: A knee is found wherever it lies, also by a server that is full from the start
+    # Servers of another kind slow down from half of their slots on. Limits at four fixed shares of
+    # the slots, each judged after thirty executions, left <slots> slots at <before>.
+    Given a server of <slots> slots that takes <times> times as long above <knee> at once
+    When it is driven with all slots that it is given
+    Then at most <knee> run at once after 200 executions
+
+    Examples:
+      | slots | times | knee | before |
+      | 4     | 1.9   | 2    | 3      |
+      | 8     | 2.3   | 5    | 6      |
+      | 20    | 1.8   | 13   | 14     |
+      | 18    | 1.7   | 14   | 14     |
+
   Scenario: A server that does not slow down keeps all its slots
     Given a server of 11 slots that takes 1.0 times as long above 8 at once
     When it is driven with all slots that it is given
--- a/src/marjoramtide/policy/_smoothed.py
+++ b/src/marjoramtide/policy/_smoothed.py
@@ -26,3 +26,8 @@
             return
         weight = self.rise if sample > self.value else self.fall
         self.value += weight * (sample - self.value)
+
+    def add_mean(self, sample: float) -> None:
+        """Take in one sample as of a plain mean, until its weight would be below ``rise``."""
+        self.count += 1
+        self.value += max(self.rise, 1 / self.count) * (sample - self.value)
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -217,7 +217,7 @@
     def finished(self, ticket: int, now: float, duration_ms: float, succeeded: bool) -> list[int]:
         pressed = self._is_pressed()
         kind = self.profiles[ticket].kind if ticket in self.profiles else ""
-        running = (self.began_with.get(ticket, 1) + self.in_use) // 2
+        running = self.began_with.get(ticket, 1)
         if self._end(ticket, now) is None:
             return []
         comparable_ms = self.times.comparable_ms(duration_ms, kind)
--- a/src/marjoramtide/policy/admission/_kind_times.py
+++ b/src/marjoramtide/policy/admission/_kind_times.py
@@ -16,10 +16,10 @@
 
     mean: Smoothed = attrs.Factory(lambda: Smoothed(0.2, 0.2))
     quick: Smoothed = attrs.Factory(lambda: Smoothed(0.01, 0.3))
-    base: Smoothed = attrs.Factory(lambda: Smoothed(0.01, 0.05))
+    base: Smoothed = attrs.Factory(lambda: Smoothed(0.02, 0.02))
 
     def learn(self, duration_ms: float) -> None:
         """Take in a good execution."""
         self.mean.add(duration_ms)
         self.quick.add(duration_ms)
-        self.base.add(duration_ms)
+        self.base.add_mean(duration_ms)
--- a/src/marjoramtide/policy/admission/_knee_limiter.py
+++ b/src/marjoramtide/policy/admission/_knee_limiter.py
@@ -1,26 +1,35 @@
 """A limit just below where a backend server becomes slow because it is nearly full."""
 
+import math
+from collections.abc import Sequence
+
 import attrs
 
 from marjoramtide.policy._smoothed import Smoothed
 from marjoramtide.policy.admission._limiter import Limiter
 
-# Shares of the slots that are tried as a limit. Servers that slow down when nearly full commonly do
-# so in the last quarter; a lower limit would give away more than it could gain.
-LEVELS = (0.7, 0.8, 0.9, 1.0)
-# The level of a server that nothing is known of yet, and the executions under pressure after which
-# the next one is tried.
-FIRST_LEVEL = 1
-CLIMB_AFTER = 40
-# Executions that must have ended in a band before it is judged. Single times differ by a third of
-# their mean; the mean of thirty is known to some 6%. Ten are enough to see a band that is slower by
-# CLEARLY_SLOWER, three times the error of their mean.
-ENOUGH = 30
-FEW = 10
-CLEARLY_SLOWER = 1.35
-WEIGHT = 0.03
-# A lower limit must do this much more work to be taken, so that chance doesn't move the limit.
-CLEARLY = 1.07
+# The share of the slots that a server begins with that nothing is known of yet. Those that slow
+# down when nearly full do so in the last two fifths; what is too low is found out under pressure.
+FIRST_SHARE = 0.8
+# Executions that must have ended at some number at once before it is told from lower ones. Single
+# times differ by a third of their mean to two thirds; the mean of eight is known to 12 to 24 in a
+# hundred, and what is looked for is a third and more.
+FEW = 8
+# The weight of an execution among those of its number, once there are some.
+WEIGHT = 0.05
+# How much longer executions must take at a higher number at once to be told from those below, as a
+# logarithm: a fifth. Less costs less than the slots are worth that would be left empty for it.
+STEP = math.log(1.2)
+# What a lower limit must do of what a higher one does to be taken: it answers sooner.
+NEARLY = 0.97
+# A shorter execution counts as one of this, in milliseconds: below what a timer can tell.
+LEAST_MS = 0.1
+# Executions under pressure after which the limit is chosen anew, as a multiple of the limit.
+ROUNDS = 2
+# Choices after which a lower limit is tried where nothing is known below, and how much lower it is:
+# a server that was full from its first moment on may never have been seen below its knee.
+TRY_LOWER = 5
+LOWER = 0.75
 # Executions after which higher limits are tried again: a knee may have gone.
 TRY_AGAIN = 4000
 
@@ -32,69 +41,127 @@
     Failure: a server takes 1.7 times as long for everything while over four fifths of its slots are
     in use. Under pressure all slots are, so each answer is late and the server does a fifth less
     than with the last slots left empty. What is done in a second is the number that run over the
-    time that one takes, so the bands of concurrency are compared by that; a band without enough
-    executions is taken to be as quick as the one below it.
+    time that one takes. The time is kept for each number at once that executions began with, and
+    taken to rise with it: where chance has it fall, neighbouring numbers count as one. Means are
+    geometric, so that one execution of ten times the usual length doesn't pass for a knee.
 
-    It begins below the knee that servers commonly have and tries more under pressure. Failure: all
-    nodes start again amid their traffic, with every slot given out. What comes takes 1.7 times as
-    long from the first moment on, and a server that was loaded by half is full.
+    Under pressure the next higher number is tried unless it is known to be slower. Failure of
+    beginning with all slots: all nodes start again amid their traffic, what comes takes 1.7 times
+    as long from the first moment on, and a server that was loaded by half is full.
     """
 
     slots: int
-    bands: list[Smoothed] = attrs.Factory(lambda: [Smoothed(WEIGHT, WEIGHT) for _ in LEVELS])
-    level: int = FIRST_LEVEL
+    times: list[Smoothed] = attrs.field()
+    limit_now: int = attrs.field()
     pressed: int = 0
     since_lowered: int = 0
+    choices: int = 0
+
+    @times.default
+    def _unknown_times(self) -> list[Smoothed]:
+        return [Smoothed(WEIGHT, WEIGHT) for _ in range(self.slots)]
+
+    @limit_now.default
+    def _first_limit(self) -> int:
+        return max(1, int(FIRST_SHARE * self.slots + 1e-9))
 
     @property
     def limit(self) -> int:
-        return self._limit_at(self.level)
-
-    def _limit_at(self, level: int) -> int:
-        return max(1, int(LEVELS[level] * self.slots + 1e-9))
+        return self.limit_now
 
     def observe(self, duration_ms: float, pressed: bool, succeeded: bool, running: int = 1) -> None:
         if not succeeded:
             return
-        band = next(
-            (level for level in range(len(LEVELS)) if running <= self._limit_at(level)),
-            len(LEVELS) - 1,
-        )
-        self.bands[band].add(duration_ms)
+        at_once = self.times[min(running, self.slots) - 1]
+        at_once.add_mean(math.log(max(duration_ms, LEAST_MS)))
         self.pressed += pressed
-        self._lower()
-        self._climb()
-
-    def _lower(self) -> None:
-        """Go down to the level at which the most is done, where that is clear."""
-        known_ms = 0.0
-        done = []
-        for level, band in enumerate(self.bands):
-            if self._is_judged(band, known_ms):
-                known_ms = max(known_ms, band.value)
-            done.append(self._limit_at(level) / known_ms if known_ms else 0.0)
-        best = max(range(len(LEVELS)), key=lambda level: done[level])
-        if best < self.level and done[best] > CLEARLY * done[self.level]:
-            self.level = best
-            self.since_lowered = self.pressed = 0
-
-    def _is_judged(self, band: Smoothed, below_ms: float) -> bool:
-        if band.count >= FEW and below_ms and band.value > CLEARLY_SLOWER * below_ms:
-            return True
-        return band.count >= ENOUGH
-
-    def _climb(self) -> None:
-        """Try the next level where this one has been pressed against and that one isn't known."""
-        if self.level == len(LEVELS) - 1:
-            return
         self.since_lowered += 1
         if self.since_lowered > TRY_AGAIN:
-            self.since_lowered = 0
-            for level in range(self.level + 1, len(LEVELS)):
-                self.bands[level] = Smoothed(WEIGHT, WEIGHT)
-        below_ms = self.bands[self.level].value
-        if self.pressed >= CLIMB_AFTER and not self._is_judged(
-            self.bands[self.level + 1], below_ms
-        ):
-            self.level += 1
+            self._forget_above()
+        if self.pressed >= ROUNDS * self.limit_now:
             self.pressed = 0
+            self._choose()
+
+    def _choose(self) -> None:
+        """Take the limit at which most is done, and try the next one where that isn't known."""
+        levels = rising(self.times)
+        self.choices += 1
+        lower = max(1, int(LOWER * self.limit_now))
+        known_below = sum(time.count for time in self.times[:lower])
+        if self.choices == TRY_LOWER and len(levels) < 2 and known_below < FEW:
+            self.limit_now = lower
+            return
+        best = self._best(levels)
+        if best < self.limit_now:
+            self.limit_now = best
+            self.since_lowered = 0
+        elif self.limit_now < self.slots and not self._is_slower_above(levels):
+            self.limit_now += 1
+
+    def _best(self, levels: "list[Level]") -> int:
+        """Return the lowest limit that does nearly as much as any that is known.
+
+        Of two limits that do the same the lower one answers sooner. Only ends of levels are looked
+        at: inside of one a higher limit always does more.
+        """
+        ends = [*(level.most for level in levels[:-1]), self.limit_now]
+        done = {end: end / ms_at(levels, end) for end in ends}
+        return min(end for end in ends if done[end] >= NEARLY * max(done.values()))
+
+    def _is_slower_above(self, levels: "list[Level]") -> bool:
+        """Tell whether the next number at once is known to do less, executions being slower."""
+        above = self.limit_now + 1
+        if levels and levels[-1].most < above:
+            return False
+        return above / ms_at(levels, above) < self.limit_now / ms_at(levels, self.limit_now)
+
+    def _forget_above(self) -> None:
+        self.since_lowered = 0
+        for number in range(self.limit_now, self.slots):
+            self.times[number] = Smoothed(WEIGHT, WEIGHT)
+
+
+@attrs.define(slots=True)
+class Level:
+    """Numbers at once up to ``most`` at which executions take the same, as a logarithm.
+
+    ``count`` is how many executions tell so.
+    """
+
+    most: int
+    value: float
+    count: int
+
+
+def rising(times: Sequence[Smoothed]) -> list[Level]:
+    """Return levels of which each takes clearly longer than the one before.
+
+    That is what is called pooling adjacent violators, with a least step between two levels.
+    Neighbouring numbers are taken together until ``FEW`` executions are known of them; what is left
+    above says nothing yet.
+    """
+    levels: list[Level] = []
+    value, count = 0.0, 0
+    for number, time in enumerate(times, 1):
+        value, count = merged(value, count, time.value, min(time.count, round(1 / WEIGHT)))
+        if count < FEW:
+            continue
+        level = Level(number, value, count)
+        while levels and levels[-1].value + STEP >= level.value:
+            below = levels.pop()
+            level.value, level.count = merged(below.value, below.count, level.value, level.count)
+        levels.append(level)
+        value, count = 0.0, 0
+    return levels
+
+
+def merged(first: float, count: int, second: float, further: int) -> tuple[float, int]:
+    """Return the mean of two means and the number that it is of."""
+    total = count + further
+    return ((first * count + second * further) / total if total else 0.0), total
+
+
+def ms_at(levels: Sequence[Level], number: int) -> float:
+    """Return how long executions take at a number at once, as a multiple of any fixed time."""
+    found = next((level for level in levels if number <= level.most), None)
+    return math.exp(found.value if found else levels[-1].value) if levels else 1.0
