Ranks go first strictly, and calls are as urgent as the request that waits for them

Cause: calls went before all that callers wait for. A rank counted for 50 ms only. A call takes the class and rank of its parent, which the node beside the calling server looks up by id; within its rank it goes first. Ranks are strict.

--- a/bench/model/_caller.py
+++ b/bench/model/_caller.py
@@ -69,7 +69,7 @@
             method="GET" if self.kind.idempotent else "POST",
             target=f"/{self.kind.name}/",
             headers=(),
-            urgent=False,
+            urgent=settings.priority == "urgent",
             idempotent=self.kind.idempotent,
             deadline=deadline - self.way_s,
             depth=1,
--- a/bench/model/_draw.py
+++ b/bench/model/_draw.py
@@ -122,6 +122,7 @@
                     rng.random() < 0.5,
                 ),
             )
+        rank = rng.randint(0, 3)
         kinds.append(
             KindPlan(
                 name=f"kind-{place}-{number}",
@@ -132,8 +133,9 @@
                 rate=rng.uniform(0.3, 3.0),
                 spread=rng.uniform(0.1, 0.6),
                 idempotent=rng.random() < 0.6,
-                rank=rng.randint(0, 3),
-                worth=rng.choice((1.0, 2.0, 3.0)),
+                rank=rank,
+                # Whoever ranks requests says what is worth most to callers.
+                worth=max(1.0, 3.0 - rank),
                 calls=calls,
             )
         )
--- a/bench/model/_model_node.py
+++ b/bench/model/_model_node.py
@@ -58,7 +58,15 @@
         self.serving.measurer = self.measurer
         self.serving.pace_listener = lambda report: publish(self, report)
         self.dispatcher = Dispatcher(
-            self.directory, self.view, self.serving, peers, self.clock, rng, self.metrics, tracer
+            self.directory,
+            self.view,
+            self.serving,
+            peers,
+            self.clock,
+            rng,
+            self.metrics,
+            tracer,
+            self.serving.running.get,
         )
         settings = self.view.route(member.service, "/")
         self.serving.open(settings)
--- a/bench/model/_model_settings.py
+++ b/bench/model/_model_settings.py
@@ -15,6 +15,8 @@
 CONNECTIONS = 250
 # As the users' operators set it on all routes.
 MAX_ATTEMPTS = 2
+# The platform's highest rank; requests of it are urgent.
+FIRST_RANK = 0
 
 
 def settings_text(deployment: Deployment, changes: Mapping[str, Any]) -> str:
@@ -31,7 +33,7 @@
             "max_timeout_ms": round(kind.deadline_ms),
             "goal_ms": round(kind.goal_ms),
             "max_attempts": MAX_ATTEMPTS,
-            "priority": "routine",
+            "priority": "urgent" if kind.rank == FIRST_RANK else "routine",
             "rank": kind.rank,
         }
         for kind in deployment.kinds
--- a/bench/model/_world.py
+++ b/bench/model/_world.py
@@ -193,11 +193,12 @@
             method="GET",
             target=f"/{kind.name}/",
             headers=(),
-            urgent=False,
+            urgent=settings.priority == "urgent",
             idempotent=kind.idempotent,
             deadline=min(deadline, now + kind.deadline_ms / 1000),
             request_id=request_id,
             depth=2,
+            parent=request_id.partition("/")[2].rpartition(".")[0].rpartition(".")[0],
             rank=settings.rank,
             goal=now + settings.goal_ms / 1000,
         )
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -336,7 +336,14 @@
         self.offered[ticket] = (kind, due_ms)
         attempt = 2 if kind == "second-attempt" else 1
         due = self.now + due_ms / 1000
-        profile = CallProfile(kind == "urgent", True, due, attempt, is_call=kind == "call")
+        profile = CallProfile(
+            kind == "urgent",
+            True,
+            due,
+            attempt,
+            rank=0 if kind == "first-rank" else 1,
+            is_call=kind == "call",
+        )
         decision = self.admission.offer(ticket, profile, self.now)
         if decision.verdict is Verdict.START:
             self.running.append(ticket)
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -127,6 +127,7 @@
             rng,
             self.metrics,
             self.tracer,
+            self.serving.running.get,
         )
         self.ingress = Ingress(
             self.name,
--- a/src/marjoramtide/exchange/_request.py
+++ b/src/marjoramtide/exchange/_request.py
@@ -13,7 +13,8 @@
     caller calls this attempt, for logs and for telling its answer from others. Inside a class a
     lower ``rank`` goes first; an answer after ``goal``, on the same clock as the deadline and equal
     to it where none is known, is worth less to its caller. ``depth`` is 1 for a caller's request
-    and one more for each call on the way that led to this one.
+    and one more for each call on the way that led to this one; ``parent`` is the id of the running
+    request that made this call, empty where that isn't told.
     """
 
     service: str
@@ -30,6 +31,7 @@
     request_id: str = ""
     rank: int = 0
     goal: float = float("inf")
+    parent: str = ""
 
     @property
     def is_call(self) -> bool:
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -51,8 +52,11 @@
         rng: random.Random,
         metrics: Metrics,
         tracer: Tracer,
+        running: Callable[[str], Request | None] = lambda request_id: None,
     ) -> None:
+        """``running`` returns what the own backend server runs under an id, where it does."""
         self.directory = directory
+        self.running = running
         self.view = view
         self.local = local
         self.peers = peers
@@ -111,6 +115,7 @@
         """
         if settings.split:
             request = attrs.evolve(request, service=self.draw(settings))
+        request = self.as_urgent_as_its_parent(request)
         attempts = Attempts(request, body, settings, self.state(request.service))
         now = self.clock.monotonic()
         attempts.budgets.retries.deposit(now)
@@ -137,6 +142,18 @@
             late.tries = attempts.story
             raise late from error
 
+    def as_urgent_as_its_parent(self, request: Request) -> Request:
+        """Return a call with the class and rank of the request that waits for it.
+
+        Failure: lookups for routine requests go before callers' own urgent ones of the service that
+        is called, since its operator has ranked the lookup by itself. By their parents' rank, calls
+        of routine requests wait behind what is more urgent, and those of urgent ones don't.
+        """
+        parent = self.running(request.parent) if request.parent else None
+        if parent is None:
+            return request
+        return attrs.evolve(request, urgent=parent.urgent, rank=parent.rank)
+
     async def try_in_turn(self, attempts: Attempts) -> Answer:
         """Try one node after the other."""
         while True:
--- a/src/marjoramtide/platform/_callers.py
+++ b/src/marjoramtide/platform/_callers.py
@@ -68,6 +68,7 @@
             idempotent=read_idempotent(http.method, settings),
             deadline=now + read_remaining_ms(http, settings) / 1000,
             depth=1 + request_id.count(CALL_SEPARATOR),
+            parent=request_id.rpartition(CALL_SEPARATOR)[0],
             trace=tracer.begin("", settings.trace_share).header(),
             request_id=request_id,
             rank=settings.rank,
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -21,13 +21,12 @@
 RECHECK_SLACK = 3.0
 LEAST_LEFT_FOR_ROUTINE = 0.02
 URGENT_BURSTS = 6.0
-# What one rank counts for in the order of a queue, in seconds: less than a common goal, so that a
-# lower rank goes first among those that came together, and none waits for ever.
-RANK_STEP_S = 0.05
-# Puts what can no longer meet its goal behind all that can, in seconds; above any deadline.
-AFTER_ALL_OTHERS_S = 1000.0
-# Puts calls before all that callers wait for themselves, in seconds.
-BEFORE_ALL_OTHERS_S = 10_000.0
+# What one rank counts for in the order of a queue, in seconds: above any deadline, so that a lower
+# rank always goes first. By 50 ms, as before, routine requests that had waited went before urgent
+# ones that had just come, and under more than could be done fewer of the urgent ones were served.
+RANK_STEP_S = 1000.0
+# Puts what can no longer meet its goal behind all that can, in seconds; above any rank's.
+AFTER_ALL_OTHERS_S = 10_000_000.0
 
 
 @attrs.define(slots=True)
@@ -175,7 +174,7 @@
             service_ms *= self.pace.best / self.pace.slowdown
         due = self.dues[ticket]
         remaining_ms = (due - now) * 1000
-        order = self._order(profile, due)
+        order = self._order(profile, due, now)
         ahead = self._ahead(profile.urgent, order)
         wait_ms = self._wait_ms(ahead, profile.urgent, service_ms)
         own_ms = self._own_ms(profile, now)
@@ -202,15 +201,16 @@
             self.recheck_at = now
         return Decision(Verdict.QUEUE)
 
-    def _order(self, profile: CallProfile, due: float) -> float:
-        """Return by what a request is queued, the smallest first.
+    def _order(self, profile: CallProfile, due: float, now: float) -> float:
+        """Return by what a request is queued, the smallest first: rank, calls, and when it is due.
 
         Failure: a request holds a slot at another server, and its call waits here behind requests
-        that hold none, or is refused for want of room. The slot is held for longer, and where the
-        call is refused the whole run was in vain.
+        of its rank that hold none, or is refused for want of room. The slot is held for longer, and
+        where the call is refused the whole run was in vain.
         """
         if profile.is_call:
-            return due - BEFORE_ALL_OTHERS_S
+            # What waits already is due later than this.
+            return now + profile.rank * RANK_STEP_S
         order = due + profile.rank * RANK_STEP_S
         return order + AFTER_ALL_OTHERS_S if due > profile.goal else order
 
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -75,6 +75,7 @@
         self.tickets = itertools.count(1)
         self.waiting: dict[int, asyncio.Future[None]] = {}
         self.in_progress: set[int] = set()
+        self.running: dict[str, Request] = {}
         self.background: set[asyncio.Task[Answer]] = set()
         self.timer: asyncio.TimerHandle | None = None
         self.idle = asyncio.Event()
@@ -140,8 +141,10 @@
         try:
             await self.admit(execution)
         except BaseException:
-            self.done(ticket)
+            self.done(execution)
             raise
+        if request.request_id:
+            self.running[request.request_id] = request
         if request.idempotent:
             return await self.execute(execution)
         return await self.execute_to_the_end(execution)
@@ -350,13 +353,14 @@
                 self.measurer.traffic(succeeded, duration_ms)
             work_ms = self.interference.work_ms(execution.started, now)
             self.start(self.admission.finished(execution.ticket, now, work_ms, succeeded))
-        self.done(execution.ticket)
+        self.done(execution)
         if self.waiting:
             # What ended may have changed how long the others will take, or the limit.
             self.schedule_expiry()
 
-    def done(self, ticket: int) -> None:
-        self.in_progress.discard(ticket)
+    def done(self, execution: Execution) -> None:
+        self.in_progress.discard(execution.ticket)
+        self.running.pop(execution.request.request_id, None)
         if not self.in_progress:
             self.idle.set()
 
