The wait of what goes last is reckoned by the work of all that goes first

Cause: only the urgent class was reckoned with, by the share of its starts, and six bursts of it on top; a request of a higher rank that comes later passes a waiting one just so. The shares of work by class and rank over some twenty starts take the place of both figures. Ruled out: nothing else changes in the order.

--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -8,19 +8,20 @@
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import LoadReport
 from marjoramtide.policy._call_profile import CallProfile
-from marjoramtide.policy._smoothed import Smoothed
 from marjoramtide.policy.admission._admission import Admission, Decision, Verdict
 from marjoramtide.policy.admission._class_queue import ClassQueue
 from marjoramtide.policy.admission._execution_times import ExecutionTimes
 from marjoramtide.policy.admission._limiter import Limiter
 from marjoramtide.policy.admission._limiters import make_limiter
+from marjoramtide.policy.admission._rank_shares import RankShares
 from marjoramtide.policy.pace import ASSUMED_WORK_MS, Pace
 from marjoramtide.settings import RouteSettings
 
 DRAINING_RETRY_MS = 1000
 RECHECK_SLACK = 3.0
-LEAST_LEFT_FOR_ROUTINE = 0.02
-URGENT_BURSTS = 6.0
+# The least share of the slots that is reckoned to be left for what goes last: estimates of the rest
+# are known to a few in a hundred.
+LEAST_LEFT = 0.02
 # What one rank counts for in the order of a queue, in seconds: above any deadline, so that a lower
 # rank always goes first. By 50 ms, as before, routine requests that had waited went before urgent
 # ones that had just come, and under more than could be done fewer of the urgent ones were served.
@@ -54,7 +55,7 @@
     orders: dict[int, float] = attrs.Factory(dict)
     began_with: dict[int, int] = attrs.Factory(dict)
     sequence: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(1))
-    urgent_share: Smoothed = attrs.Factory(lambda: Smoothed(0.05, 0.05, 0.0, 1))
+    shares: RankShares = attrs.Factory(RankShares)
     routine_running: int = 0
     stall_seen: float | None = None
     limited_by: tuple[str, int, int] = ("", 0, 0)
@@ -176,7 +177,7 @@
         remaining_ms = (due - now) * 1000
         order = self._order(profile, due, now)
         ahead = self._ahead(profile.urgent, order)
-        wait_ms = self._wait_ms(ahead, profile.urgent, service_ms)
+        wait_ms = self._wait_ms(ahead, profile, service_ms)
         own_ms = self._own_ms(profile, now)
         if self._may_start(profile.urgent):
             # Slots are free, and it waits for the pace alone.
@@ -297,26 +298,24 @@
         """
         return self.in_use * 2 >= self.limit or len(self.profiles) > self.in_use
 
-    def _wait_ms(self, ahead: int, urgent: bool, service_ms: float) -> float:
+    def _wait_ms(self, ahead: int, profile: CallProfile, service_ms: float) -> float:
         """Return the expected wait behind ``ahead`` others, in milliseconds.
 
-        A slot frees ``limit`` times in a service time. Of those that a routine request could get,
-        the urgent ones that arrive while it waits take the share that they had lately, and more in
-        a burst. Failure without that: in a surge routine requests are queued that never get a slot,
-        and are refused only when it is too late for them.
+        A slot frees ``limit`` times in a service time. Of those that a request could get, what goes
+        before it and arrives while it waits takes the share that it had lately. Failure without
+        that: in a surge routine requests are queued that never get a slot, and are refused only
+        when it is too late for them.
         """
-        if urgent:
-            return (ahead + 1) * service_ms / self.limit
-        left = max(LEAST_LEFT_FOR_ROUTINE, 1 - self.urgent_share.value)
-        bursts = 1 + URGENT_BURSTS * self.urgent_share.value
-        return (ahead + 1) * service_ms * bursts / (self.routine_limit * left)
+        limit = self.limit if profile.urgent else self.routine_limit
+        left = max(LEAST_LEFT, 1 - self.shares.before(profile))
+        return (ahead + 1) * service_ms / (limit * left)
 
     def _start(self, ticket: int, profile: CallProfile, now: float) -> None:
         self.orders.pop(ticket, None)
         self.times.start(ticket, now, profile.kind)
         self.began_with[ticket] = self.in_use
         self.profiles[ticket] = profile
-        self.urgent_share.add(1.0 if profile.urgent else 0.0)
+        self.shares.started(profile, self._work_ms(profile))
         if not profile.urgent:
             self.routine_running += 1
 
@@ -404,7 +403,7 @@
         late: list[int] = []
         for order, ticket in list(self.routine.entries):
             ahead = len(self.urgent) + self.routine.ahead_of(order) - 1
-            need_ms = self._wait_ms(ahead, False, service_ms) + service_ms
+            need_ms = self._wait_ms(ahead, self.profiles[ticket], service_ms) + service_ms
             if need_ms > (self.dues[ticket] - now) * 1000 * RECHECK_SLACK:
                 self._drop_queued(ticket)
                 late.append(ticket)
