A node that finds its server by itself no longer breaks a scenario's premise

Cause: 'What waits for a server that drains is run by another' wants a server beside node 1 alone. Node 2 takes the sound server beside it before any registration, as it should, and on a busy machine before the bookings begin: one of the three then runs there at once, and two never wait. Ruled out: a refusal or a lost booking (all three were answered 200, each run once). The step now keeps its word, since a server without an identity can't be found.

--- a/features/platform_harness.py
+++ b/features/platform_harness.py
@@ -90,9 +90,16 @@
             },
         )
 
-    async def add_seat(self, service: str, *, service_ms: float = 5.0, slots: int = 10) -> Seat:
-        """Start a backend server and the node beside it; nothing is registered yet."""
+    async def add_seat(
+        self, service: str, *, service_ms: float = 5.0, slots: int = 10, instance: str = "i-1"
+    ) -> Seat:
+        """Start a backend server and the node beside it; nothing is registered yet.
+
+        A node that finds its server sound and with an identity takes it before any registration;
+        with an empty ``instance`` it can't.
+        """
         server = await start_platform_backend(self.host, service_ms=service_ms, slots=slots)
+        server.instance = instance
         addresses = [f"{self.host}:{free_port(self.host)}" for _ in range(7)]
         callers, peers, gossip, operators, readiness, registration, metrics = addresses
         settings = NodeSettings(
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -57,7 +57,14 @@
 @given("a fleet on the platform with 1 slot of {milliseconds:d} ms: {services}")
 def given_slow_fleet(context: Any, milliseconds: int, services: str) -> None:
     fleet = start_fleet(context)
-    run(context, fill(fleet, services.split(", "), slots=1, service_ms=float(milliseconds)))
+    sizes = {"slots": 1, "service_ms": float(milliseconds)}
+    run(context, fill(fleet, services.split(", "), instance="", **sizes))
+
+
+async def register_first_time(each: Seat) -> None:
+    """Give the server of a seat its identity, and register it."""
+    each.server.instance = "i-1"
+    await each.registrant.heartbeat("i-1")
 
 
 @given("a node on the platform whose store is away")
@@ -269,7 +276,7 @@
     first = seat(context, 1)
 
     async def begin() -> None:
-        await first.registrant.heartbeat("i-1")
+        await register_first_time(first)
         ready = first.node.serving.admission
         await context.fleet.wait_for(lambda: ready.report(0.0).accepts)
         await context.fleet.wait_for(first.node.takes_callers)
@@ -294,7 +301,7 @@
 def drains_and_registers(context: Any) -> None:
     async def change() -> None:
         second = seat(context, 2)
-        await second.registrant.heartbeat("i-1")
+        await register_first_time(second)
         name = second.node.name
         members = seat(context, 1).node.membership.members_of
         await context.fleet.wait_for(
