A planned stop whose time is over answers callers before it leaves the fleet

Now the time limits of all requests end at that moment, callers get their answers, and whatever is left of the time goes to the store.

--- a/features/platform/life.feature
+++ b/features/platform/life.feature
@@ -10,6 +10,18 @@
     And from 1.6 s after being told on, the server of node 1 runs nothing new
     And node 1 has ended within 6 s of being told
 
+  Scenario: What still waits when the time for a stop is over gets its final answer
+    # A booking waits for the only slot, at another node, when the node that it came by is told to
+    # stop. The store is away, so that the node can't take its announcement back, which takes what is
+    # left of its time. Its caller, and that of the booking before it, are answered all the same,
+    # before the platform ends the process: what became of them is unknown.
+    Given a fleet on the platform with 1 slot of 4000 ms: mapdesk, licencehub
+    And 2 bookings are under way through node 2, one of which waits at node 1
+    When the store goes away
+    And node 2 is told to stop, with 2 s for it
+    Then both bookings are answered 504 within 1.95 s of being told
+    And node 2 has ended within 1.95 s of being told
+
   Scenario: A node that is stopped leaves its backend server in use while others can't spare it
     # Nodes are stopped in turn, and each leaves its sound server idle for as long as its own restart
     # takes. The servers that are left refuse what these could have run.
--- a/features/steps/platform_life_steps.py
+++ b/features/steps/platform_life_steps.py
@@ -9,7 +9,15 @@
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
 
 from features.platform_harness import PlatformFleet, route
-from features.steps.platform_node_steps import all_at, fill, run, seat, start_fleet
+from features.steps.platform_node_steps import (
+    all_at,
+    begin_booking,
+    fill,
+    register_first_time,
+    run,
+    seat,
+    start_fleet,
+)
 from marjoramtide.platform import platform_interface
 
 use_step_matcher("parse")
@@ -57,10 +65,43 @@
     run(context, ask())
 
 
-@then("node 1 has ended within {seconds:d} s of being told")
-def has_ended(context: Any, seconds: int) -> None:
+@given("2 bookings are under way through node 2, one of which waits at node 1")
+def given_waiting_booking(context: Any) -> None:
+    first, second = seat(context, 1), seat(context, 2)
+
+    async def book() -> None:
+        await register_first_time(first)
+        await context.fleet.wait_for(second.node.takes_callers)
+        members = second.node.membership.members_of
+        await context.fleet.wait_for(lambda: members("mapdesk"))
+        work = [begin_booking(context, second) for _ in range(2)]
+        context.bookings = [asyncio.create_task(each) for each in work]
+        await context.fleet.wait_for(lambda: len(first.node.serving.waiting) == 1)
+
+    run(context, book())
+
+
+@when("node {number:d} is told to stop, with {seconds:g} s for it")
+def told_to_stop_soon(context: Any, number: int, seconds: float) -> None:
+    seat(context, number).node.stop_grace_s = seconds
+    told_to_stop(context, number)
+
+
+@then("both bookings are answered {status:d} within {seconds:g} s of being told")
+def both_answered(context: Any, status: int, seconds: float) -> None:
+    async def collect() -> list[Any]:
+        left = context.told_at + seconds - asyncio.get_running_loop().time()
+        async with asyncio.timeout(left):
+            return await asyncio.gather(*context.bookings)
+
+    results = run(context, collect())
+    assert [result.status for result in results] == [status] * 2, results
+
+
+@then("node {number:d} has ended within {seconds:g} s of being told")
+def has_ended(context: Any, number: int, seconds: float) -> None:
     async def wait() -> None:
-        async with asyncio.timeout(seconds):
+        async with asyncio.timeout(context.told_at + seconds - asyncio.get_running_loop().time()):
             await context.stopping
 
     run(context, wait())
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -1,12 +1,13 @@
 """Steps with real nodes on the platform's interface."""
 
 import asyncio
+from collections.abc import Coroutine
 from typing import Any
 
 import aiohttp
 from behave import given, step, then, use_step_matcher, when  # type: ignore[attr-defined]
 
-from features.platform_harness import HOST_NAME, PlatformFleet, Seat, route
+from features.platform_harness import HOST_NAME, CallResult, PlatformFleet, Seat, route
 from marjoramtide.errors import MarjoramtideError
 from marjoramtide.settings.sync import ChangeRequest
 from standins.expected_body import expected_body
@@ -271,6 +272,12 @@
     assert len(seat(context, number).server.seen) == count
 
 
+def begin_booking(context: Any, entry: Seat) -> Coroutine[Any, Any, CallResult]:
+    """Return a booking by a caller with nine seconds of patience."""
+    headers = {"X-Deadline-Ms": "9000"}
+    return context.fleet.call(entry, "/book/7", method="POST", body=b"booking", headers=headers)
+
+
 @given("{count:d} bookings are under way through node 1, where only node 1 has a server")
 def given_bookings(context: Any, count: int) -> None:
     first = seat(context, 1)
@@ -280,18 +287,8 @@
         ready = first.node.serving.admission
         await context.fleet.wait_for(lambda: ready.report(0.0).accepts)
         await context.fleet.wait_for(first.node.takes_callers)
-        context.bookings = [
-            asyncio.create_task(
-                context.fleet.call(
-                    first,
-                    "/book/7",
-                    method="POST",
-                    body=b"booking",
-                    headers={"X-Deadline-Ms": "9000"},
-                )
-            )
-            for _ in range(count)
-        ]
+        work = [begin_booking(context, first) for _ in range(count)]
+        context.bookings = [asyncio.create_task(each) for each in work]
         await context.fleet.wait_for(lambda: len(first.node.serving.waiting) == count - 1)
 
     run(context, begin())
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -3,7 +3,8 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from typing import Any
 
 import attrs
@@ -66,6 +67,7 @@
         self.tracer = tracer
         self.states: dict[str, ServiceState] = {}
         self.splits: dict[tuple[str, str], SmoothSplit] = {}
+        self.limits: set[asyncio.Timeout] = set()
         view.on_change(self.settings_changed)
 
     def settings_changed(self, revision: int) -> None:
@@ -121,7 +123,7 @@
         attempts.budgets.retries.deposit(now)
         attempts.budgets.rejections.deposit(now)
         try:
-            async with asyncio.timeout(max(0.0, request.deadline - now)):
+            async with self.time_limit(max(0.0, request.deadline - now)):
                 if request.idempotent and body.inline is not None:
                     attempts.budgets.hedges.deposit(now)
                     answer = await self.try_hedged(attempts)
@@ -142,6 +144,23 @@
             late.tries = attempts.story
             raise late from error
 
+    @asynccontextmanager
+    async def time_limit(self, seconds: float) -> AsyncIterator[None]:
+        """Limit what is done inside to a time, which ``end_all`` may cut short."""
+        async with asyncio.timeout(seconds) as limit:
+            self.limits.add(limit)
+            try:
+                yield
+            finally:
+                self.limits.discard(limit)
+
+    def end_all(self) -> None:
+        """End all that is under way, as if each deadline had passed."""
+        now = asyncio.get_running_loop().time()
+        for limit in self.limits:
+            if not limit.expired():
+                limit.reschedule(now)
+
     def as_urgent_as_its_parent(self, request: Request) -> Request:
         """Return a call with the class and rank of the request that waits for it.
 
