In its first moments a node lets requests wait for settings and members; starts are quicker

A request now waits up to 0.5 s after its node's start, and a node up for longer refuses at once as before.

--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -20,7 +20,7 @@
 
 SIZES = (10, 20, 40, 80)
 LIBRARIES = ("asyncio", "aiohttp", "websockets", "cbor2", "structlog")
-BARE = {"python": (), "libraries": LIBRARIES, "node's code": ("marjoramtide.daemon.main",)}
+BARE = {"python": (), "libraries": LIBRARIES, "node's code": ("marjoramtide.daemon._process",)}
 OUT = Path("out/fleet.json")
 
 
--- a/bench/model/_model_node.py
+++ b/bench/model/_model_node.py
@@ -12,7 +12,7 @@
 from bench.model._model_work import ModelWork
 from bench.model._virtual_loop import LoopClock
 from marjoramtide.exchange import Answer, LoadReport, Request, inline_body
-from marjoramtide.ingress import Dispatcher
+from marjoramtide.ingress import Dispatcher, StartUp
 from marjoramtide.membership import Member, MemberState
 from marjoramtide.serving import BackendState, HealthReading, Measurer, ServerLoad, ServingService
 from marjoramtide.settings import Place, RouteSettings
@@ -57,6 +57,9 @@
         self.measurer.next_look_at = self.serving.next_look_at
         self.serving.measurer = self.measurer
         self.serving.pace_listener = lambda report: publish(self, report)
+        start_up = StartUp(self.clock)
+        start_up.begin()
+        self.directory.on_change(lambda member: start_up.note_news())
         self.dispatcher = Dispatcher(
             self.directory,
             self.view,
@@ -67,6 +70,7 @@
             self.metrics,
             tracer,
             self.serving.running.get,
+            start_up,
         )
         settings = self.view.route(member.service, "/")
         self.serving.open(settings)
--- a/features/steps/platform_status_steps.py
+++ b/features/steps/platform_status_steps.py
@@ -12,7 +12,7 @@
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
 
 from features.steps.platform_node_steps import run, seat
-from marjoramtide.daemon import main
+from marjoramtide.daemon import _process
 from marjoramtide.interface import Interface, own_interface
 from marjoramtide.settings import NodeSettings, load_node_settings
 from standins.free_port import free_port, loopback_host
@@ -88,14 +88,14 @@
             raise RuntimeError("a fault of ours")
         return own_interface()
 
-    context.cleanup.enter_context(mock.patch.object(main, "make_interface", make))
+    context.cleanup.enter_context(mock.patch.object(_process, "make_interface", make))
 
 
 @when("the settings file changes twice")
 def changes_twice(context: Any) -> None:
     async def change() -> None:
         settings = load_node_settings(str(context.file))
-        node = asyncio.create_task(main.run(settings, str(context.file)))
+        node = asyncio.create_task(_process.run(settings, str(context.file)))
         try:
             for number, level in enumerate(("warning", "error"), start=2):
                 await asyncio.sleep(1.5)
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -15,7 +15,7 @@
 from marjoramtide.daemon._supervision import keep_running
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import LoadReport
-from marjoramtide.ingress import Dispatcher, Ingress
+from marjoramtide.ingress import Dispatcher, Ingress, StartUp
 from marjoramtide.interface import Interface, own_interface
 from marjoramtide.membership import Member, MemberState, make_membership
 from marjoramtide.operators import make_operators_app
@@ -118,6 +118,7 @@
         self.membership.on_bulletin(self.take_load)
 
         self.serving.measurer = self.measurer
+        self.start_up = StartUp(self.clock)
         self.dispatcher = Dispatcher(
             self.membership,
             self.view,
@@ -128,6 +129,7 @@
             self.metrics,
             self.tracer,
             self.serving.running.get,
+            self.start_up,
         )
         self.ingress = Ingress(
             self.name,
@@ -137,6 +139,7 @@
             self.metrics,
             self.tracer,
             interface.callers,
+            self.start_up,
         )
         self.registrar: Registrar | None = None
         self.registered_slots: int | None = None
@@ -154,6 +157,8 @@
         self.tasks: set[asyncio.Task[Any]] = set()
         self.view.on_change(self.settings_changed)
         self.membership.on_change(self.member_changed)
+        self.view.on_change(lambda revision: self.start_up.note_news())
+        self.membership.on_change(lambda member: self.start_up.note_news())
 
     async def start(self) -> None:
         """Open every port and begin every task."""
@@ -161,6 +166,7 @@
         try:
             await self.peer_server.start(*parse_address(settings.peers))
             await self.membership.start()
+            self.start_up.begin()
             await self.ingress.start(*parse_address(settings.callers))
             for address, server in self.servers.items():
                 await server.start(*parse_address(address))
--- a/src/marjoramtide/ingress/__init__.py
+++ b/src/marjoramtide/ingress/__init__.py
@@ -5,12 +5,14 @@
 from marjoramtide.ingress._ingress import Ingress
 from marjoramtide.ingress._own_callers import OwnCallers
 from marjoramtide.ingress._read_request import bad, read_idempotent, read_route, single
+from marjoramtide.ingress._start_up import StartUp
 
 __all__ = [
     "CallerProtocol",
     "Dispatcher",
     "Ingress",
     "OwnCallers",
+    "StartUp",
     "bad",
     "read_idempotent",
     "read_route",
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -26,6 +26,7 @@
 from marjoramtide.ingress._failure_lessons import learn_failure
 from marjoramtide.ingress._hedge import Hedge
 from marjoramtide.ingress._service_state import ServiceState, make_service_state
+from marjoramtide.ingress._start_up import StartUp
 from marjoramtide.membership import Directory, Member
 from marjoramtide.peers import PeerClient
 from marjoramtide.policy import (
@@ -54,8 +55,12 @@
         metrics: Metrics,
         tracer: Tracer,
         running: Callable[[str], Request | None] = lambda request_id: None,
+        start_up: StartUp | None = None,
     ) -> None:
-        """``running`` returns what the own backend server runs under an id, where it does."""
+        """``running`` returns what the own backend server runs under an id, where it does.
+
+        Without a ``start_up`` no request waits for members.
+        """
         self.directory = directory
         self.running = running
         self.view = view
@@ -68,6 +73,7 @@
         self.states: dict[str, ServiceState] = {}
         self.splits: dict[tuple[str, str], SmoothSplit] = {}
         self.limits: set[asyncio.Timeout] = set()
+        self.start_up = start_up or StartUp(clock)
         view.on_change(self.settings_changed)
 
     def settings_changed(self, revision: int) -> None:
@@ -124,6 +130,7 @@
         attempts.budgets.rejections.deposit(now)
         try:
             async with self.time_limit(max(0.0, request.deadline - now)):
+                await self.start_up.wait_until(lambda: self.knows(request.service))
                 if request.idempotent and body.inline is not None:
                     attempts.budgets.hedges.deposit(now)
                     answer = await self.try_hedged(attempts)
@@ -161,6 +168,10 @@
             if not limit.expired():
                 limit.reschedule(now)
 
+    def knows(self, service: str) -> bool:
+        """Tell whether any node is known that may take work of a service."""
+        return bool(self.directory.members_of(service))
+
     def as_urgent_as_its_parent(self, request: Request) -> Request:
         """Return a call with the class and rank of the request that waits for it.
 
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -27,6 +27,7 @@
 from marjoramtide.ingress._dispatcher import Dispatcher
 from marjoramtide.ingress._own_callers import OwnCallers
 from marjoramtide.ingress._read_body import read_body
+from marjoramtide.ingress._start_up import StartUp
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, Tracer, read_trace
 
@@ -58,8 +59,11 @@
         metrics: Metrics,
         tracer: Tracer,
         protocol: CallerProtocol | None = None,
+        start_up: StartUp | None = None,
     ) -> None:
+        """Without a ``start_up`` no request waits for settings."""
         self.node = node
+        self.start_up = start_up or StartUp(clock)
         self.protocol = protocol or OwnCallers()
         self.view = view
         self.dispatcher = dispatcher
@@ -132,6 +136,7 @@
         body: RequestBody | None = None
         request: Request | None = None
         try:
+            await self.start_up.wait_until(lambda: self.view.is_current)
             self.check_open()
             request, settings = self.protocol.read(http, self.view, self.tracer, now)
             self.check_room(request)
--- a/src/marjoramtide/serving/_measurer.py
+++ b/src/marjoramtide/serving/_measurer.py
@@ -1,5 +1,6 @@
 """Reads the backend server's health endpoint, within its budget."""
 
+import asyncio
 from collections.abc import Callable
 
 import structlog
@@ -49,6 +50,7 @@
         self.failed_reads = 0
         self.path = "/health"
         self.budget: MeasuringBudget | None = None
+        self.configured = asyncio.Event()
 
     def configure(self, settings: RouteSettings) -> None:
         """Read at the rate that these settings allow."""
@@ -60,6 +62,7 @@
             budget.read_ms = self.budget.read_ms
             budget.execution_ms = self.budget.execution_ms
         self.budget = budget
+        self.configured.set()
 
     def traffic(self, succeeded: bool, took_ms: float) -> None:
         """Note the end of a request: reads may be rarer where it went well, and come sooner where
@@ -68,7 +71,11 @@
             self.budget.traffic(self.clock.monotonic(), succeeded, took_ms)
 
     async def run(self) -> None:
-        """Read until cancelled."""
+        """Read until cancelled, from the first settings on.
+
+        Waking for them in steps of 0.1 s made a node that starts serve 50 ms later on the mean.
+        """
+        await self.configured.wait()
         while True:
             now = self.clock.monotonic()
             due = self.next_read_at(now)
@@ -87,8 +94,7 @@
 
         ``next_look_at`` is told by whoever follows the load that each read brings.
         """
-        if self.budget is None:
-            return now + MAX_WAIT_S
+        assert self.budget is not None
         usual = self.budget.next_read_at(now)
         if self.next_look_at is None or self.budget.last_read_at is None:
             return usual
