What each mechanism is worth is measured by leaving it out, by one command

Cause: which of the mechanisms help on fleets that nobody tuned to could only be told by editing code. 'python -m bench.model ablate' leaves out one at a time in the processes that play, pairs the plays with those of the whole product and prints the rows of a table; 'without NAME CHECKOUT' leaves one out of a scratch copy for other instruments. No switch is added to the product. Ruled out: settings for each, which would be paths that nobody runs.

--- a/bench/model/__main__.py
+++ b/bench/model/__main__.py
@@ -7,6 +7,7 @@
 
 import fire
 
+from bench.model._ablation import ablate
 from bench.model._comparison import FIGURES, difference, losses, paired, way_to_oracle
 from bench.model._deployment_file import load_deployment
 from bench.model._experiment import (
@@ -20,6 +21,7 @@
     run_jobs,
     write_runs,
 )
+from bench.model._mechanisms import MECHANISMS
 from marjoramtide.errors import MarjoramtideError
 
 BASELINES = ("round-robin", "two-choices", "least-outstanding")
@@ -79,6 +81,33 @@
                 write_runs(Path(out) / f"{name or 'own'}.json", each)
         print_bounds(runs)
 
+    def ablate(
+        self,
+        first: int = 1,
+        count: int = FIXED,
+        seeds: int = 1,
+        processes: int = PROCESSES,
+        only: str | tuple[str, ...] = (),
+    ) -> None:
+        """Print what is lost without each mechanism, as rows of a table.
+
+        ONLY names some of them, with commas between.
+        """
+        chosen = (only,) if isinstance(only, str) else only
+        jobs = make_jobs(drawn(first, count), seeds, {})
+        whole = list(run_jobs(jobs, processes))
+        for mechanism in MECHANISMS:
+            if not chosen or mechanism.name in chosen:
+                print(ablate(mechanism, jobs, whole, processes), flush=True)
+
+    def without(self, name: str, checkout: str) -> None:
+        """Leave the mechanism NAME out of CHECKOUT, a scratch copy of the project."""
+        found = next((each for each in MECHANISMS if each.name == name), None)
+        if found is None:
+            names = ", ".join(each.name for each in MECHANISMS)
+            raise ValueError(f"no mechanism {name!r}; allowed: {names}")
+        print(found.leave_out_of(Path(checkout)))
+
 
 def print_comparison(before: list[Run], after: list[Run]) -> None:
     pairs = paired(before, after)
--- a/bench/model/_experiment.py
+++ b/bench/model/_experiment.py
@@ -5,7 +5,7 @@
 import os
 import subprocess
 import sys
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import Any
@@ -51,9 +51,14 @@
     return job.run()
 
 
-def run_jobs(jobs: Sequence[Job], processes: int) -> Iterator[Run]:
-    """Yield the results in the order of the jobs, with progress on standard error."""
-    with ProcessPoolExecutor(processes) as pool:
+def run_jobs(
+    jobs: Sequence[Job], processes: int, begin: Callable[[], None] | None = None
+) -> Iterator[Run]:
+    """Yield the results in the order of the jobs, with progress on standard error.
+
+    Each process calls ``begin`` before its first job.
+    """
+    with ProcessPoolExecutor(processes, initializer=begin) as pool:
         for number, run in enumerate(pool.map(run_job, jobs), 1):
             print(f"\r{number} of {len(jobs)} played", end="", file=sys.stderr, flush=True)
             yield run
--- /dev/null
+++ b/bench/model/_mechanisms.py
@@ -0,0 +1,104 @@
+"""The mechanisms that are measured by leaving them out one at a time."""
+
+from bench.model._mechanism import Mechanism
+
+POLICY = "marjoramtide.policy"
+PACE = f"{POLICY}.pace._pace"
+PLACING = f"{POLICY}.placing"
+FORECAST = f"{PLACING}._forecast_selector"
+PREDICTED = f"{PLACING}._predicted_selector"
+ADMISSION = f"{POLICY}.admission._edf_admission"
+TIMES = f"{POLICY}.admission._execution_times"
+INGRESS = "marjoramtide.ingress"
+
+NOTHING = "lambda *args, **kwargs: None"
+NEVER = "lambda *args, **kwargs: False"
+NONE_OF_THEM = "lambda *args, **kwargs: []"
+ZERO = "lambda *args, **kwargs: 0.0"
+ONE = "lambda *args, **kwargs: 1.0"
+
+MECHANISMS = (
+    Mechanism("wait for the server's pace", PACE, "Pace.waits", NEVER),
+    Mechanism("follow the grid of changes", f"{POLICY}.pace._interference", "fit_grid", NOTHING),
+    Mechanism("length of slow stretches", f"{POLICY}.pace._stretches", "Stretches.left_s", ZERO),
+    Mechanism("turn first tries away while slow", ADMISSION, "EdfAdmission._misses_goal", NEVER),
+    Mechanism(
+        "ask again where none is quicker",
+        f"{INGRESS}._dispatcher",
+        "Dispatcher.choose_to_wait",
+        NOTHING,
+    ),
+    Mechanism("tell others of each change of pace", FORECAST, "ForecastSelector.reported", NOTHING),
+    Mechanism("silence of a server", TIMES, "ExecutionTimes.silence_ms", ZERO),
+    Mechanism("hand back in a stall", TIMES, "ExecutionTimes.stalls_at", NOTHING),
+    Mechanism("silence of a node", f"{PLACING}._node_view", "NodeView.silence_ms", ZERO),
+    Mechanism(
+        "goal before deadline",
+        ADMISSION,
+        "EdfAdmission._due",
+        "lambda self, profile, now: profile.deadline",
+    ),
+    Mechanism("rank order", ADMISSION, "RANK_STEP_S", "0.0"),
+    Mechanism(
+        "calls first in their rank",
+        "marjoramtide.exchange._request",
+        "Request.is_call",
+        f"property({NEVER})",
+    ),
+    Mechanism(
+        "calls ranked as their parents",
+        f"{INGRESS}._dispatcher",
+        "Dispatcher.as_urgent_as_its_parent",
+        "lambda self, request: request",
+    ),
+    Mechanism(
+        "time kept for longer requests",
+        f"{POLICY}.admission._kind_times",
+        "PLANNED_DEVIATIONS",
+        "0.0",
+    ),
+    Mechanism(
+        "share of what goes first in a wait",
+        f"{POLICY}.admission._rank_shares",
+        "RankShares.before",
+        ZERO,
+    ),
+    Mechanism(
+        "routine work pushed back is dropped", ADMISSION, "EdfAdmission._pushed_back", NONE_OF_THEM
+    ),
+    Mechanism(
+        "first limit below the slots", f"{POLICY}.admission._knee_limiter", "FIRST_SHARE", "1.0"
+    ),
+    Mechanism(
+        "knee limit",
+        f"{POLICY}.admission._knee_limiter",
+        "KneeLimiter.limit",
+        "property(lambda self: self.slots)",
+    ),
+    Mechanism("own bonus", FORECAST, "OWN_BONUS", "0.0"),
+    Mechanism("jitter of loads", FORECAST, "LOAD_JITTER", "0.0"),
+    Mechanism("slowed nodes last", FORECAST, "SLOWED", "1e9"),
+    Mechanism("stragglers", FORECAST, "ForecastSelector._straggling", ONE),
+    Mechanism("usual pace of unknown nodes", FORECAST, "ForecastSelector._usual_slowdown", ONE),
+    Mechanism(
+        "no second ask of full nodes",
+        FORECAST,
+        "ForecastSelector._is_last_resort",
+        "lambda *args: True",
+    ),
+    Mechanism(
+        "own data centre first", PREDICTED, "PredictedSelector._tier", "lambda self, member: 0"
+    ),
+    Mechanism("outlier ejection", f"{PLACING}._outlier_ejection", "OutlierEjection.note", NOTHING),
+    Mechanism("explorer", f"{PLACING}._explorer", "Explorer.pick", NOTHING),
+    Mechanism("sound nodes first", FORECAST, "ForecastSelector._is_sound", "lambda *args: True"),
+    Mechanism("hedges", f"{INGRESS}._service_state", "ServiceState.may_hedge", NEVER),
+    Mechanism("first moments", f"{INGRESS}._start_up", "START_UP_S", "0.0"),
+    Mechanism(
+        "places dealt to refused callers",
+        f"{POLICY}.budgets._come_back_hint",
+        "ComeBackHint.next_ms",
+        "lambda self, base_ms, rate_per_s, now: max(1, round(base_ms))",
+    ),
+    Mechanism("spread of come-back hints", f"{INGRESS}._attempts", "SPREAD", "1.0"),
+)
--- a/features/bench/model.feature
+++ b/features/bench/model.feature
@@ -29,3 +29,15 @@
       | a share above 0.9        | share          |
       | a service without a name | name           |
       | a split to nowhere       | split names    |
+
+  Scenario: A mechanism that is left out is one that there is
+    # Code is renamed, and the table of what each mechanism is worth goes on to leave out a name that
+    # nobody reads. The mechanism would pass for worth nothing, and be removed.
+    Given the mechanisms that are measured
+    Then each of them can be left out, and its source is where the table says
+    And a mechanism of a name that does not exist is refused
+
+  Scenario: What a mechanism is worth is told against the whole product
+    Given a deployment of 4 servers with neighbours that is played for 8 seconds
+    When it is played with and without waiting for the server's pace, on seeds 1 to 3
+    Then the row of the table tells a loss within the goal
