Several mechanisms may be named at once in an ablation

Cause: the command line's library takes names with spaces for one text, not for several, so that none was found and nothing was played.

--- a/bench/model/__main__.py
+++ b/bench/model/__main__.py
@@ -87,17 +87,17 @@
         count: int = FIXED,
         seeds: int = 1,
         processes: int = PROCESSES,
-        only: str | tuple[str, ...] = (),
+        only: str = "",
     ) -> None:
         """Print what is lost without each mechanism, as rows of a table.
 
         ONLY names some of them, with commas between.
         """
-        chosen = (only,) if isinstance(only, str) else only
+        chosen = only.split(",") if only else [each.name for each in MECHANISMS]
         jobs = make_jobs(drawn(first, count), seeds, {})
         whole = list(run_jobs(jobs, processes))
         for mechanism in MECHANISMS:
-            if not chosen or mechanism.name in chosen:
+            if mechanism.name in chosen:
                 print(ablate(mechanism, jobs, whole, processes), flush=True)
 
     def without(self, name: str, checkout: str) -> None:
