--- a/features/steps/gossip_datagrams_steps.py
+++ b/features/steps/gossip_datagrams_steps.py
@@ -142,6 +142,3 @@
 @then("the next line counts {count:d} datagrams")
 def next_line(context: Any, count: int) -> None:
     assert [line["count"] for line in context.lines] == [count], context.lines
-
-
-# One core by itself
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -447,6 +447,9 @@
     assert not [pair for pair in suspected if pair[1] == f"node-{number}"], suspected
 
 
+# One core by itself
+
+
 @given("a lone membership core that knows {count:d} members")
 def lone_core(context: Any, count: int) -> None:
     network = Network(41)
