--- a/src/marjoramtide/policy/admission/_kind_times.py
+++ b/src/marjoramtide/policy/admission/_kind_times.py
@@ -4,9 +4,9 @@
 
 from marjoramtide.policy._smoothed import Smoothed
 
-# Mean deviations above the mean that a waiting request is kept time for: four in five take less. On a
-# fleet of ten nodes it was worth 0.006 to 0.011 of what callers are owed, half and double of it 0.004
-# (means of fifteen paired days).
+# Mean deviations above the mean that a waiting request is kept time for: four in five take less.
+# On a fleet of ten nodes it was worth 0.006 to 0.011 of what callers are owed, half and double of
+# it 0.004 (means of fifteen paired days).
 PLANNED_DEVIATIONS = 1.0
 
 
