A backend server that starts again under its identity is a new one; heartbeats are checked

Cause: a heartbeat whose count was not above the one held was taken for a late one, so a server that started again under its identity had no work until it had counted past its former life, and all that was known of that life (limit, times, outcomes, slots in use, connections) was taken for the new one's. Heartbeats were cast by int() and str(), so a state that nobody knows, a negative number of slots or a list for a name passed for a sound server.

What a server was born at now makes its starts apart (serving/_ended_starts.py). A later start ends the runs of the former one as of unknown outcome, closes its connections and begins limiter, times, outcomes and measuring anew. Reports carry the count of starts in the upper half of their sequence: a field of its own was ruled out, since a node of the version before would lose every report. Heartbeats go through one strict converter (cattrs, without generated code), named reasons, counted.

The pace scenario hands the service a transport that is never used, since a replaced server closes connections; its assertions are as they were.

--- a/bench/model/_model_transport.py
+++ b/bench/model/_model_transport.py
@@ -67,6 +67,9 @@
         text = f"{load.running},{load.waiting},{load.slots},{load.slowdown}"
         return EndpointAnswer(200, (), text.encode())
 
+    def server_replaced(self) -> None:
+        return None
+
     async def close(self) -> None:
         return None
 
--- a/features/steps/pace_steps.py
+++ b/features/steps/pace_steps.py
@@ -11,6 +11,7 @@
 from bench.model._neighbours import Neighbours
 from bench.model._play import play
 from bench.model._service_plan import ServicePlan
+from features.steps.serving_steps import SilentTransport
 from marjoramtide.clock import FreezeDetector, ManualClock
 from marjoramtide.policy.pace import Pace
 from marjoramtide.policy.pace._stretches import Stretches
@@ -105,8 +106,8 @@
     clock = context.clock = ManualClock()
     view = TreeSettingsView(Place(), Freshness(clock, FreezeDetector(clock)))
     tracer = Tracer("node", clock, random.Random(SEED))
-    # Neither claims nor a connection are needed where nothing is sent.
-    context.serving = ServingService("s", None, None, view, clock, Metrics(), tracer)
+    # No claims are needed where nothing is sent.
+    context.serving = ServingService("s", SilentTransport(), None, view, clock, Metrics(), tracer)
     tell(context, 1.0, seconds)
 
 
--- /dev/null
+++ b/features/steps/server_starts_steps.py
@@ -0,0 +1,108 @@
+"""Steps for backend servers that start again under the identity that they had."""
+
+import asyncio
+import time
+from typing import Any
+
+from behave import given, step, then, when  # type: ignore[attr-defined]
+
+from features.steps.platform_node_steps import run, seat
+from marjoramtide.exchange import LoadReport
+from marjoramtide.policy import CallProfile
+from marjoramtide.serving import Registration
+
+INSTANCE = "i-1"
+FAILED_MS = 5000.0
+FAILURES = 40
+
+
+def registered(context: Any, number: int) -> Registration:
+    registrar = seat(context, number).node.registrar
+    assert registrar is not None and registrar.current is not None
+    return registrar.current
+
+
+def report(context: Any, number: int) -> LoadReport:
+    return seat(context, number).node.serving.report(time.monotonic())
+
+
+@given("the server of node {number:d} was born at {born:d} and has sent {count:d} heartbeats")
+def was_born(context: Any, number: int, born: int, count: int) -> None:
+    seat(context, number).registrant.born = born
+    has_sent(context, number, count)
+
+
+@given("the server of node {number:d} has sent {count:d} heartbeats")
+def has_sent(context: Any, number: int, count: int) -> None:
+    registrant = seat(context, number).registrant
+    for _ in range(count):
+        assert run(context, registrant.heartbeat(INSTANCE)) == 200
+
+
+@step("the server of node {number:d} starts again under its identity, born at {born:d}")
+def starts_again(context: Any, number: int, born: int) -> None:
+    each = seat(context, number)
+    each.server.faults.drain = False
+    each.server.start_again(each.registrant.slots)
+    each.registrant.born = born
+    each.registrant.sequence = 0
+    context.started_again_at = time.monotonic()
+    assert run(context, each.registrant.heartbeat(INSTANCE)) == 200
+    accepts = each.node.serving.admission.report
+    run(context, context.fleet.wait_for(lambda: accepts(0.0).accepts, 1.0))
+
+
+@when("a heartbeat of the start of {born:d} says that it drains")
+def late_drain(context: Any, born: int) -> None:
+    registrant = seat(context, 1).registrant
+    body = registrant.body(state="draining", sequence=99) | {"born": born}
+    assert run(context, registrant.call("PUT", INSTANCE, body)) == 200
+
+
+@when("a departure of the start of {born:d} arrives")
+def late_departure(context: Any, born: int) -> None:
+    registrant = seat(context, 1).registrant
+    assert run(context, registrant.call("DELETE", INSTANCE, {"born": born})) == 200
+
+
+@given("node 1 has learned that its server is slow and fails")
+def has_learned(context: Any) -> None:
+    serving = seat(context, 1).node.serving
+    now = time.monotonic()
+    for ticket in range(-FAILURES, 0):
+        profile = CallProfile(False, True, now + 60, attempt=2, kind="learned")
+        serving.admission.offer(ticket, profile, now)
+        serving.admission.finished(ticket, now + FAILED_MS / 1000, FAILED_MS, ticket % 4 == 0)
+    context.before = report(context, 1)
+    assert context.before.service_time_ms > 1000 and context.before.success_rate < 0.5
+
+
+@then("node 1 reports a server of which nothing is known, by a later incarnation")
+def nothing_known(context: Any) -> None:
+    now = report(context, 1)
+    assert now.incarnation > context.before.incarnation, (now, context.before)
+    assert now.sequence > context.before.sequence, "others would pass over it as an old one"
+    assert (now.service_time_ms, now.success_rate) == (0.0, 1.0), now
+    assert now.uptime_s < context.before.uptime_s, now
+
+
+@then("the booking is answered {status:d} within {seconds:d} s and was run once")
+def booking_unknown(context: Any, status: int, seconds: int) -> None:
+    (booking,) = context.bookings
+    result = run(context, asyncio.wait_for(booking, seconds))
+    assert result.status == status, result
+    (first,) = context.fleet.seats
+    ran = [headers["x-attempt-id"] for headers in first.server.seen]
+    assert ran.count(result.attempt) <= 1, ran
+    began = first.server.ledger.requests
+    assert began.get(result.attempt, 0) == 1, began
+
+
+@then("the server of node {number:d} is registered as born at {born:d}")
+def is_born(context: Any, number: int, born: int) -> None:
+    assert registered(context, number).born == born
+
+
+@then("the server of node {number:d} is registered with heartbeat {sequence:d}")
+def with_heartbeat(context: Any, number: int, sequence: int) -> None:
+    assert registered(context, number).sequence == sequence
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -49,6 +49,9 @@
             raise NotRunError(ErrorCode.CONNECT_FAILED, "no path", step="test")
         return EndpointAnswer(200, body=b"{}")
 
+    def server_replaced(self) -> None:
+        pass
+
     async def close(self) -> None:
         pass
 
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -34,6 +34,7 @@
     HttpTransport,
     Measurer,
     Registrar,
+    Registration,
     ReplyReading,
     ReplyVerdict,
     ServingService,
@@ -143,7 +144,7 @@
         )
         self.registrar: Registrar | None = None
         self.registered_slots: int | None = None
-        self.served_instance = ""
+        self.served: Registration | None = None
         if interface.registration_app is not None:
             self.registrar = Registrar(
                 settings.service, self.ask_identity, self.registration_changed
@@ -220,7 +221,9 @@
             "serving.accepts": report.accepts,
             "serving.slowdown": report.slowdown,
             "serving.connections": len(self.transport.open),
+            "serving.registrations_refused": self.registrar.refused if self.registrar else 0,
             "store.calls": self.store.calls_made,
+            "store.unreadable": self.store.unreadable,
             "log.lines_lost": log_output.lost,
             "freezes": self.freeze.count,
         }.items():
@@ -270,11 +273,11 @@
         """Go on by what the backend server has told of itself."""
         assert self.registrar is not None
         current = self.registrar.current
-        instance = current.instance if current is not None else ""
-        if instance and self.served_instance not in ("", instance):
-            self.serving.server_replaced()
-        self.served_instance = instance or self.served_instance
-        self.transport.instance = instance
+        self.transport.instance = current.instance if current is not None else ""
+        if current is not None:
+            if self.served is not None and not current.is_same_start(self.served):
+                self.serving.server_replaced()
+            self.served = current
         slots = current.slots if current is not None else None
         if slots != self.registered_slots:
             self.registered_slots = slots
--- a/src/marjoramtide/exchange/__init__.py
+++ b/src/marjoramtide/exchange/__init__.py
@@ -8,7 +8,7 @@
 )
 from marjoramtide.exchange._handler import RequestHandler
 from marjoramtide.exchange._headers import OWN_ANSWER, OWN_REQUEST, end_to_end
-from marjoramtide.exchange._load_report import LoadReport
+from marjoramtide.exchange._load_report import LoadReport, first_sequence
 from marjoramtide.exchange._outcome import Outcome
 from marjoramtide.exchange._request import Request
 from marjoramtide.exchange._request_body import INLINE_BYTES, RequestBody, inline_body, stream_body
@@ -28,6 +28,7 @@
     "RequestHandler",
     "UnknownOutcomeError",
     "end_to_end",
+    "first_sequence",
     "inline_body",
     "is_origin_form",
     "stream_body",
--- a/src/marjoramtide/peers/_codec.py
+++ b/src/marjoramtide/peers/_codec.py
@@ -90,8 +90,12 @@
 
 
 def unpack_report(fields: list[Any] | None) -> LoadReport | None:
-    """Return the load report of a message, or ``None`` where it has none that is sound."""
+    """Return the load report of a message, or ``None`` where it has none that is sound.
+
+    What a later version has added at the end is passed over: during a rolling update reports would
+    otherwise be lost in one direction, and nodes choose blindly.
+    """
     try:
-        return None if fields is None else LoadReport(*fields)
+        return None if fields is None else LoadReport(*fields[: len(REPORT_FIELDS)])
     except TypeError:
         return None
--- a/src/marjoramtide/platform/_apps.py
+++ b/src/marjoramtide/platform/_apps.py
@@ -1,16 +1,16 @@
 """What the platform and its backend servers call on a node."""
 
 from collections.abc import Callable
-from typing import Any
 
 from aiohttp import web
 
+from marjoramtide.checked import Malformed, read_json
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.serving import Registrar, Registration
+from marjoramtide.platform._heartbeat import read_departure, read_identity, read_registration
+from marjoramtide.serving import Registrar
 
 READINESS = "/readiness"
 INSTANCES = "/instances/{instance}"
-DRAINING = "draining"
 # Far above any heartbeat; the acknowledgement must fit 4 KiB, and is nearly empty.
 MAX_BODY_BYTES = 64 * 1024
 
@@ -27,21 +27,32 @@
 
 
 def make_registration_app(registrar: Registrar) -> web.Application:
-    """Return the application to which the backend server beside this node sends heartbeats."""
+    """Return the application to which the backend server beside this node sends heartbeats.
+
+    Others may write there too: what isn't a sound heartbeat is refused and changes nothing.
+    """
 
     async def heartbeat(http: web.Request) -> web.Response:
+        instance = http.match_info["instance"]
         try:
-            heard = read_registration(http.match_info["instance"], await http.json())
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            return refused(400, f"not a heartbeat: {error!r}")
-        try:
+            heard = read_registration(instance, read_json(await http.read()))
             await registrar.register(heard)
+        except Malformed as error:
+            registrar.refuse(instance, str(error))
+            return refused(400, f"not a heartbeat: {error}")
         except MarjoramtideError as error:
             return refused(400 if error.code is ErrorCode.BAD_REQUEST else 503, error.message)
         return web.json_response({})
 
     async def leave(http: web.Request) -> web.Response:
-        registrar.depart(http.match_info["instance"])
+        instance = http.match_info["instance"]
+        try:
+            body = await http.read()
+            born = read_departure(read_json(body)) if body else None
+            registrar.depart(read_identity(instance), born)
+        except Malformed as error:
+            registrar.refuse(instance, str(error))
+            return refused(400, f"not a departure: {error}")
         return web.json_response({})
 
     app = web.Application(client_max_size=MAX_BODY_BYTES)
@@ -52,19 +63,3 @@
 
 def refused(status: int, reason: str) -> web.Response:
     return web.json_response({"Error": reason}, status=status)
-
-
-def read_registration(instance: str, body: dict[str, Any]) -> Registration:
-    """Read the body of a heartbeat; raises ``KeyError``, ``TypeError`` or ``ValueError``."""
-    info, status = body["Info"], body["Status"]
-    return Registration(
-        instance=instance,
-        address=str(body.get("Address", "")),
-        service=str(info["Service"]),
-        data_centre=str(info.get("Zone", "")),
-        software=str(info.get("Version", "")),
-        slots=int(info["Slots"]),
-        draining=status["State"] == DRAINING,
-        sequence=int(status["SeqNo"]),
-        cold_left_s=float(status.get("ColdLeftMs") or 0) / 1000,
-    )
--- a/src/marjoramtide/policy/admission/_adaptive_limiter.py
+++ b/src/marjoramtide/policy/admission/_adaptive_limiter.py
@@ -47,6 +47,9 @@
     def limit(self) -> int:
         return int(self.exact)
 
+    def fresh(self) -> Limiter:
+        return AdaptiveLimiter(self.slots, self.min_limit)
+
     def observe(self, duration_ms: float, pressed: bool, succeeded: bool, running: int = 1) -> None:
         if not succeeded:
             # A shed or failed request says too much is asked; quick errors must not count as speed.
--- a/src/marjoramtide/policy/admission/_admission.py
+++ b/src/marjoramtide/policy/admission/_admission.py
@@ -58,6 +58,14 @@
     def release(self) -> list[int]:
         """Drop and return all queued tickets: they have not run and may go elsewhere."""
 
+    @abstractmethod
+    def server_replaced(self, now: float) -> list[int]:
+        """Go on with a server of which nothing is known, none of whose slots are in use.
+
+        What is queued stays; the queued tickets that start now are returned. What ``finished`` and
+        ``withdraw`` still tell of tickets that ran on the former one is passed over.
+        """
+
     @abstractmethod
     def reconfigure(self, settings: RouteSettings) -> None:
         """Go on by changed settings; what is queued or started stays."""
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -6,7 +6,7 @@
 import attrs
 
 from marjoramtide.errors import ErrorCode
-from marjoramtide.exchange import LoadReport
+from marjoramtide.exchange import LoadReport, first_sequence
 from marjoramtide.policy._call_profile import CallProfile
 from marjoramtide.policy.admission._admission import Admission, Decision, Verdict
 from marjoramtide.policy.admission._class_queue import ClassQueue
@@ -54,7 +54,8 @@
     dues: dict[int, float] = attrs.Factory(dict)
     orders: dict[int, float] = attrs.Factory(dict)
     began_with: dict[int, int] = attrs.Factory(dict)
-    sequence: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(1))
+    incarnation: int = 0
+    sequence: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(first_sequence(0)))
     shares: RankShares = attrs.Factory(RankShares)
     routine_running: int = 0
     stall_seen: float | None = None
@@ -84,6 +85,19 @@
         self.urgent_slots = settings.urgent_slots
         self.queue_limit = settings.queue_limit
 
+    def server_replaced(self, now: float) -> list[int]:
+        for ticket in list(self.times.running):
+            self._end(ticket, now)
+        self.times = ExecutionTimes()
+        self.limiter = self.limiter.fresh()
+        self.shares = RankShares()
+        self.stall_seen = None
+        self.set_pace(Pace())
+        self.started_at = now
+        self.incarnation += 1
+        self.sequence = itertools.count(first_sequence(self.incarnation))
+        return self._start_queued(now)
+
     def set_accepting(self, accepting: bool) -> None:
         self.accepting = accepting
 
--- a/src/marjoramtide/policy/admission/_fixed_limiter.py
+++ b/src/marjoramtide/policy/admission/_fixed_limiter.py
@@ -15,5 +15,8 @@
     def limit(self) -> int:
         return max(1, self.slots)
 
+    def fresh(self) -> Limiter:
+        return self
+
     def observe(self, duration_ms: float, pressed: bool, succeeded: bool, running: int = 1) -> None:
         """Learn nothing."""
--- a/src/marjoramtide/policy/admission/_knee_limiter.py
+++ b/src/marjoramtide/policy/admission/_knee_limiter.py
@@ -69,6 +69,9 @@
     def limit(self) -> int:
         return self.limit_now
 
+    def fresh(self) -> Limiter:
+        return KneeLimiter(self.slots)
+
     def observe(self, duration_ms: float, pressed: bool, succeeded: bool, running: int = 1) -> None:
         if not succeeded:
             return
--- a/src/marjoramtide/policy/admission/_limiter.py
+++ b/src/marjoramtide/policy/admission/_limiter.py
@@ -11,6 +11,10 @@
     def limit(self) -> int:
         """Return the limit at this moment, at least 1."""
 
+    @abstractmethod
+    def fresh(self) -> "Limiter":
+        """Return a limiter of the same settings that has learned nothing."""
+
     @abstractmethod
     def observe(self, duration_ms: float, pressed: bool, succeeded: bool, running: int = 1) -> None:
         """Learn from an execution that ended; ``pressed`` tells if the limit was being used.
--- a/src/marjoramtide/policy/budgets/_measuring_budget.py
+++ b/src/marjoramtide/policy/budgets/_measuring_budget.py
@@ -35,6 +35,12 @@
     last_traffic_at: float | None = None
     in_doubt: bool = True
 
+    def restarted(self) -> "MeasuringBudget":
+        """Return the budget of a server that nothing is known of; the last read still counts."""
+        fresh = MeasuringBudget(self.per_s, self.share, self.slots)
+        fresh.last_read_at = self.last_read_at
+        return fresh
+
     @property
     def min_interval_s(self) -> float:
         """Return the seconds between reads at the bound; infinite where nothing is allowed."""
--- a/src/marjoramtide/policy/placing/_node_view.py
+++ b/src/marjoramtide/policy/placing/_node_view.py
@@ -85,6 +85,8 @@
         held = self.report
         if held is not None and (0 < report.sequence <= held.sequence):
             return
+        if held is not None and report.incarnation > held.incarnation:
+            self.forget_server()
         self.report = report
         self.reported_at = now
         self.started_at = now - report.uptime_s
@@ -92,6 +94,22 @@
         self.sent_since = len(self.outstanding) - bisect.bisect_left(self.outstanding, seen)
         self.closed_until = 0.0 if report.accepts else self.closed_until
 
+    def forget_server(self) -> None:
+        """Forget what was learned of a start of the backend server that another has replaced.
+
+        Failure: a server crashes and is back, cold but sound. By its former failures and times it
+        passes for a straggler, and stays idle while the others are full.
+        """
+        self.elapsed = Smoothed(0.3, 0.3)
+        self.success = Smoothed(0.2, 0.2, 1.0, 1)
+        self.believed_s = BELIEVED_S
+        self.back_off_until = 0.0
+        self.ejected = False
+        self.ejected_until = 0.0
+        self.ejections = 0
+        self.probes_passed = 0
+        self.results = 0
+
     def note_answer_time(self, elapsed_ms: float, typical_ms: float, now: float) -> None:
         """Take in how long an answer took."""
         self.elapsed.add(elapsed_ms)
--- a/src/marjoramtide/serving/_backend_transport.py
+++ b/src/marjoramtide/serving/_backend_transport.py
@@ -33,6 +33,13 @@
         Raises ``NotRunError``, ``UnknownOutcomeError`` or ``TimeoutError`` where it can't.
         """
 
+    @abstractmethod
+    def server_replaced(self) -> None:
+        """Close the connections to a start of the backend server that has ended.
+
+        Requests that wait for an answer on them raise ``UnknownOutcomeError``.
+        """
+
     @abstractmethod
     async def close(self) -> None:
         """Close all connections."""
--- a/src/marjoramtide/serving/_http_transport.py
+++ b/src/marjoramtide/serving/_http_transport.py
@@ -194,8 +194,11 @@
         if connection in self.idle:
             self.idle.remove(connection)
 
+    def server_replaced(self) -> None:
+        for connection in list(self.open):
+            connection.abort()
+
     async def close(self) -> None:
         if self.sweeper is not None:
             self.sweeper.cancel()
-        for connection in list(self.open):
-            connection.abort()
+        self.server_replaced()
--- a/src/marjoramtide/serving/_measurer.py
+++ b/src/marjoramtide/serving/_measurer.py
@@ -64,6 +64,12 @@
         self.budget = budget
         self.configured.set()
 
+    def server_replaced(self) -> None:
+        """Forget how long reads and executions took on a start that has ended; read at once."""
+        self.failed_reads = 0
+        if self.budget is not None:
+            self.budget = self.budget.restarted()
+
     def traffic(self, succeeded: bool, took_ms: float) -> None:
         """Note the end of a request: reads may be rarer where it went well, and come sooner where
         it failed. ``took_ms`` tells what share of the capacity a read costs."""
--- a/src/marjoramtide/serving/_registrar.py
+++ b/src/marjoramtide/serving/_registrar.py
@@ -1,18 +1,18 @@
 """Which backend server stands beside this node."""
 
-from collections import deque
 from collections.abc import Awaitable, Callable
 
+import attrs
 import structlog
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.serving._registration import Registration
+from marjoramtide.serving._ended_starts import EndedStarts
+from marjoramtide.serving._registration import Registration, is_earlier
 
 log = structlog.get_logger()
 
-# Starts of backend servers that are remembered as ended. A heartbeat that a cut held up arrives at
-# most minutes late; a server that restarts each second is not remembered longer than that.
-KEPT_ENDED = 64
+# Of an identity that another writer made up; the rest tells nothing more.
+LOGGED_CHARACTERS = 80
 
 
 class Registrar:
@@ -35,7 +35,8 @@
         self.ask_identity = ask_identity
         self.changed = changed
         self.current: Registration | None = None
-        self.ended: deque[str] = deque(maxlen=KEPT_ENDED)
+        self.ended = EndedStarts()
+        self.refused = 0
 
     @property
     def is_ready(self) -> bool:
@@ -51,18 +52,28 @@
                 step="serving.register",
                 peer=heard.address,
             )
-        if heard.instance in self.ended:
-            log.info("serving.registration_late", instance=heard.instance)
-            return
         held = self.current
-        if held is None:
-            self._take(heard)
-        elif held.instance == heard.instance:
+        if held is not None and held.is_same_start(heard):
             self._update(held, heard)
+        elif self.ended.include(heard):
+            self._pass_over(heard)
+        elif held is None:
+            self._take(heard)
         elif await self._has_replaced(held, heard):
-            self._end(held.instance)
+            self._end(held)
             self._take(heard)
 
+    def refuse(self, instance: str, reason: str) -> None:
+        """Count and log a heartbeat or departure that can't be read; it changes nothing."""
+        self.refused += 1
+        log.warning(
+            "serving.registration_malformed",
+            code=ErrorCode.BAD_REQUEST,
+            step="serving.register",
+            instance=instance[:LOGGED_CHARACTERS],
+            reason=reason,
+        )
+
     def found(self, instance: str, slots: int) -> None:
         """Take a backend server that is sound and states its identity, before its first heartbeat.
 
@@ -86,11 +97,19 @@
                 )
             )
 
-    def depart(self, instance: str) -> None:
-        """Take the word that a backend server leaves, also before any heartbeat of it came."""
-        if instance not in self.ended:
-            self._end(instance)
-            log.info("serving.departed", instance=instance)
+    def depart(self, instance: str, born: int | None = None) -> None:
+        """Take the word that a backend server leaves, also before any heartbeat of it came.
+
+        A departure that doesn't tell of which start it is counts for the one that is registered:
+        idle until its next start, a server that did not leave harms callers less than new work for
+        one that did.
+        """
+        held = self.current
+        if held is not None and held.instance == instance and not is_earlier(born, held.born):
+            self._end(held)
+        else:
+            self.ended.add(instance, born)
+        log.info("serving.departed", instance=instance, born=born)
 
     def misdirected(self, instance: str) -> None:
         """Note that the backend server says it is ``instance``, not the registered one.
@@ -101,7 +120,7 @@
         held = self.current
         if held is not None and instance and instance != held.instance:
             log.warning("serving.replaced", instance=held.instance, found=instance)
-            self._end(held.instance)
+            self._end(held)
 
     async def _has_replaced(self, held: Registration, heard: Registration) -> bool:
         """Tell which of two starts is the later one, by asking whoever listens at the address.
@@ -110,16 +129,22 @@
         has registered. Taken for news, it would have every request refused as meant for another
         one, until the next heartbeat; identities alone don't tell which is older.
         """
+        if heard.instance == held.instance:
+            return held.precedes(heard) or self._pass_over(heard)
         stated = await self.ask_identity()
         if self.current is not held:
             return False
-        if stated == held.instance:
-            log.info("serving.registration_late", instance=heard.instance)
-            self.ended.append(heard.instance)
-            return False
+        if stated == held.instance or (not stated and heard.precedes(held)):
+            return self._pass_over(heard)
         # Where nobody answers, the newcomer is more likely to come up than the old one.
         return True
 
+    def _pass_over(self, heard: Registration) -> bool:
+        """Leave aside a heartbeat of a start that has ended; never the one that is registered."""
+        log.info("serving.registration_late", instance=heard.instance, born=heard.born)
+        self.ended.add(heard.instance, heard.born)
+        return False
+
     def _take(self, heard: Registration) -> None:
         log.info(
             "serving.registered",
@@ -127,6 +152,7 @@
             slots=heard.slots,
             draining=heard.draining,
             sequence=heard.sequence,
+            born=heard.born,
         )
         self.current = heard
         self.changed()
@@ -136,13 +162,12 @@
             # An older heartbeat that was overtaken. One that has said it is draining is held to it:
             # the acknowledgement promised that nothing new would come.
             return
-        self.current = heard
+        self.current = attrs.evolve(heard, born=held.born if heard.born is None else heard.born)
         if heard.draining and not held.draining:
             log.info("serving.draining", instance=heard.instance)
         self.changed()
 
-    def _end(self, instance: str) -> None:
-        self.ended.append(instance)
-        if self.current is not None and self.current.instance == instance:
-            self.current = None
-            self.changed()
+    def _end(self, held: Registration) -> None:
+        self.ended.add(held.instance, held.born)
+        self.current = None
+        self.changed()
--- a/src/marjoramtide/serving/_registration.py
+++ b/src/marjoramtide/serving/_registration.py
@@ -7,9 +7,10 @@
 class Registration:
     """One heartbeat of a backend server.
 
-    ``instance`` is the identity of one start of it. ``sequence`` grows with each heartbeat of that
-    start, so that a late one is known. ``cold_left_s`` is for how much longer it is slow after its
-    start, in seconds.
+    ``instance`` is its identity, and ``born`` the Unix time of its start in milliseconds, where it
+    tells that: one that starts again may keep its identity, and is then known by a later ``born``.
+    ``sequence`` grows with each heartbeat of one start, so that a late one is known.
+    ``cold_left_s`` is for how much longer it is slow after its start, in seconds.
     """
 
     instance: str
@@ -21,3 +22,18 @@
     draining: bool
     sequence: int
     cold_left_s: float
+    born: int | None = None
+
+    def precedes(self, other: "Registration") -> bool:
+        """Tell whether this is known to be of an earlier start than ``other``."""
+        return is_earlier(self.born, other.born)
+
+    def is_same_start(self, other: "Registration") -> bool:
+        """Tell whether both are of one start, as far as is known."""
+        differs = self.precedes(other) or other.precedes(self)
+        return self.instance == other.instance and not differs
+
+
+def is_earlier(born: int | None, other: int | None) -> bool:
+    """Tell whether one time of birth is before another; false where either isn't known."""
+    return born is not None and other is not None and born < other
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -87,12 +87,21 @@
         self.admission.reconfigure(settings)
 
     def server_replaced(self) -> None:
-        """Forget the pace of a backend server whose place another start of it has taken.
+        """Forget a backend server whose place another start of it has taken, and what it ran.
 
         Failure: the new one is cold and twice as slow for seconds. By the quickest state of the old
         one it passes for slowed by neighbours, and requests wait for a change that does not come.
+        Runs of the old one hold slots of the new one until their deadlines, since a connection to a
+        server that crashed may stay silent. Closed, they end at once, as of unknown outcome.
         """
+        log.info("serving.server_replaced", lost=len(self.in_progress) - len(self.waiting))
         self.interference = Interference()
+        if self.measurer is not None:
+            self.measurer.server_replaced()
+        started = self.admission.server_replaced(self.clock.monotonic())
+        self.transport.server_replaced()
+        self.start(started)
+        self.schedule_expiry()
 
     def set_accepting(self, accepting: bool) -> None:
         """Take new requests, or reject them while those in progress go on."""
--- a/src/marjoramtide/settings/__init__.py
+++ b/src/marjoramtide/settings/__init__.py
@@ -9,7 +9,12 @@
 from marjoramtide.settings._envelope import Envelope, RecentChange, decode_envelope
 from marjoramtide.settings._freshness import Freshness
 from marjoramtide.settings._level import Level
-from marjoramtide.settings._node_settings import NodeSettings, load_node_settings, parse_address
+from marjoramtide.settings._node_settings import (
+    NodeSettings,
+    check_address,
+    load_node_settings,
+    parse_address,
+)
 from marjoramtide.settings._place import Place
 from marjoramtide.settings._resolved import Resolved
 from marjoramtide.settings._route_settings import RouteSettings
@@ -36,6 +41,7 @@
     "SettingsView",
     "TreeSettingsView",
     "apply_edits",
+    "check_address",
     "compare_trees",
     "conflicting_branches",
     "decode_envelope",
--- a/src/marjoramtide/settings/_node_settings.py
+++ b/src/marjoramtide/settings/_node_settings.py
@@ -30,7 +30,8 @@
     return host.strip("[]"), int(port)
 
 
-def _address(_: Any, attribute: "attrs.Attribute[Any]", value: str) -> None:
+def check_address(_: Any, attribute: "attrs.Attribute[Any]", value: str) -> None:
+    """Raise ``ValueError``, which names the attribute, unless a value is ``IP:PORT``."""
     try:
         parse_address(value)
     except ValueError as error:
@@ -53,16 +54,16 @@
     service: str
     region: str
     data_centre: str
-    callers: str = attrs.field(validator=_address)
-    peers: str = attrs.field(validator=_address)
-    gossip: str = attrs.field(validator=_address)
-    operators: str = attrs.field(validator=_address)
-    backend: str = attrs.field(validator=_address)
+    callers: str = attrs.field(validator=check_address)
+    peers: str = attrs.field(validator=check_address)
+    gossip: str = attrs.field(validator=check_address)
+    operators: str = attrs.field(validator=check_address)
+    backend: str = attrs.field(validator=check_address)
     store: str
     key: str = attrs.field(repr=False)
     name: str = ""
     statsd: str = attrs.field(
-        default="", validator=attrs.validators.or_(attrs.validators.in_([""]), _address)
+        default="", validator=attrs.validators.or_(attrs.validators.in_([""]), check_address)
     )
     log_level: str = "info"
     trace_file: str = ""
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -6,6 +6,7 @@
 from standins.backend._connection import Connection
 from standins.backend._request import Request
 from standins.backend._server import BackendServer
+from standins.backend._slots import Slots
 
 SEAL = "seal-"
 REFUSED = 503
@@ -31,6 +32,7 @@
         self.targets: list[str] = []
         self.bodies: list[bytes] = []
         self.owed: dict[Connection, Answer] = {}
+        self.silent: set[Connection] = set()
 
     async def answer(self, request: Request, connection: Connection) -> Answer | None:
         if request.path == HEALTH_PATH:
@@ -43,6 +45,8 @@
         request.headers["x-request-id"] = attempt = request.headers.get("x-attempt-id", "")
         request.headers["request-timeout-ms"] = request.headers.get("x-deadline-ms", "")
         answer = await self.serve(request, connection)
+        if connection in self.silent:
+            await asyncio.Event().wait()
         if answer is None:
             return None
         if answer.headers.pop("Request-Outcome", ""):
@@ -58,6 +62,11 @@
             self.owed[connection] = answer
         return answer
 
+    def start_again(self, slots: int) -> None:
+        """Crash without a word and start again: old connections stay open and never answer."""
+        self.silent |= self.connections
+        self.slots = Slots(slots)
+
     def note(self, request: Request) -> None:
         self.seen.append(request.headers)
         self.targets.append(request.target)
