Entries of other writers in the store, claims and load headers are checked one by one

Cause: one unreadable entry made a whole list or watch unreadable; a load header with NaN or inf ended in an error amid an answer; a claim was cast field by field, and one without its end would have passed for one that has ended, so that a booking could run twice.

Spoiled entries are left out, counted (store.unreadable) and logged; the others hold. Fuzzing draws heartbeats, departures, lists, watches, announcements, configurations, claims and headers, and found one more fault (a control character as white space in a load header), mended.

Seen failing first: 35 of 37 scenarios of platform/foreign_writers.feature on the code before (some of them for want of the count that they look at); 37 pass now. The fake announcements of settings scenarios stay as they are: only the gossip address must be IP:PORT, as before.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -1,7 +1,8 @@
 """Feeds broken input to whatever reads bytes from outside, and stops by itself.
 
 ``python -m bench.fuzz --count 2000 --seed 1``: the frame decoder, the peers' handshake, the gossip
-codec, the settings tree and a real node's HTTP port each get ``count`` inputs (the port a tenth of
+codec, the settings tree, what others write on the platform (heartbeats, departures, objects of the
+store, load headers) and a real node's HTTP port each get ``count`` inputs (the port a tenth of
 them), half of them sound ones with a few bytes changed. An input must be taken or refused with an
 error of ours within ``SLOW_S``; anything else is a fault. The same seed gives the same inputs. The
 exit status is 0 only without faults.
@@ -16,13 +17,18 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import attrs
 import cbor2
 
+from marjoramtide.checked import Malformed, read_json
+from marjoramtide.claims._claim_record import ClaimRecord, decode_record
+from marjoramtide.claims._claim_state import ClaimState
 from marjoramtide.errors import MarjoramtideError
+from marjoramtide.membership import decode_announcement
 from marjoramtide.membership._member_state import MemberState
 from marjoramtide.membership._packet import AppliedSettings, Kind, Packet, Status
 from marjoramtide.membership._packet_codec import PacketCodec
@@ -30,7 +36,12 @@
 from marjoramtide.peers._codec import decode, encode, unpack_headers
 from marjoramtide.peers._handshake import open_as_client, open_as_server
 from marjoramtide.peers._messages import CreditMessage, RequestMessage
+from marjoramtide.platform._backends import read_load, read_retry_after
+from marjoramtide.platform._configuration import OperatorConfiguration
+from marjoramtide.platform._heartbeat import read_departure, read_registration
+from marjoramtide.platform._store_protocol import PlatformStore
 from marjoramtide.settings import decode_envelope, parse_tree
+from marjoramtide.store import Answer, Meaning, StoredObject
 from standins.mesh import Mesh, MeshNode, make_plan
 from standins.raw_caller import read_answer
 
@@ -40,7 +51,7 @@
 HTTP_SHARE = 10
 PARALLEL = 5
 SILENCE_S = 0.15
-REFUSED = (MarjoramtideError, PacketError)
+REFUSED = (MarjoramtideError, PacketError, Malformed)
 # Pieces that parsers are known to trip over.
 PIECES = (
     b"\x00", b"\xff", b"\x9f", b"\x81" * 500, b"\x9b" + b"\xff" * 8, b"\xc2\x41\xff", b"\xd8\x1c",
@@ -68,6 +79,23 @@
 TREE = (
     b"[services.mapdesk]\ntimeout_ms = 500\n[services.mapdesk.routes.\"/a\"]\nidempotent = 'no'\n"
 )
+HEARTBEAT = (
+    b'{"born":1764731292000,"Address":"10.0.0.1:80","Info":{"Service":"s","Version":"v1","Zone":"z",'
+    b'"Slots":18},"Status":{"State":"ready","SeqNo":4,"ColdLeftMs":0}}'
+)
+OBJECT = b'{"Metadata":{"Name":"n","Revision":4},"Specification":{"text":"{\\"node\\":\\"n\\"}"}}'
+PAGE = b'{"items":[%b,%b],"HasMore":false,"CurrentRev":5}' % (OBJECT, OBJECT)
+EVENTS = b'{"events":[{"Removed":false,"Object":%b}],"CurrentRev":5}' % OBJECT
+ANNOUNCEMENT = (
+    b'{"node":"n","service":"s","region":"r","data_centre":"z","peer_address":"10.0.0.1:1",'
+    b'"gossip_address":"10.0.0.1:1","operators_address":"10.0.0.1:2","refreshed":1.5}'
+)
+CONFIGURATION = (
+    b'{"Version":"r7","Routes":[{"Name":"r","Host":"h.example","PathPrefix":"/a/","Kind":'
+    b'"idempotent","TimeoutMs":2000,"TargetLatencyMs":900,"Priority":2,"WeightedSplit":[{"Service":'
+    b'"s","Weight":90}],"MaxAttempts":2}],"Services":[{"Name":"s","HealthPath":"/health",'
+    b'"MaxConns":100}],"Limits":{"MaxHeaderBytes":16384}}'
+)
 HTTP = (
     b"GET /a?b=1 HTTP/1.1\r\nHost: mapdesk\r\nX-A: b\r\n\r\n",
     b"POST /a HTTP/1.1\r\nHost: mapdesk\r\nContent-Length: 5\r\nIdempotency-Key: k\r\n\r\nhello",
@@ -179,6 +207,34 @@
     parse_tree(data.decode(errors="replace"))
 
 
+def read_heartbeat(data: bytes) -> None:
+    read_registration("i-1", read_json(data))
+
+
+def read_page(data: bytes) -> None:
+    PlatformStore().read_page("kind/", Answer(200, {}, data, Meaning.DONE))
+
+
+def read_events(data: bytes) -> None:
+    PlatformStore().read_events("kind/", data)
+
+
+def read_announcement(data: bytes) -> None:
+    decode_announcement("announcements/n", data)
+
+
+def read_configuration(data: bytes) -> None:
+    source = OperatorConfiguration({})
+    parse_tree(source.decode(StoredObject(source.key, data, 1)).text)
+
+
+def read_headers(data: bytes) -> None:
+    """Read a load and a retry header; what says nothing counts as taken."""
+    text = data.decode("latin-1")
+    read_load(text)
+    read_retry_after(text)
+
+
 async def send(address: str, data: bytes) -> bytes:
     """Send one input; return what came back until the end, or until nothing more comes."""
     host, _, port = address.rpartition(":")
@@ -218,16 +274,24 @@
     return tally
 
 
+def draw(seed: int, name: str) -> random.Random:
+    return random.Random(f"{seed} {name}")
+
+
 def run(count: int, seed: int) -> list[Tally]:
     """Fuzz each target; the inputs depend on ``seed`` alone."""
     end = time.monotonic() + LIMIT_S
+    http = inputs(draw(seed, "http"), max(1, count // HTTP_SHARE), *HTTP)
+    return [*run_readers(count, seed, end), asyncio.run(try_http(http, end))]
+
+
+def run_readers(count: int, seed: int, end: float) -> list[Tally]:
+    """Fuzz what reads bytes without a node around it, until ``end`` on the monotonic clock."""
     packet = PacketCodec(KEY).encode(PACKET)
     frames = (encode(REQUEST), encode(CreditMessage(1, 2)))
     envelope = cbor2.dumps({"revision": 1, "text": TREE.decode()})
 
-    def rng(name: str) -> random.Random:
-        return random.Random(f"{seed} {name}")
-
+    rng = partial(draw, seed)
     hello = cbor2.dumps([b"a" * 16, "urgent"])
     tallies = [
         try_all("frames", inputs(rng("frames"), count, *frames), read_frame, end),
@@ -237,8 +301,22 @@
         try_all("settings", inputs(rng("settings"), count, TREE), read_tree, end),
         try_all("envelopes", inputs(rng("envelopes"), count, envelope), decode_envelope, end),
     ]
-    http = inputs(rng("http"), max(1, count // HTTP_SHARE), *HTTP)
-    return [*tallies, asyncio.run(try_http(http, end))]
+    claim = ClaimRecord("a", "n", "d", ClaimState.HELD, 5.0).encode()
+    foreign: dict[str, tuple[Callable[[bytes], Any], bytes]] = {
+        "heartbeats": (read_heartbeat, HEARTBEAT),
+        "departures": (lambda data: read_departure(read_json(data)), b'{"born":1764731292000}'),
+        "objects": (read_page, PAGE),
+        "events": (read_events, EVENTS),
+        "announced": (read_announcement, ANNOUNCEMENT),
+        "configured": (read_configuration, CONFIGURATION),
+        "claims": (decode_record, claim),
+        "headers": (read_headers, b"3,0,8,250"),
+    }
+    tallies += [
+        try_all(name, inputs(rng(name), count, sound), read, end)
+        for name, (read, sound) in foreign.items()
+    ]
+    return tallies
 
 
 def main() -> int:
--- /dev/null
+++ b/features/platform/foreign_writers.feature
@@ -0,0 +1,105 @@
+Feature: What another writer has spoiled names no server, and takes nothing away
+  A heartbeat or an entry in the store may come from another writer: fields missing or of another
+  type, a state that nobody knows, bytes that can't be read. It is refused or passed over, counted
+  and logged; what is sound beside it holds.
+
+  Scenario Outline: A spoiled heartbeat brings no server
+    # No server is registered when such a heartbeat comes. Taken for one, callers' requests would be
+    # sent to a server that isn't there, or one that is not ready.
+    Given a fleet on the platform whose server has not registered: mapdesk
+    When a heartbeat arrives at node 1 whose <field> is <value>
+    Then it is refused with 400 and counted
+    And no server is registered at node 1
+
+    Examples:
+      | field              | value       |
+      | Status.State       | "warming"   |
+      | Status.State       | 7           |
+      | Status.State       | missing     |
+      | Status.SeqNo       | "4"         |
+      | Status.SeqNo       | true        |
+      | Status.SeqNo       | -1          |
+      | Status.SeqNo       | missing     |
+      | Status.ColdLeftMs  | NaN         |
+      | Status.ColdLeftMs  | "3"         |
+      | Status             | missing     |
+      | Status             | [1]         |
+      | Info.Service       | ["mapdesk"] |
+      | Info.Service       | missing     |
+      | Info.Slots         | -3          |
+      | Info.Slots         | 0           |
+      | Info.Slots         | "18"        |
+      | Info.Slots         | 4.5         |
+      | Info.Slots         | missing     |
+      | Info.Zone          | 3           |
+      | Info.Version       | missing     |
+      | Info               | null        |
+      | Address            | 5           |
+      | Address            | "nowhere"   |
+      | Address            | missing     |
+      | born               | "1000"      |
+      | born               | 1000.5      |
+      | born               | true        |
+      | born               | null        |
+      | born               | -1          |
+
+  Scenario: Bytes that are no heartbeat are refused one by one
+    Given a fleet on the platform whose server has not registered: mapdesk
+    Then node 1 refuses these heartbeats, and no server is registered
+      | bytes             |
+      | not UTF-8         |
+      | cut short         |
+      | nested deeply     |
+      | empty             |
+      | a list            |
+      | larger than 64 KB |
+
+  Scenario: An identity that would begin a line of its own is refused
+    # Identities are written into the heads of requests. One with a line break would add a header.
+    Given a fleet on the platform whose server has not registered: mapdesk
+    When a heartbeat of the identity "i-1%0d%0aX-Other: 1" arrives at node 1
+    Then it is refused with 400 and counted
+    And no server is registered at node 1
+
+  Scenario: A spoiled heartbeat takes no server away
+    Given a fleet on the platform: mapdesk
+    When a heartbeat arrives at node 1 whose Status.State is 7
+    And a client asks node 1 for "/tiles/7"
+    Then the client gets 200 with the seal and the whole body of its own request
+
+  Scenario: One spoiled entry leaves the rest of a list readable
+    # An entry of the list of nodes is spoiled. Were the whole list refused for it, a node that
+    # starts would find nobody.
+    When the store answers a list of which every second entry is spoiled
+    Then the sound entries are read and the others counted
+
+  Scenario: One spoiled change leaves the rest of a watch readable
+    When the store answers a watch of which every second change is spoiled
+    Then the sound changes are read and the others counted
+
+  Scenario: A node that starts finds the others beside spoiled announcements
+    Given a fleet on the platform: mapdesk
+    And spoiled announcements in the store
+    When another node starts
+    Then it knows 2 nodes within 5 s
+
+  Scenario: Load headers of another form say nothing
+    Then these load headers say nothing
+      | header         |
+      |                |
+      | 1,2            |
+      | a,b,c          |
+      | 1,2,3,NaN      |
+      | 1,2,3,inf      |
+      | 1,2,3,-100     |
+      | 1,2,3,0        |
+      | NaN,0,8        |
+      | inf,0,8        |
+      | -1,0,8         |
+      | 1.5,0,8        |
+      | 1e400,0,8      |
+    And the load header "3,1,8,250" says 3 running, 1 waiting, 8 slots and 2.5 times as long
+
+  Scenario: A claim that was spoiled is not taken for one
+    # A spoiled claim that passed for "released" would let a booking run a second time.
+    Then a stored claim with a field missing or of another type is no claim
--- a/src/marjoramtide/claims/_claim_record.py
+++ b/src/marjoramtide/claims/_claim_record.py
@@ -3,6 +3,7 @@
 import attrs
 import cbor2
 
+from marjoramtide.checked import Malformed, read_as
 from marjoramtide.claims._claim_state import ClaimState
 from marjoramtide.claims._retention import CLOCK_SKEW_S
 
@@ -30,7 +31,7 @@
     node: str
     digest: str
     state: ClaimState
-    expires: float = 0.0
+    expires: float
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes | None = None
@@ -54,18 +55,6 @@
 def decode_record(value: bytes) -> ClaimRecord | None:
     """Return the record, or ``None`` where the bytes are not one."""
     try:
-        raw = cbor2.loads(value)
-        body = raw.get("body")
-        headers = tuple((str(name), str(text)) for name, text in raw.get("headers", ()))
-        return ClaimRecord(
-            attempt=str(raw["attempt"]),
-            node=str(raw["node"]),
-            digest=str(raw["digest"]),
-            state=ClaimState(raw["state"]),
-            expires=float(raw["expires"]),
-            status=int(raw.get("status", 0)),
-            headers=headers,
-            body=body if isinstance(body, bytes) else None,
-        )
-    except (cbor2.CBORDecodeError, AttributeError, KeyError, TypeError, ValueError):
+        return read_as(ClaimRecord, cbor2.loads(value))
+    except (cbor2.CBORDecodeError, Malformed, RecursionError):
         return None
--- a/src/marjoramtide/claims/_claims.py
+++ b/src/marjoramtide/claims/_claims.py
@@ -60,6 +60,7 @@
             node=self.node_id,
             digest=request_digest,
             state=ClaimState.HELD,
+            expires=0.0,  # until the store has told its time
         )
         try:
             await self.learn_time(stored_key, deadline)
--- a/src/marjoramtide/membership/_announcement.py
+++ b/src/marjoramtide/membership/_announcement.py
@@ -1,27 +1,32 @@
 """What a node writes about itself into the store."""
 
 import json
+from typing import Any
 
 import attrs
 
+from marjoramtide.checked import Malformed, read_as, read_json
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.membership._member import Member
-from marjoramtide.settings import parse_address
+from marjoramtide.settings import check_address
 
 ANNOUNCEMENTS = "announcements/"
+# Above any name that a node may have, since its identity must fit a datagram.
+MOST_CHARACTERS = 400
+NAMES: Any = [attrs.validators.min_len(1), attrs.validators.max_len(MOST_CHARACTERS)]
 
 
 @attrs.frozen(slots=True)
 class Announcement:
     """A node's identity and addresses; ``refreshed`` is its wall clock in seconds."""
 
-    node: str
-    service: str
-    region: str
-    data_centre: str
-    peer_address: str
-    gossip_address: str
-    operators_address: str
+    node: str = attrs.field(validator=NAMES)
+    service: str = attrs.field(validator=NAMES)
+    region: str = attrs.field(validator=NAMES)
+    data_centre: str = attrs.field(validator=NAMES)
+    peer_address: str = attrs.field(validator=NAMES)
+    gossip_address: str = attrs.field(validator=check_address)
+    operators_address: str = attrs.field(validator=NAMES)
     refreshed: float
 
     @property
@@ -46,15 +51,18 @@
     )
 
 
-def decode_announcement(value: bytes) -> Announcement:
-    """Read an announcement; raises ``bad-frame`` where the object is none."""
+def decode_announcement(key: str, value: bytes) -> Announcement:
+    """Read the announcement under a key; raises ``bad-frame`` where the object is none."""
     try:
-        announcement = Announcement(**json.loads(value))
-        parse_address(announcement.gossip_address)
-        if not isinstance(announcement.refreshed, int | float):
-            raise ValueError("its time is no number")
-    except (ValueError, TypeError, AttributeError) as error:
-        raise MarjoramtideError(
-            ErrorCode.BAD_FRAME, f"not an announcement: {error}", step="membership.announce"
-        ) from error
+        announcement = read_as(Announcement, read_json(value))
+    except Malformed as error:
+        raise not_an_announcement(key, str(error)) from error
+    if announcement.key != key:
+        raise not_an_announcement(key, f"it is that of {announcement.node[:MOST_CHARACTERS]!r}")
     return announcement
+
+
+def not_an_announcement(key: str, reason: str) -> MarjoramtideError:
+    return MarjoramtideError(
+        ErrorCode.BAD_FRAME, f"not an announcement: {reason}", step="membership.announce", peer=key
+    )
--- a/src/marjoramtide/membership/_announcer.py
+++ b/src/marjoramtide/membership/_announcer.py
@@ -164,7 +164,7 @@
 
 def _decoded(item: StoredObject) -> Announcement | None:
     try:
-        return decode_announcement(item.value)
+        return decode_announcement(item.key, item.value)
     except MarjoramtideError as error:
         log.warning("announcement-unreadable", code=error.code, key=item.key, error=str(error))
         return None
--- a/src/marjoramtide/platform/_backends.py
+++ b/src/marjoramtide/platform/_backends.py
@@ -28,6 +28,12 @@
 HEALTHY = 200
 USUAL_SLOWDOWN = 100.0
 LOAD_FIGURES = 3
+# Of a count that a server states; more is no count.
+MAX_DIGITS = 9
+# A server that takes ten thousand times as long says nothing that could be acted on.
+MOST_SLOWDOWN = 10_000.0
+# No caller's deadline is as long as a day.
+MOST_RETRY_AFTER_S = 86_400.0
 
 
 class PlatformBackend(BackendProtocol):
@@ -72,20 +78,34 @@
 
 def read_load(text: str) -> ServerLoad | None:
     """Read a load header; ``None`` where it is missing or of another form."""
+    counts, percent = text.split(",")[:LOAD_FIGURES], text.split(",")[LOAD_FIGURES:]
+    if len(counts) < LOAD_FIGURES or not all(map(is_count, counts)):
+        return None
+    slowdown = read_slowdown(percent[0]) if percent else 1.0
+    if slowdown is None:
+        return None
+    running, waiting, slots = map(int, counts)
+    return ServerLoad(running, waiting, slots, slowdown)
+
+
+def is_count(text: str) -> bool:
+    """Tell whether a text is a whole number from 0 on that a server may have counted."""
+    return text.isascii() and text.strip(" ").isdigit() and len(text) <= MAX_DIGITS
+
+
+def read_slowdown(text: str) -> float | None:
+    """Read how long work takes now, in percent of the usual; returns a factor."""
     try:
-        figures = [float(part) for part in text.split(",")]
+        slowdown = float(text) / USUAL_SLOWDOWN
     except ValueError:
         return None
-    if len(figures) < LOAD_FIGURES:
-        return None
-    running, waiting, slots = map(int, figures[:LOAD_FIGURES])
-    percent = figures[LOAD_FIGURES] if len(figures) > LOAD_FIGURES else USUAL_SLOWDOWN
-    return ServerLoad(running, waiting, slots, percent / USUAL_SLOWDOWN)
+    return slowdown if 0 < slowdown <= MOST_SLOWDOWN else None
 
 
 def read_retry_after(text: str) -> int | None:
     """Read seconds with a fraction; returns milliseconds, ``None`` where it says nothing."""
     try:
-        return max(0, round(float(text) * 1000)) if text else None
-    except (ValueError, OverflowError):
+        seconds = float(text)
+    except ValueError:
         return None
+    return round(seconds * 1000) if 0 <= seconds <= MOST_RETRY_AFTER_S else None
--- a/src/marjoramtide/platform/_store_protocol.py
+++ b/src/marjoramtide/platform/_store_protocol.py
@@ -2,13 +2,30 @@
 
 import base64
 import json
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import suppress
+from functools import partial
+from typing import Any, TypeVar
 from urllib.parse import quote
 
+import attrs
+
+from marjoramtide.checked import Malformed, read_as, read_json, renamed
+from marjoramtide.platform._stored import (
+    LISTED_FIELDS,
+    METADATA_FIELDS,
+    WATCHED_FIELDS,
+    BytesValue,
+    Listed,
+    ObjectChange,
+    ObjectMetadata,
+    TextValue,
+    Watched,
+)
 from marjoramtide.store import (
     Answer,
     Call,
+    Changes,
     Meaning,
     Page,
     StoredObject,
@@ -16,6 +33,8 @@
     WatchEvent,
 )
 
+T = TypeVar("T")
+
 READ = {200: Meaning.DONE, 404: Meaning.MISSING}
 LISTED = {200: Meaning.DONE}
 WATCHED = {200: Meaning.DONE, 410: Meaning.GAP}
@@ -67,25 +86,34 @@
         return Call("store.watch", "GET", kind_path(prefix), WATCHED, params=params)
 
     def read_object(self, key: str, answer: Answer) -> StoredObject:
-        return stored_object(kind_of(key), json.loads(answer.body))
+        return stored_object(kind_of(key), read_json(answer.body))
 
     def read_page(self, prefix: str, answer: Answer) -> Page:
-        listed = json.loads(answer.body)
-        objects = [stored_object(kind_of(prefix), item) for item in listed["items"]]
-        last = listed["items"][-1]["Metadata"]["Name"] if listed.get("HasMore") else ""
-        found = [each for each in objects if each.key.startswith(prefix)]
-        return Page(found, int(listed["CurrentRev"]), last)
+        listed = read_as(Listed, renamed(read_json(answer.body), LISTED_FIELDS))
+        objects = list(readable(partial(stored_object, kind_of(prefix)), listed.items))
+        if listed.has_more and not objects:
+            raise Malformed("a part of a list in which nothing can be read, so none may follow")
+        return Page(
+            [each for each in objects if each.key.startswith(prefix)],
+            listed.revision,
+            name_of(objects[-1].key) if listed.has_more else "",
+            len(listed.items) - len(objects),
+        )
 
     def read_written(self, key: str, value: bytes, answer: Answer) -> StoredObject:
-        return StoredObject(key, value, int(json.loads(answer.body)["Metadata"]["Revision"]))
+        return attrs.evolve(stored_object(kind_of(key), read_json(answer.body)), value=value)
 
     def read_event(self, prefix: str, line: bytes) -> WatchEvent:
         raise NotImplementedError("watches of this store don't stream")
 
-    def read_events(self, prefix: str, body: bytes) -> tuple[list[WatchEvent], int]:
-        answer = json.loads(body)
-        events = [watch_event(kind_of(prefix), entry) for entry in answer["events"]]
-        return [each for each in events if each.key.startswith(prefix)], int(answer["CurrentRev"])
+    def read_events(self, prefix: str, body: bytes) -> Changes:
+        watched = read_as(Watched, renamed(read_json(body), WATCHED_FIELDS))
+        events = list(readable(partial(watch_event, kind_of(prefix)), watched.events))
+        return Changes(
+            [each for each in events if each.key.startswith(prefix)],
+            watched.revision,
+            len(watched.events) - len(events),
+        )
 
     def certainly_refused(self, status: int, headers: Mapping[str, str]) -> bool:
         return status == CERTAINLY_NOTHING_DONE
@@ -121,21 +149,46 @@
 
 
 def unpack(specification: Any) -> bytes:
-    """Return the value in a specification; one that isn't ours is returned as its JSON text."""
+    """Return the value in a specification; one that isn't ours is returned as its JSON text.
+
+    Raises ``Malformed`` where one of ours was spoiled.
+    """
     if isinstance(specification, dict) and len(specification) == 1:
         if TEXT in specification:
-            return str(specification[TEXT]).encode()
+            return read_as(TextValue, specification).text.encode()
         if BYTES in specification:
-            return base64.b64decode(specification[BYTES])
+            return decoded(read_as(BytesValue, specification).base64)
     return json.dumps(specification, separators=(",", ":")).encode()
 
 
-def stored_object(kind: str, item: dict[str, Any]) -> StoredObject:
-    metadata = item["Metadata"]
-    key = f"{kind}/{metadata['Name']}"
-    return StoredObject(key, unpack(item.get("Specification")), int(metadata["Revision"]))
+def decoded(text: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError as error:
+        raise Malformed(f"no base64: {error}") from error
+
+
+def readable(read: Callable[[Any], T], entries: list[Any]) -> Iterator[T]:
+    """Yield the entries that can be read.
+
+    Failure: another writer spoils one of two hundred announcements. Were the whole list refused for
+    it, a node that starts would find nobody until somebody has removed that one.
+    """
+    for entry in entries:
+        with suppress(Malformed):
+            yield read(entry)
+
+
+def stored_object(kind: str, item: Any) -> StoredObject:
+    """Read one object of a kind; raises ``Malformed``."""
+    fields = renamed(item, {"Metadata": "metadata", "Specification": "specification"})
+    metadata = read_as(ObjectMetadata, renamed(fields.get("metadata"), METADATA_FIELDS))
+    value = unpack(fields.get("specification"))
+    return StoredObject(f"{kind}/{metadata.name}", value, metadata.revision)
 
 
-def watch_event(kind: str, entry: dict[str, Any]) -> WatchEvent:
-    stored = stored_object(kind, entry["Object"])
-    return WatchEvent(stored.key, stored.version, None if entry["Removed"] else stored)
+def watch_event(kind: str, entry: Any) -> WatchEvent:
+    """Read one change of an object of a kind; raises ``Malformed``."""
+    change = read_as(ObjectChange, renamed(entry, {"Removed": "removed", "Object": "object"}))
+    stored = stored_object(kind, change.object)
+    return WatchEvent(stored.key, stored.version, None if change.removed else stored)
--- a/src/marjoramtide/settings/_envelope.py
+++ b/src/marjoramtide/settings/_envelope.py
@@ -4,8 +4,8 @@
 import json
 
 import attrs
-import cattrs
 
+from marjoramtide.checked import Malformed, read_as, read_json
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 
 FORMAT = 1
@@ -69,8 +69,8 @@
 def decode_envelope(data: bytes) -> Envelope:
     """Read the stored form; raises ``bad-settings`` where it isn't one that this version knows."""
     try:
-        return cattrs.structure(json.loads(data), Envelope)
-    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
+        return read_as(Envelope, read_json(data))
+    except Malformed as error:
         raise MarjoramtideError(
             ErrorCode.BAD_SETTINGS, f"not a settings envelope: {error}", step="settings.decode"
         ) from error
--- a/src/marjoramtide/settings/sync/_tree_store.py
+++ b/src/marjoramtide/settings/sync/_tree_store.py
@@ -70,7 +70,7 @@
         found = []
         for item in await self.store.list(ANNOUNCEMENTS):
             try:
-                found.append(decode_announcement(item.value))
+                found.append(decode_announcement(item.key, item.value))
             except MarjoramtideError as error:
                 log.warning("settings.announcement", key=item.key, error=str(error))
         return found
--- a/src/marjoramtide/store/__init__.py
+++ b/src/marjoramtide/store/__init__.py
@@ -8,13 +8,14 @@
 from marjoramtide.store._resolution import Resolution
 from marjoramtide.store._resolved_write import create_resolved, update_resolved
 from marjoramtide.store._store_limits import StoreLimits
-from marjoramtide.store._store_protocol import Page, StoreProtocol
+from marjoramtide.store._store_protocol import Changes, Page, StoreProtocol
 from marjoramtide.store._stored_object import StoredObject
 from marjoramtide.store._watch_event import WatchEvent
 
 __all__ = [
     "Answer",
     "Call",
+    "Changes",
     "HttpObjectStore",
     "Listing",
     "Meaning",
--- a/src/marjoramtide/store/_http_object_store.py
+++ b/src/marjoramtide/store/_http_object_store.py
@@ -3,12 +3,13 @@
 import random
 import socket
 from collections import deque
-from collections.abc import AsyncIterator, Iterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import AbstractAsyncContextManager, asynccontextmanager, contextmanager, suppress
 from email.utils import parsedate_to_datetime
 from http import HTTPStatus
 
 import aiohttp
+import structlog
 
 from marjoramtide.clock import Clock, SystemClock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
@@ -22,10 +23,12 @@
 from marjoramtide.store._object_store import ObjectStore
 from marjoramtide.store._own_protocol import OwnStoreProtocol
 from marjoramtide.store._store_limits import StoreLimits
-from marjoramtide.store._store_protocol import StoreProtocol
+from marjoramtide.store._store_protocol import Changes, StoreProtocol
 from marjoramtide.store._stored_object import StoredObject
 from marjoramtide.store._watch_event import WatchEvent
 
+log = structlog.get_logger()
+
 MAX_TRIES = 4
 MAX_VALUE_BYTES = 1024 * 1024
 MAX_LINE_BYTES = 2 * 1024 * 1024
@@ -64,6 +67,7 @@
         self.offset: float | None = None
         self.session: aiohttp.ClientSession | None = None
         self.calls_made = 0
+        self.unreadable = 0
 
     async def get(self, key: str, *, timeout: float = 2.0) -> StoredObject:
         call = self.protocol.get(key)
@@ -81,6 +85,7 @@
             answer = await self.call(call, timeout)
             with self.parsing(ErrorCode.STORE_UNAVAILABLE, call.step):
                 page = self.protocol.read_page(prefix, answer)
+            self.note_unreadable(page.unreadable, call.step)
             objects += page.objects
             if not page.after:
                 return Listing(objects, page.version)
@@ -106,8 +111,9 @@
             return
         ends = self.clock.monotonic() + wait
         while (left := ends - self.clock.monotonic()) > SHORTEST_POLL_S:
-            events, since = await self.poll(prefix, since, left)
-            for event in events:
+            changes = await self.poll(prefix, since, left)
+            since = changes.version
+            for event in changes.events:
                 yield event
 
     async def stream(self, prefix: str, since: int, wait: float) -> AsyncIterator[WatchEvent]:
@@ -119,13 +125,15 @@
                     event = self.protocol.read_event(prefix, line)
                 yield event
 
-    async def poll(self, prefix: str, since: int, wait: float) -> tuple[Sequence[WatchEvent], int]:
+    async def poll(self, prefix: str, since: int, wait: float) -> Changes:
         """Watch by one call that is answered when something has changed, or after ``wait``."""
         call = self.protocol.watch(prefix, since, wait)
         async with self.watching(call, wait) as response:
             body = await response.read()
         with self.parsing(ErrorCode.STORE_UNAVAILABLE, call.step):
-            return self.protocol.read_events(prefix, body)
+            changes = self.protocol.read_events(prefix, body)
+        self.note_unreadable(changes.unreadable, call.step)
+        return changes
 
     @asynccontextmanager
     async def watching(self, call: Call, wait: float) -> AsyncIterator[aiohttp.ClientResponse]:
@@ -286,6 +294,18 @@
         except (KeyError, TypeError, ValueError) as error:
             raise self.error(code, f"unreadable answer: {error!r}", step) from error
 
+    def note_unreadable(self, count: int, step: str) -> None:
+        """Count and log entries that another writer has spoiled; the others are used."""
+        if count:
+            self.unreadable += count
+            log.warning(
+                "store.unreadable",
+                code=ErrorCode.BAD_FRAME,
+                step=step,
+                peer=self.url,
+                count=count,
+            )
+
     def error(self, code: ErrorCode, message: str, step: str) -> MarjoramtideError:
         return MarjoramtideError(code, message, step=step, peer=self.url)
 
--- a/src/marjoramtide/store/_own_protocol.py
+++ b/src/marjoramtide/store/_own_protocol.py
@@ -7,7 +7,7 @@
 from urllib.parse import quote
 
 from marjoramtide.store._call import Answer, Call, Meaning
-from marjoramtide.store._store_protocol import Page, StoreProtocol
+from marjoramtide.store._store_protocol import Changes, Page, StoreProtocol
 from marjoramtide.store._stored_object import StoredObject
 from marjoramtide.store._watch_event import WatchEvent
 
@@ -66,7 +66,7 @@
         stored = None if entry["value"] is None else stored_object(entry)
         return WatchEvent(str(entry["key"]), int(str(entry["version"])), stored)
 
-    def read_events(self, prefix: str, body: bytes) -> tuple[list[WatchEvent], int]:
+    def read_events(self, prefix: str, body: bytes) -> Changes:
         raise NotImplementedError("watches of this store stream")
 
     def certainly_refused(self, status: int, headers: Mapping[str, str]) -> bool:
--- a/src/marjoramtide/store/_store_protocol.py
+++ b/src/marjoramtide/store/_store_protocol.py
@@ -12,11 +12,27 @@
 
 @attrs.frozen(slots=True)
 class Page:
-    """A part of a list; ``after`` is where the next one goes on, empty at the end."""
+    """A part of a list; ``after`` is where the next one goes on, empty at the end.
+
+    ``unreadable`` counts entries that were left out, since another writer has spoiled them.
+    """
 
     objects: list[StoredObject]
     version: int
     after: str = ""
+    unreadable: int = 0
+
+
+@attrs.frozen(slots=True)
+class Changes:
+    """What one watch that doesn't stream has brought; the next one goes on from ``version``.
+
+    ``unreadable`` counts changes that were left out, since another writer has spoiled them.
+    """
+
+    events: list[WatchEvent]
+    version: int
+    unreadable: int = 0
 
 
 class StoreProtocol(ABC):
@@ -70,8 +86,8 @@
         """Read one line of a watch that streams."""
 
     @abstractmethod
-    def read_events(self, prefix: str, body: bytes) -> tuple[list[WatchEvent], int]:
-        """Read the answer to a watch that doesn't stream, and where the next one goes on."""
+    def read_events(self, prefix: str, body: bytes) -> Changes:
+        """Read the answer to a watch that doesn't stream."""
 
     @abstractmethod
     def certainly_refused(self, status: int, headers: Mapping[str, str]) -> bool:
