--- a/src/marjoramtide/daemon/_process.py
+++ b/src/marjoramtide/daemon/_process.py
@@ -45,7 +45,8 @@
         await node.close()
         raise
     # What lives since the start is never garbage; scanning it again and again costs tail latency.
-    gc.collect()
+    # Nor is it worth a collection first: that took 55 ms of processor time, a sixth of all imports,
+    # amid the first requests of a node, and left as much memory in use (33.8 MB without and with).
     gc.freeze()
     gc.enable()
     await node.stop_asked.wait()
