--- a/src/marjoramtide/claims/_claim_entry.py
+++ b/src/marjoramtide/claims/_claim_entry.py
@@ -5,7 +5,7 @@
 from marjoramtide.claims._claim_record import ClaimRecord
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class ClaimEntry:
     """The record to be stored under ``key``; ``version`` is the last one known, 0 for none."""
 
--- a/src/marjoramtide/claims/_claim_handle.py
+++ b/src/marjoramtide/claims/_claim_handle.py
@@ -5,7 +5,7 @@
 from marjoramtide.claims._claim_record import ClaimRecord
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class ClaimHandle:
     """A claim that this node holds for one attempt.
 
--- a/src/marjoramtide/exchange/_answer.py
+++ b/src/marjoramtide/exchange/_answer.py
@@ -10,7 +10,7 @@
 SERVER_ERROR = 500
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Answer:
     """Status and headers, with the whole body or with the stream of a large one.
 
--- a/src/marjoramtide/exchange/_request_body.py
+++ b/src/marjoramtide/exchange/_request_body.py
@@ -9,7 +9,7 @@
 INLINE_BYTES = 64 * 1024
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class RequestBody:
     """A body that can be read again, or a stream that can be opened once.
 
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -19,7 +19,7 @@
 SPREAD = 1.5
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Attempts:
     """What has been tried, and what may be told of it.
 
--- a/src/marjoramtide/ingress/_hedge.py
+++ b/src/marjoramtide/ingress/_hedge.py
@@ -9,7 +9,7 @@
 from marjoramtide.exchange import Answer, RequestFailedError
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class Hedge:
     """Runs the first try of a request in the request's own task, and others beside it if need be.
 
--- a/src/marjoramtide/ingress/_service_state.py
+++ b/src/marjoramtide/ingress/_service_state.py
@@ -15,7 +15,7 @@
 KEPT_DECISIONS = 50
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class ServiceState:
     """The selector and the budgets of one service, made from one revision of its settings.
 
--- a/src/marjoramtide/ingress/_start_up.py
+++ b/src/marjoramtide/ingress/_start_up.py
@@ -14,7 +14,7 @@
 START_UP_S = 0.5
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class StartUp:
     """Lets requests wait for the news that a node which has just started is about to hear.
 
--- a/src/marjoramtide/membership/_awareness.py
+++ b/src/marjoramtide/membership/_awareness.py
@@ -3,7 +3,7 @@
 import attrs
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Awareness:
     """Local health multiplier (Lifeguard, 2018, section IV-A).
 
--- a/src/marjoramtide/membership/_gossip_counters.py
+++ b/src/marjoramtide/membership/_gossip_counters.py
@@ -7,7 +7,7 @@
 from marjoramtide.membership._packet_error import DropCode
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class GossipCounters:
     """Totals since the start; ``dropped`` counts datagrams by the reason they were dropped for."""
 
--- a/src/marjoramtide/membership/_member_entry.py
+++ b/src/marjoramtide/membership/_member_entry.py
@@ -11,7 +11,7 @@
 from marjoramtide.membership._suspicion import Suspicion
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class MemberEntry:
     """What this node holds about one member.
 
--- a/src/marjoramtide/membership/_probe.py
+++ b/src/marjoramtide/membership/_probe.py
@@ -3,7 +3,7 @@
 import attrs
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Probe:
     """A question to one member, direct first and through helpers after ``indirect_at``.
 
--- a/src/marjoramtide/membership/_replay_window.py
+++ b/src/marjoramtide/membership/_replay_window.py
@@ -5,7 +5,7 @@
 WINDOW = 512
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class ReplayWindow:
     """A sliding window over sequence numbers (RFC 4303, section 3.4.3).
 
--- a/src/marjoramtide/membership/_suspicion.py
+++ b/src/marjoramtide/membership/_suspicion.py
@@ -5,7 +5,7 @@
 import attrs
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Suspicion:
     """A timer that gets shorter with each independent accuser (Lifeguard, 2018, section IV-B).
 
--- a/src/marjoramtide/membership/_token_bucket.py
+++ b/src/marjoramtide/membership/_token_bucket.py
@@ -3,7 +3,7 @@
 import attrs
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class TokenBucket:
     """Allows ``rate`` units a second on average and ``burst`` at once."""
 
--- a/src/marjoramtide/peers/_pending.py
+++ b/src/marjoramtide/peers/_pending.py
@@ -9,7 +9,7 @@
 from marjoramtide.peers._send_window import SendWindow
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class Pending:
     """What the connection's reader needs to hand an answer to whoever waits for it."""
 
--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -52,7 +52,7 @@
 QuestionHandler = Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class Served:
     """A request of the peer that is being served; ``invited`` once its body was asked for."""
 
--- a/src/marjoramtide/policy/admission/_adaptive_limiter.py
+++ b/src/marjoramtide/policy/admission/_adaptive_limiter.py
@@ -12,7 +12,7 @@
 JUDGED_AT = 0.4
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class AdaptiveLimiter(Limiter):
     """Shrinks the limit while executions take longer than usual, and grows it back.
 
--- a/src/marjoramtide/policy/admission/_class_queue.py
+++ b/src/marjoramtide/policy/admission/_class_queue.py
@@ -5,7 +5,7 @@
 import attrs
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class ClassQueue:
     """Tickets in the order of their deadlines (earliest deadline first).
 
--- a/src/marjoramtide/policy/admission/_cut.py
+++ b/src/marjoramtide/policy/admission/_cut.py
@@ -8,7 +8,7 @@
 CURED_BELOW = 0.75
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Cut:
     """How long executions took before a cut and how long they take after it.
 
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -30,7 +30,7 @@
 AFTER_ALL_OTHERS_S = 10_000_000.0
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class EdfAdmission(Admission):
     """Earliest deadline first inside a class, urgent before routine, within a limit.
 
--- a/src/marjoramtide/policy/admission/_execution_times.py
+++ b/src/marjoramtide/policy/admission/_execution_times.py
@@ -9,7 +9,7 @@
 UNKNOWN = KindTimes()
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class ExecutionTimes:
     """The smoothed time of executions, and the tickets that run now.
 
--- a/src/marjoramtide/policy/admission/_fixed_limiter.py
+++ b/src/marjoramtide/policy/admission/_fixed_limiter.py
@@ -5,7 +5,7 @@
 from marjoramtide.policy.admission._limiter import Limiter
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class FixedLimiter(Limiter):
     """Runs as many requests at once as the backend server has slots."""
 
--- a/src/marjoramtide/policy/admission/_kind_times.py
+++ b/src/marjoramtide/policy/admission/_kind_times.py
@@ -10,7 +10,7 @@
 PLANNED_DEVIATIONS = 1.0
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class KindTimes:
     """The smoothed times, in milliseconds, of one route's requests of one class.
 
--- a/src/marjoramtide/policy/admission/_knee_limiter.py
+++ b/src/marjoramtide/policy/admission/_knee_limiter.py
@@ -34,7 +34,7 @@
 TRY_AGAIN = 4000
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class KneeLimiter(Limiter):
     """Finds the number of requests at once with which a backend server does the most.
 
@@ -124,7 +124,7 @@
             self.times[number] = Smoothed(WEIGHT, WEIGHT)
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Level:
     """Numbers at once up to ``most`` at which executions take the same, as a logarithm.
 
--- a/src/marjoramtide/policy/admission/_rank_shares.py
+++ b/src/marjoramtide/policy/admission/_rank_shares.py
@@ -11,7 +11,7 @@
 """A class, routine after urgent, and a rank in it: what is smaller goes first."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class RankShares:
     """The work that was started of late, by what goes first."""
 
--- a/src/marjoramtide/policy/budgets/_come_back_hint.py
+++ b/src/marjoramtide/policy/budgets/_come_back_hint.py
@@ -10,7 +10,7 @@
 MIN_RATE_PER_S = 1.0
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class ComeBackHint:
     """Gives each refused caller a later place than the one before.
 
--- a/src/marjoramtide/policy/budgets/_measuring_budget.py
+++ b/src/marjoramtide/policy/budgets/_measuring_budget.py
@@ -11,7 +11,7 @@
 STRETCH_CEILING_S = 2.0
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class MeasuringBudget:
     """Says when the node may next read its backend server's health or load endpoint.
 
--- a/src/marjoramtide/policy/budgets/_retry_budget.py
+++ b/src/marjoramtide/policy/budgets/_retry_budget.py
@@ -8,7 +8,7 @@
 WINDOW_S = 10.0
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class RetryBudget:
     """A token bucket filled by first attempts; one instance each for retries and for hedges.
 
--- a/src/marjoramtide/policy/pace/_interference.py
+++ b/src/marjoramtide/policy/pace/_interference.py
@@ -37,7 +37,7 @@
 USUAL_OVER_S = 8.0
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Interference:
     """What a backend server says of its neighbours, followed over time.
 
--- a/src/marjoramtide/policy/pace/_pace.py
+++ b/src/marjoramtide/policy/pace/_pace.py
@@ -15,7 +15,7 @@
 LOOK_S = 0.06
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Pace:
     """How many times longer work takes on a backend server now, until when, and on the mean.
 
--- a/src/marjoramtide/policy/pace/_stretches.py
+++ b/src/marjoramtide/policy/pace/_stretches.py
@@ -9,7 +9,7 @@
 KEPT = 24
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Stretches:
     """The lengths in seconds of the last stretches in which a server was slow."""
 
--- a/src/marjoramtide/policy/pace/_work_times.py
+++ b/src/marjoramtide/policy/pace/_work_times.py
@@ -12,7 +12,7 @@
 PLANNED_DEVIATIONS = 1.5
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class WorkTimes:
     """The mean, and the mean deviation from it, in milliseconds."""
 
--- a/src/marjoramtide/policy/placing/_completion_model.py
+++ b/src/marjoramtide/policy/placing/_completion_model.py
@@ -17,7 +17,7 @@
 SUSPECT_FACTOR = 2.0
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class CompletionModel:
     """Predicts, for each node, how long a request takes until its caller has a good answer.
 
--- a/src/marjoramtide/policy/placing/_counting_selector.py
+++ b/src/marjoramtide/policy/placing/_counting_selector.py
@@ -13,7 +13,7 @@
 RETRY_AFTER_MS = (50, 150)
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class CountingSelector(Selector):
     """Keeps the members and how many requests of this node each has outstanding.
 
--- a/src/marjoramtide/policy/placing/_explorer.py
+++ b/src/marjoramtide/policy/placing/_explorer.py
@@ -13,7 +13,7 @@
 EXPLORE_AFTER_BELIEFS = 5.0
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Explorer:
     """Finds, now and then, a node to try although it doesn't look best.
 
--- a/src/marjoramtide/policy/placing/_forecast_selector.py
+++ b/src/marjoramtide/policy/placing/_forecast_selector.py
@@ -32,7 +32,7 @@
 SLOWED = 1.4
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class ForecastSelector(PredictedSelector):
     """Asks the least loaded of the nearest nodes that will answer before the request's goal.
 
--- a/src/marjoramtide/policy/placing/_least_outstanding.py
+++ b/src/marjoramtide/policy/placing/_least_outstanding.py
@@ -8,7 +8,7 @@
 from marjoramtide.policy.placing._counting_selector import CountingSelector
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class LeastOutstanding(CountingSelector):
     """Asks the member that owes this node the fewest answers; ties are drawn at random."""
 
--- a/src/marjoramtide/policy/placing/_node_view.py
+++ b/src/marjoramtide/policy/placing/_node_view.py
@@ -14,7 +14,7 @@
 SLOW = 3.0
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class NodeView:
     """Reports, own observations and own requests in flight of one serving node.
 
--- a/src/marjoramtide/policy/placing/_outlier_ejection.py
+++ b/src/marjoramtide/policy/placing/_outlier_ejection.py
@@ -15,7 +15,7 @@
 REINSTATED_SUCCESS = 0.8
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class OutlierEjection:
     """Ejects nodes that fail where others don't, never more than ``cap`` of a service.
 
--- a/src/marjoramtide/policy/placing/_polled_reports.py
+++ b/src/marjoramtide/policy/placing/_polled_reports.py
@@ -9,7 +9,7 @@
 from marjoramtide.policy.placing._counting_selector import CountingSelector
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class PolledReports(CountingSelector):
     """Asks the member whose last polled report shows the least load, whatever happened since.
 
--- a/src/marjoramtide/policy/placing/_predicted_selector.py
+++ b/src/marjoramtide/policy/placing/_predicted_selector.py
@@ -28,7 +28,7 @@
 SHORTEST_HEDGE_MS = 1.0
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class PredictedSelector(Selector):
     """Asks, of a few nodes drawn at random, the one with the best expected time to a good answer.
 
--- a/src/marjoramtide/policy/placing/_recent_latency.py
+++ b/src/marjoramtide/policy/placing/_recent_latency.py
@@ -7,7 +7,7 @@
 SORT_EVERY = 16
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class RecentLatency:
     """The last few hundred latencies in milliseconds, sorted anew every ``SORT_EVERY`` samples.
 
--- a/src/marjoramtide/policy/placing/_service_mean.py
+++ b/src/marjoramtide/policy/placing/_service_mean.py
@@ -10,7 +10,7 @@
 LOAD_AT_MOST = 0.7
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class ServiceMean:
     """The load and service time of an average node, each node counted once.
 
--- a/src/marjoramtide/policy/placing/_smooth_split.py
+++ b/src/marjoramtide/policy/placing/_smooth_split.py
@@ -6,7 +6,7 @@
 import attrs
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class SmoothSplit:
     """Draws parts so that each gets its share of any run of requests, not only of very long ones.
 
--- a/src/marjoramtide/policy/placing/_spill_over.py
+++ b/src/marjoramtide/policy/placing/_spill_over.py
@@ -9,7 +9,7 @@
 CLEARLY = 4.0
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class SpillOver:
     """The share of requests that leave the nearest data centre, moved smoothly.
 
--- a/src/marjoramtide/policy/placing/_two_choices.py
+++ b/src/marjoramtide/policy/placing/_two_choices.py
@@ -8,7 +8,7 @@
 from marjoramtide.policy.placing._counting_selector import CountingSelector
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class TwoChoices(CountingSelector):
     """Draws two members at random and asks the one that owes fewer answers (Mitzenmacher, 2001)."""
 
--- a/src/marjoramtide/serving/_execution.py
+++ b/src/marjoramtide/serving/_execution.py
@@ -8,7 +8,7 @@
 ANSWER_MARGIN_SHARE = 0.05
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class Execution:
     """One request at the backend server; ``begun`` once a byte of it may have left.
 
--- a/src/marjoramtide/settings/_freshness.py
+++ b/src/marjoramtide/settings/_freshness.py
@@ -7,7 +7,7 @@
 DEFAULT_BOUND_S = 6.0
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Freshness:
     """Remembers when this node last caught up with the store or another node.
 
--- a/src/marjoramtide/settings/sync/_adopter.py
+++ b/src/marjoramtide/settings/sync/_adopter.py
@@ -12,7 +12,7 @@
 log = structlog.get_logger()
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Adopter:
     """The only way by which a revision comes into force."""
 
--- a/src/marjoramtide/settings/sync/_change_maker.py
+++ b/src/marjoramtide/settings/sync/_change_maker.py
@@ -26,7 +26,7 @@
 NODES_NAMED = 20
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class ChangeMaker:
     """Checks a change with the members, writes it on one condition, waits until it is in force."""
 
--- a/src/marjoramtide/settings/sync/_follower.py
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -30,7 +30,7 @@
 log = structlog.get_logger()
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Follower:
     """Three loops: catch up and stay fresh, watch the store where chosen, pull what gossip names.
 
--- a/src/marjoramtide/settings/sync/_peer_settings.py
+++ b/src/marjoramtide/settings/sync/_peer_settings.py
@@ -37,7 +37,7 @@
     envelope: Envelope | None = None
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class PeerSettings:
     """Asks other nodes for their settings, and whether they can read a change."""
 
--- a/src/marjoramtide/settings/sync/_service.py
+++ b/src/marjoramtide/settings/sync/_service.py
@@ -39,7 +39,7 @@
     """Report to nobody."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class SettingsService:
     """Keeps the view level with the tree in force, answers other nodes, and makes changes.
 
--- a/src/marjoramtide/settings/sync/_tree_store.py
+++ b/src/marjoramtide/settings/sync/_tree_store.py
@@ -31,7 +31,7 @@
     version: int
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class TreeStore:
     """Reads and writes the tree; ``source`` tells where it lies."""
 
--- a/src/marjoramtide/telemetry/_span.py
+++ b/src/marjoramtide/telemetry/_span.py
@@ -5,7 +5,7 @@
 import attrs
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Span:
     """A span as it is logged: times in seconds since the epoch and milliseconds."""
 
