A start reads the announcements from a list that may be old; no claims are cleaned where no keys are sent

Cause: of 48 calls of twelve nodes that start, twelve are lists of announcements; and each node lists a slice of the claims once in ten seconds, though callers on the platform send no idempotency keys: most calls of a calm minute of a small fleet. Change: a list that may be seconds old, at a tenth of the price, is enough where it holds this run's own announcement; else the full list is read besides. Without keys neither claims nor their cleaner run. Ruled out: settings from peers at a start (a wait of 0.1 s for peers costs more in the seconds after a loss of all than the call), one watcher for each data centre (with three, all of them are turned away together once in 23 outages that hit a third of the nodes). Scenario: lists of an age of 0 and 3 s, the announcement of who wrote before is found with both.

--- a/features/membership/announcements.feature
+++ b/features/membership/announcements.feature
@@ -12,3 +12,16 @@
       | fleet          | times       | before | after | least | most |
       | fleet of many  | once        | 1      | 790   | 1     | 1    |
       | fleet of one   | every 10 s  | 1      | 1     | 7     | 15   |
+
+  Scenario Outline: A list that may be old is enough where it holds the reader's own announcement
+    # A list of seconds ago is a tenth as dear. Read blindly, two nodes that start at once could both
+    # miss each other. One that holds what this node has just written can't be older than that.
+    Given an announcer whose store shows in cheap lists what is <age> s old
+    When 5 seconds pass for it
+    Then it has made <cheap> cheap lists and <full> full ones
+    And it has found the announcement of the node that wrote before it
+
+    Examples:
+      | age | cheap | full |
+      | 0   | 1     | 0    |
+      | 3   | 1     | 1    |
--- a/features/steps/announcements_steps.py
+++ b/features/steps/announcements_steps.py
@@ -9,6 +9,7 @@
 from bench.memory_store import MemoryStore
 from marjoramtide.clock import ManualClock
 from marjoramtide.membership import Member, MemberState
+from marjoramtide.membership._announcement import announcement_of
 from marjoramtide.membership._announcer import Announcer
 from marjoramtide.store import StoredObject
 
@@ -29,6 +30,64 @@
         return await super().list(prefix, timeout=timeout)
 
 
+class AgedStore(MemoryStore):
+    """Shows in cheap lists what was there some seconds ago."""
+
+    def __init__(self, clock: ManualClock, age_s: float) -> None:
+        super().__init__()
+        self.clock = clock
+        self.age_s = age_s
+        self.written_at: dict[str, float] = {}
+        self.cheap = 0
+        self.full = 0
+
+    async def create(self, key: str, value: bytes, *, timeout: float = 2.0) -> StoredObject:
+        self.written_at[key] = self.clock.monotonic()
+        return await super().create(key, value, timeout=timeout)
+
+    async def list(self, prefix: str, *, timeout: float = 2.0) -> Any:
+        self.full += 1
+        return await super().list(prefix, timeout=timeout)
+
+    async def list_lately(self, prefix: str, *, timeout: float = 2.0) -> Any:
+        self.cheap += 1
+        until = self.clock.monotonic() - self.age_s
+        found = await super().list(prefix, timeout=timeout)
+        return [each for each in found if self.written_at[each.key] <= until]
+
+
+@given("an announcer whose store shows in cheap lists what is {age_s:d} s old")
+def given_aged(context: Any, age_s: int) -> None:
+    context.runner = context.cleanup.enter_context(asyncio.Runner())
+    context.clock, context.known, context.after = ManualClock(), 2, 2
+    context.store = AgedStore(context.clock, float(age_s))
+    first, own = (
+        Member(name, "s", "r", "d", address, address, address, MemberState.READY)
+        for name, address in (("first", "127.0.0.1:7101"), ("n", "127.0.0.1:7102"))
+    )
+    announced = announcement_of(first, 0.0)
+    context.runner.run(context.store.create(announced.key, announced.encode()))
+    context.found = []
+    context.announcer = Announcer(
+        context.store,
+        context.clock,
+        random.Random(1),
+        lambda: own,
+        lambda: context.known,
+        context.found.extend,
+    )
+
+
+@then("it has made {cheap:d} cheap lists and {full:d} full ones")
+def then_lists(context: Any, cheap: int, full: int) -> None:
+    assert (context.store.cheap, context.store.full) == (cheap, full)
+
+
+@then("it has found the announcement of the node that wrote before it")
+def then_found(context: Any) -> None:
+    assert "first" in [each.node for each in context.found], context.found
+
+
 @given("an announcer whose node knows {before:d} before its first read and {after:d} from then on")
 def given_announcer(context: Any, before: int, after: int) -> None:
     context.runner = context.cleanup.enter_context(asyncio.Runner())
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import attrs
@@ -175,21 +175,30 @@
             raise MarjoramtideError(
                 ErrorCode.BAD_SETTINGS, f"can't listen: {error}", step="daemon.start"
             ) from error
-        cleaner = make_claim_cleaner(
-            self.store, self.clock, fleet_size=lambda: len(self.membership.members())
-        )
-        for name, work in {
+        works: dict[str, Callable[[], Awaitable[None]]] = {
             "freeze": self.freeze.run,
             "settings": self.settings_service.run,
             "measurer": self.measurer.run,
             "metrics": self.metrics.run,
             "logs": summarise_logs,
-            "claims": self.claims.run,
-            "claim cleaner": cleaner.run,
-        }.items():
+        }
+        if self.interface.takes_keys:
+            works |= self.claim_works()
+        for name, work in works.items():
             self.spawn(keep_running(name, work, self.clock, self.metrics))
         log.info("daemon.started", callers=settings.callers, peers=settings.peers)
 
+    def claim_works(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return what settles and cleans the claims of idempotency keys.
+
+        Where no keys are sent, each node would list claims that are never made once in ten seconds:
+        among twelve nodes the most calls of a calm minute.
+        """
+        cleaner = make_claim_cleaner(
+            self.store, self.clock, fleet_size=lambda: len(self.membership.members())
+        )
+        return {"claims": self.claims.run, "claim cleaner": cleaner.run}
+
     def make_servers(self) -> dict[str, AppServer]:
         """Return the small HTTP servers of this node by their addresses."""
         settings = self.settings
--- a/src/marjoramtide/interface/_interface.py
+++ b/src/marjoramtide/interface/_interface.py
@@ -19,7 +19,8 @@
     where it doesn't and is taken for registered; ``readiness_app`` the one that tells whether
     callers may be sent here. ``stop_grace_s`` is how long a planned stop may take, in seconds,
     where the interface tells it; for ``stop_linger_s`` of it callers may still be sent here, since
-    whoever sends them has not yet noticed.
+    whoever sends them has not yet noticed. ``takes_keys`` is false where no caller ever sends an
+    idempotency key, so that there are no claims to keep or to clean.
     """
 
     store: StoreProtocol
@@ -30,3 +31,4 @@
     registration_app: Callable[[Registrar], web.Application] | None = None
     stop_grace_s: float | None = None
     stop_linger_s: float = 0.0
+    takes_keys: bool = True
--- a/src/marjoramtide/membership/_announcer.py
+++ b/src/marjoramtide/membership/_announcer.py
@@ -1,7 +1,7 @@
 """Keeps this node's announcement in the store, and reads those of others, rarely."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import structlog
 
@@ -117,11 +117,24 @@
         # least one then finds the other.
         if self.version is None or self.clock.monotonic() - self.refreshed_at > REFRESH_S:
             await self._write()
-        stored = await self.store.list(ANNOUNCEMENTS)
+        stored = await self._read_all()
         announcements = [(item, decoded) for item in stored if (decoded := _decoded(item))]
         self.found([decoded for _, decoded in announcements])
         await self._remove_abandoned(announcements)
 
+    async def _read_all(self) -> Iterable[StoredObject]:
+        """Return the announcements, at least all that were there when this node's own was written.
+
+        A list that holds this run's own announcement is late enough, however old it may be: of two
+        nodes that start at once at least one then finds the other. On the platform it costs a tenth
+        of a call. Where the own one is missing, the list as it is now is read besides.
+        """
+        own = self._own().key
+        lately = await self.store.list_lately(ANNOUNCEMENTS)
+        if any(item.key == own for item in lately):
+            return lately
+        return await self.store.list(ANNOUNCEMENTS)
+
     async def _write(self) -> None:
         own = self._own()
         try:
--- a/src/marjoramtide/platform/_store_protocol.py
+++ b/src/marjoramtide/platform/_store_protocol.py
@@ -65,8 +65,8 @@
     def get(self, key: str) -> Call:
         return Call("store.get", "GET", object_path(key), READ)
 
-    def list_page(self, prefix: str, after: str) -> Call:
-        params = {"after": after} if after else {}
+    def list_page(self, prefix: str, after: str, *, may_be_old: bool = False) -> Call:
+        params = ({"after": after} if after else {}) | ({"StaleOk": "1"} if may_be_old else {})
         return Call("store.list", "GET", kind_path(prefix), LISTED, params=params)
 
     def create(self, key: str, value: bytes) -> Call:
--- a/src/marjoramtide/store/_http_object_store.py
+++ b/src/marjoramtide/store/_http_object_store.py
@@ -78,10 +78,16 @@
             return self.protocol.read_object(key, answer)
 
     async def list(self, prefix: str, *, timeout: float = 2.0) -> Listing:
+        return await self.list_pages(prefix, timeout, may_be_old=False)
+
+    async def list_lately(self, prefix: str, *, timeout: float = 2.0) -> Listing:
+        return await self.list_pages(prefix, timeout, may_be_old=True)
+
+    async def list_pages(self, prefix: str, timeout: float, *, may_be_old: bool) -> Listing:
         objects: deque[StoredObject] = deque()
         after = ""
         while True:
-            call = self.protocol.list_page(prefix, after)
+            call = self.protocol.list_page(prefix, after, may_be_old=may_be_old)
             answer = await self.call(call, timeout)
             with self.parsing(ErrorCode.STORE_UNAVAILABLE, call.step):
                 page = self.protocol.read_page(prefix, answer)
--- a/src/marjoramtide/store/_object_store.py
+++ b/src/marjoramtide/store/_object_store.py
@@ -29,6 +29,13 @@
         The listing's ``version`` is where a watch goes on.
         """
 
+    async def list_lately(self, prefix: str, *, timeout: float = 2.0) -> Listing:
+        """Return what ``list`` does, perhaps as it was some seconds ago.
+
+        Cheaper, where the store offers that; only for readers who can tell what is missing.
+        """
+        return await self.list(prefix, timeout=timeout)
+
     @abstractmethod
     async def create(self, key: str, value: bytes, *, timeout: float = 2.0) -> StoredObject:
         """Write a new object, or raise ``version-conflict`` where the key is taken."""
--- a/src/marjoramtide/store/_own_protocol.py
+++ b/src/marjoramtide/store/_own_protocol.py
@@ -33,7 +33,7 @@
     def get(self, key: str) -> Call:
         return Call("store.get", "GET", object_path(key), FOUND_OR_NOT)
 
-    def list_page(self, prefix: str, after: str) -> Call:
+    def list_page(self, prefix: str, after: str, *, may_be_old: bool = False) -> Call:
         return Call("store.list", "GET", "/v1/objects", LISTED, params={"prefix": prefix})
 
     def create(self, key: str, value: bytes) -> Call:
--- a/src/marjoramtide/store/_store_protocol.py
+++ b/src/marjoramtide/store/_store_protocol.py
@@ -50,8 +50,11 @@
         """Form the call for one object."""
 
     @abstractmethod
-    def list_page(self, prefix: str, after: str) -> Call:
-        """Form the call for the objects whose keys begin with ``prefix``."""
+    def list_page(self, prefix: str, after: str, *, may_be_old: bool = False) -> Call:
+        """Form the call for the objects whose keys begin with ``prefix``.
+
+        With ``may_be_old`` the answer may be as of some seconds ago, where the store offers that.
+        """
 
     @abstractmethod
     def create(self, key: str, value: bytes) -> Call:
--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -39,6 +39,8 @@
     @web.middleware
     async def fail(self, http: web.Request, handler: Handler) -> web.StreamResponse:
         kind = "watches" if "Watch" in http.query else http.method
+        if "StaleOk" in http.query:
+            kind = "stale"
         self.calls[kind] += 1
         if self.mode == "refuse":
             return web.Response(status=503)
