A list of announcements is decoded once; the strict hooks are one function

Found by reading the change once more. A node that starts built its own announcement, with its checks, once for each entry of the list, and decoded a list that may be old twice; the hooks for text, bytes, flags and whole numbers were one function written four times. Decoders give exactly these types, so what is taken and refused stays as it is. Left: the message classes of platform/_stored.py and peers/_messages.py are alike in shape alone.

--- a/src/marjoramtide/checked/_reading.py
+++ b/src/marjoramtide/checked/_reading.py
@@ -3,7 +3,7 @@
 import functools
 import json
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from enum import StrEnum
 from typing import Any, TypeVar
 
@@ -14,6 +14,13 @@
 # How much of a reason is kept, in characters: it goes into logs and answers, and may quote what was
 # written.
 REASON_CHARACTERS = 200
+# Plain types, and what is said where a value is of another one.
+PLAIN = {
+    str: "a text is",
+    bytes: "bytes are",
+    bool: "true or false is",
+    int: "a whole number is",
+}
 
 
 class Malformed(ValueError):
@@ -83,41 +90,23 @@
 
 def strict(made: cattrs.BaseConverter) -> cattrs.BaseConverter:
     """Have a converter refuse plain values of another type."""
-    for cls, hook in (
-        (str, _text),
-        (bytes, _bytes),
-        (bool, _flag),
-        (int, _whole),
-        (float, _number),
-    ):
-        made.register_structure_hook(cls, hook)
+    for cls, wanted in PLAIN.items():
+        made.register_structure_hook(cls, only(cls, wanted))
+    made.register_structure_hook(float, _number)
     # Otherwise the hook for texts would be theirs, and let through what is none of their words.
     made.register_structure_hook(StrEnum, lambda value, cls: cls(value))
     return made
 
 
-def _text(value: Any, _: type) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"a text is wanted, not a {type(value).__name__}")
-    return value
+def only(cls: type, wanted: str) -> Callable[[Any, type], Any]:
+    """Return the hook that lets through values of one type: ``True`` is no whole number."""
 
+    def hook(value: Any, _: type) -> Any:
+        if type(value) is not cls:
+            raise TypeError(f"{wanted} wanted, not a {type(value).__name__}")
+        return value
 
-def _bytes(value: Any, _: type) -> bytes:
-    if not isinstance(value, bytes):
-        raise TypeError(f"bytes are wanted, not a {type(value).__name__}")
-    return value
-
-
-def _flag(value: Any, _: type) -> bool:
-    if not isinstance(value, bool):
-        raise TypeError(f"true or false is wanted, not a {type(value).__name__}")
-    return value
-
-
-def _whole(value: Any, _: type) -> int:
-    if type(value) is not int:
-        raise TypeError(f"a whole number is wanted, not a {type(value).__name__}")
-    return value
+    return hook
 
 
 def _number(value: Any, _: type) -> float:
--- a/src/marjoramtide/membership/_announcer.py
+++ b/src/marjoramtide/membership/_announcer.py
@@ -120,12 +120,11 @@
         # least one then finds the other.
         if self.version is None or self.clock.monotonic() - self.refreshed_at > REFRESH_S:
             await self._write()
-        stored = await self._read_all()
-        announcements = [(item, decoded) for item in stored if (decoded := _decoded(item))]
+        announcements = await self._read_all()
         self.found([decoded for _, decoded in announcements])
         await self._remove_abandoned(announcements)
 
-    async def _read_all(self) -> Iterable[StoredObject]:
+    async def _read_all(self) -> list[tuple[StoredObject, Announcement]]:
         """Return the announcements, from a list that may be old where that is enough.
 
         On the platform it costs a tenth of a call. It is late enough where it holds this run's own
@@ -133,12 +132,13 @@
         the other. Otherwise the addresses in it are tried. Where one of them answers, gossip tells
         of the rest; a node that still knows nobody reads the list as it is now.
         """
-        lately = await self.store.list_lately(ANNOUNCEMENTS)
-        if any(item.key == self._own().key for item in lately):
+        lately = _readable(await self.store.list_lately(ANNOUNCEMENTS))
+        own = self._own().key
+        if any(item.key == own for item, _ in lately):
             return lately
-        self.found([decoded for item in lately if (decoded := _decoded(item))])
+        self.found([decoded for _, decoded in lately])
         await self.clock.sleep(HEARD_OF_S)
-        return await self.store.list(ANNOUNCEMENTS) if self._is_alone() else lately
+        return _readable(await self.store.list(ANNOUNCEMENTS)) if self._is_alone() else lately
 
     async def _write(self) -> None:
         own = self._own()
@@ -180,6 +180,11 @@
                     raise
 
 
+def _readable(stored: Iterable[StoredObject]) -> list[tuple[StoredObject, Announcement]]:
+    """Return the objects that are announcements, each with what it announces."""
+    return [(item, decoded) for item in stored if (decoded := _decoded(item))]
+
+
 def _decoded(item: StoredObject) -> Announcement | None:
     try:
         return decode_announcement(item.key, item.value)
