Sight: what a backend server was running when it ended is one line, and requests have fingerprints

Callers of the incident got 502 and 503 in three spells. From the logs it had to be pieced together at ten nodes which request was running at each server that ended; lines of a burst were held back, and losses that a second try made good left none.

EndWatch keeps the runs that were lost until it is known whether the server has gone: nobody listens, or another start has its place. Any sign of life that was asked for after a loss clears it, as resets, impatient callers and planned stops lose connections too. serving.server_ended then names each run with a fingerprint (keyed BLAKE2b of service, method, target, body, caller), the same at every node. No decision changes: nothing reads the suspects yet.

--- a/bench/model/_model_node.py
+++ b/bench/model/_model_node.py
@@ -91,7 +91,7 @@
     def note_load(self, load: ServerLoad) -> None:
         self.serving.note_load(load)
 
-    def note_health(self, reading: HealthReading) -> None:
+    def note_health(self, reading: HealthReading, asked_at: float) -> None:
         if reading.load is not None:
             self.serving.note_load(reading.load)
 
--- /dev/null
+++ b/features/steps/server_ends_steps.py
@@ -0,0 +1,161 @@
+"""Steps on the ends of backend servers: who was running there, and how a request is known again."""
+
+import asyncio
+from typing import Any
+
+import structlog
+from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
+
+from features.steps.platform_node_steps import run, seat
+from marjoramtide.exchange import Fingerprinter, Request, RequestBody, inline_body, stream_body
+from marjoramtide.serving._end_watch import EndWatch
+from marjoramtide.serving._run import Run
+
+use_step_matcher("parse")
+
+STEP_S = 0.1
+LATER_S = 2.0
+KEY = "a key for tests on loopback only"
+
+
+def make_run(name: str, now: float) -> Run:
+    return Run(ord(name), f"id-{name}", f"GET /{name}", now)
+
+
+@given("a backend server that runs {names}")
+def given_watch(context: Any, names: str) -> None:
+    context.watch = EndWatch()
+    context.now = 1.0
+    context.suspects = []
+    for name in names.split(" and "):
+        context.watch.began(ord(name), make_run(name, context.now))
+
+
+def happens(context: Any, event: str) -> list[Run]:
+    """Play one event; return whom it makes a suspect."""
+    watch, now = context.watch, context.now
+    what, _, name = event.rpartition(" ")
+    match what, name:
+        case "lost", _:
+            return list(watch.unanswered(ord(name), broken=True, now=now))
+        case "given up", _:
+            return list(watch.unanswered(ord(name), broken=False, now=now))
+        case "answered", _:
+            watch.answered(ord(name))
+        case _, "alive":
+            watch.alive(now)
+        case _, "refused":
+            return list(watch.refused(now))
+        case _, "replaced":
+            return list(watch.replaced())
+        case _, "leaves":
+            watch.leaves()
+        case _, "later":
+            context.now += LATER_S
+        case _, "silent":
+            pass
+        case _:
+            watch.began(ord(name), make_run(name, now))
+    return []
+
+
+@when("there comes {events}")
+def there_comes(context: Any, events: str) -> None:
+    for event in events.split(", "):
+        context.now += STEP_S
+        context.suspects += happens(context, event)
+
+
+@then("the suspects are {names}")
+def suspects_are(context: Any, names: str) -> None:
+    wanted = [] if names == "none" else names.split(", ")
+    found = sorted(run.label.removeprefix("GET /") for run in context.suspects)
+    assert found == wanted, (found, wanted)
+
+
+@given('requests for "{path}" end the server of node {number:d}')
+def given_deadly(context: Any, path: str, number: int) -> None:
+    seat(context, number).server.faults.deadly = path
+
+
+@when('a client asks node 1 for "{path}" while {count:d} others are under way')
+def asks_amid(context: Any, path: str, count: int) -> None:
+    async def ask() -> None:
+        first = seat(context, 1)
+        first.server.faults.slow_factor = 100.0
+        others = [
+            asyncio.create_task(context.fleet.call(first, f"/tiles/{number}"))
+            for number in range(count)
+        ]
+        await context.fleet.wait_for(lambda: len(first.server.connections) >= count)
+        await context.fleet.call(first, path)
+        await asyncio.gather(*others)
+        counts = first.node.metrics.all_counts
+        await context.fleet.wait_for(lambda: "serving.server_ends" in counts())
+
+    with structlog.testing.capture_logs() as context.lines:
+        run(context, ask())
+
+
+@then('the log names {count:d} suspects, with the fingerprint and the path of "{path}"')
+def log_names(context: Any, count: int, path: str) -> None:
+    lines = [line for line in context.lines if line["event"] == "serving.server_ended"]
+    runs = [run for line in lines for run in line["runs"]]
+    assert len(runs) == count, context.lines
+    named = next(run for run in runs if run["what"] == f"GET {path}")
+    assert len(named["fingerprint"]) == 16 and named["request"], named
+
+
+def fingerprint(context: Any) -> int:
+    request = Request(
+        "mapdesk",
+        context.method,
+        context.path,
+        tuple(context.headers.items()),
+        urgent=False,
+        idempotent=True,
+        deadline=context.deadline,
+        request_id=context.request_id,
+    )
+    return Fingerprinter(context.key).of(request, context.body)
+
+
+async def nothing() -> Any:
+    yield b""
+
+
+@given('a GET of "{path}" with the body "{body}" by the caller "{caller}"')
+def given_request(context: Any, path: str, body: str, caller: str) -> None:
+    context.method, context.path, context.key = "GET", path, KEY
+    context.body: RequestBody = inline_body(body.encode())
+    context.headers = {"Host": "shop.example", "Authorization": caller}
+    context.deadline, context.request_id = 1.0, "first"
+    context.first = fingerprint(context)
+
+
+@when("it comes again with {change}")
+def comes_again(context: Any, change: str) -> None:
+    what, _, value = change.rpartition(" ")
+    value = value.strip('"')
+    match what:
+        case "another id and":
+            context.request_id, context.deadline = "second", 2.0
+        case "another":
+            context.headers["Traceparent"] = "00-1-1-01"
+        case "the body":
+            context.body = inline_body(value.encode())
+        case "the path":
+            context.path = value
+        case "the method":
+            context.method = value
+        case "the caller":
+            context.headers["Authorization"] = value
+        case "another fleet's":
+            context.key = KEY + " elsewhere"
+        case _:
+            context.body = stream_body(nothing(), 1 << 20)
+
+
+@then("its fingerprint is {verdict}")
+def fingerprint_is(context: Any, verdict: str) -> None:
+    assert (fingerprint(context) == context.first) == (verdict == "the same")
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -14,7 +14,7 @@
 from marjoramtide.daemon._planned_stop import stop_as_planned
 from marjoramtide.daemon._supervision import keep_running
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.exchange import LoadReport
+from marjoramtide.exchange import Fingerprinter, LoadReport
 from marjoramtide.ingress import Dispatcher, Ingress, StartUp
 from marjoramtide.interface import Interface, own_interface
 from marjoramtide.membership import Member, MemberState, make_membership
@@ -103,6 +103,7 @@
             self.clock,
             self.metrics,
             self.tracer,
+            Fingerprinter(settings.key),
         )
         self.peer_server.handler = self.serving
         self.measurer = Measurer(
@@ -115,6 +116,7 @@
         )
         self.measurer.next_look_at = self.serving.next_look_at
         self.transport.on_reading = self.note_reply
+        self.transport.on_refused = self.serving.server_refused
         self.serving.pace_listener = self.publish_load
         self.membership.on_bulletin(self.take_load)
 
@@ -252,7 +254,10 @@
             return ""
         return self.interface.backend.read_health(answer).instance
 
-    def note_health(self, reading: HealthReading) -> None:
+    def note_health(self, reading: HealthReading, asked_at: float) -> None:
+        registered = self.transport.instance
+        if reading.answered and reading.instance in ("", registered):
+            self.serving.ends.alive(asked_at)
         if reading.load is None:
             return
         self.serving.note_load(reading.load)
@@ -287,6 +292,8 @@
             if self.served is not None and not current.is_same_start(self.served):
                 self.serving.server_replaced()
             self.served = current
+        elif self.registrar.departed:
+            self.serving.ends.leaves()
         slots = current.slots if current is not None else None
         if slots != self.registered_slots:
             self.registered_slots = slots
--- a/src/marjoramtide/exchange/__init__.py
+++ b/src/marjoramtide/exchange/__init__.py
@@ -6,6 +6,7 @@
     RequestFailedError,
     UnknownOutcomeError,
 )
+from marjoramtide.exchange._fingerprint import Fingerprinter
 from marjoramtide.exchange._handler import RequestHandler
 from marjoramtide.exchange._headers import OWN_ANSWER, OWN_REQUEST, end_to_end
 from marjoramtide.exchange._load_report import LoadReport, first_sequence
@@ -19,6 +20,7 @@
     "OWN_ANSWER",
     "OWN_REQUEST",
     "Answer",
+    "Fingerprinter",
     "LoadReport",
     "NotRunError",
     "Outcome",
--- /dev/null
+++ b/src/marjoramtide/serving/_end_watch.py
@@ -0,0 +1,96 @@
+"""Which requests a backend server was running when it ended."""
+
+from collections import deque
+
+from marjoramtide.serving._run import LostRun, Run
+
+# Lost runs of which it isn't known yet whether their server has ended. More than a server runs at
+# once; a health endpoint that answers empties the list many times a second.
+MAX_LOST = 256
+# For how long after this node has closed a run's connection the backend server may still be at work
+# on it, in seconds. Servers drop such work, or end it at the deadline, which is seldom further off.
+WORKS_ON_S = 1.0
+
+
+class EndWatch:
+    """Follows the runs of one backend server, and tells whom its end may be put down to.
+
+    A lost connection says little: a sound server may reset it, and so may the way there. A server
+    has ended where nobody listens at its address any more (``refused``), or where another start
+    has taken its place (``replaced``). Until one of these is known, lost runs are kept, and each
+    sign of life that was asked for after a loss clears it. A server that ``leaves`` as planned
+    ends of itself.
+
+    Times are in seconds of the monotonic clock. For example::
+
+        watch.began(7, run)
+        watch.unanswered(7, broken=True, now=12.0)
+        suspects = watch.refused(12.1)
+    """
+
+    def __init__(self) -> None:
+        self.open: dict[int, Run] = {}
+        self.lost: deque[LostRun] = deque(maxlen=MAX_LOST)
+        self.gone_at: float | None = None
+        self.leaving = False
+
+    def began(self, ticket: int, run: Run) -> None:
+        """Note that a byte of a request may have reached the backend server."""
+        self.open[ticket] = run
+
+    def answered(self, ticket: int) -> None:
+        """Note a whole answer, which is a sign of life as well."""
+        run = self.open.pop(ticket, None)
+        if run is not None:
+            self.alive(run.started)
+
+    def unanswered(self, ticket: int, *, broken: bool, now: float) -> list[Run]:
+        """Note the end of a run without an answer; return it where its server is known to be gone.
+
+        The connections to a server that ends break one after another, and the first of the requests
+        that follow may find that nobody listens before the last of them has.
+        """
+        run = self.open.pop(ticket, None)
+        if run is None:
+            return []
+        self.lost.append(LostRun(run, now, broken))
+        return self._take_lost() if broken and self.gone_at is not None else []
+
+    def alive(self, asked_at: float) -> None:
+        """Note that the backend server has answered what it was asked at ``asked_at``."""
+        if self.gone_at is not None and asked_at > self.gone_at:
+            self.gone_at = None
+        kept = [
+            lost
+            for lost in self.lost
+            if asked_at <= lost.lost_at + (0.0 if lost.broken else WORKS_ON_S)
+        ]
+        if len(kept) < len(self.lost):
+            self.lost = deque(kept, maxlen=MAX_LOST)
+
+    def refused(self, now: float) -> list[Run]:
+        """Note that nobody listens at the server's address; return the runs that it has lost."""
+        if self.gone_at is None:
+            self.gone_at = now
+        return self._take_lost()
+
+    def replaced(self) -> list[Run]:
+        """Note that another start has taken the server's place; return what the former one ran.
+
+        That may be long after its end, where its connections have fallen silent.
+        """
+        self.lost.extend(LostRun(run, 0.0, True) for run in self.open.values())
+        self.open.clear()
+        suspects = self._take_lost()
+        self.gone_at = None
+        self.leaving = False
+        return suspects
+
+    def leaves(self) -> None:
+        """Note that this start has said that it leaves, so that its end is nobody's doing."""
+        self.leaving = True
+
+    def _take_lost(self) -> list[Run]:
+        suspects = [] if self.leaving else [lost.run for lost in self.lost]
+        self.lost.clear()
+        return suspects
--- a/src/marjoramtide/serving/_execution.py
+++ b/src/marjoramtide/serving/_execution.py
@@ -13,7 +13,8 @@
     """One request at the backend server; ``begun`` once a byte of it may have left.
 
     ``dispatched`` once the backend server was to be given it, so that what becomes of it from there
-    on tells something of that server.
+    on tells something of that server. ``answered`` once its answer, or its refusal, has arrived
+    whole. ``fingerprint`` tells whether the request is the same as another one.
 
     ``arrived``, ``started`` and ``deadline`` are in seconds of the monotonic clock. The deadline is
     a little before the request's own, so that the word of the serving node, which alone knows
@@ -28,13 +29,18 @@
     started: float = 0.0
     dispatched: bool = False
     begun: bool = False
+    answered: bool = False
+    fingerprint: int = 0
 
     def begin(self) -> None:
         """Note that from here on nobody can say that the request did not run."""
         self.begun = True
 
 
-def make_execution(ticket: int, request: Request, body: RequestBody, now: float) -> Execution:
+def make_execution(
+    ticket: int, request: Request, body: RequestBody, now: float, fingerprint: int = 0
+) -> Execution:
     """Return the execution of a request that arrived just now."""
     margin = min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * (request.deadline - now))
-    return Execution(ticket, request, body, now, request.deadline - max(0.0, margin))
+    deadline = request.deadline - max(0.0, margin)
+    return Execution(ticket, request, body, now, deadline, fingerprint=fingerprint)
--- a/src/marjoramtide/serving/_health_reading.py
+++ b/src/marjoramtide/serving/_health_reading.py
@@ -8,8 +8,12 @@
 
 @attrs.frozen(slots=True)
 class HealthReading:
-    """Its state, the identity it states (or empty), and its load where it tells it."""
+    """Its state, the identity it states (or empty), and its load where it tells it.
+
+    ``answered`` is false where the endpoint could not be read.
+    """
 
     state: BackendState
     instance: str = ""
     load: ServerLoad | None = None
+    answered: bool = True
--- a/src/marjoramtide/serving/_http_transport.py
+++ b/src/marjoramtide/serving/_http_transport.py
@@ -40,6 +40,8 @@
         # Whom requests are for, where the backend server has told its identity.
         self.instance = ""
         self.on_reading: Callable[[ReplyReading], None] | None = None
+        # Called where nobody listens at the address.
+        self.on_refused: Callable[[], None] | None = None
         self.address = address
         self.host, _, port = address.rpartition(":")
         self.port = int(port)
@@ -154,6 +156,8 @@
                     lambda: BackendConnection(self.address, self.lost), self.host, self.port
                 )
         except (OSError, TimeoutError) as error:
+            if isinstance(error, ConnectionRefusedError) and self.on_refused is not None:
+                self.on_refused()
             text = f"{type(error).__name__}: {error}"
             raise self.unconnected(ErrorCode.CONNECT_FAILED, text) from error
         finally:
--- a/src/marjoramtide/serving/_measurer.py
+++ b/src/marjoramtide/serving/_measurer.py
@@ -37,8 +37,9 @@
         metrics: Metrics,
         listener: Callable[[BackendState], None],
         protocol: BackendProtocol | None = None,
-        read_listener: Callable[[HealthReading], None] | None = None,
+        read_listener: Callable[[HealthReading, float], None] | None = None,
     ) -> None:
+        """``read_listener`` is told each reading, and when it was asked for."""
         self.protocol = protocol or OwnBackend()
         self.read_listener = read_listener
         self.next_look_at: Callable[[float], float | None] | None = None
@@ -121,13 +122,13 @@
             answer = await self.transport.read(self.path, READ_TIMEOUT_S)
             reading = self.protocol.read_health(answer)
         except (MarjoramtideError, TimeoutError):
-            reading = HealthReading(BackendState.DOWN)
+            reading = HealthReading(BackendState.DOWN, answered=False)
         now = self.clock.monotonic()
         self.budget.read(now, (now - started) * 1000)
         self.metrics.count("serving.measuring_reads")
         state = reading.state
         if self.read_listener is not None:
-            self.read_listener(reading)
+            self.read_listener(reading, started)
         if state is not BackendState.DOWN:
             self.failed_reads = 0
             return state
--- a/src/marjoramtide/serving/_registrar.py
+++ b/src/marjoramtide/serving/_registrar.py
@@ -35,6 +35,8 @@
         self.ask_identity = ask_identity
         self.changed = changed
         self.current: Registration | None = None
+        # Whether the last start that was registered has said that it leaves.
+        self.departed = False
         self.ended = EndedStarts()
         self.refused = 0
 
@@ -106,6 +108,7 @@
         """
         held = self.current
         if held is not None and held.instance == instance and not is_earlier(born, held.born):
+            self.departed = True
             self._end(held)
         else:
             self.ended.add(instance, born)
@@ -154,6 +157,7 @@
             sequence=heard.sequence,
             born=heard.born,
         )
+        self.departed = False
         self.current = heard
         self.changed()
 
--- /dev/null
+++ b/src/marjoramtide/serving/_run.py
@@ -0,0 +1,32 @@
+"""A request that a backend server has begun."""
+
+import attrs
+
+LABEL_CHARACTERS = 100
+
+
+@attrs.frozen(slots=True)
+class Run:
+    """What is kept of a request until it is known whether its backend server outlives it.
+
+    ``fingerprint`` tells whether it is the same as another one, ``label`` is its method and target
+    for logs, ``started`` in seconds of the monotonic clock.
+    """
+
+    fingerprint: int
+    request_id: str
+    label: str
+    started: float
+
+
+@attrs.frozen(slots=True)
+class LostRun:
+    """A run that ended without an answer.
+
+    ``broken`` where the backend server's side of the connection ended, rather than this node's
+    patience or its caller's: a server that is heard of afterwards did not end by it.
+    """
+
+    run: Run
+    lost_at: float
+    broken: bool
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -11,6 +11,7 @@
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import (
     Answer,
+    Fingerprinter,
     LoadReport,
     NotRunError,
     Request,
@@ -28,8 +29,10 @@
 )
 from marjoramtide.serving._backend_transport import BackendTransport
 from marjoramtide.serving._claim_gate import ClaimGate
+from marjoramtide.serving._end_watch import EndWatch
 from marjoramtide.serving._execution import Execution, make_execution
 from marjoramtide.serving._measurer import Measurer
+from marjoramtide.serving._run import LABEL_CHARACTERS, Run
 from marjoramtide.serving._server_load import ServerLoad
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, Tracer
@@ -38,6 +41,8 @@
 
 STEP = "serving.send"
 MAX_KINDS = 64
+# Suspects that the log names one by one at the end of a backend server; the rest are counted.
+NAMED_SUSPECTS = 24
 
 
 class ServingService(RequestHandler):
@@ -55,7 +60,10 @@
         clock: Clock,
         metrics: Metrics,
         tracer: Tracer,
+        fingerprinter: Fingerprinter | None = None,
     ) -> None:
+        self.fingerprinter = fingerprinter or Fingerprinter("")
+        self.ends = EndWatch()
         self.service = service
         self.is_open = False
         self.admission: Admission = make_admission(
@@ -99,10 +107,38 @@
         if self.measurer is not None:
             self.measurer.server_replaced()
         started = self.admission.server_replaced(self.clock.monotonic())
+        self.server_ended(self.ends.replaced(), "replaced")
         self.transport.server_replaced()
         self.start(started)
         self.schedule_expiry()
 
+    def server_refused(self) -> None:
+        """Note that nobody listens at the backend server's address."""
+        self.server_ended(self.ends.refused(self.clock.monotonic()), "refused")
+
+    def server_ended(self, suspects: list[Run], sign: str) -> None:
+        """Tell of requests that the backend server was running when it ended."""
+        if not suspects:
+            return
+        now = self.clock.monotonic()
+        self.metrics.count("serving.server_ends")
+        log.warning(
+            "serving.server_ended",
+            step="serving.ends",
+            sign=sign,
+            service=self.service,
+            suspects=len(suspects),
+            runs=[
+                {
+                    "fingerprint": f"{run.fingerprint:016x}",
+                    "request": run.request_id,
+                    "what": run.label,
+                    "ago_ms": round((now - run.started) * 1000),
+                }
+                for run in suspects[:NAMED_SUSPECTS]
+            ],
+        )
+
     def set_accepting(self, accepting: bool) -> None:
         """Take new requests, or reject them while those in progress go on."""
         self.admission.set_accepting(accepting)
@@ -146,7 +182,8 @@
         ticket = next(self.tickets)
         self.in_progress.add(ticket)
         self.idle.clear()
-        execution = make_execution(ticket, request, body, self.clock.monotonic())
+        fingerprint = self.fingerprinter.of(request, body)
+        execution = make_execution(ticket, request, body, self.clock.monotonic(), fingerprint)
         try:
             await self.admit(execution)
         except BaseException:
@@ -251,10 +288,13 @@
                     span.attributes |= {"status": answer.status, "urgent": request.urgent}
             succeeded = not answer.is_server_error
             streaming = answer.stream is not None
+            execution.answered = not streaming
             if answer.stream is not None:
                 answer.stream = self.watch_stream(execution, answer.stream, succeeded)
                 answer.cancel = self.finish_on_cancel(execution, answer)
         except RequestFailedError as error:
+            # A refusal is an answer, too: the backend server lives, and has not begun.
+            execution.answered = isinstance(error, NotRunError)
             self.metrics.count(f"serving.failed.{error.code}")
             log.info(
                 "serving.failed",
@@ -263,6 +303,9 @@
                 step=error.step,
                 peer=error.peer,
                 reason=error.message,
+                service=request.service,
+                path=request.target[:LABEL_CHARACTERS],
+                fingerprint=f"{execution.fingerprint:016x}",
                 began=execution.begun,
                 ran_ms=round((self.clock.monotonic() - execution.started) * 1000, 1),
                 slowdown=self.interference.slowdown,
@@ -306,9 +349,17 @@
         execution.dispatched = True
         remaining = execution.deadline - self.clock.monotonic()
         return await self.transport.send(
-            execution.request, execution.body, remaining * 1000, execution.begin
+            execution.request, execution.body, remaining * 1000, lambda: self.begin(execution)
         )
 
+    def begin(self, execution: Execution) -> None:
+        """Note that from here on the backend server may have begun a request."""
+        execution.begin()
+        request = execution.request
+        label = f"{request.method} {request.target}"[:LABEL_CHARACTERS]
+        run = Run(execution.fingerprint, request.request_id, label, self.clock.monotonic())
+        self.ends.began(execution.ticket, run)
+
     async def watch_stream(
         self, execution: Execution, stream: AsyncIterator[bytes], succeeded: bool
     ) -> AsyncIterator[bytes]:
@@ -324,7 +375,7 @@
                 if data is None:
                     break
                 yield data
-            whole = True
+            whole = execution.answered = True
         except TimeoutError as error:
             raise UnknownOutcomeError(
                 ErrorCode.DEADLINE, "the deadline passed amid the answer", step="serving.stream"
@@ -355,6 +406,7 @@
         now = self.clock.monotonic()
         duration_ms = (now - execution.started) * 1000
         self.metrics.timing("serving.execution", duration_ms)
+        self.note_end(execution, cancelled, now)
         if cancelled or not execution.dispatched:
             self.start(self.admission.withdraw(execution.ticket, now))
         else:
@@ -367,6 +419,15 @@
             # What ended may have changed how long the others will take, or the limit.
             self.schedule_expiry()
 
+    def note_end(self, execution: Execution, cancelled: bool, now: float) -> None:
+        """Tell the watch over the backend server's ends how a run ended."""
+        if execution.answered:
+            self.ends.answered(execution.ticket)
+            return
+        broken = not cancelled and now < execution.deadline
+        lost = self.ends.unanswered(execution.ticket, broken=broken, now=now)
+        self.server_ended(lost, "refused")
+
     def done(self, execution: Execution) -> None:
         self.in_progress.discard(execution.ticket)
         self.running.pop(execution.request.request_id, None)
--- a/standins/backend/__main__.py
+++ b/standins/backend/__main__.py
@@ -5,6 +5,7 @@
 import json
 import signal
 
+from standins.backend._faults import Faults
 from standins.backend._server import start_backend
 
 
@@ -16,6 +17,7 @@
     parser.add_argument("--service-ms", type=float, default=20.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--journal", default="", help="file to which executions are written")
+    parser.add_argument("--deadly", default="", help="path of requests that end the stand-in")
     return parser.parse_args()
 
 
@@ -33,6 +35,7 @@
         seed=options.seed,
         journal=options.journal,
     )
+    server.set_faults(Faults(deadly=options.deadly))
     print(json.dumps({"event": "listening", "address": server.name}), flush=True)
     await ended.wait()
     await server.close()
--- a/standins/backend/_faults.py
+++ b/standins/backend/_faults.py
@@ -26,6 +26,8 @@
     close_before_answer: float = 0.0  # share run, then closed without an answer
     late: float = 0.0  # share answered late, after the slot is free
     late_ms: float = 0.0
+    deadly: str = ""  # the path of requests that end the stand-in while it runs them
+    deadly_ms: float = 60.0  # how long it runs them until then
     noise_factor: float = 1.0  # neighbours slow the server by this factor in a share of all steps
     noise_share: float = 0.3
     noise_step_ms: float = 25.0
--- a/standins/backend/_server.py
+++ b/standins/backend/_server.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 import xxhash
@@ -20,6 +21,12 @@
 from standins.expected_body import expected_body
 
 DEFAULT_BODY_BYTES = 256
+CRASHED = 70
+
+
+def end_process() -> None:
+    """End this process where it stands, as a fault in a server's own code does."""
+    os._exit(CRASHED)
 
 
 class BackendServer:
@@ -44,6 +51,7 @@
         self.drain_since = 0.0
         self.snapshots: deque[dict[str, object]] = deque(maxlen=2)
         self.sampler: asyncio.Task[None] | None = None
+        self.crash: Callable[[], None] = end_process
         self.listener: asyncio.Server | None = None
 
     @staticmethod
@@ -112,6 +120,9 @@
         self.ledger.peak = max(self.ledger.peak, self.slots.in_use)
         began = self.now()
         try:
+            if request.path == self.faults.deadly:
+                await asyncio.sleep(self.faults.deadly_ms / 1000)
+                self.crash()
             own_ms = request.number("ms")
             await asyncio.sleep(
                 self.service_time.draw_s(self.faults, began, self.cold_since, own_ms)
--- a/standins/mesh/_mesh_node.py
+++ b/standins/mesh/_mesh_node.py
@@ -76,7 +76,7 @@
         arguments = ["standins.backend", "--listen", self.backend, "--slots", str(plan.slots)]
         arguments += ["--service-ms", str(plan.service_ms), "--seed", str(plan.seed)]
         arguments += ["--journal", str(self.journal_file)]
-        arguments += ["--connections", str(plan.connections)]
+        arguments += ["--connections", str(plan.connections), "--deadly", plan.deadly]
         self.server = await start_process(f"{self.name}-backend", arguments, self.folder)
 
     async def start_node(self) -> None:
--- a/standins/mesh/_plan.py
+++ b/standins/mesh/_plan.py
@@ -10,7 +10,10 @@
 
 @attrs.frozen(slots=True)
 class NodePlan:
-    """One backend server with its node."""
+    """One backend server with its node.
+
+    ``deadly`` is the path of requests that end the backend server while it runs them.
+    """
 
     service: str
     data_centre: str
@@ -18,6 +21,7 @@
     service_ms: float = 20.0
     seed: int = 1
     connections: int = 250
+    deadly: str = ""
 
 
 def make_plan(
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -33,6 +33,7 @@
         self.bodies: list[bytes] = []
         self.owed: dict[Connection, Answer] = {}
         self.silent: set[Connection] = set()
+        self.crash = self.end
 
     async def answer(self, request: Request, connection: Connection) -> Answer | None:
         if request.path == HEALTH_PATH:
@@ -62,6 +63,22 @@
             self.owed[connection] = answer
         return answer
 
+    def end(self) -> None:
+        """Crash: break all connections and listen no more, with all that runs."""
+        if self.listener is not None:
+            self.listener.close()
+        for connection in list(self.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    async def come_back(self, instance: str) -> None:
+        """Listen again after a crash, as another start."""
+        host, _, port = self.name.rpartition(":")
+        self.instance = instance
+        self.slots = Slots(self.slots.total)
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(lambda: Connection(self), host, int(port))
+
     def start_again(self, slots: int) -> None:
         """Crash without a word and start again: old connections stay open and never answer."""
         self.silent |= self.connections
