--- /dev/null
+++ b/features/path/crashing_requests.feature
@@ -0,0 +1,39 @@
+Feature: A request that ends the backend servers that run it does not go through the fleet
+
+  Scenario: A lookup that ends each server that runs it
+    # Callers of a case desk get 502 and 503 for two thirds of their lookups, for as long as one
+    # caller repeats a single one: its server ends while it runs it, with all else that runs there,
+    # and is back seconds later. The caller asks again, with an id of its own, through another node.
+    # No node links the end of a server with what ran there, nor tells the others, so the repeat is
+    # placed wherever there is room, and that server ends too.
+    # Evidence: in the incident's logs each of ten ends within eight seconds had one and the same
+    # path in progress, at six servers, and nothing else in common; it stopped for want of servers.
+    Given a mesh of 6 mapdesk nodes, whose servers "/deadly" ends and which are back after 1.5 s
+    And traffic: 60 lookups a second of mapdesk for 14 s
+      | key     | value |
+      | retries | 1     |
+    And traffic: 3 deadly a second of mapdesk for 12 s
+      | key  | value |
+      | from | 1     |
+    When the traffic enters by all nodes
+    Then deadly ended at most 3 servers
+    And at least 98% of the lookups of the last 5 s completed
+    And in the last 5 s each deadly was refused as not-run, with 10 s to wait
+    And every promise is kept
+
+  Scenario: A booking that ends each server that runs it
+    # The same by a booking: nobody repeats it for its caller, so each attempt ends one server, and
+    # its caller, who gets 502, books again.
+    Given a mesh of 4 mapdesk nodes, whose servers "/deadly" ends and which are back after 1.5 s
+    And traffic: 40 lookups a second of mapdesk for 12 s
+      | key     | value |
+      | retries | 1     |
+    And traffic: 3 deadly a second of mapdesk for 10 s
+      | key        | value  |
+      | from       | 1      |
+      | method     | "POST" |
+      | body_bytes | 500    |
+    When the traffic enters by all nodes
+    Then deadly ended at most 3 servers
+    And at least 98% of the lookups of the last 5 s completed
+    And every promise is kept
--- /dev/null
+++ b/features/steps/crashing_requests_steps.py
@@ -0,0 +1,57 @@
+"""Steps on requests that end the backend servers that run them."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, use_step_matcher  # type: ignore[attr-defined]
+
+from bench.load import Outcome
+from features.steps.mesh_steps import of_label, run, start_mesh, told
+
+use_step_matcher("parse")
+
+
+@given(
+    'a mesh of {count:d} {service} nodes, whose servers "{path}" ends '
+    "and which are back after {seconds:g} s"
+)
+def given_mortal_mesh(context: Any, count: int, service: str, path: str, seconds: float) -> None:
+    start_mesh(context, {service: count}, deadly=path)
+
+    async def supervise() -> None:
+        context.mesh.supervise_servers(seconds)
+        await asyncio.sleep(0)
+
+    run(context, supervise())
+
+
+@then("{label} ended at most {most:d} servers")
+def ended_at_most(context: Any, label: str, most: int) -> None:
+    """Each run of such a request ends the server that runs it, so the journals count the ends."""
+    rows = sorted(row for each in context.mesh.nodes for row in each.journal())
+    ends = [at - context.began for at, request, _ in rows if request.startswith(f"{label}-")]
+    assert 0 < len(ends) <= most, f"{len(ends)} ends, {ends}\n{told(context)}"
+
+
+def last(context: Any, label: str, seconds: float) -> list[Any]:
+    """Return the calls of a label that were planned for the last seconds of the traffic."""
+    since = max(call.at_s for call in context.calls) - seconds
+    return [result for result in of_label(context, label) if result.call.at_s >= since]
+
+
+@then("at least {share:d}% of the {label} of the last {seconds:g} s completed")
+def last_completed(context: Any, share: int, label: str, seconds: float) -> None:
+    results = last(context, label, seconds)
+    good = sum(result.outcome is Outcome.COMPLETED for result in results)
+    assert results and good * 100 >= share * len(results), f"{good} of {len(results)}"
+
+
+@then("in the last {seconds:g} s each {label} was refused as not-run, with {wait_s:g} s to wait")
+def last_refused(context: Any, seconds: float, label: str, wait_s: float) -> None:
+    attempts = [each for result in last(context, label, seconds) for each in result.attempts]
+    bad = [
+        attempt
+        for attempt in attempts
+        if attempt.outcome is not Outcome.NOT_RUN or (attempt.retry_after_ms or 0) < wait_s * 1000
+    ]
+    assert attempts and not bad, f"{len(bad)} of {len(attempts)}: {bad[:5]}"
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -28,12 +28,16 @@
     return next(each for each in context.mesh.nodes if each.name == name)
 
 
-def start_mesh(context: Any, services: dict[str, int]) -> None:
-    """Start the mesh; it ends with the scenario."""
+def start_mesh(context: Any, services: dict[str, int], deadly: str = "") -> None:
+    """Start the mesh; it ends with the scenario.
+
+    Requests for the path ``deadly`` end the backend servers that run them.
+    """
     folder = context.cleanup.enter_context(tempfile.TemporaryDirectory())
     context.runner = context.cleanup.enter_context(asyncio.Runner())
     tree = context.text or ""
-    context.mesh = Mesh(Path(folder), make_plan(services), tree)
+    plans = [attrs.evolve(plan, deadly=deadly) for plan in make_plan(services)]
+    context.mesh = Mesh(Path(folder), plans, tree)
     context.cleanup.callback(lambda: run(context, context.mesh.stop()))
     context.calls = []
     context.results = []
--- a/standins/mesh/_mesh.py
+++ b/standins/mesh/_mesh.py
@@ -37,6 +37,7 @@
         services = list(dict.fromkeys(plan.service for plan in plans))
         self.tree = tree or default_tree(services)
         self.store: ManagedProcess | None = None
+        self.supervisors: list[asyncio.Task[None]] = []
         self.nodes: list[MeshNode] = [
             self.make_node(f"{plan.service}-{number}", plan)
             for number, plan in enumerate(plans, start=1)
@@ -104,6 +105,18 @@
         ):
             response.raise_for_status()
 
+    def supervise_servers(self, delay_s: float) -> None:
+        """Start each backend server that ends again after ``delay_s`` seconds, as its host does."""
+        self.supervisors = [
+            asyncio.create_task(self.supervise(node, delay_s)) for node in self.nodes
+        ]
+
+    async def supervise(self, node: MeshNode, delay_s: float) -> None:
+        while node.server is not None:
+            await node.server.process.wait()
+            await asyncio.sleep(delay_s)
+            await node.start_server()
+
     async def ready(self, timeout: float = READY_TIMEOUT_S) -> None:
         """Wait until a request of each service is answered through every running node."""
         services = {node.plan.service for node in self.nodes}
@@ -148,6 +161,9 @@
 
     async def stop(self) -> None:
         """End every process."""
+        for task in self.supervisors:
+            task.cancel()
+        await asyncio.gather(*self.supervisors, return_exceptions=True)
         processes = [node.process for node in self.nodes]
         processes += [node.server for node in self.nodes] + [self.store]
         await asyncio.gather(*(process.kill() for process in processes if process is not None))
