Scenarios: repeated crashes on the platform's interface, with resets, planned ends and queues

A planned end and a server that loses answers and lives on are put down to nobody; what waits for a slot is refused within 0.3 s of the news. Each with real nodes in one event loop.

--- /dev/null
+++ b/features/steps/platform_crashes_steps.py
@@ -0,0 +1,143 @@
+"""Steps on requests that end servers on the platform, with real nodes in one event loop."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
+
+from features.platform_harness import CallResult, Seat
+from features.steps.platform_node_steps import run, seat
+from marjoramtide.policy import ServerEnd, Suspicion
+from marjoramtide.quarantine import pack_news
+
+use_step_matcher("parse")
+
+SLOW = 100.0
+
+
+@given(
+    'requests for "{path}" end every server, which registers again as another after {seconds:g} s'
+)
+def given_mortal(context: Any, path: str, seconds: float) -> None:
+    context.ends = []
+    context.reviving = []
+
+    async def revive(each: Seat) -> None:
+        await asyncio.sleep(seconds)
+        await each.server.come_back(f"i-{len(context.ends) + 1}-{each.settings.name}")
+        await each.registrant.heartbeat(each.server.instance, sequence=1)
+
+    def crash(each: Seat) -> None:
+        each.server.end()
+        context.ends.append(each.settings.name)
+        context.reviving.append(asyncio.ensure_future(revive(each)))
+
+    for each in context.fleet.seats:
+        each.server.faults.deadly = path
+        each.server.crash = lambda each=each: crash(each)
+
+
+@when('clients ask for "{path}" {count:d} times in {seconds:g} s, each time through another node')
+def ask_often(context: Any, path: str, count: int, seconds: float) -> None:
+    async def ask() -> list[CallResult]:
+        calls = []
+        for number in range(count):
+            entry = context.fleet.seats[number % len(context.fleet.seats)]
+            calls.append(asyncio.create_task(context.fleet.call(entry, path)))
+            await asyncio.sleep(seconds / count)
+        return await asyncio.gather(*calls)
+
+    context.results = run(context, ask())
+
+
+@then("at most {most:d} servers ended")
+def at_most_ended(context: Any, most: int) -> None:
+    assert 0 < len(context.ends) <= most, context.ends
+
+
+@then("the last {count:d} of them got {status:d}, with {seconds:g} s or more to wait")
+def last_got(context: Any, count: int, status: int, seconds: float) -> None:
+    bad = [
+        result
+        for result in context.results[-count:]
+        if result.status != status or float(result.headers.get("Retry-After", 0)) < seconds
+    ]
+    assert not bad, bad
+
+
+@when('the server of node 1 leaves while it runs "{path}", and ends')
+def leaves_and_ends(context: Any, path: str) -> None:
+    async def leave() -> None:
+        first = seat(context, 1)
+        first.server.faults.slow_factor = SLOW
+        call = asyncio.create_task(context.fleet.call(first, path))
+        await context.fleet.wait_for(lambda: bool(first.node.serving.ends.watch.open))
+        await first.registrant.leave(first.server.instance)
+        first.server.end()
+        await call
+        await asyncio.sleep(0.3)
+
+    run(context, leave())
+
+
+@when('two servers in turn lose the answer of "{path}" and live on')
+def lose_answers(context: Any, path: str) -> None:
+    async def lose(each: Seat) -> None:
+        each.server.faults.close_before_answer = 1.0
+        assert (await context.fleet.call(each, path)).status == 502
+        each.server.faults.close_before_answer = 0.0
+        await asyncio.sleep(0.3)
+
+    async def lose_both() -> None:
+        for each in context.fleet.seats[:2]:
+            others = [other for other in context.fleet.seats[:4] if other is not each]
+            for other in others:
+                other.node.drain(True)
+            await asyncio.sleep(0.3)
+            await lose(each)
+            for other in others:
+                other.node.drain(False)
+            await asyncio.sleep(0.3)
+
+    run(context, lose_both())
+
+
+@then("nothing is suspected at node {number:d}")
+def nothing_suspected(context: Any, number: int) -> None:
+    assert len(seat(context, number).node.quarantine.quarantine) == 0
+
+
+@when("node 1 hears that this booking has ended two servers")
+def hears_of_ends(context: Any) -> None:
+    async def tell() -> None:
+        node = seat(context, 1).node
+        execution, *_ = node.serving.in_progress.values()
+        ends = (ServerEnd(1, 2.0, 0.1), ServerEnd(2, 1.0, 0.1))
+        (fields,) = pack_news([Suspicion(execution.fingerprint, ends)])
+        node.quarantine.take(node.membership.self_member, fields)
+
+    run(context, tell())
+
+
+@then(
+    "one of the bookings is answered {status:d} within {limit:g} s, "
+    "with {seconds:g} s or more to wait"
+)
+def one_answered(context: Any, status: int, limit: float, seconds: float) -> None:
+    async def first() -> CallResult:
+        done, _ = await asyncio.wait(
+            context.bookings, timeout=limit, return_when=asyncio.FIRST_COMPLETED
+        )
+        assert len(done) == 1, done
+        context.bookings.remove(task := done.pop())
+        return task.result()
+
+    result = run(context, first())
+    assert result.status == status and float(result.headers["Retry-After"]) >= seconds, result
+
+
+@then("the other one is answered {status:d}")
+def other_answered(context: Any, status: int) -> None:
+    (task,) = context.bookings
+    result = run(context, task)
+    assert result.status == status, result
