A try that ran until the deadline is not followed by another

What servers saw: a lookup under which its server had frozen reached a second one at the end of its time; both were silent from then on.

Scenario (refusals.feature) seen failing on the code before.

--- a/features/path/refusals.feature
+++ b/features/path/refusals.feature
@@ -43,3 +43,21 @@
     Given the budgets of a service whose routine second tries are used up
     When 100 requests are refused with 1000 ms to come back after
     Then at least 50 different times are told, from 1000 to 1500 ms
+
+  Scenario Outline: Another server is tried only where that can help the caller
+    # A lookup waits for its answer until its deadline. What is left then, some milliseconds, is sent
+    # to another server all the same: no caller gets anything by it, and a lookup under which its
+    # server froze freezes a second one. What is held back is held back at every node.
+    Given a lookup with time left, whose service has second tries to spare
+    When its first try fails as <outcome> with the code <code>
+    Then it <verdict> tried again
+
+    Examples:
+      | outcome | code           | verdict |
+      | unknown | backend-failed | is      |
+      | unknown | peer-lost      | is      |
+      | unknown | deadline       | is not  |
+      | not-run | connect-failed | is      |
+      | not-run | overloaded     | is      |
+      | not-run | deadline       | is      |
+      | not-run | quarantined    | is not  |
--- a/features/steps/ingress_budget_steps.py
+++ b/features/steps/ingress_budget_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when  # type: ignore[attr-defined]
 
 from marjoramtide.errors import ErrorCode
-from marjoramtide.exchange import NotRunError, Request, inline_body
+from marjoramtide.exchange import NotRunError, Request, UnknownOutcomeError, inline_body
 from marjoramtide.ingress._attempts import Attempts
 from marjoramtide.ingress._class_budgets import make_class_budgets
 from marjoramtide.ingress._service_state import make_service_state
@@ -98,3 +98,22 @@
 def then_bounded(context: Any, seconds: int, share: int) -> None:
     allowed = seconds * (context.ratio * context.rate + context.per_s)
     assert 0 < len(context.sent_at) <= allowed * share / 100, (len(context.sent_at), allowed)
+
+
+@given("a lookup with time left, whose service has second tries to spare")
+def given_lookup(context: Any) -> None:
+    own = Member("n", "s", "r", "d", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+    context.state = make_service_state(RouteSettings(service="s"), own, random.Random(1))
+    context.attempts = one_try(context, urgent=False)
+
+
+@when("its first try fails as {outcome} with the code {code}")
+def when_fails(context: Any, outcome: str, code: str) -> None:
+    cls = UnknownOutcomeError if outcome == "unknown" else NotRunError
+    context.error = cls(ErrorCode(code), "failed", step="test")
+    context.attempts.note(context.error)
+
+
+@then("it {verdict} tried again")
+def then_tried(context: Any, verdict: str) -> None:
+    assert context.attempts.may_retry(context.error, NOW) == (verdict == "is")
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -90,8 +90,7 @@
         """
         if now >= self.request.deadline or not self.may_ask():
             return False
-        if getattr(error, "code", None) is ErrorCode.QUARANTINED:
-            # All nodes of the service hold it back, or will within moments.
+        if is_over(error):
             return False
         if not self.body.repeatable:
             return False
@@ -132,3 +131,16 @@
             # in one moment, and be turned away again.
             error.retry_after_ms = round(error.retry_after_ms * self.state.rng.uniform(1, SPREAD))
         return error
+
+
+def is_over(error: Exception) -> bool:
+    """Tell whether a failure is the last word, whatever time and budgets are left.
+
+    What is held back is held back by all nodes of the service, or will be within moments. A try
+    that has run until the deadline leaves some milliseconds, since the serving node gives up a
+    little before: another server would begin in vain, and where the request has frozen the first
+    one it freezes a second.
+    """
+    if isinstance(error, NotRunError):
+        return error.code is ErrorCode.QUARANTINED
+    return isinstance(error, UnknownOutcomeError) and error.code is ErrorCode.DEADLINE
