A server that falls silent counts as ended; a request that freezes servers is held back

A lookup freezes the server that runs it: it listens on and answers nothing, so that neither a refused connection nor another start tells of an end, and the lookup went through the fleet as before: of eight servers all were silent after 16 s (14 runs), and with them the service was gone.

What a server runs while it is not heard of for 2 s, and its endpoint does not answer, is now put down to that. Real nodes on loopback, one such lookup each 2.5 s: before 14 runs, at most 6 now (three and three more), and 98 in 100 other lookups of the last 5 s are served. It takes longer than after a crash, as silence takes time to be known.

--- a/bench/quarantine/_play.py
+++ b/bench/quarantine/_play.py
@@ -195,7 +195,7 @@
     def answer(self, number: int, ticket: int) -> None:
         server = self.servers[number]
         if ticket in server.runs:
-            server.watch.answered(ticket)
+            server.watch.answered(ticket, self.loop.time())
             server.runs.pop(ticket)[1].set_result(True)
 
     def end(self, number: int, by: int | None = None) -> None:
@@ -221,7 +221,7 @@
     def back(self, number: int) -> None:
         server = self.servers[number]
         server.up = True
-        server.watch.alive(self.loop.time())
+        server.watch.alive(self.loop.time(), self.loop.time())
 
 
 def play(plan: PlayPlan) -> Tally:
--- a/features/path/crashing_requests.feature
+++ b/features/path/crashing_requests.feature
@@ -38,3 +38,19 @@
     Then deadly ended at most 3 servers
     And at least 98% of the lookups of the last 5 s completed
     And every promise is kept
+
+  Scenario: A lookup under which each server falls silent
+    # A lookup freezes the server that runs it: it takes connections and answers nothing any more, its
+    # health endpoint included, until somebody starts it again. Nobody listens on, nobody has taken
+    # its place, so that nothing tells that it ended; the lookup goes through the fleet all the same.
+    Given a mesh of 8 mapdesk nodes, whose servers "/deadly" freezes
+    And traffic: 60 lookups a second of mapdesk for 22 s
+      | key     | value |
+      | retries | 1     |
+    And traffic: 0.4 deadly a second of mapdesk for 20 s
+      | key  | value |
+      | from | 1     |
+    When the traffic enters by all nodes
+    Then deadly ended at most 6 servers
+    And at least 98% of the lookups of the last 5 s completed
+    And every promise is kept
--- a/features/path/server_ends.feature
+++ b/features/path/server_ends.feature
@@ -19,6 +19,18 @@
       | given up a, silent, silent, silent, replaced       | a, b     |
       | lost a, lost b, refused, alive, c, lost c, refused | a, b, c  |
 
+    Examples: the server is silent
+      | events                                | suspects |
+      | later, unread                         | a, b     |
+      | alive, later, unread                  | a, b     |
+      | given up a, later, unread             | a, b     |
+      | later, unread, replaced               | a, b     |
+      | unread                                | none     |
+      | later, alive, unread                  | none     |
+      | later, answered a, unread             | none     |
+      | answered a, answered b, later, unread | none     |
+      | later, leaves, unread                 | none     |
+
     Examples: the server lives, or goes as it should
       | events                                    | suspects |
       | lost a, alive, refused                    | none     |
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -25,6 +25,11 @@
     run(context, supervise())
 
 
+@given('a mesh of {count:d} {service} nodes, whose servers "{path}" freezes')
+def given_freezing_mesh(context: Any, count: int, service: str, path: str) -> None:
+    start_mesh(context, {service: count}, deadly=path, deadly_freezes=True)
+
+
 @then("{label} ended at most {most:d} servers")
 def ended_at_most(context: Any, label: str, most: int) -> None:
     """Each run of such a request ends the server that runs it, so the journals count the ends."""
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -28,15 +28,15 @@
     return next(each for each in context.mesh.nodes if each.name == name)
 
 
-def start_mesh(context: Any, services: dict[str, int], deadly: str = "") -> None:
+def start_mesh(context: Any, services: dict[str, int], **plan: Any) -> None:
     """Start the mesh; it ends with the scenario.
 
-    Requests for the path ``deadly`` end the backend servers that run them.
+    ``plan`` sets more of each pair of a node and its backend server.
     """
     folder = context.cleanup.enter_context(tempfile.TemporaryDirectory())
     context.runner = context.cleanup.enter_context(asyncio.Runner())
     tree = context.text or ""
-    plans = [attrs.evolve(plan, deadly=deadly) for plan in make_plan(services)]
+    plans = [attrs.evolve(each, **plan) for each in make_plan(services)]
     context.mesh = Mesh(Path(folder), plans, tree)
     context.cleanup.callback(lambda: run(context, context.mesh.stop()))
     context.calls = []
--- a/features/steps/server_ends_steps.py
+++ b/features/steps/server_ends_steps.py
@@ -41,11 +41,13 @@
         case "given up", _:
             return list(watch.unanswered(ord(name), broken=False, now=now))
         case "answered", _:
-            watch.answered(ord(name))
+            watch.answered(ord(name), now)
         case _, "alive":
-            watch.alive(now)
+            watch.alive(now, now)
         case _, "refused":
             return list(watch.refused(now))
+        case _, "unread":
+            return list(watch.unread(now))
         case _, "replaced":
             return list(watch.replaced())
         case _, "leaves":
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -263,9 +263,8 @@
         return self.interface.backend.read_health(answer).instance
 
     def note_health(self, reading: HealthReading, asked_at: float) -> None:
-        registered = self.transport.instance
-        if reading.answered and reading.instance in ("", registered):
-            self.serving.ends.watch.alive(asked_at)
+        if reading.instance in ("", self.transport.instance):
+            self.serving.ends.read(answered=reading.answered, asked_at=asked_at)
         if reading.load is None:
             return
         self.serving.note_load(reading.load)
--- a/src/marjoramtide/serving/_server_ends.py
+++ b/src/marjoramtide/serving/_server_ends.py
@@ -35,7 +35,7 @@
     def run_ended(self, execution: Execution, *, cancelled: bool) -> None:
         """Note how a run ended; more than once for the same one does nothing."""
         if execution.answered:
-            self.watch.answered(execution.ticket)
+            self.watch.answered(execution.ticket, self.clock.monotonic())
             return
         now = self.clock.monotonic()
         broken = not cancelled and now < execution.deadline
@@ -46,6 +46,14 @@
         """Note that nobody listens at the backend server's address."""
         self._put_down(self.watch.refused(self.clock.monotonic()), "refused")
 
+    def read(self, *, answered: bool, asked_at: float) -> None:
+        """Note whether the backend server's endpoint answered what it was asked at ``asked_at``."""
+        now = self.clock.monotonic()
+        if answered:
+            self.watch.alive(asked_at, now)
+        else:
+            self._put_down(self.watch.unread(now), "silent")
+
     def replaced(self) -> None:
         """Note that another start has taken the backend server's place."""
         self._put_down(self.watch.replaced(), "replaced")
--- a/standins/backend/_server.py
+++ b/standins/backend/_server.py
@@ -122,7 +122,11 @@
         try:
             if request.path == self.faults.deadly:
                 await asyncio.sleep(self.faults.deadly_ms / 1000)
-                self.crash()
+                if self.faults.deadly_freezes:
+                    self.set_faults(attrs.evolve(self.faults, freeze=True))
+                    await self.thawed.wait()
+                else:
+                    self.crash()
             own_ms = request.number("ms")
             await asyncio.sleep(
                 self.service_time.draw_s(self.faults, began, self.cold_since, own_ms)
--- a/standins/mesh/_plan.py
+++ b/standins/mesh/_plan.py
@@ -12,7 +12,7 @@
 class NodePlan:
     """One backend server with its node.
 
-    ``deadly`` is the path of requests that end the backend server while it runs them.
+    ``deadly`` is the path of requests that end the backend server while it runs them, or freeze it.
     """
 
     service: str
@@ -22,6 +22,7 @@
     seed: int = 1
     connections: int = 250
     deadly: str = ""
+    deadly_freezes: bool = False
 
 
 def make_plan(
