Silence of a server is known by time, not by a second look at its endpoint

Traced: by its budget a node looks once in 20 s at an endpoint that does not answer, and the first such look came less than 2 s after the lookup had begun, so that it said too little; three of seven frozen servers were never known.

What a silent server ran is put down piece by piece, as each run is given up; a page was excused for the first piece of an end and blamed for the second. It is excused for all of the same end.

--- a/features/path/server_ends.feature
+++ b/features/path/server_ends.feature
@@ -30,6 +30,9 @@
       | later, answered a, unread             | none     |
       | answered a, answered b, later, unread | none     |
       | later, leaves, unread                 | none     |
+      | unread, later, still                  | a, b     |
+      | unread, alive, later, still           | none     |
+      | later, still                          | none     |
 
     Examples: the server lives, or goes as it should
       | events                                    | suspects |
--- a/features/steps/server_ends_steps.py
+++ b/features/steps/server_ends_steps.py
@@ -47,7 +47,10 @@
         case _, "refused":
             return list(watch.refused(now))
         case _, "unread":
-            return list(watch.unread(now))
+            watch.unread(now)
+            return list(watch.silent(now))
+        case _, "still":
+            return list(watch.silent(now))
         case _, "replaced":
             return list(watch.replaced())
         case _, "leaves":
--- a/src/marjoramtide/policy/quarantine/_completed_requests.py
+++ b/src/marjoramtide/policy/quarantine/_completed_requests.py
@@ -28,8 +28,8 @@
         self.newer = bytearray(BITS // 8)
         self.older = bytearray(BITS // 8)
         self.count = 0
-        # What was excused and has not been completed since.
-        self.spent: OrderedDict[int, None] = OrderedDict()
+        # What was excused and has not been completed since, and for which end.
+        self.spent: OrderedDict[int, int] = OrderedDict()
 
     def add(self, fingerprint: int) -> None:
         """Remember a request that was completed."""
@@ -42,11 +42,16 @@
             self.older, self.newer = self.newer, bytearray(BITS // 8)
             self.count = 0
 
-    def excuse(self, fingerprint: int) -> bool:
-        """Tell whether a request that was running at an end of the server is excused for it."""
-        if fingerprint in self.spent or fingerprint not in self:
+    def excuse(self, fingerprint: int, end: int) -> bool:
+        """Tell whether a request that was running at an end of the server is excused for it.
+
+        It is for all of the same ``end``: what the server ran is told as each run of it is lost.
+        """
+        if fingerprint in self.spent:
+            return self.spent[fingerprint] == end
+        if fingerprint not in self:
             return False
-        self.spent[fingerprint] = None
+        self.spent[fingerprint] = end
         if len(self.spent) > MAX_SPENT:
             self.spent.popitem(last=False)
         return True
--- a/src/marjoramtide/quarantine/_quarantine_service.py
+++ b/src/marjoramtide/quarantine/_quarantine_service.py
@@ -125,7 +125,8 @@
         self.has_ended = True
         # The same request may run there several times at once.
         different = {run.fingerprint: run for run in suspects}.values()
-        blamed = [run for run in different if not self.completed_here.excuse(run.fingerprint)]
+        excuse = self.completed_here.excuse
+        blamed = [run for run in different if not excuse(run.fingerprint, self.end)]
         for run in blamed:
             end = ServerEnd(self.end, ran_s=now - run.started)
             heard = Suspicion(run.fingerprint, (end,))
--- a/src/marjoramtide/serving/_end_watch.py
+++ b/src/marjoramtide/serving/_end_watch.py
@@ -21,7 +21,7 @@
 
     A lost connection says little: a sound server may reset it, and so may the way there. A server
     has ended where nobody listens at its address any more (``refused``), where another start has
-    taken its place (``replaced``), or where it has been silent for long (``unread``). Until one of
+    taken its place (``replaced``), or where it is ``silent``. Until one of
     these is known, lost runs are kept, and each sign of life that was asked for after a loss
     clears it. A server that ``leaves`` as planned ends of itself.
 
@@ -37,6 +37,7 @@
         self.lost: deque[LostRun] = deque(maxlen=MAX_LOST)
         self.gone_at: float | None = None
         self.heard_at = float("-inf")
+        self.unread_at = float("-inf")
         self.leaving = False
 
     def began(self, ticket: int, run: Run) -> None:
@@ -80,16 +81,29 @@
             self.gone_at = now
         return self._take_lost()
 
-    def unread(self, now: float) -> list[Run]:
-        """Note that the server's endpoint did not answer; return what it runs if it is silent.
+    def unread(self, now: float) -> None:
+        """Note that the server's endpoint has not answered in time."""
+        self.unread_at = now
 
-        Failure: a request freezes the server that runs it. Nobody tells of an end, and the request
-        goes on to the next server: eight were silent after 16 s.
+    def silent_at(self) -> float | None:
+        """Return when a server whose endpoint does not answer has been silent for long enough.
+
+        ``None`` where it runs nothing, or has been heard of since.
         """
         begun = [run.started for run in self.open.values()]
         begun += [lost.run.started for lost in self.lost]
-        since = max(self.heard_at, min(begun, default=now))
-        return self._take_all() if now - since >= SILENT_S else []
+        if not begun or self.unread_at <= self.heard_at:
+            return None
+        return max(self.heard_at, min(begun)) + SILENT_S
+
+    def silent(self, now: float) -> list[Run]:
+        """Return what the server runs, or has lost, where it is silent.
+
+        Failure: a request freezes the server that runs it. Nobody tells of an end, and the request
+        goes on to the next server: eight were silent after 16 s.
+        """
+        silent_at = self.silent_at()
+        return self._take_all() if silent_at is not None and now >= silent_at else []
 
     def replaced(self) -> list[Run]:
         """Note that another start has taken the server's place; return what the former one ran.
--- a/src/marjoramtide/serving/_run.py
+++ b/src/marjoramtide/serving/_run.py
@@ -16,6 +16,15 @@
     label: str
     started: float
 
+    def told(self, now: float) -> dict[str, str | int]:
+        """Return the fields by which the log names a run."""
+        return {
+            "fingerprint": f"{self.fingerprint:016x}",
+            "request": self.request_id,
+            "what": self.label,
+            "ago_ms": round((now - self.started) * 1000),
+        }
+
 
 @attrs.frozen(slots=True)
 class LostRun:
--- a/src/marjoramtide/serving/_server_ends.py
+++ b/src/marjoramtide/serving/_server_ends.py
@@ -1,5 +1,7 @@
 """The ends of the backend server beside this node, and what is put down to them."""
 
+import asyncio
+
 import structlog
 
 from marjoramtide.clock import Clock
@@ -24,6 +26,7 @@
         self.clock = clock
         self.metrics = metrics
         self.watch = EndWatch()
+        self.timer: asyncio.TimerHandle | None = None
 
     def began(self, execution: Execution) -> None:
         """Note that from here on the backend server may have begun a request."""
@@ -41,6 +44,7 @@
         broken = not cancelled and now < execution.deadline
         lost = self.watch.unanswered(execution.ticket, broken=broken, now=now)
         self._put_down(lost, "refused")
+        self._look_for_silence()
 
     def refused(self) -> None:
         """Note that nobody listens at the backend server's address."""
@@ -52,13 +56,30 @@
         if answered:
             self.watch.alive(asked_at, now)
         else:
-            self._put_down(self.watch.unread(now), "silent")
+            self.watch.unread(now)
+            self._look_for_silence()
 
     def replaced(self) -> None:
         """Note that another start has taken the backend server's place."""
         self._put_down(self.watch.replaced(), "replaced")
         self.guard.server_replaced()
 
+    def _look_for_silence(self) -> None:
+        """Put down what the backend server runs where it is silent, or look again when it is."""
+        now = self.clock.monotonic()
+        self._put_down(self.watch.silent(now), "silent")
+        if self.timer is not None:
+            self.timer.cancel()
+        silent_at = self.watch.silent_at()
+        if silent_at is not None:
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_later(silent_at - now, self._look_for_silence)
+
+    def close(self) -> None:
+        """Look no more."""
+        if self.timer is not None:
+            self.timer.cancel()
+
     def _put_down(self, suspects: list[Run], sign: str) -> None:
         if not suspects:
             return
@@ -70,14 +91,6 @@
             sign=sign,
             service=self.service,
             suspects=len(suspects),
-            runs=[
-                {
-                    "fingerprint": f"{run.fingerprint:016x}",
-                    "request": run.request_id,
-                    "what": run.label,
-                    "ago_ms": round((now - run.started) * 1000),
-                }
-                for run in suspects[:NAMED_SUSPECTS]
-            ],
+            runs=[run.told(now) for run in suspects[:NAMED_SUSPECTS]],
         )
         self.guard.server_ended(suspects)
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -483,6 +483,7 @@
         """Close the connections to the backend server."""
         if self.timer is not None:
             self.timer.cancel()
+        self.ends.close()
         for task in list(self.background):
             task.cancel()
         await self.transport.close()
