Requests that were lost with the node that served them are known to the fleet

The same cause elsewhere: a request may end the node beside the server, in place of the server. That node tells nobody; 34 ends in 12 s among five nodes. Those that had sent a request there now look whether its address refuses connections, before they try another node, and tell the nodes of that service.

Not mended: where a node serves what its own callers send, nobody else knows.

--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -30,7 +30,17 @@
     start_mesh(context, {service: count}, deadly=path, deadly_freezes=True)
 
 
+@given("{label} end the nodes that serve them, which are back after {seconds:g} s")
+def given_mortal_nodes(context: Any, label: str, seconds: float) -> None:
+    async def supervise() -> None:
+        context.mesh.kill_nodes_that_serve(f"{label}-", seconds)
+        await asyncio.sleep(0)
+
+    run(context, supervise())
+
+
 @then("{label} ended at most {most:d} servers")
+@then("{label} ended at most {most:d} nodes")
 def ended_at_most(context: Any, label: str, most: int) -> None:
     """Each run of such a request ends the server that runs it, so the journals count the ends."""
     rows = sorted(row for each in context.mesh.nodes for row in each.journal())
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -15,7 +15,7 @@
 from marjoramtide.daemon._supervision import keep_running
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import LoadReport
-from marjoramtide.ingress import Dispatcher, Ingress, StartUp
+from marjoramtide.ingress import Dispatcher, Ingress, PeerEnds, StartUp
 from marjoramtide.interface import Interface, own_interface
 from marjoramtide.membership import Member, MemberState, make_membership
 from marjoramtide.operators import make_operators_app
@@ -138,6 +138,13 @@
             self.tracer,
             self.serving.running.get,
             self.start_up,
+            PeerEnds(
+                self.peer_client,
+                self.clock,
+                self.metrics,
+                self.quarantine.fingerprint,
+                self.quarantine.node_ended,
+            ),
         )
         self.ingress = Ingress(
             self.name,
--- a/src/marjoramtide/ingress/__init__.py
+++ b/src/marjoramtide/ingress/__init__.py
@@ -4,6 +4,7 @@
 from marjoramtide.ingress._dispatcher import Dispatcher
 from marjoramtide.ingress._ingress import Ingress
 from marjoramtide.ingress._own_callers import OwnCallers
+from marjoramtide.ingress._peer_ends import PeerEnds
 from marjoramtide.ingress._read_request import bad, read_idempotent, read_route, single
 from marjoramtide.ingress._start_up import StartUp
 
@@ -12,6 +13,7 @@
     "Dispatcher",
     "Ingress",
     "OwnCallers",
+    "PeerEnds",
     "StartUp",
     "bad",
     "read_idempotent",
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -25,6 +25,7 @@
 from marjoramtide.ingress._decision import Decision
 from marjoramtide.ingress._failure_lessons import learn_failure
 from marjoramtide.ingress._hedge import Hedge
+from marjoramtide.ingress._peer_ends import PeerEnds
 from marjoramtide.ingress._service_state import ServiceState, make_service_state
 from marjoramtide.ingress._start_up import StartUp
 from marjoramtide.membership import Directory, Member
@@ -56,10 +57,12 @@
         tracer: Tracer,
         running: Callable[[str], Request | None] = lambda request_id: None,
         start_up: StartUp | None = None,
+        peer_ends: PeerEnds | None = None,
     ) -> None:
         """``running`` returns what the own backend server runs under an id, where it does.
 
-        Without a ``start_up`` no request waits for members.
+        Without a ``start_up`` no request waits for members, without ``peer_ends`` nobody looks
+        whether a node has ended with what it served.
         """
         self.directory = directory
         self.running = running
@@ -74,6 +77,7 @@
         self.splits: dict[tuple[str, str], SmoothSplit] = {}
         self.limits: set[asyncio.Timeout] = set()
         self.start_up = start_up or StartUp(clock)
+        self.peer_ends = peer_ends
         view.on_change(self.settings_changed)
 
     def settings_changed(self, revision: int) -> None:
@@ -329,6 +333,7 @@
             now = self.clock.monotonic()
             learn_failure(attempts, self.directory, node, error, now, (now - started) * 1000)
             message = getattr(error, "message", "")
+            await self.look_for_end(attempts, node, error, started)
             self.note_decision(attempts, node, started, str(code), message, believed)
             raise
         now = self.clock.monotonic()
@@ -345,6 +350,15 @@
         )
         return answer
 
+    async def look_for_end(
+        self, attempts: Attempts, node: str, error: BaseException, started: float
+    ) -> None:
+        """Find out whether a node has ended with the request, before that is tried elsewhere."""
+        lost = isinstance(error, UnknownOutcomeError) and error.code is ErrorCode.PEER_LOST
+        member = self.directory.find(node) if lost else None
+        if self.peer_ends is not None and member is not None:
+            await self.peer_ends.note_lost(member, attempts.request, attempts.body, started)
+
     def note_decision(
         self,
         attempts: Attempts,
--- a/src/marjoramtide/peers/_client.py
+++ b/src/marjoramtide/peers/_client.py
@@ -124,6 +124,20 @@
             raise NotRunError(error.code, error.message, step=error.step, peer=address) from error
         return Link(socket, address, lane)
 
+    async def is_gone(self, address: str, timeout_s: float) -> bool:
+        """Tell whether a connection to a node is refused, so that its process has ended.
+
+        Where it lives, the connection is kept for the next request.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.link(address, ROUTINE)
+        except NotRunError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        except TimeoutError:
+            return False
+        return False
+
     async def drop(self, address: str) -> None:
         """Close the connections to a peer that is known to be dead.
 
--- a/src/marjoramtide/quarantine/_quarantine_service.py
+++ b/src/marjoramtide/quarantine/_quarantine_service.py
@@ -152,12 +152,30 @@
             retry_after_ms=math.ceil(wait_s * 1000),
         )
 
+    def node_ended(self, service: str, suspects: Sequence[Run]) -> None:
+        """Suspect what was lost with a node that has ended; those of its service are told.
+
+        Its runs are known to the nodes that had sent them there, each of which tells its part of
+        the same end.
+        """
+        now = self.clock.monotonic()
+        number = self.rng.getrandbits(64)
+        heard = [
+            Suspicion(run.fingerprint, (ServerEnd(number, ran_s=now - run.started),))
+            for run in {run.fingerprint: run for run in suspects}.values()
+        ]
+        if service == self.directory.self_member.service:
+            for suspicion in heard:
+                self._take(suspicion, now)
+        self._publish(heard, self._beside(service))
+        loop = asyncio.get_running_loop()
+        for number in range(1, REPEATS + 1):
+            loop.call_later(number * ROUND_S, lambda: self._publish(heard, self._beside(service)))
+
     # What nodes tell each other
 
     def take(self, member: Member, fields: list[Any]) -> None:
         """Take in the news of another node."""
-        if member.service != self.directory.self_member.service:
-            return
         try:
             heard = unpack_news(fields)
         except ValueError as error:
@@ -241,16 +259,22 @@
 
     def _tell(self, suspects: Iterable[Suspect], readers: Sequence[Member]) -> None:
         now = self.clock.monotonic()
-        for fields in pack_news(suspect.told(now) for suspect in suspects):
+        self._publish((suspect.told(now) for suspect in suspects), readers)
+
+    def _publish(self, suspicions: Iterable[Suspicion], readers: Sequence[Member]) -> None:
+        for fields in pack_news(suspicions):
             self.publish(fields, readers)
 
     def _mates(self) -> list[Member]:
-        """Return the other members beside servers of the own service, in whatever state."""
+        return self._beside(self.directory.self_member.service)
+
+    def _beside(self, service: str) -> list[Member]:
+        """Return the other members beside servers of a service, in whatever state."""
         own = self.directory.self_member
         return [
             member
             for member in self.directory.members()
-            if member.service == own.service and member.node != own.node
+            if member.service == service and member.node != own.node
         ]
 
     async def run(self) -> None:
--- a/standins/mesh/_mesh.py
+++ b/standins/mesh/_mesh.py
@@ -117,6 +117,27 @@
             await asyncio.sleep(delay_s)
             await node.start_server()
 
+    def kill_nodes_that_serve(self, prefix: str, delay_s: float) -> None:
+        """Kill each node beside whose server a request runs whose id begins with ``prefix``.
+
+        It is started again after ``delay_s`` seconds.
+        """
+        self.supervisors += [
+            asyncio.create_task(self.kill_when_serving(node, prefix, delay_s))
+            for node in self.nodes
+        ]
+
+    async def kill_when_serving(self, node: MeshNode, prefix: str, delay_s: float) -> None:
+        seen = 0
+        while node.process is not None:
+            await asyncio.sleep(POLL_S)
+            served = sum(request.startswith(prefix) for _, request, _ in node.journal())
+            if served > seen:
+                seen = served
+                await node.process.kill()
+                await asyncio.sleep(delay_s)
+                await node.start_node()
+
     async def ready(self, timeout: float = READY_TIMEOUT_S) -> None:
         """Wait until a request of each service is answered through every running node."""
         services = {node.plan.service for node in self.nodes}
