Serving: the queue for slots and the kinds of requests are classes of their own

A fixture that takes a service out of the settings does so where the kinds are named; its assertions are untouched.

--- a/features/steps/platform_life_steps.py
+++ b/features/steps/platform_life_steps.py
@@ -76,7 +76,7 @@
         await context.fleet.wait_for(lambda: members("mapdesk"))
         work = [begin_booking(context, second) for _ in range(2)]
         context.bookings = [asyncio.create_task(each) for each in work]
-        await context.fleet.wait_for(lambda: len(first.node.serving.waiting) == 1)
+        await context.fleet.wait_for(lambda: len(first.node.serving.queue.waiting) == 1)
 
     run(context, book())
 
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -297,7 +297,7 @@
         await context.fleet.wait_for(first.node.takes_callers)
         work = [begin_booking(context, first) for _ in range(count)]
         context.bookings = [asyncio.create_task(each) for each in work]
-        await context.fleet.wait_for(lambda: len(first.node.serving.waiting) == count - 1)
+        await context.fleet.wait_for(lambda: len(first.node.serving.queue.waiting) == count - 1)
 
     run(context, begin())
 
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -137,7 +137,7 @@
 
 @given("its service is no longer in the settings")
 def given_no_service(context: Any) -> None:
-    context.serving.view = TreeSettingsView(Place("r", "d"), cast(Freshness, None))
+    context.serving.kinds.view = TreeSettingsView(Place("r", "d"), cast(Freshness, None))
 
 
 @then("a booking that reaches it is refused as not run")
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -8,7 +8,7 @@
 import structlog
 
 from marjoramtide.clock import Clock
-from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import (
     Answer,
     LoadReport,
@@ -30,16 +30,17 @@
 from marjoramtide.serving._claim_gate import ClaimGate
 from marjoramtide.serving._execution import Execution, make_execution
 from marjoramtide.serving._measurer import Measurer
+from marjoramtide.serving._request_kinds import RequestKinds
 from marjoramtide.serving._run_guard import NoGuard, RunGuard
 from marjoramtide.serving._server_ends import ServerEnds
 from marjoramtide.serving._server_load import ServerLoad
+from marjoramtide.serving._slot_queue import SlotQueue
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, Tracer
 
 log = structlog.get_logger()
 
 STEP = "serving.send"
-MAX_KINDS = 64
 
 
 class ServingService(RequestHandler):
@@ -68,22 +69,20 @@
             RouteSettings(service=service), clock.monotonic()
         )
         self.admission.set_accepting(False)
+        self.queue = SlotQueue(self.admission, clock, self.report)
         self.transport = transport
         self.claim_gate = claim_gate
-        self.view = view
         self.clock = clock
         self.metrics = metrics
         self.tracer = tracer
         self.measurer: Measurer | None = None
         self.interference = Interference()
         self.pace_listener: Callable[[LoadReport], None] | None = None
-        self.kinds: set[str] = set()
+        self.kinds = RequestKinds(view)
         self.tickets = itertools.count(1)
-        self.waiting: dict[int, asyncio.Future[None]] = {}
         self.in_progress: dict[int, Execution] = {}
         self.running: dict[str, Request] = {}
         self.background: set[asyncio.Task[Answer]] = set()
-        self.timer: asyncio.TimerHandle | None = None
         self.idle = asyncio.Event()
         self.idle.set()
 
@@ -100,15 +99,15 @@
         Runs of the old one hold slots of the new one until their deadlines, since a connection to a
         server that crashed may stay silent. Closed, they end at once, as of unknown outcome.
         """
-        log.info("serving.server_replaced", lost=len(self.in_progress) - len(self.waiting))
+        log.info("serving.server_replaced", lost=len(self.in_progress) - len(self.queue.waiting))
         self.interference = Interference()
         if self.measurer is not None:
             self.measurer.server_replaced()
         started = self.admission.server_replaced(self.clock.monotonic())
         self.ends.replaced()
         self.transport.server_replaced()
-        self.start(started)
-        self.schedule_expiry()
+        self.queue.start(started)
+        self.queue.schedule_expiry()
 
     def set_accepting(self, accepting: bool) -> None:
         """Take new requests, or reject them while those in progress go on."""
@@ -124,17 +123,10 @@
             period_ms = None if grid is None else round(grid.period * 1000, 1)
             log.info("serving.interference_grid", period_ms=period_ms)
         self.admission.set_pace(self.interference.pace(now))
-        self.resume(now)
+        self.queue.resume(now)
         if changed and self.pace_listener is not None:
             self.pace_listener(self.report(now))
 
-    def resume(self, now: float) -> None:
-        """Start what waited for the backend server's pace."""
-        started = self.admission.resume(now) if self.waiting else []
-        if started:
-            self.start(started)
-            self.schedule_expiry()
-
     def report(self, now: float) -> LoadReport:
         """Return the load at this moment, as other nodes are told."""
         return self.interference.annotate(self.admission.report(now), now)
@@ -170,9 +162,8 @@
     async def admit(self, execution: Execution) -> None:
         """Return when the request may start; raise ``NotRunError`` where it may not."""
         request, ticket = execution.request, execution.ticket
-        profile = make_call_profile(
-            request, execution.deadline, request.attempt, self.kind(request)
-        )
+        kind = self.kinds.name(request)
+        profile = make_call_profile(request, execution.deadline, request.attempt, kind)
         now = self.clock.monotonic()
         decision = self.admission.offer(ticket, profile, now)
         if decision.verdict is Verdict.REJECT:
@@ -185,40 +176,9 @@
                 report=self.report(now),
             )
         if decision.verdict is Verdict.QUEUE:
-            await self.wait_for_slot(ticket)
+            await self.queue.wait(ticket)
         execution.started = self.clock.monotonic()
 
-    def kind(self, request: Request) -> str:
-        """Name the requests that take about as long as this one.
-
-        By method and first segment of the path besides the route: a lookup and a booking that share
-        a route would otherwise share one estimate, and the first bookings after many lookups look
-        like a server that has turned slow. Callers make up paths, so the number is bounded.
-        """
-        try:
-            route = self.view.route(request.service, request.target).route
-        except MarjoramtideError as error:
-            # The settings have lost the service. Only these two kinds of error tell whether a
-            # request ran: any other passes for a fault of the node, and so for "unknown".
-            raise NotRunError(error.code, error.message, step="serving.admit") from error
-        segment = request.target[1:].partition("?")[0].partition("/")[0]
-        name = f"{request.method} {route} {segment} {request.urgent:d}"
-        if name in self.kinds or len(self.kinds) < MAX_KINDS:
-            self.kinds.add(name)
-            return name
-        return f"{request.method} {route} * {request.urgent:d}"
-
-    async def wait_for_slot(self, ticket: int) -> None:
-        waiter = self.waiting[ticket] = asyncio.get_running_loop().create_future()
-        self.schedule_expiry()
-        try:
-            await waiter
-        except asyncio.CancelledError:
-            self.start(self.admission.withdraw(ticket, self.clock.monotonic()))
-            raise
-        finally:
-            self.waiting.pop(ticket, None)
-
     async def execute_to_the_end(self, execution: Execution) -> Answer:
         """Execute a non-idempotent request whether or not its caller still waits.
 
@@ -398,16 +358,17 @@
         self.metrics.timing("serving.execution", duration_ms)
         self.ends.run_ended(execution, cancelled=cancelled)
         if cancelled or not execution.dispatched:
-            self.start(self.admission.withdraw(execution.ticket, now))
+            self.queue.start(self.admission.withdraw(execution.ticket, now))
         else:
             if self.measurer is not None:
                 self.measurer.traffic(succeeded, duration_ms)
             work_ms = self.interference.work_ms(execution.started, now)
-            self.start(self.admission.finished(execution.ticket, now, work_ms, succeeded))
+            started = self.admission.finished(execution.ticket, now, work_ms, succeeded)
+            self.queue.start(started)
         self.done(execution)
-        if self.waiting:
+        if self.queue.waiting:
             # What ended may have changed how long the others will take, or the limit.
-            self.schedule_expiry()
+            self.queue.schedule_expiry()
 
     def done(self, execution: Execution) -> None:
         self.in_progress.pop(execution.ticket, None)
@@ -415,74 +376,22 @@
         if not self.in_progress:
             self.idle.set()
 
-    def start(self, tickets: list[int]) -> None:
-        """Wake the queued requests that were given a slot."""
-        for ticket in tickets:
-            waiter = self.waiting.get(ticket)
-            if waiter is not None and not waiter.done():
-                waiter.set_result(None)
-            elif waiter is None or waiter.cancelled():
-                # Cancelled in the same turn of the loop: without this the slot is never freed.
-                self.start(self.admission.withdraw(ticket, self.clock.monotonic()))
-
-    def schedule_expiry(self) -> None:
-        due = self.admission.next_expiry()
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        if due is not None:
-            delay = max(0.0, due - self.clock.monotonic())
-            self.timer = asyncio.get_running_loop().call_later(delay, self.expire)
-
-    def expire(self) -> None:
-        """Refuse at once the queued requests that can no longer finish in time."""
-        now = self.clock.monotonic()
-        self.give_up(
-            self.admission.expire(now), ErrorCode.DEADLINE, "it could no longer finish in time"
-        )
-        self.start(self.admission.resume(now))
-        self.schedule_expiry()
-
     def hand_back(self) -> None:
-        """Refuse what is queued as not run, so that other nodes may take it.
-
-        For a backend server that leaves: what waits for it would reach it seconds after it was told
-        that nothing new would.
-        """
-        self.give_up(self.admission.release(), ErrorCode.DRAINING, "the backend server leaves")
-        self.schedule_expiry()
-
-    def give_up(self, tickets: list[int], code: ErrorCode, reason: str) -> None:
-        """Refuse requests that were queued; they have certainly not run."""
-        report = self.report(self.clock.monotonic()) if tickets else None
-        for ticket in tickets:
-            waiter = self.waiting.get(ticket)
-            if waiter is not None and not waiter.done():
-                waiter.set_exception(
-                    NotRunError(code, reason, step="serving.queue", retry_after_ms=0, report=report)
-                )
+        """Refuse what is queued as not run, so that other nodes may take it."""
+        self.queue.hand_back()
 
     def refuse_held(self, fingerprint: int) -> None:
         """Refuse at once what waits for a slot and is held back from now on."""
-        waiting = [
-            execution
-            for ticket, execution in self.in_progress.items()
-            if execution.fingerprint == fingerprint and ticket in self.waiting
-        ]
-        for execution in waiting:
-            waiter = self.waiting[execution.ticket]
+        same = [each for each in self.in_progress.values() if each.fingerprint == fingerprint]
+        for execution in same:
             try:
                 self.guard.check(execution.request, fingerprint)
             except NotRunError as error:
-                if not waiter.done():
-                    waiter.set_exception(error)
-                    now = self.clock.monotonic()
-                    self.start(self.admission.withdraw(execution.ticket, now))
+                self.queue.refuse(execution.ticket, error)
 
     async def close(self) -> None:
         """Close the connections to the backend server."""
-        if self.timer is not None:
-            self.timer.cancel()
+        self.queue.close()
         self.ends.close()
         for task in list(self.background):
             task.cancel()
