A departure is remembered for the start that it tells, also where that is a later one

A server that starts again and leaves at once sends its departure before its first heartbeat arrives. It was remembered as the former start's, so that the heartbeat brought the server back and work went to one that was gone. The log line tells whether a departure came too late to change anything.

--- a/features/platform/server_starts.feature
+++ b/features/platform/server_starts.feature
@@ -62,6 +62,16 @@
     When the server of node 1 starts again under its identity, born at 2000
     Then the server of node 1 is registered as born at 2000
 
+  Scenario: A departure that overtakes the first heartbeat of its start is final for that start
+    # A server starts again, and says at once that it leaves; its departure arrives before its first
+    # heartbeat does. Remembered as the former start's, the heartbeat would bring it back, and work
+    # would go to a server that is gone.
+    Given a fleet on the platform: mapdesk, mapdesk
+    And the server of node 1 was born at 1000 and has sent 3 heartbeats
+    When a departure of the start of 2000 arrives
+    And a late heartbeat of the start of 2000 arrives
+    Then no server is registered at node 1
+
   Scenario: Without the time of birth the count alone decides
     Given a fleet on the platform: mapdesk
     And the server of node 1 has sent 5 heartbeats
--- a/features/steps/server_starts_steps.py
+++ b/features/steps/server_starts_steps.py
@@ -59,6 +59,13 @@
     assert run(context, registrant.call("PUT", INSTANCE, body)) == 200
 
 
+@when("a late heartbeat of the start of {born:d} arrives")
+def late_heartbeat(context: Any, born: int) -> None:
+    registrant = seat(context, 1).registrant
+    body = registrant.body(sequence=1) | {"born": born}
+    assert run(context, registrant.call("PUT", INSTANCE, body)) == 200
+
+
 @when("a departure of the start of {born:d} arrives")
 def late_departure(context: Any, born: int) -> None:
     registrant = seat(context, 1).registrant
--- a/src/marjoramtide/serving/_registrar.py
+++ b/src/marjoramtide/serving/_registrar.py
@@ -107,12 +107,14 @@
         one that did.
         """
         held = self.current
-        if held is not None and held.instance == instance and not is_earlier(born, held.born):
+        is_late = held is not None and held.instance == instance and is_earlier(born, held.born)
+        log.info("serving.departed", instance=instance, born=born, late=is_late)
+        # Of the start that it tells, which may be a later one than the one that is registered: its
+        # first heartbeat may come after it, and must not bring it back.
+        self.ended.add(instance, born)
+        if held is not None and held.instance == instance and not is_late:
             self.departed = True
             self._end(held)
-        else:
-            self.ended.add(instance, born)
-        log.info("serving.departed", instance=instance, born=born)
 
     def misdirected(self, instance: str) -> None:
         """Note that the backend server says it is ``instance``, not the registered one.
