--- a/src/marjoramtide/ingress/_start_up.py
+++ b/src/marjoramtide/ingress/_start_up.py
@@ -39,7 +39,7 @@
 
     async def wait_until(self, is_known: Callable[[], bool]) -> None:
         """Return once ``is_known`` or the first moments are over, whichever is sooner."""
-        while not is_known() and (left_s := self.ends_at - self.clock.monotonic()) > 0:
+        while (left_s := self.ends_at - self.clock.monotonic()) > 0 and not is_known():
             try:
                 async with asyncio.timeout(left_s):
                     await self.news.wait()
