--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -24,7 +24,7 @@
 import attrs
 import cbor2
 
-from marjoramtide.checked import Malformed, read_json
+from marjoramtide.checked import MalformedError, read_json
 from marjoramtide.claims._claim_record import ClaimRecord, decode_record
 from marjoramtide.claims._claim_state import ClaimState
 from marjoramtide.errors import MarjoramtideError
@@ -51,7 +51,7 @@
 HTTP_SHARE = 10
 PARALLEL = 5
 SILENCE_S = 0.15
-REFUSED = (MarjoramtideError, PacketError, Malformed)
+REFUSED = (MarjoramtideError, PacketError, MalformedError)
 # Pieces that parsers are known to trip over.
 PIECES = (
     b"\x00", b"\xff", b"\x9f", b"\x81" * 500, b"\x9b" + b"\xff" * 8, b"\xc2\x41\xff", b"\xd8\x1c",
--- a/src/marjoramtide/checked/_reading.py
+++ b/src/marjoramtide/checked/_reading.py
@@ -23,17 +23,17 @@
 }
 
 
-class Malformed(ValueError):
+class MalformedError(ValueError):
     """What was read is not of the form that it should have; the text tells what is wrong."""
 
 
 def read_json(data: bytes | str) -> Any:
-    """Return the value of a JSON text; raises ``Malformed`` for anything else."""
+    """Return the value of a JSON text; raises ``MalformedError`` for anything else."""
     try:
         return json.loads(data)
     except (ValueError, RecursionError) as error:
         # The second one for what is nested deeply.
-        raise Malformed(f"no JSON: {type(error).__name__}") from error
+        raise MalformedError(f"no JSON: {type(error).__name__}") from error
 
 
 def read_as(cls: type[T], raw: Any) -> T:
@@ -41,14 +41,14 @@
 
     Nothing is converted: the text ``"18"`` is no number, ``true`` is none, and a list is no text.
     Fields that the class doesn't know are passed over, since other writers may know more. Raises
-    ``Malformed``, which names the fields that are wrong or missing. For example, ``read_as(Point,
+    ``MalformedError``, which names the fields that are wrong or missing. For example, ``read_as(Point,
     {"x": 1, "y": 2})`` returns ``Point(1, 2)``.
     """
     try:
         return quick_converter().structure(raw, cls)
     except Exception as error:
         # Whatever a foreign text makes the converter stumble over, it is the text that is wrong.
-        raise Malformed(reasons_of(cls, raw) or repr(error)[:REASON_CHARACTERS]) from error
+        raise MalformedError(reasons_of(cls, raw) or repr(error)[:REASON_CHARACTERS]) from error
 
 
 def reasons_of(cls: type[Any], raw: Any) -> str:
@@ -65,10 +65,10 @@
 def renamed(raw: Any, names: Mapping[str, str]) -> dict[str, Any]:
     """Return a table with our names for the fields that ``names`` gives by another's.
 
-    Raises ``Malformed`` where it is no table.
+    Raises ``MalformedError`` where it is no table.
     """
     if not isinstance(raw, dict):
-        raise Malformed(f"a table is wanted, not a {type(raw).__name__}")
+        raise MalformedError(f"a table is wanted, not a {type(raw).__name__}")
     return {own: raw[other] for other, own in names.items() if other in raw}
 
 
--- a/src/marjoramtide/membership/_announcement.py
+++ b/src/marjoramtide/membership/_announcement.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from marjoramtide.checked import Malformed, read_as, read_json
+from marjoramtide.checked import MalformedError, read_as, read_json
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.membership._member import Member
 from marjoramtide.settings import check_address
@@ -55,7 +55,7 @@
     """Read the announcement under a key; raises ``bad-frame`` where the object is none."""
     try:
         announcement = read_as(Announcement, read_json(value))
-    except Malformed as error:
+    except MalformedError as error:
         raise not_an_announcement(key, str(error)) from error
     if announcement.key != key:
         raise not_an_announcement(key, f"it is that of {announcement.node[:MOST_CHARACTERS]!r}")
--- a/src/marjoramtide/platform/_apps.py
+++ b/src/marjoramtide/platform/_apps.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from marjoramtide.checked import Malformed, read_json
+from marjoramtide.checked import MalformedError, read_json
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.platform._heartbeat import read_departure, read_identity, read_registration
 from marjoramtide.serving import Registrar
@@ -37,7 +37,7 @@
         try:
             heard = read_registration(instance, read_json(await http.read()))
             await registrar.register(heard)
-        except Malformed as error:
+        except MalformedError as error:
             registrar.refuse(instance, str(error))
             return refused(400, f"not a heartbeat: {error}")
         except MarjoramtideError as error:
@@ -50,7 +50,7 @@
             body = await http.read()
             born = read_departure(read_json(body)) if body else None
             registrar.depart(read_identity(instance), born)
-        except Malformed as error:
+        except MalformedError as error:
             registrar.refuse(instance, str(error))
             return refused(400, f"not a departure: {error}")
         return web.json_response({})
--- a/src/marjoramtide/platform/_heartbeat.py
+++ b/src/marjoramtide/platform/_heartbeat.py
@@ -6,7 +6,7 @@
 import attrs
 from attrs.validators import ge, le, matches_re, optional
 
-from marjoramtide.checked import Malformed, read_as, renamed
+from marjoramtide.checked import MalformedError, read_as, renamed
 from marjoramtide.serving import Registration
 from marjoramtide.settings import check_address
 
@@ -79,12 +79,12 @@
 
 
 def read_registration(instance: str, body: Any) -> Registration:
-    """Read the body of a heartbeat; raises ``Malformed`` for one that another writer spoiled."""
+    """Read the body of a heartbeat; raises ``MalformedError`` for one that another writer spoiled."""
     fields = renamed(body, HEARTBEAT)
     for part, names in (("info", INFO), ("status", STATUS)):
         fields[part] = renamed(fields.get(part), names)
     if "born" in fields and fields["born"] is None:
-        raise Malformed("born: a whole number is wanted, not null")
+        raise MalformedError("born: a whole number is wanted, not null")
     heard = read_as(Heartbeat, fields)
     return Registration(
         instance=read_identity(instance),
@@ -101,10 +101,10 @@
 
 
 def read_identity(text: str) -> str:
-    """Return an identity; raises ``Malformed`` for what can't be one."""
+    """Return an identity; raises ``MalformedError`` for what can't be one."""
     return read_as(Identity, {"text": text}).text
 
 
 def read_departure(body: Any) -> int | None:
-    """Return the time of birth that came with a departure, if one did; raises ``Malformed``."""
+    """Return the time of birth that came with a departure, if one did; raises ``MalformedError``."""
     return read_as(Departure, renamed(body, {"born": "born"})).born
--- a/src/marjoramtide/platform/_store_protocol.py
+++ b/src/marjoramtide/platform/_store_protocol.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from marjoramtide.checked import Malformed, read_as, read_json, renamed
+from marjoramtide.checked import MalformedError, read_as, read_json, renamed
 from marjoramtide.platform._stored import (
     LISTED_FIELDS,
     METADATA_FIELDS,
@@ -92,7 +92,9 @@
         listed = read_as(Listed, renamed(read_json(answer.body), LISTED_FIELDS))
         objects = list(readable(partial(stored_object, kind_of(prefix)), listed.items))
         if listed.has_more and not objects:
-            raise Malformed("a part of a list in which nothing can be read, so none may follow")
+            raise MalformedError(
+                "a part of a list in which nothing can be read, so none may follow"
+            )
         return Page(
             [each for each in objects if each.key.startswith(prefix)],
             listed.revision,
@@ -151,7 +153,7 @@
 def unpack(specification: Any) -> bytes:
     """Return the value in a specification; one that isn't ours is returned as its JSON text.
 
-    Raises ``Malformed`` where one of ours was spoiled.
+    Raises ``MalformedError`` where one of ours was spoiled.
     """
     if isinstance(specification, dict) and len(specification) == 1:
         if TEXT in specification:
@@ -165,7 +167,7 @@
     try:
         return base64.b64decode(text, validate=True)
     except ValueError as error:
-        raise Malformed(f"no base64: {error}") from error
+        raise MalformedError(f"no base64: {error}") from error
 
 
 def readable(read: Callable[[Any], T], entries: list[Any]) -> Iterator[T]:
@@ -175,12 +177,12 @@
     it, a node that starts would find nobody until somebody has removed that one.
     """
     for entry in entries:
-        with suppress(Malformed):
+        with suppress(MalformedError):
             yield read(entry)
 
 
 def stored_object(kind: str, item: Any) -> StoredObject:
-    """Read one object of a kind; raises ``Malformed``."""
+    """Read one object of a kind; raises ``MalformedError``."""
     fields = renamed(item, {"Metadata": "metadata", "Specification": "specification"})
     metadata = read_as(ObjectMetadata, renamed(fields.get("metadata"), METADATA_FIELDS))
     value = unpack(fields.get("specification"))
@@ -188,7 +190,7 @@
 
 
 def watch_event(kind: str, entry: Any) -> WatchEvent:
-    """Read one change of an object of a kind; raises ``Malformed``."""
+    """Read one change of an object of a kind; raises ``MalformedError``."""
     change = read_as(ObjectChange, renamed(entry, {"Removed": "removed", "Object": "object"}))
     stored = stored_object(kind, change.object)
     return WatchEvent(stored.key, stored.version, None if change.removed else stored)
