Scenario of a planned end runs its lookup at the node that it is about

It errored once in the whole suite: traced, the lookup had been placed on another of four nodes, and the step waited for it at the first. The others take no work until it runs; what is asserted stays.

--- a/features/steps/platform_crashes_steps.py
+++ b/features/steps/platform_crashes_steps.py
@@ -14,6 +14,8 @@
 use_step_matcher("parse")
 
 SLOW = 100.0
+# Until all nodes of a scenario have heard of a change of state, in seconds.
+HEARD_S = 0.3
 
 
 @given(
@@ -123,13 +125,22 @@
     assert not bad, bad
 
 
+async def set_drained(seats: list[Seat], drained: bool) -> None:
+    """Have some nodes take no work, or again, and let the others hear of it."""
+    for each in seats:
+        each.node.drain(drained)
+    await asyncio.sleep(HEARD_S)
+
+
 @when('the server of node 1 leaves while it runs "{path}", and ends')
 def leaves_and_ends(context: Any, path: str) -> None:
     async def leave() -> None:
-        first = seat(context, 1)
+        first, *others = context.fleet.seats[:4]
         first.server.faults.slow_factor = SLOW
+        await set_drained(others, True)
         call = asyncio.create_task(context.fleet.call(first, path))
         await context.fleet.wait_for(lambda: bool(first.node.serving.ends.watch.open))
+        await set_drained(others, False)
         await first.registrant.leave(first.server.instance)
         first.server.end()
         await call
@@ -149,13 +160,9 @@
     async def lose_both() -> None:
         for each in context.fleet.seats[:2]:
             others = [other for other in context.fleet.seats[:4] if other is not each]
-            for other in others:
-                other.node.drain(True)
-            await asyncio.sleep(0.3)
+            await set_drained(others, True)
             await lose(each)
-            for other in others:
-                other.node.drain(False)
-            await asyncio.sleep(0.3)
+            await set_drained(others, False)
 
     run(context, lose_both())
 
--- a/src/marjoramtide/checked/_reading.py
+++ b/src/marjoramtide/checked/_reading.py
@@ -41,8 +41,8 @@
 
     Nothing is converted: the text ``"18"`` is no number, ``true`` is none, and a list is no text.
     Fields that the class doesn't know are passed over, since other writers may know more. Raises
-    ``MalformedError``, which names the fields that are wrong or missing. For example, ``read_as(Point,
-    {"x": 1, "y": 2})`` returns ``Point(1, 2)``.
+    ``MalformedError``, which names the fields that are wrong or missing. For example,
+    ``read_as(Point, {"x": 1, "y": 2})`` returns ``Point(1, 2)``.
     """
     try:
         return quick_converter().structure(raw, cls)
--- a/src/marjoramtide/platform/_heartbeat.py
+++ b/src/marjoramtide/platform/_heartbeat.py
@@ -79,7 +79,7 @@
 
 
 def read_registration(instance: str, body: Any) -> Registration:
-    """Read the body of a heartbeat; raises ``MalformedError`` for one that another writer spoiled."""
+    """Read the body of a heartbeat; raises ``MalformedError`` where another writer spoiled it."""
     fields = renamed(body, HEARTBEAT)
     for part, names in (("info", INFO), ("status", STATUS)):
         fields[part] = renamed(fields.get(part), names)
@@ -106,5 +106,5 @@
 
 
 def read_departure(body: Any) -> int | None:
-    """Return the time of birth that came with a departure, if one did; raises ``MalformedError``."""
+    """Return the time of birth that came with a departure, if any; raises ``MalformedError``."""
     return read_as(Departure, renamed(body, {"born": "born"})).born
