--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -29,17 +29,20 @@
 from marjoramtide.claims._claim_state import ClaimState
 from marjoramtide.errors import MarjoramtideError
 from marjoramtide.membership import decode_announcement
+from marjoramtide.membership._bulletin import MAGIC, BulletinCodec
 from marjoramtide.membership._member_state import MemberState
 from marjoramtide.membership._packet import AppliedSettings, Kind, Packet, Status
 from marjoramtide.membership._packet_codec import PacketCodec
 from marjoramtide.membership._packet_error import PacketError
-from marjoramtide.peers._codec import decode, encode, unpack_headers
+from marjoramtide.peers._codec import decode, encode, unpack_headers, unpack_report
 from marjoramtide.peers._handshake import open_as_client, open_as_server
 from marjoramtide.peers._messages import CreditMessage, RequestMessage
 from marjoramtide.platform._backends import read_load, read_retry_after
 from marjoramtide.platform._configuration import OperatorConfiguration
 from marjoramtide.platform._heartbeat import read_departure, read_registration
 from marjoramtide.platform._store_protocol import PlatformStore
+from marjoramtide.policy import ServerEnd, Suspicion
+from marjoramtide.quarantine import is_quarantine_news, pack_news, unpack_news
 from marjoramtide.settings import decode_envelope, parse_tree
 from marjoramtide.store import Answer, Meaning, StoredObject
 from standins.mesh import Mesh, MeshNode, make_plan
@@ -228,6 +231,16 @@
     parse_tree(source.decode(StoredObject(source.key, data, 1)).text)
 
 
+def read_news(data: bytes) -> None:
+    """Read a bulletin that a node with the key has signed, whatever is in it."""
+    codec = BulletinCodec(KEY)
+    _, fields = codec.decode(MAGIC + codec.seal.close(data))
+    if is_quarantine_news(fields):
+        unpack_news(fields)
+    else:
+        unpack_report(fields)
+
+
 def read_headers(data: bytes) -> None:
     """Read a load and a retry header; what says nothing counts as taken."""
     text = data.decode("latin-1")
@@ -301,6 +314,9 @@
         try_all("settings", inputs(rng("settings"), count, TREE), read_tree, end),
         try_all("envelopes", inputs(rng("envelopes"), count, envelope), decode_envelope, end),
     ]
+    suspicion = Suspicion(7, (ServerEnd(1, 0.5, 0.1),), (2,), 1.0)
+    (fields,) = pack_news([suspicion])
+    news = cbor2.dumps([5, *fields])
     claim = ClaimRecord("a", "n", "d", ClaimState.HELD, 5.0).encode()
     foreign: dict[str, tuple[Callable[[bytes], Any], bytes]] = {
         "heartbeats": (read_heartbeat, HEARTBEAT),
@@ -311,6 +327,7 @@
         "configured": (read_configuration, CONFIGURATION),
         "claims": (decode_record, claim),
         "headers": (read_headers, b"3,0,8,250"),
+        "news": (read_news, news),
     }
     tallies += [
         try_all(name, inputs(rng(name), count, sound), read, end)
--- a/src/marjoramtide/quarantine/_news_codec.py
+++ b/src/marjoramtide/quarantine/_news_codec.py
@@ -1,9 +1,9 @@
 """Suspicions as the fields of a bulletin, and back."""
 
-import math
 from collections.abc import Iterable, Iterator
 from typing import Any
 
+from marjoramtide.checked import MalformedError
 from marjoramtide.policy import MAX_ENDS, ServerEnd, Suspicion
 
 SUBJECT = "quarantine"
@@ -15,6 +15,8 @@
 FRAME_BYTES = 16
 END_BYTES = 18
 CLEARED_BYTES = 9
+# Far longer than anything is remembered. Greater numbers can't be told in seconds.
+LONGEST_MS = 7 * 86_400_000
 
 
 def pack_news(suspicions: Iterable[Suspicion]) -> Iterator[list[Any]]:
@@ -54,31 +56,31 @@
 
 
 def unpack_news(fields: list[Any]) -> list[Suspicion]:
-    """Return the suspicions in a bulletin; raises ``ValueError`` where one of them is none."""
+    """Return the suspicions in a bulletin; raises ``MalformedError`` where one of them is none."""
     return [unpack_suspicion(each) for each in fields[0][1:]]
 
 
 def unpack_suspicion(wire: Any) -> Suspicion:
     """Return one suspicion; what a later version has added at the end is passed over."""
     if not isinstance(wire, list) or len(wire) < FIELDS:
-        raise ValueError("no suspicion")
+        raise MalformedError("no suspicion")
     fingerprint, ends, cleared, trial_ms = wire[:FIELDS]
     if not all(isinstance(each, list) and len(each) <= MAX_ENDS for each in (ends, cleared)):
-        raise ValueError("no list of ends")
+        raise MalformedError("no list of ends")
     if not all(map(is_number, (fingerprint, *cleared))):
-        raise ValueError("no number of 64 bits")
+        raise MalformedError("no number of 64 bits")
     if not is_duration(trial_ms):
-        raise ValueError("no duration of a trial")
+        raise MalformedError("no duration of a trial")
     return Suspicion(fingerprint, tuple(map(unpack_end, ends)), tuple(cleared), trial_ms / 1000)
 
 
 def unpack_end(wire: Any) -> ServerEnd:
     """Return one end of a server."""
     if not isinstance(wire, list) or len(wire) < END_FIELDS:
-        raise ValueError("no end of a server")
+        raise MalformedError("no end of a server")
     number, age_ms, ran_ms = wire[:END_FIELDS]
     if not is_number(number) or not all(map(is_duration, (age_ms, ran_ms))):
-        raise ValueError("no number or time of an end")
+        raise MalformedError("no number or time of an end")
     return ServerEnd(number, age_ms / 1000, ran_ms / 1000)
 
 
@@ -88,5 +90,5 @@
 
 
 def is_duration(value: Any) -> bool:
-    """Tell whether a value is a number of milliseconds."""
-    return type(value) in (int, float) and 0 <= value < math.inf
+    """Tell whether a value is a number of milliseconds that such news may tell."""
+    return type(value) in (int, float) and 0 <= value <= LONGEST_MS
--- a/src/marjoramtide/quarantine/_quarantine_service.py
+++ b/src/marjoramtide/quarantine/_quarantine_service.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from marjoramtide.checked import MalformedError
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import Fingerprinter, NotRunError, Request, RequestBody
@@ -150,7 +151,7 @@
         """Take in the news of another node."""
         try:
             heard = unpack_news(fields)
-        except ValueError as error:
+        except MalformedError as error:
             self.metrics.count("quarantine.malformed")
             log.warning(
                 "quarantine.malformed",
