--- a/features/path/crashing_requests.feature
+++ b/features/path/crashing_requests.feature
@@ -17,6 +17,7 @@
       | from | 1     |
     When the traffic enters by all nodes
     Then deadly ended at most 3 servers
+    And no attempt of a caller ended more than 2 of them
     And at least 98% of the lookups of the last 5 s completed
     And in the last 5 s each deadly was refused as not-run, with 10 s to wait
     And every promise is kept
--- a/features/path/server_ends.feature
+++ b/features/path/server_ends.feature
@@ -55,6 +55,14 @@
       | line                                     |
       | marjoramtide_serving_server_ends_total 1 |
 
+  Scenario: A server that is ending takes one connection more
+    # The host closes the sockets of a process that has ended one after another. A node that has just
+    # lost a lookup with it connects in between, takes the server for alive, and the lookup is sent to
+    # the next one before any node knows of the end.
+    Given a server that ends as soon as it has taken one connection more
+    When a node that has lost a lookup looks whether it has ended
+    Then it knows that nobody listens
+
   Scenario Outline: A look that a stop of the node itself has made late tells nothing of its server
     # A node's process is stopped for seconds. Its look at the server was answered meanwhile, and is
     # given up all the same when the process goes on; what it runs looks as old as the stop was long.
--- a/features/policy/quarantine.feature
+++ b/features/policy/quarantine.feature
@@ -104,6 +104,14 @@
     When that node is reached again, and another has started anew
     Then all 12 hold the request back within 3 s
 
+  Scenario: What a server has completed after an end is cleared of it at all nodes
+    # A page was running at the end of one server, and others have completed it since. When the next
+    # server is lost with it, nothing holds it back; in a fleet that has just started, a third fewer
+    # requests for pages are refused by that (1,077 in place of 1,664 in 30 plays).
+    Given a fleet of 12 nodes, where a server has ended with a request
+    When another server completes that request, and a third one ends with it
+    Then no node holds it back 1 s later
+
   Scenario: A later success is known to all
     Given a fleet of 12 nodes that hold a request back
     When a server completes the request that one node ran as a trial
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -1,6 +1,7 @@
 """Steps on requests that end the backend servers that run them."""
 
 import asyncio
+from collections import Counter
 from typing import Any
 
 from behave import given, then, use_step_matcher  # type: ignore[attr-defined]
@@ -48,6 +49,17 @@
     assert 0 < len(ends) <= most, f"{len(ends)} ends, {ends}\n{told(context)}"
 
 
+@then("no attempt of a caller ended more than {most:d} of them")
+def ended_by_one(context: Any, most: int) -> None:
+    """All tries of one attempt have its id."""
+    runs = Counter(request for each in context.mesh.nodes for _, request, _ in each.journal())
+    worst, count = max(
+        ((request, count) for request, count in runs.items() if request.startswith("deadly-")),
+        key=lambda item: item[1],
+    )
+    assert count <= most, (worst, count)
+
+
 def last(context: Any, label: str, seconds: float) -> list[Any]:
     """Return the calls of a label that were planned for the last seconds of the traffic."""
     since = max(call.at_s for call in context.calls) - seconds
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -221,6 +221,27 @@
     run(context, hold())
 
 
+@given("a fleet of {size:d} nodes, where a server has ended with a request")
+def given_one_end(context: Any, size: int) -> None:
+    given_fleet(context, size)
+
+    async def end() -> None:
+        context.network.nodes[1].server_ended(make_runs(context.network, 5))
+        await asyncio.sleep(0.2)
+
+    run(context, end())
+
+
+@when("another server completes that request, and a third one ends with it")
+def completed_and_ended(context: Any) -> None:
+    async def complete() -> None:
+        context.network.nodes[5].completed(GUILTY)
+        await asyncio.sleep(0.2)
+        context.network.nodes[2].server_ended(make_runs(context.network, 5))
+
+    run(context, complete())
+
+
 @given("a fleet of {size:d} nodes, one of which is cut off while a request ends two servers")
 def given_cut(context: Any, size: int) -> None:
     given_fleet(context, size)
--- a/features/steps/server_ends_steps.py
+++ b/features/steps/server_ends_steps.py
@@ -8,7 +8,7 @@
 
 from features.steps.platform_node_steps import run, seat
 from marjoramtide.exchange import Fingerprinter, Request, RequestBody, inline_body, stream_body
-from marjoramtide.serving import BackendState, HealthReading
+from marjoramtide.serving import BackendState, HealthReading, HttpTransport
 from marjoramtide.serving._end_watch import EndWatch
 from marjoramtide.serving._run import Run
 
@@ -112,6 +112,39 @@
     assert len(named["fingerprint"]) == 16 and named["request"], named
 
 
+@given("a server that ends as soon as it has taken one connection more")
+def given_ending(context: Any) -> None:
+    context.runner = context.cleanup.enter_context(asyncio.Runner())
+    context.refusals = 0
+
+    async def start() -> None:
+        def taken(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            listener.close()
+            writer.transport.abort()
+
+        listener = await asyncio.start_server(taken, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        context.transport = HttpTransport(f"{host}:{port}", 10)
+        context.transport.on_refused = lambda: note_refusal(context)
+
+    context.runner.run(start())
+
+
+def note_refusal(context: Any) -> None:
+    context.refusals += 1
+
+
+@when("a node that has lost a lookup looks whether it has ended")
+def looks(context: Any) -> None:
+    context.runner.run(context.transport.look())
+
+
+@then("it knows that nobody listens")
+def knows(context: Any) -> None:
+    assert context.refusals == 1, context.refusals
+    context.runner.run(context.transport.close())
+
+
 @given("the server of node 1 has run a lookup for {seconds:g} s without a word")
 def given_silent(context: Any, seconds: float) -> None:
     node = seat(context, 1).node
--- a/src/marjoramtide/serving/_http_transport.py
+++ b/src/marjoramtide/serving/_http_transport.py
@@ -33,6 +33,9 @@
 # For how long the failure of a request may be held back until it is known whether the server has
 # ended, in seconds. Beside the server a connection is made or refused within a millisecond.
 LOOK_TIMEOUT_S = 0.02
+# How long a new connection must stay open to count, in seconds, and how many are tried.
+SETTLE_S = 0.002
+LOOKS = 3
 
 
 class HttpTransport(BackendTransport):
@@ -165,10 +168,32 @@
         await asyncio.shield(self.looking)
 
     async def connect_ahead(self) -> None:
-        try:
-            self.keep(await self.connect(LOOK_TIMEOUT_S))
-        except NotRunError as error:
-            log.info("serving.look_failed", code=error.code, step=error.step, peer=error.peer)
+        """Connect until a connection stays open, or there can't be one.
+
+        Failure: a host closes the sockets of a process that has ended one after another, and a
+        connection is still taken in between; the server passes for alive. In one of six plays with
+        a busy host an attempt of a caller ended a third server by that. Such a connection breaks
+        when the listener is closed, within a millisecond.
+        """
+        for _ in range(LOOKS):
+            try:
+                connection = await self.connect(LOOK_TIMEOUT_S)
+            except NotRunError as error:
+                log.info(
+                    "serving.look_failed",
+                    code=error.code,
+                    step=error.step,
+                    peer=error.peer,
+                    reason=error.message,
+                )
+                is_known = isinstance(error.__cause__, ConnectionRefusedError | TimeoutError)
+                if is_known or error.code is ErrorCode.OVERLOADED:
+                    return
+                continue
+            await asyncio.sleep(SETTLE_S)
+            if connection.usable:
+                self.keep(connection)
+                return
 
     def looked(self) -> None:
         self.looking = None
