--- a/bench/quarantine/_news_network.py
+++ b/bench/quarantine/_news_network.py
@@ -77,7 +77,7 @@
         """Return how many nodes hold a request back."""
         now = self.loop.time()
         return sum(
-            any(each.fingerprint == fingerprint for each in node.quarantine.held(now))
+            any(each.fingerprint == fingerprint for each in node.policy.held(now))
             for node in self.nodes
         )
 
--- a/features/steps/platform_crashes_steps.py
+++ b/features/steps/platform_crashes_steps.py
@@ -169,7 +169,7 @@
 
 @then("nothing is suspected at node {number:d}")
 def nothing_suspected(context: Any, number: int) -> None:
-    assert len(seat(context, number).node.quarantine.quarantine) == 0
+    assert len(seat(context, number).node.quarantine.policy) == 0
 
 
 @when("node 1 hears that this booking has ended two servers")
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -332,4 +332,4 @@
 def counts_malformed(context: Any) -> None:
     node = context.network.nodes[0]
     assert node.metrics.counts["quarantine.malformed"] == 1, node.metrics.counts
-    assert len(node.quarantine) == 0
+    assert len(node.policy) == 0
--- a/features/steps/server_ends_steps.py
+++ b/features/steps/server_ends_steps.py
@@ -170,7 +170,7 @@
 
 @then("{count:d} requests are suspected at node 1")
 def suspected(context: Any, count: int) -> None:
-    assert len(seat(context, 1).node.quarantine.quarantine) == count
+    assert len(seat(context, 1).node.quarantine.policy) == count
 
 
 def fingerprint(context: Any) -> int:
--- /dev/null
+++ b/src/marjoramtide/daemon/_gauges.py
@@ -0,0 +1,35 @@
+"""What a node tells its metrics of its state."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marjoramtide.telemetry import log_output
+
+if TYPE_CHECKING:
+    from marjoramtide.daemon._node import Node
+
+
+def node_gauges(node: Node) -> dict[str, float]:
+    """Return the levels of a node's gauges at this moment."""
+    now = node.clock.monotonic()
+    report = node.serving.report(now)
+    return {
+        "members": len(node.membership.members()),
+        "settings.revision": node.view.revision,
+        "settings.current": node.view.is_current,
+        "ingress.in_progress": node.ingress.in_progress,
+        "serving.in_use": report.in_use,
+        "serving.queued": report.queued_urgent + report.queued_routine,
+        "serving.limit": report.limit,
+        "serving.accepts": report.accepts,
+        "serving.slowdown": report.slowdown,
+        "serving.connections": len(node.transport.open),
+        "serving.registrations_refused": node.registrar.refused if node.registrar else 0,
+        "quarantine.held": len(node.quarantine.policy.held(now)),
+        "quarantine.suspects": len(node.quarantine.policy),
+        "store.calls": node.store.calls_made,
+        "store.unreadable": node.store.unreadable,
+        "log.lines_lost": log_output.lost,
+        "freezes": node.freeze.count,
+    }
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -10,6 +10,7 @@
 
 from marjoramtide.claims import make_claim_cleaner, make_claims
 from marjoramtide.clock import FreezeDetector, SystemClock
+from marjoramtide.daemon._gauges import node_gauges
 from marjoramtide.daemon._operators import make_node_handle
 from marjoramtide.daemon._planned_stop import stop_as_planned
 from marjoramtide.daemon._supervision import keep_running
@@ -47,7 +48,6 @@
 from marjoramtide.telemetry import (
     Metrics,
     Tracer,
-    log_output,
     make_metrics_app,
     summarise_logs,
 )
@@ -232,27 +232,7 @@
 
     def refresh_gauges(self) -> None:
         """Set what is a state rather than a count, for whoever reads the metrics."""
-        now = self.clock.monotonic()
-        report = self.serving.report(now)
-        for name, level in {
-            "members": len(self.membership.members()),
-            "settings.revision": self.view.revision,
-            "settings.current": self.view.is_current,
-            "ingress.in_progress": self.ingress.in_progress,
-            "serving.in_use": report.in_use,
-            "serving.queued": report.queued_urgent + report.queued_routine,
-            "serving.limit": report.limit,
-            "serving.accepts": report.accepts,
-            "serving.slowdown": report.slowdown,
-            "serving.connections": len(self.transport.open),
-            "serving.registrations_refused": self.registrar.refused if self.registrar else 0,
-            "quarantine.held": len(self.quarantine.quarantine.held(now)),
-            "quarantine.suspects": len(self.quarantine.quarantine),
-            "store.calls": self.store.calls_made,
-            "store.unreadable": self.store.unreadable,
-            "log.lines_lost": log_output.lost,
-            "freezes": self.freeze.count,
-        }.items():
+        for name, level in node_gauges(self).items():
             self.metrics.gauge(name, float(level))
 
     def takes_callers(self) -> bool:
--- a/src/marjoramtide/quarantine/_news_spreader.py
+++ b/src/marjoramtide/quarantine/_news_spreader.py
@@ -45,13 +45,13 @@
 
     def __init__(
         self,
-        quarantine: Quarantine,
+        policy: Quarantine,
         directory: Directory,
         publish: Publish,
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        self.quarantine = quarantine
+        self.policy = policy
         self.directory = directory
         self.publish = publish
         self.clock = clock
@@ -111,7 +111,7 @@
         mates = self._mates()
         self._tell(self._found(self.due), mates)
         self.due = {each: left - 1 for each, left in self.due.items() if left > 1}
-        guilty = self.quarantine.guilty()
+        guilty = self.policy.guilty()
         if guilty and mates and self.rng.random() < SHARE_OF_ROUNDS:
             chosen = self.rng.sample(guilty, min(len(guilty), TOLD_AT_RANDOM))
             self._tell(chosen, [self.rng.choice(mates)])
@@ -133,7 +133,7 @@
         self._tell(self._found(cleared), self._mates())
 
     def _found(self, fingerprints: Iterable[int]) -> list[Suspect]:
-        found = map(self.quarantine.find, fingerprints)
+        found = map(self.policy.find, fingerprints)
         return [suspect for suspect in found if suspect is not None]
 
     def _tell(self, suspects: Iterable[Suspect], readers: Sequence[Member]) -> None:
--- a/src/marjoramtide/quarantine/_quarantine_service.py
+++ b/src/marjoramtide/quarantine/_quarantine_service.py
@@ -45,14 +45,14 @@
 
     def __init__(
         self,
-        quarantine: Quarantine,
+        policy: Quarantine,
         fingerprinter: Fingerprinter,
         spreader: NewsSpreader,
         clock: Clock,
         rng: random.Random,
         metrics: Metrics,
     ) -> None:
-        self.quarantine = quarantine
+        self.policy = policy
         self.fingerprinter = fingerprinter
         self.spreader = spreader
         self.clock = clock
@@ -65,7 +65,7 @@
 
     def configure(self, settings: RouteSettings) -> None:
         """Go on by these settings of the own service."""
-        self.quarantine.rule = HoldRule(settings.quarantine_after, settings.quarantine_s)
+        self.policy.rule = HoldRule(settings.quarantine_after, settings.quarantine_s)
 
     async def run(self) -> None:
         """Tell again what others may have missed, until cancelled."""
@@ -77,17 +77,17 @@
         return self.fingerprinter.of(request, body)
 
     def check(self, request: Request, fingerprint: int) -> None:
-        suspect = self.quarantine.find(fingerprint)
+        suspect = self.policy.find(fingerprint)
         if suspect is not None:
-            wait_s = self.quarantine.wait_s(suspect, self.clock.monotonic())
+            wait_s = self.policy.wait_s(suspect, self.clock.monotonic())
             if wait_s > 0:
                 self._refuse(request, suspect, wait_s)
 
     def begin(self, request: Request, fingerprint: int) -> None:
-        judgement = self.quarantine.judge(fingerprint, self.clock.monotonic())
+        judgement = self.policy.judge(fingerprint, self.clock.monotonic())
         if judgement.verdict is RunVerdict.RUN:
             return
-        suspect = self.quarantine.find(fingerprint)
+        suspect = self.policy.find(fingerprint)
         assert suspect is not None
         if judgement.verdict is RunVerdict.HOLD:
             self._refuse(request, suspect, judgement.wait_s)
@@ -99,7 +99,7 @@
         if self.has_ended:
             self.server_replaced()
         self.completed_here.add(fingerprint)
-        if self.quarantine.find(fingerprint) is not None:
+        if self.policy.find(fingerprint) is not None:
             self.clear(fingerprint, "completed")
 
     def server_ended(self, suspects: Sequence[Run]) -> None:
@@ -167,28 +167,28 @@
 
     def _take(self, heard: Suspicion, now: float, label: str = "") -> Suspect:
         was_guilty = self._is_guilty(heard.fingerprint)
-        suspect, is_new = self.quarantine.take(heard, now)
+        suspect, is_new = self.policy.take(heard, now)
         suspect.label = suspect.label or label
-        is_guilty = self.quarantine.is_guilty(suspect)
+        is_guilty = self.policy.is_guilty(suspect)
         if is_new and is_guilty:
             self.held_listener(heard.fingerprint)
             self.spreader.keep_telling()
         if is_guilty and not was_guilty:
-            self.metrics.count("quarantine.held")
-            wait_s = round(self.quarantine.wait_s(suspect, now), 1)
+            self.metrics.count("quarantine.verdicts")
+            wait_s = round(self.policy.wait_s(suspect, now), 1)
             log.warning("quarantine.held", step=STEP, wait_s=wait_s, **describe(suspect))
         elif was_guilty and not is_guilty:
             self._note_release(suspect, "another-node")
         return suspect
 
     def _is_guilty(self, fingerprint: int) -> bool:
-        suspect = self.quarantine.find(fingerprint)
-        return suspect is not None and self.quarantine.is_guilty(suspect)
+        suspect = self.policy.find(fingerprint)
+        return suspect is not None and self.policy.is_guilty(suspect)
 
     def clear(self, fingerprint: int, by: str) -> bool:
         """Clear a request of what it is suspected of; return whether there was anything."""
         was_guilty = self._is_guilty(fingerprint)
-        suspect = self.quarantine.clear(fingerprint)
+        suspect = self.policy.clear(fingerprint)
         if suspect is None:
             return False
         if was_guilty:
@@ -210,10 +210,10 @@
         return [
             describe(suspect)
             | {
-                "wait_s": round(self.quarantine.wait_s(suspect, now), 1),
+                "wait_s": round(self.policy.wait_s(suspect, now), 1),
                 "refused": suspect.refused,
             }
-            for suspect in self.quarantine.guilty()
+            for suspect in self.policy.guilty()
         ]
 
     def release(self, fingerprint: int) -> None:
@@ -249,6 +249,6 @@
     metrics: Metrics,
 ) -> QuarantineService:
     """Return the quarantine of a node whose fleet has this key; nothing is suspected yet."""
-    quarantine = Quarantine()
-    spreader = NewsSpreader(quarantine, directory, publish, clock, rng)
-    return QuarantineService(quarantine, Fingerprinter(key), spreader, clock, rng, metrics)
+    policy = Quarantine()
+    spreader = NewsSpreader(policy, directory, publish, clock, rng)
+    return QuarantineService(policy, Fingerprinter(key), spreader, clock, rng, metrics)
