--- a/features/platform_harness.py
+++ b/features/platform_harness.py
@@ -22,7 +22,15 @@
 
 HOST_NAME = "shop.example"
 WAIT_S = 10.0
-BOUNDS = ["GraceS=6", "RetryBudgetRatio=0.2", "RetryBudgetSlack=64", "BudgetWindowS=10"]
+BOUNDS = [
+    "GraceS=6",
+    "RetryBudgetRatio=0.2",
+    "RetryBudgetSlack=64",
+    "BudgetWindowS=10",
+    "EvacuationMs=5000",
+    "ColdExcess=1.5",
+    "ColdSlack=8",
+]
 
 
 @attrs.define(slots=True, eq=False)
@@ -65,6 +73,7 @@
             "HeaderTimeoutMs": 3000,
             "IdleTimeoutMs": 15000,
         }
+        self.service_fields: dict[str, Any] = {}
         self.store_url = ""
 
     async def start(self) -> None:
@@ -84,14 +93,21 @@
                 "Version": f"r{version}",
                 "Routes": self.routes,
                 "Services": [
-                    {"Name": name, "HealthPath": "/health", "MaxConns": 100} for name in services
+                    {"Name": name, "HealthPath": "/health", "MaxConns": 100} | self.service_fields
+                    for name in services
                 ],
                 "Limits": self.limits,
             },
         )
 
     async def add_seat(
-        self, service: str, *, service_ms: float = 5.0, slots: int = 10, instance: str = "i-1"
+        self,
+        service: str,
+        *,
+        service_ms: float = 5.0,
+        slots: int = 10,
+        instance: str = "i-1",
+        data_centre: str = "z",
     ) -> Seat:
         """Start a backend server and the node beside it; nothing is registered yet.
 
@@ -106,7 +122,7 @@
             name=f"node-{len(self.seats) + 1}",
             service=service,
             region="r",
-            data_centre="z",
+            data_centre=data_centre,
             callers=callers,
             peers=peers,
             gossip=gossip,
--- /dev/null
+++ b/features/policy/evacuation.feature
@@ -0,0 +1,59 @@
+Feature: Which data centres are evacuated follows from the newest word of the store
+
+  Scenario Outline: News in any order leaves the newest in force
+    # Copies of news overtake each other: an old one must neither bring an evacuation back nor end it.
+    Given a node that has heard <heard>
+    Then <names> is evacuated there
+
+    Examples:
+      | heard                                     | names   |
+      | nothing                                   | nothing |
+      | a at 5                                    | a       |
+      | a at 5, none at 7                         | nothing |
+      | none at 7, a at 5                         | nothing |
+      | a at 5, none at 7, a at 9                 | a       |
+      | a at 5, a at 9, none at 7                 | a       |
+      | a and b at 5, b at 6                      | b       |
+      | a at 5 of epoch 1, none at 9              | a       |
+      | none at 9, a at 5 of epoch 1              | a       |
+
+  Scenario Outline: A store that comes back from a copy does not end an evacuation
+    # The copy is older than the operator's entry, which was acknowledged. Nothing more may be sent
+    # there, and the entry is written again some moment later, unless it has been taken back since.
+    Given a node that has heard <heard>
+    Then <names> is evacuated there
+
+    Examples:
+      | heard                                                                  | names   |
+      | a at 5, none at 3 of epoch 1                                           | a       |
+      | a at 5, none at 3 of epoch 1, 19 s pass                                | a       |
+      | a at 5, none at 3 of epoch 1, 21 s pass                                | nothing |
+      | a at 5, none at 3 of epoch 1, a at 4 of epoch 1                        | a       |
+      | a at 5, none at 3 of epoch 1, a at 4 of epoch 1, 21 s pass             | a       |
+      | a at 5, none at 3 of epoch 1, a at 4 of epoch 1, none at 6 of epoch 1  | nothing |
+      | a at 5, none at 7, a at 3 of epoch 1                                   | a       |
+      | a at 5, none at 7, a at 3 of epoch 1, none at 4 of epoch 1             | nothing |
+      | a at 5, none at 3 of epoch 1, none at 3 of epoch 2                     | a       |
+
+  Scenario: A node that starts after the store came back holds to what the others hold to
+    Given a node that has heard a at 5, none at 3 of epoch 1, 15 s pass
+    When another node hears of it what it tells
+    Then a is evacuated at the other node for another 5 s
+
+  Scenario Outline: News that is none changes nothing
+    Given store news <news>
+    Then that news is refused as malformed
+
+    Examples:
+      | news                                    |
+      | []                                      |
+      | [["store"]]                             |
+      | [["store", 0, 5, "a", []]]              |
+      | [["store", 0, 5, [7], []]]              |
+      | [["store", -1, 5, ["a"], []]]           |
+      | [["store", 0, 1e9, ["a"], []]]          |
+      | [["store", 0, 5, [""], []]]             |
+      | [["store", 0, 5, ["a"], [["a", -1]]]]   |
+      | [["store", 0, 5, ["a"], [["a", 1e9]]]]  |
+      | [["store", 0, 5, ["a"], [["a"]]]]       |
+      | [["store", true, 5, ["a"], []]]         |
--- /dev/null
+++ b/features/steps/platform_cold_steps.py
@@ -0,0 +1,105 @@
+"""Steps with real nodes beside backend servers that are cold."""
+
+import asyncio
+import itertools
+import time
+from typing import Any
+
+from behave import given, step, then, use_step_matcher, when  # type: ignore[attr-defined]
+
+from features.platform_harness import CallResult, Seat, route
+from features.steps.platform_evacuation_steps import add
+from features.steps.platform_node_steps import run, start_fleet
+
+use_step_matcher("parse")
+
+COLD_S = 6.0
+COLD_PER_S = 7.5
+
+
+async def tell_cold(context: Any, each: Seat) -> None:
+    """Have a server tell that it is cold, in the way that the scenario names."""
+    loop = asyncio.get_running_loop()
+    each.server.cold_until = loop.time() + COLD_S
+    each.server.tells_cold = context.how == "by their health"
+    if context.how == "by their heartbeats alone":
+        each.registrant.cold_left_ms = round(COLD_S * 1000)
+        await each.registrant.heartbeat(each.server.instance)
+
+
+@given("cold servers on the platform beside {places}, which are known to be cold {how}")
+def given_cold(context: Any, places: str, how: str) -> None:
+    context.how = how
+    fleet = start_fleet(context)
+    fleet.service_fields = {"ColdStartS": COLD_S, "ColdPerS": COLD_PER_S}
+
+    async def begin() -> None:
+        # Without an identity no node takes its server before it has been told to be cold.
+        await add(context, places.split(", "), instance="", service_ms=50.0, slots=7)
+        fleet.configure(4, [route("/tiles/", {"mapdesk": 1}, MaxAttempts=2)])
+        await fleet.wait_for(lambda: all(each.node.view.revision for each in fleet.seats))
+        for each in fleet.seats:
+            await tell_cold(context, each)
+            each.server.instance = "i-1"
+        await fleet.wait_for(lambda: all(fleet.knows_all(each) for each in fleet.seats))
+
+    run(context, begin())
+
+
+@step("they are warm")
+def are_warm(context: Any) -> None:
+    set_cold(context, 0.0)
+
+
+@step("they turn cold")
+def turn_cold(context: Any) -> None:
+    set_cold(context, COLD_S)
+
+
+def set_cold(context: Any, seconds: float) -> None:
+    async def turn() -> None:
+        for each in context.fleet.seats:
+            each.server.cold_until = asyncio.get_running_loop().time() + seconds
+        # Until the next look at each server.
+        await asyncio.sleep(0.2)
+
+    run(context, turn())
+
+
+@when("{count:d} requests come through all nodes within {seconds:d} s")
+def when_come(context: Any, count: int, seconds: int) -> None:
+    async def call(number: int, each: Seat) -> tuple[CallResult, float]:
+        await asyncio.sleep(number * seconds / count)
+        began = time.monotonic()
+        result = await context.fleet.call(each)
+        return result, time.monotonic() - began
+
+    async def play() -> list[tuple[CallResult, float]]:
+        turns = zip(range(count), itertools.cycle(context.fleet.seats), strict=False)
+        return await asyncio.gather(*(call(number, each) for number, each in turns))
+
+    context.results = run(context, play())
+
+
+@then("no server was sent more than {most:d} requests in a second while it was cold")
+def then_within(context: Any, most: int) -> None:
+    for each in context.fleet.seats:
+        times = each.server.arrivals
+        busiest = max(sum(0 <= at - begin < 1 for at in times) for begin in times)
+        assert busiest <= most, busiest
+
+
+@then("at least {least:d} of them were answered 200")
+def then_answered(context: Any, least: int) -> None:
+    good = sum(result.status == 200 for result, _ in context.results)
+    assert good >= least, (good, len(context.results))
+
+
+@then("each of the others was refused at once with a time to come back")
+def then_refused(context: Any) -> None:
+    others = [(result, took) for result, took in context.results if result.status != 200]
+    assert others, "nothing was refused"
+    for result, took_s in others:
+        assert result.status == 503 and float(result.headers["Retry-After"]) > 0, result
+        # Its goal is 0.3 s.
+        assert took_s < 0.3, (took_s, result)
--- /dev/null
+++ b/features/steps/platform_evacuation_steps.py
@@ -0,0 +1,264 @@
+"""Steps with real nodes whose data centres are evacuated."""
+
+import asyncio
+import itertools
+import json
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from behave import given, step, then, use_step_matcher, when  # type: ignore[attr-defined]
+
+from features.platform_harness import CallResult, route
+from features.steps.platform_node_steps import PATIENT, run, seat, start_fleet
+from marjoramtide.policy import Evacuated, Evacuations
+
+use_step_matcher("parse")
+
+KIND = "evacuations"
+# Of the store's own rounds to the nodes that watch it, before an operator does anything.
+WATCHED_S = 5.0
+
+
+class DeafEvacuations(Evacuations):
+    """Those of a node that hears nothing."""
+
+    def take(self, heard: Evacuated, now: float) -> bool:
+        return False
+
+
+async def add(context: Any, places: Sequence[str], **seats: Any) -> None:
+    """Start nodes, each told as "SERVICE at DATA_CENTRE"."""
+    for place in places:
+        service, data_centre = place.split(" at ")
+        await context.fleet.add_seat(service, data_centre=data_centre, **seats)
+
+
+def start(context: Any, places: str, **seats: Any) -> None:
+    fleet = start_fleet(context)
+    run(context, add(context, places.split(", "), **seats))
+    fleet.configure(
+        4,
+        [
+            route("/tiles/", {"mapdesk": 1}, MaxAttempts=2),
+            route("/book/", {"mapdesk": 1}, kind="non_idempotent", **PATIENT),
+        ],
+    )
+    run(context, fleet.settle())
+    run(context, until_watched(context))
+
+
+async def until_watched(context: Any) -> None:
+    """Wait until evacuations are watched, as they are two seconds after a start."""
+    calls = context.fleet.store.calls
+    await context.fleet.wait_for(lambda: calls["watches"] >= 2, WATCHED_S)
+
+
+@given("nodes on the platform beside {places}")
+def given_nodes(context: Any, places: str) -> None:
+    start(context, places)
+
+
+@given("nodes on the platform with {slots:d} slot of {milliseconds:d} ms beside {places}")
+def given_slow_nodes(context: Any, slots: int, milliseconds: int, places: str) -> None:
+    start(context, places, slots=slots, service_ms=float(milliseconds))
+
+
+@given("a store on the platform in which {name} is evacuated")
+def given_evacuated_store(context: Any, name: str) -> None:
+    fleet = start_fleet(context)
+    fleet.store.state.put(KIND, name, Specification={})
+
+
+@when("a node starts beside {place}")
+def when_starts(context: Any, place: str) -> None:
+    async def begin() -> None:
+        await add(context, [place])
+        fleet = context.fleet
+        fleet.configure(5, [route("/tiles/", {"mapdesk": 1}, MaxAttempts=2)])
+        started = fleet.seats[-1]
+        await started.registrant.heartbeat(started.server.instance)
+        await fleet.wait_for(started.node.takes_callers)
+
+    run(context, begin())
+
+
+@given("only the nodes at {name} hear of what is evacuated")
+def given_deaf(context: Any, name: str) -> None:
+    """Have all others take in nothing of the kind."""
+    for each in context.fleet.seats:
+        if each.settings.data_centre != name:
+            each.node.evacuations.policy = DeafEvacuations()
+
+
+@given("the store turns away all nodes but node {number:d}")
+def given_turned_away(context: Any, number: int) -> None:
+    for position, each in enumerate(context.fleet.seats, 1):
+        if position != number:
+            store = each.node.store
+            store.url = "http://127.0.0.1:9"
+            run(context, store.close())
+
+
+@step("the operator has evacuated {name}")
+@step("the operator evacuates {names}")
+def evacuates(context: Any, **named: str) -> None:
+    names = (named.get("names") or named["name"]).split(" and ")
+    for name in names:
+        write(context, name, {})
+    context.ordered_at = time.monotonic()
+
+
+def write(context: Any, name: str, value: Any) -> None:
+    async def put() -> None:
+        context.fleet.store.state.put(KIND, name, Specification=value)
+        await asyncio.sleep(0.1)
+
+    run(context, put())
+
+
+@when("the operator evacuates {name} by an entry that holds {text}")
+def evacuates_by(context: Any, name: str, text: str) -> None:
+    write(context, name, json.loads(text))
+    context.ordered_at = time.monotonic()
+
+
+@step("the operator takes back {name}")
+def takes_back(context: Any, name: str) -> None:
+    async def remove() -> None:
+        context.fleet.store.state.remove(KIND, name)
+        await asyncio.sleep(0.1)
+
+    run(context, remove())
+    context.ordered_at = time.monotonic()
+
+
+@when("the operator takes back {name} and evacuates it again")
+def takes_back_and_evacuates(context: Any, name: str) -> None:
+    async def swap() -> None:
+        state = context.fleet.store.state
+        state.remove(KIND, name)
+        state.put(KIND, name, Specification={})
+
+    run(context, swap())
+    context.ordered_at = time.monotonic()
+
+
+@given("a copy of the store is kept")
+def keep_copy(context: Any) -> None:
+    context.copy = context.fleet.store.state.copy()
+
+
+@when("the store comes back from the copy")
+def come_back(context: Any) -> None:
+    async def restore() -> None:
+        context.fleet.store.state.restore(context.copy)
+
+    run(context, restore())
+    context.ordered_at = time.monotonic()
+
+
+@step("{seconds:d} s passes on the platform")
+def pass_time(context: Any, seconds: int) -> None:
+    run(context, asyncio.sleep(seconds))
+
+
+def ran_at(context: Any, name: str) -> int:
+    """Return how many requests the servers of a data centre have run."""
+    seats = [each for each in context.fleet.seats if each.settings.data_centre == name]
+    return sum(len(each.server.seen) for each in seats)
+
+
+async def ask_all(context: Any, after_s: float, count: int) -> list[CallResult]:
+    await asyncio.sleep(max(0.0, context.ordered_at + after_s - time.monotonic()))
+    turns = itertools.chain.from_iterable(itertools.repeat(context.fleet.seats, count))
+    return [await context.fleet.call(each) for each in turns]
+
+
+@then(
+    "from {after:g} s on {count:d} requests through each node are answered {status:d}, "
+    "and none runs at {name}"
+)
+def none_runs(context: Any, after: float, count: int, status: int, name: str) -> None:
+    async def ask() -> tuple[int, list[CallResult]]:
+        await asyncio.sleep(max(0.0, context.ordered_at + after - time.monotonic()))
+        before = ran_at(context, name)
+        results = await ask_all(context, 0.0, count)
+        return ran_at(context, name) - before, results
+
+    ran, results = run(context, ask())
+    statuses = {result.status for result in results}
+    assert statuses == {status}, [result for result in results if result.status != status][:3]
+    assert not ran, f"{ran} of {len(results)} ran at {name}"
+
+
+@then("from {after:g} s on some of {count:d} requests through each node run at {name}")
+def some_run(context: Any, after: float, count: int, name: str) -> None:
+    async def ask() -> int:
+        await asyncio.sleep(max(0.0, context.ordered_at + after - time.monotonic()))
+        before = ran_at(context, name)
+        await ask_all(context, 0.0, count)
+        return ran_at(context, name) - before
+
+    assert run(context, ask()), f"nothing ran at {name}"
+
+
+@then("none has run at {name}")
+def none_has_run(context: Any, name: str) -> None:
+    assert not ran_at(context, name)
+
+
+@then(
+    "{count:d} requests through node {number:d} are answered {status:d} "
+    "with a time to come back within {seconds:g} s"
+)
+def refused_at_once(context: Any, count: int, number: int, status: int, seconds: float) -> None:
+    async def ask() -> list[tuple[CallResult, float]]:
+        told = []
+        for _ in range(count):
+            began = time.monotonic()
+            result = await context.fleet.call(seat(context, number))
+            told.append((result, time.monotonic() - began))
+        return told
+
+    # The first ones of a node that has just started may wait for others to be found.
+    run(context, asyncio.sleep(0.5))
+    for result, took_s in run(context, ask()):
+        assert result.status == status and "Retry-After" in result.headers, result
+        assert took_s < seconds, took_s
+
+
+@given("{count:d} bookings of {seconds:d} s through node {number:d} have begun")
+def given_bookings(context: Any, count: int, seconds: int, number: int) -> None:
+    async def book() -> None:
+        context.bookings = [
+            asyncio.create_task(
+                context.fleet.call(
+                    seat(context, number),
+                    "/book/7",
+                    method="POST",
+                    body=b"7",
+                    headers={"X-Deadline-Ms": str(1000 * seconds)},
+                )
+            )
+            for _ in range(count)
+        ]
+        await asyncio.sleep(0.1)
+
+    run(context, book())
+
+
+@then("all bookings are answered {status:d}, and each has run once")
+def all_booked(context: Any, status: int) -> None:
+    async def collect() -> list[CallResult]:
+        return await asyncio.gather(*context.bookings)
+
+    results = run(context, collect())
+    assert {result.status for result in results} == {status}, results
+    ran = [headers["x-attempt-id"] for each in context.fleet.seats for headers in each.server.seen]
+    assert sorted(ran) == sorted(result.attempt for result in results), ran
+
+
+@then("no more than {count:d} has run at {name}")
+def few_have_run(context: Any, count: int, name: str) -> None:
+    assert ran_at(context, name) <= count, ran_at(context, name)
--- a/src/marjoramtide/cli/_commands.py
+++ b/src/marjoramtide/cli/_commands.py
@@ -5,6 +5,7 @@
 
 from fire.decorators import SetParseFns
 
+from marjoramtide.cli._evacuation_commands import EvacuationCommands
 from marjoramtide.cli._node_client import NodeClient, ask_all
 from marjoramtide.cli._output import format_records
 from marjoramtide.cli._quarantine_commands import QuarantineCommands
@@ -41,6 +42,7 @@
         self.settings = SettingsCommands(session)
         self.service = ServiceCommands(session)
         self.quarantine = QuarantineCommands(session)
+        self.evacuation = EvacuationCommands(session)
 
     def nodes(self) -> None:
         """Print the members that the asked node knows."""
@@ -62,6 +64,11 @@
         """Let a drained node take work again: the asked one, or the member NAME."""
         self._steer(name, "/undrain")
 
+    def evacuate(self, data_centre: str, release: bool = False) -> None:
+        """Send nothing more to backend servers of DATA_CENTRE, or with --release work again."""
+        steer = self.evacuation.release if release else self.evacuation.begin
+        steer(data_centre)
+
     def explain(self, service: str) -> None:
         """Print what the asked node believes of SERVICE's members, and where it sent requests."""
         found = self._session.node.get("/explain", service=service)
--- a/src/marjoramtide/cli/main.py
+++ b/src/marjoramtide/cli/main.py
@@ -13,7 +13,7 @@
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.settings import parse_address
 
-SWITCHES = ("--insist", "--create")
+SWITCHES = ("--insist", "--create", "--release")
 USAGE_STEPS = ("cli.node", "cli.arguments")
 
 
--- a/src/marjoramtide/daemon/_gauges.py
+++ b/src/marjoramtide/daemon/_gauges.py
@@ -28,6 +28,8 @@
         "serving.registrations_refused": node.registrar.refused if node.registrar else 0,
         "quarantine.held": len(node.quarantine.policy.held(now)),
         "quarantine.suspects": len(node.quarantine.policy),
+        "evacuations": len(node.evacuations.in_force),
+        "store.epoch": node.store.epoch,
         "store.calls": node.store.calls_made,
         "store.unreadable": node.store.unreadable,
         "log.lines_lost": log_output.lost,
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -8,6 +8,7 @@
 import attrs
 import structlog
 
+from marjoramtide import process_began_at
 from marjoramtide.claims import make_claim_cleaner, make_claims
 from marjoramtide.clock import FreezeDetector, SystemClock
 from marjoramtide.daemon._gauges import node_gauges
@@ -15,6 +16,7 @@
 from marjoramtide.daemon._planned_stop import stop_as_planned
 from marjoramtide.daemon._supervision import keep_running
 from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.evacuation import is_store_news, make_evacuations
 from marjoramtide.exchange import LoadReport
 from marjoramtide.ingress import Dispatcher, Ingress, PeerEnds, StartUp
 from marjoramtide.interface import Interface, own_interface
@@ -65,7 +67,13 @@
 class Node:
     """Owns the parts of a node; each part owns its sockets and its state."""
 
-    def __init__(self, settings: NodeSettings, interface: Interface | None = None) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        interface: Interface | None = None,
+        began_at: float = process_began_at,
+    ) -> None:
+        """``began_at`` is when the process began, in seconds of the monotonic clock."""
         self.settings = settings
         self.interface = interface = interface or own_interface()
         self.stop_grace_s = interface.stop_grace_s or settings.stop_grace_s
@@ -95,6 +103,18 @@
             interface.tree,
         )
         self.view = self.settings_service.view
+        follower = self.settings_service.follower
+        self.evacuations = follower.side_news = make_evacuations(
+            self.store,
+            interface.evacuations,
+            self.membership,
+            self.membership.publish,
+            self.clock,
+            rng,
+            follower.is_watcher,
+            interface.tree.is_ours,
+            self.evacuations_changed,
+        )
         self.claim_gate = ClaimGate(self.claims, self.view, self.clock)
         self.quarantine = make_quarantine(
             settings.key, self.membership, self.membership.publish, self.clock, rng, self.metrics
@@ -108,6 +128,7 @@
             self.metrics,
             self.tracer,
             self.quarantine,
+            began_at,
         )
         self.peer_server.handler = self.serving
         self.measurer = Measurer(
@@ -159,6 +180,8 @@
         self.registrar: Registrar | None = None
         self.registered_slots: int | None = None
         self.served: Registration | None = None
+        self.cold_is_told = False
+        self.cold_start_s = 0.0
         if interface.registration_app is not None:
             self.registrar = Registrar(
                 settings.service, self.ask_identity, self.registration_changed
@@ -196,6 +219,7 @@
             "metrics": self.metrics.run,
             "logs": summarise_logs,
             "quarantine": self.quarantine.run,
+            "evacuations": self.evacuations.run,
         }
         if self.interface.takes_keys:
             works |= self.claim_works()
@@ -254,11 +278,13 @@
         is_late = not reading.answered and self.freeze.was_frozen(self.clock.monotonic())
         if reading.instance in ("", self.transport.instance) and not is_late:
             self.serving.ends.read(answered=reading.answered, asked_at=asked_at)
-        if reading.load is None:
-            return
-        self.serving.note_load(reading.load)
-        if self.registrar is not None and reading.state is BackendState.READY:
-            self.registrar.found(reading.instance, reading.load.slots)
+        if reading.load is not None:
+            self.serving.note_load(reading.load)
+            if self.registrar is not None and reading.state is BackendState.READY:
+                self.registrar.found(reading.instance, reading.load.slots)
+        if reading.cold_left_s is not None and reading.instance in ("", self.transport.instance):
+            self.cold_is_told = True
+            self.serving.note_cold(reading.cold_left_s)
 
     def note_reply(self, reading: ReplyReading) -> None:
         if reading.load is not None:
@@ -279,6 +305,9 @@
         if is_quarantine_news(fields):
             self.quarantine.take(member, fields)
             return
+        if is_store_news(fields):
+            self.evacuations.take(fields, member.node)
+            return
         report = unpack_report(fields)
         if report is not None:
             self.dispatcher.note_report(member, report)
@@ -289,9 +318,11 @@
         current = self.registrar.current
         self.transport.instance = current.instance if current is not None else ""
         if current is not None:
-            if self.served is not None and not current.is_same_start(self.served):
+            is_known = self.served is not None and current.is_same_start(self.served)
+            if self.served is not None and not is_known:
                 self.serving.server_replaced()
             self.served = current
+            self.note_cold(current, is_known)
         elif self.registrar.departed:
             self.serving.ends.watch.leaves()
         slots = current.slots if current is not None else None
@@ -302,6 +333,16 @@
         if not self.registrar.is_ready:
             self.serving.hand_back()
 
+    def note_cold(self, current: Registration, is_known: bool) -> None:
+        """Go by what a heartbeat tells of a cold start, unless the server tells newer itself.
+
+        Of a start that has told nothing yet the worst is taken: that it has just begun.
+        """
+        if self.cold_is_told and is_known:
+            return
+        left_s = current.cold_left_s
+        self.serving.note_cold(self.cold_start_s if left_s is None else left_s)
+
     def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         """Run a task of the node for as long as the node runs."""
         task = asyncio.create_task(work)
@@ -328,6 +369,7 @@
         if self.registrar is not None and self.registrar.current is not None:
             settings = attrs.evolve(settings, slots=self.registrar.current.slots)
         self.transport.limit = settings.connections
+        self.cold_start_s = settings.cold_start_s
         self.serving.open(settings)
         self.measurer.configure(settings)
         self.quarantine.configure(settings)
@@ -337,6 +379,14 @@
         self.backend_state = state
         self.update_state()
 
+    def evacuations_changed(self, data_centres: frozenset[str]) -> None:
+        """Send nothing to backend servers of evacuated data centres, nor give the own one any."""
+        self.membership.set_evacuated(data_centres)
+        self.serving.set_evacuated(self.settings.data_centre in data_centres)
+        self.update_state()
+        # What waits for members may be refused at once now, or have somewhere to go.
+        self.start_up.note_news()
+
     def drain(self, drained: bool) -> None:
         """Stop or resume taking new work, on an operator's word."""
         self.drained_by_operator = drained
@@ -349,17 +399,19 @@
         server gets nothing new however slowly the word spreads.
         """
         opened = self.serving.is_open and self.backend_state is not None
-        accepting = (
+        is_able = (
             opened
             and self.backend_state is BackendState.READY
             and (self.registrar is None or self.registrar.is_ready)
             and not self.drained_by_operator
             and not self.serving_ended
         )
-        self.serving.set_accepting(accepting)
+        # A member in an evacuated data centre stays ready: all know the evacuation, and its end
+        # brings all these servers back at one moment, without news of each.
+        self.serving.set_accepting(is_able and not self.serving.evacuated)
         if self.serving_ended:
             state = MemberState.LEAVING
-        elif accepting:
+        elif is_able:
             state = MemberState.READY
         else:
             state = MemberState.DRAINING if opened else MemberState.STARTING
@@ -434,4 +486,5 @@
         await self.peer_server.close()
         await self.peer_client.close()
         await self.serving.close()
+        self.evacuations.close()
         await self.store.close()
--- a/src/marjoramtide/daemon/_operators.py
+++ b/src/marjoramtide/daemon/_operators.py
@@ -25,6 +25,9 @@
         drain=node.drain,
         held=node.quarantine.shown,
         release=node.quarantine.release,
+        evacuated=node.evacuations.shown,
+        evacuate=node.evacuations.evacuate,
+        take_back=node.evacuations.release,
     )
 
 
@@ -35,6 +38,8 @@
         "version": __version__,
         "backend": str(node.backend_state or "unknown"),
         "drained_by_operator": node.drained_by_operator,
+        "evacuated": sorted(node.evacuations.in_force),
+        "store_epoch": node.store.epoch,
         "callers_requests": node.ingress.in_progress,
         "load": attrs.asdict(report),
         "held_requests": len(node.quarantine.shown()),
--- a/src/marjoramtide/errors/_codes.py
+++ b/src/marjoramtide/errors/_codes.py
@@ -20,6 +20,7 @@
     OVERLOADED = "overloaded"
     SLOWED = "slowed"
     DRAINING = "draining"
+    EVACUATED = "evacuated"
     QUARANTINED = "quarantined"
     STALE_SETTINGS = "stale-settings"
     NO_CANDIDATE = "no-candidate"
--- /dev/null
+++ b/src/marjoramtide/evacuation/_evacuation_record.py
@@ -0,0 +1,26 @@
+"""What an operator's evacuation of a data centre is written as."""
+
+import json
+
+import attrs
+from attrs.validators import max_len
+
+from marjoramtide.checked import read_as, read_json
+
+MOST_AUTHOR_CHARACTERS = 128
+
+
+@attrs.frozen(slots=True)
+class EvacuationRecord:
+    """Who has evacuated a data centre, and since when, in seconds since the Unix epoch."""
+
+    author: str = attrs.field(default="", validator=max_len(MOST_AUTHOR_CHARACTERS))
+    since: float = 0.0
+
+    def encode(self) -> bytes:
+        return json.dumps(attrs.asdict(self), separators=(",", ":")).encode()
+
+
+def decode_record(value: bytes) -> EvacuationRecord:
+    """Read a record; raises ``MalformedError``."""
+    return read_as(EvacuationRecord, read_json(value))
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -59,7 +59,11 @@
                 # there. Whether a route is there is this node's own knowledge alone.
                 error.code = ErrorCode.NO_CANDIDATE
             self.refused = error
-            self.turned_away += not error.reached
+            if error.code is ErrorCode.EVACUATED:
+                # That this node has not heard of it yet must not use up the caller's tries.
+                self.count -= 1
+            else:
+                self.turned_away += not error.reached
 
     def settle(self, ended: Answer | BaseException) -> Exception | None:
         """Take the end of a try: ``None`` where its answer is final, else how it failed.
--- a/src/marjoramtide/ingress/_failure_lessons.py
+++ b/src/marjoramtide/ingress/_failure_lessons.py
@@ -30,6 +30,9 @@
             # meant is gone, and membership has not noticed yet.
             selector.lost(node, now, elapsed_ms=elapsed_ms, unreachable=True)
             directory.report_failure(node)
+        case NotRunError(code=ErrorCode.EVACUATED):
+            attempts.excluded |= neighbours(attempts, directory, node)
+            selector.cancelled(node, now, elapsed_ms=elapsed_ms)
         case NotRunError(
             code=ErrorCode.STORE_UNAVAILABLE | ErrorCode.KEY_REUSED | ErrorCode.QUARANTINED
         ):
@@ -55,3 +58,15 @@
                 directory.report_failure(node)
         case _:
             selector.cancelled(node, now, elapsed_ms=elapsed_ms)
+
+
+def neighbours(attempts: Attempts, directory: Directory, node: str) -> set[str]:
+    """Return the nodes in the data centre of one that refused since that is evacuated.
+
+    This node has not heard of it yet. Without this a request asks one of them after the other.
+    """
+    asked = directory.find(node)
+    if asked is None:
+        return {node}
+    members = attempts.state.members
+    return {each.node for each in members if each.data_centre == asked.data_centre}
--- a/src/marjoramtide/interface/_interface.py
+++ b/src/marjoramtide/interface/_interface.py
@@ -20,7 +20,8 @@
     callers may be sent here. ``stop_grace_s`` is how long a planned stop may take, in seconds,
     where the interface tells it; for ``stop_linger_s`` of it callers may still be sent here, since
     whoever sends them has not yet noticed. ``takes_keys`` is false where no caller ever sends an
-    idempotency key, so that there are no claims to keep or to clean.
+    idempotency key, so that there are no claims to keep or to clean. ``evacuations`` is the prefix
+    of the store's objects that name evacuated data centres, empty where there are none.
     """
 
     store: StoreProtocol
@@ -32,3 +33,4 @@
     stop_grace_s: float | None = None
     stop_linger_s: float = 0.0
     takes_keys: bool = True
+    evacuations: str = "evacuations/"
--- a/src/marjoramtide/membership/_announcer.py
+++ b/src/marjoramtide/membership/_announcer.py
@@ -1,5 +1,6 @@
 """Keeps this node's announcement in the store, and reads those of others, rarely."""
 
+import asyncio
 import random
 from collections.abc import Callable, Iterable
 
@@ -30,6 +31,11 @@
 # 0.2 s, and those that run answer within milliseconds.
 HEARD_OF_S = 0.4
 STOP_TIMEOUT_S = 2.0
+# After the store has come back from a copy the nodes write their announcements again over this
+# time, in seconds, and over a second for as many nodes as its rate of writes allows, if that is
+# longer.
+WRITTEN_AGAIN_S = 1.5
+WRITTEN_AGAIN_PER_S = 200.0
 
 
 class Announcer:
@@ -58,12 +64,13 @@
         self.version: int | None = None
         self.refreshed_at = 0.0
         self.failures = 0
+        self.lost = asyncio.Event()
 
     async def run(self) -> None:
         """Announce, read, and refresh both rarely until cancelled; a store outage is waited out."""
         while True:
             try:
-                await self._round()
+                await self._write_again() if self.lost.is_set() else await self._round()
                 self.failures = 0
                 await self._rest()
             except MarjoramtideError as error:
@@ -82,6 +89,11 @@
                 )
                 await self.clock.sleep(self._retry_pause())
 
+    def may_be_lost(self, epoch: int) -> None:
+        """Write the announcement again: the store has come back from a copy that may lack it."""
+        self.version = None
+        self.lost.set()
+
     async def withdraw(self) -> None:
         """Remove the announcement, for a planned stop; where the store is down it stays."""
         if self.version is None:
@@ -96,11 +108,22 @@
 
     async def _rest(self) -> None:
         was_alone = self._is_alone()
-        await self.clock.sleep(self._pause())
+        await self._sleep(self._pause())
         # At its first read every node is alone. Without this all nodes of a fleet that starts at
         # once would read the list of all again within 15 s; by now gossip has told of the others.
         if was_alone and not self._is_alone():
-            await self.clock.sleep(self._pause())
+            await self._sleep(self._pause())
+
+    async def _sleep(self, seconds: float) -> None:
+        """Wait for some seconds, or until the announcement may be lost."""
+        works = [
+            asyncio.ensure_future(work) for work in (self.clock.sleep(seconds), self.lost.wait())
+        ]
+        try:
+            await asyncio.wait(works, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for work in works:
+                work.cancel()
 
     def _is_alone(self) -> bool:
         return self.member_count() < 2
@@ -124,6 +147,23 @@
         self.found([decoded for _, decoded in announcements])
         await self._remove_abandoned(announcements)
 
+    async def _write_again(self) -> None:
+        """Write the announcement again, at a moment that differs from node to node.
+
+        The list is not read: who runs is known by gossip.
+        """
+        spread_s = max(WRITTEN_AGAIN_S, self.member_count() / WRITTEN_AGAIN_PER_S)
+        await self.clock.sleep(self.rng.uniform(0, spread_s))
+        self.lost.clear()
+        if self.version is not None:
+            return
+        try:
+            await self._write()
+        except MarjoramtideError:
+            self.lost.set()
+            raise
+        log.info("announcement-written-again", step="membership.announce")
+
     async def _read_all(self) -> list[tuple[StoredObject, Announcement]]:
         """Return the announcements, from a list that may be old where that is enough.
 
--- a/src/marjoramtide/membership/_member_view.py
+++ b/src/marjoramtide/membership/_member_view.py
@@ -31,6 +31,12 @@
         self.present: list[Member] | None = None
         self.live_entries: list[MemberEntry] | None = None
         self.live_places: Neighbourhood | None = None
+        self.evacuated: frozenset[str] = frozenset()
+
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Have members in these data centres take no work, whatever they say of themselves."""
+        self.evacuated = data_centres
+        self.working.clear()
 
     def add(self, member: Member, status: Status, now: float) -> MemberEntry:
         """Add a member that is not known yet."""
@@ -96,7 +102,12 @@
         found = self.working.get(service)
         if found is None:
             entries = self.by_service[service].values() if service in self.by_service else ()
-            found = [entry.member for entry in entries if entry.member.state.takes_work()]
+            found = [
+                entry.member
+                for entry in entries
+                if entry.member.state.takes_work()
+                and entry.member.data_centre not in self.evacuated
+            ]
             if service in self.by_service:
                 self.working[service] = found
         return found
--- a/src/marjoramtide/membership/_membership_service.py
+++ b/src/marjoramtide/membership/_membership_service.py
@@ -59,6 +59,7 @@
         self.announcer = Announcer(
             store, clock, rng, lambda: self.self_member, core.view.alive_count, self._found
         )
+        store.on_epoch(self.announcer.may_be_lost)
 
     # Directory
 
@@ -85,6 +86,10 @@
         self.core.set_state(state)
         self._flush()
 
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Have members in these data centres take no work."""
+        self.core.view.set_evacuated(data_centres)
+
     def set_settings(self, revision: int, digest: str) -> None:
         self.core.set_settings(revision, digest)
         self._flush()
--- a/src/marjoramtide/operators/_app.py
+++ b/src/marjoramtide/operators/_app.py
@@ -92,6 +92,19 @@
         self.node.release(int(text, 16))
         return web.json_response({"released": text})
 
+    async def evacuations(self, _: web.Request) -> web.Response:
+        return web.json_response({"evacuations": await self.node.evacuated()})
+
+    async def evacuate(self, http: web.Request) -> web.Response:
+        data_centre = argument(http, "data_centre")
+        await self.node.evacuate(data_centre, http.query.get("author", ""))
+        return web.json_response({"evacuated": data_centre})
+
+    async def take_back(self, http: web.Request) -> web.Response:
+        data_centre = argument(http, "data_centre")
+        await self.node.take_back(data_centre)
+        return web.json_response({"released": data_centre})
+
     async def drain(self, _: web.Request) -> web.Response:
         return self._set_drained(True)
 
@@ -143,6 +156,9 @@
             web.get("/trace", api.trace),
             web.get("/quarantine", api.quarantine),
             web.post("/quarantine/release", api.release),
+            web.get("/evacuations", api.evacuations),
+            web.post("/evacuations/begin", api.evacuate),
+            web.post("/evacuations/release", api.take_back),
             web.post("/drain", api.drain),
             web.post("/undrain", api.undrain),
         ]
--- a/src/marjoramtide/operators/_node_handle.py
+++ b/src/marjoramtide/operators/_node_handle.py
@@ -1,6 +1,6 @@
 """What the operators' API needs of a node."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
@@ -17,7 +17,9 @@
     selector believes (``members``) with its last ``decisions``, ``trace`` the spans kept of a
     trace, ``held`` the requests that are held back, each as plain values that JSON carries.
     ``release`` lets the request with a fingerprint run again; raises ``not-found``. ``drain`` stops
-    (true) or resumes (false) taking new work.
+    (true) or resumes (false) taking new work. ``evacuated`` returns the evacuated data centres as
+    plain values; ``evacuate`` adds one, with its author, and ``take_back`` removes one; both raise
+    ``not-found`` and what the store does.
     """
 
     settings: SettingsService
@@ -28,3 +30,6 @@
     drain: Callable[[bool], None]
     held: Callable[[], list[dict[str, Any]]]
     release: Callable[[int], None]
+    evacuated: Callable[[], Awaitable[list[dict[str, Any]]]]
+    evacuate: Callable[[str, str], Awaitable[None]]
+    take_back: Callable[[str], Awaitable[None]]
--- a/src/marjoramtide/platform/_backends.py
+++ b/src/marjoramtide/platform/_backends.py
@@ -4,6 +4,7 @@
 
 from marjoramtide.exchange import Request
 from marjoramtide.platform._headers import (
+    COLD,
     DEADLINE,
     EXPECTED_INSTANCE,
     INSTANCE,
@@ -32,8 +33,9 @@
 MAX_DIGITS = 9
 # A server that takes ten thousand times as long says nothing that could be acted on.
 MOST_SLOWDOWN = 10_000.0
-# No caller's deadline is as long as a day.
+# No caller's deadline is as long as a day, and no server is cold for one.
 MOST_RETRY_AFTER_S = 86_400.0
+MOST_COLD_MS = 86_400_000.0
 
 
 class PlatformBackend(BackendProtocol):
@@ -73,7 +75,8 @@
         if answer.status == 503:
             state = BackendState.DRAINING
         load = read_load(answer.header(LOAD.lower()))
-        return HealthReading(state, answer.header(INSTANCE.lower()), load)
+        cold_left_s = read_cold(answer.header(COLD.lower()))
+        return HealthReading(state, answer.header(INSTANCE.lower()), load, cold_left_s=cold_left_s)
 
 
 def read_load(text: str) -> ServerLoad | None:
@@ -102,6 +105,15 @@
     return slowdown if 0 < slowdown <= MOST_SLOWDOWN else None
 
 
+def read_cold(text: str) -> float | None:
+    """Read milliseconds; returns seconds, ``None`` where it says nothing."""
+    try:
+        left_ms = float(text)
+    except ValueError:
+        return None
+    return left_ms / 1000 if 0 <= left_ms <= MOST_COLD_MS else None
+
+
 def read_retry_after(text: str) -> int | None:
     """Read seconds with a fraction; returns milliseconds, ``None`` where it says nothing."""
     try:
--- a/src/marjoramtide/platform/_bounds.py
+++ b/src/marjoramtide/platform/_bounds.py
@@ -12,12 +12,18 @@
     ``stop_grace_s`` is the time between the signal to stop and the end by force.
     ``retry_ratio`` and ``retry_slack`` bound the arrivals at a service beyond the first of each
     request, over ``retry_window_s``: a share of its requests, and a number besides.
+    ``evacuation_ms`` is told where data centres can be evacuated. What reaches a cold backend
+    server in any second is bounded by ``cold_excess`` times the rate that it bears, and
+    ``cold_slack`` besides.
     """
 
     stop_grace_s: float | None = None
     retry_ratio: float | None = None
     retry_slack: float | None = None
     retry_window_s: float | None = None
+    evacuation_ms: float | None = None
+    cold_excess: float | None = None
+    cold_slack: float | None = None
 
 
 FIELDS = {
@@ -25,6 +31,9 @@
     "RetryBudgetRatio": "retry_ratio",
     "RetryBudgetSlack": "retry_slack",
     "BudgetWindowS": "retry_window_s",
+    "EvacuationMs": "evacuation_ms",
+    "ColdExcess": "cold_excess",
+    "ColdSlack": "cold_slack",
 }
 
 
--- a/src/marjoramtide/platform/_configuration.py
+++ b/src/marjoramtide/platform/_configuration.py
@@ -86,6 +86,9 @@
         branch["health_path"] = service["HealthPath"]
     if service.get("MaxConns"):
         branch["connections"] = service["MaxConns"]
+    if service.get("ColdPerS"):
+        branch["cold_per_s"] = service["ColdPerS"]
+        branch["cold_start_s"] = service.get("ColdStartS") or 0.0
     return branch
 
 
--- a/src/marjoramtide/platform/_headers.py
+++ b/src/marjoramtide/platform/_headers.py
@@ -26,3 +26,9 @@
 
 RETRY_AFTER = "Retry-After"
 """Seconds, with a fraction where need be."""
+
+COLD = "X-Cold-Remaining-Ms"
+"""For how many milliseconds more a backend server is cold, in its health's answers."""
+
+STORE_EPOCH = "Store-Era"
+"""How often the store has come back from a copy, in all its answers."""
--- a/src/marjoramtide/platform/_interface.py
+++ b/src/marjoramtide/platform/_interface.py
@@ -17,6 +17,8 @@
 # The platform asks for readiness once a second and sends callers elsewhere after two refusals; they
 # come within this time of the first one, in seconds.
 READINESS_MISSES_S = 2.2
+# The kind of the operator's entries, one for each data centre that is to get nothing.
+EVACUATIONS = "evacuations/"
 
 
 def platform_interface(settings: NodeSettings) -> Interface:
@@ -29,7 +31,9 @@
         ) from error
     return Interface(
         store=PlatformStore(),
-        tree=OperatorConfiguration(read_base(settings.base_tree) | second_tries(bounds)),
+        tree=OperatorConfiguration(
+            read_base(settings.base_tree) | second_tries(bounds) | cold_servers(bounds)
+        ),
         callers=PlatformCallers(settings.service),
         backend=PlatformBackend(),
         readiness_app=make_readiness_app,
@@ -37,6 +41,7 @@
         stop_grace_s=bounds.stop_grace_s,
         stop_linger_s=READINESS_MISSES_S,
         takes_keys=False,
+        evacuations=EVACUATIONS if bounds.evacuation_ms is not None else "",
     )
 
 
@@ -50,6 +55,12 @@
     }
 
 
+def cold_servers(bounds: Bounds) -> dict[str, float]:
+    """Return the settings that bound what reaches a cold backend server."""
+    told = {"cold_excess": bounds.cold_excess, "cold_slack": bounds.cold_slack}
+    return {key: value for key, value in told.items() if value is not None}
+
+
 def read_base(path: str) -> dict[str, Any]:
     """Read the tree that the operator's configuration is laid over; none without a path."""
     if not path:
--- a/src/marjoramtide/platform/_store_protocol.py
+++ b/src/marjoramtide/platform/_store_protocol.py
@@ -11,6 +11,7 @@
 import attrs
 
 from marjoramtide.checked import MalformedError, read_as, read_json, renamed
+from marjoramtide.platform._headers import STORE_EPOCH
 from marjoramtide.platform._stored import (
     LISTED_FIELDS,
     METADATA_FIELDS,
@@ -47,7 +48,11 @@
 }
 CERTAINLY_NOTHING_DONE = 503
 LONGEST_WAIT_MS = 30_000
+# A store that has come back more often tells something else.
+MOST_EPOCH_DIGITS = 6
 JSON_BODY = {"Content-Type": "application/json"}
+# Kinds whose objects say all by their names; whatever else they hold is not read.
+TOLD_BY_NAME = frozenset(("evacuations",))
 # The field in which a value of ours that is text, or bytes, lies in an object's specification.
 TEXT = "text"
 BYTES = "base64"
@@ -117,6 +122,12 @@
             len(watched.events) - len(events),
         )
 
+    def epoch(self, headers: Mapping[str, str]) -> int:
+        text = headers.get(STORE_EPOCH, "0")
+        if not (text.isascii() and text.isdigit() and len(text) <= MOST_EPOCH_DIGITS):
+            raise MalformedError(f"{STORE_EPOCH}: {text[:40]!r} is no number")
+        return int(text)
+
     def certainly_refused(self, status: int, headers: Mapping[str, str]) -> bool:
         return status == CERTAINLY_NOTHING_DONE
 
@@ -185,7 +196,7 @@
     """Read one object of a kind; raises ``MalformedError``."""
     fields = renamed(item, {"Metadata": "metadata", "Specification": "specification"})
     metadata = read_as(ObjectMetadata, renamed(fields.get("metadata"), METADATA_FIELDS))
-    value = unpack(fields.get("specification"))
+    value = b"" if kind in TOLD_BY_NAME else unpack(fields.get("specification"))
     return StoredObject(f"{kind}/{metadata.name}", value, metadata.revision)
 
 
--- a/src/marjoramtide/policy/__init__.py
+++ b/src/marjoramtide/policy/__init__.py
@@ -1,7 +1,7 @@
 """Decisions, as pure functions of what they are handed: no clock, no randomness, no I/O.
 
-Five packages, each with one question: ``placing``, ``admission``, ``pace``, ``budgets`` and
-``quarantine``.
+Six packages, each with one question: ``placing``, ``admission``, ``pace``, ``budgets``,
+``quarantine`` and ``evacuation``.
 """
 
 from marjoramtide.policy._call_profile import CallProfile, make_call_profile
@@ -14,6 +14,7 @@
     make_admission,
 )
 from marjoramtide.policy.budgets import WINDOW_S, ComeBackHint, MeasuringBudget, RetryBudget
+from marjoramtide.policy.evacuation import KEPT_S, Evacuated, Evacuations
 from marjoramtide.policy.pace import Interference
 from marjoramtide.policy.placing import (
     SELECTORS,
@@ -35,6 +36,7 @@
 )
 
 __all__ = [
+    "KEPT_S",
     "LIMITERS",
     "MAX_ENDS",
     "SELECTORS",
@@ -44,6 +46,8 @@
     "ComeBackHint",
     "CompletedRequests",
     "Decision",
+    "Evacuated",
+    "Evacuations",
     "HoldRule",
     "Interference",
     "Limiter",
--- a/src/marjoramtide/policy/admission/_admission.py
+++ b/src/marjoramtide/policy/admission/_admission.py
@@ -50,6 +50,13 @@
         Durations that ``finished`` is given are then those of undisturbed work.
         """
 
+    @abstractmethod
+    def note_cold(self, left_s: float, now: float) -> None:
+        """Take in for how much longer the backend server is cold, in seconds; 0 where it isn't.
+
+        ``resume`` tells what may start by it.
+        """
+
     @abstractmethod
     def resume(self, now: float) -> list[int]:
         """Return the queued tickets that start now, since the pace has changed or nobody tells."""
@@ -90,6 +97,10 @@
     def next_expiry(self) -> float | None:
         """Return when ``expire`` next has something to do."""
 
+    @abstractmethod
+    def come_back_ms(self, now: float) -> int:
+        """Return when a request that is refused now would probably be taken, in milliseconds."""
+
     @abstractmethod
     def report(self, now: float) -> LoadReport:
         """Return the load at this moment."""
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -10,6 +10,7 @@
 from marjoramtide.policy._call_profile import CallProfile
 from marjoramtide.policy.admission._admission import Admission, Decision, Verdict
 from marjoramtide.policy.admission._class_queue import ClassQueue
+from marjoramtide.policy.admission._cold_gate import ColdGate, ColdRule
 from marjoramtide.policy.admission._execution_times import ExecutionTimes
 from marjoramtide.policy.admission._limiter import Limiter
 from marjoramtide.policy.admission._limiters import make_limiter
@@ -63,6 +64,12 @@
     recheck_at: float | None = None
     pace: Pace = attrs.Factory(Pace)
     resume_at: float | None = None
+    gate: ColdGate = attrs.field()
+    gate_opens_at: float | None = None
+
+    @gate.default
+    def _gate_from_the_start(self) -> ColdGate:
+        return ColdGate(self.started_at)
 
     @property
     def in_use(self) -> int:
@@ -84,6 +91,12 @@
             self.limited_by = wanted
         self.urgent_slots = settings.urgent_slots
         self.queue_limit = settings.queue_limit
+        self.gate.rule = ColdRule(
+            settings.cold_start_s,
+            settings.cold_per_s,
+            settings.cold_excess,
+            settings.cold_slack,
+        )
 
     def server_replaced(self, now: float) -> list[int]:
         for ticket in list(self.times.running):
@@ -92,6 +105,7 @@
         self.limiter = self.limiter.fresh()
         self.shares = RankShares()
         self.stall_seen = None
+        self.gate.server_started(now)
         self.set_pace(Pace())
         self.started_at = now
         self.incarnation += 1
@@ -101,6 +115,9 @@
     def set_accepting(self, accepting: bool) -> None:
         self.accepting = accepting
 
+    def note_cold(self, left_s: float, now: float) -> None:
+        self.gate.note_cold(left_s, now)
+
     def set_pace(self, pace: Pace) -> None:
         self.pace = pace
         self.times.pace = pace.slowdown
@@ -109,6 +126,7 @@
     def resume(self, now: float) -> list[int]:
         if self.resume_at is not None and self.resume_at <= now:
             self.resume_at = None
+        self.gate_opens_at = None
         return self._start_queued(now)
 
     def release(self) -> list[int]:
@@ -134,7 +152,7 @@
             # at once it costs a hop; whoever asks again has found nobody quicker.
             return _reject(ErrorCode.SLOWED, self.pace.quick_in_ms(now))
         self.dues[ticket] = self._due(profile, now)
-        if self._may_start(profile.urgent) and not self._waits(profile, now):
+        if self._may_start(profile.urgent, now) and not self._waits(profile, now):
             decision = self._start_or_reject(ticket, profile, remaining_ms, now)
         else:
             decision = self._queue_or_reject(ticket, profile, now)
@@ -193,7 +211,9 @@
         ahead = self._ahead(profile.urgent, order)
         wait_ms = self._wait_ms(ahead, profile, service_ms)
         own_ms = self._own_ms(profile, due, now)
-        if self._may_start(profile.urgent):
+        if self.gate.is_cold(now):
+            wait_ms = max(wait_ms, self._cold_wait_ms(ahead, profile, now))
+        elif self._has_slot(profile.urgent):
             # Slots are free, and it waits for the pace alone.
             wait_ms = 0.0
         if waits:
@@ -210,6 +230,7 @@
             # it, and the caller is told at the end. Refused now, the caller can go elsewhere.
             return _reject(ErrorCode.OVERLOADED, min(lateness_ms, wait_ms))
         queue.add(order, ticket)
+        self._wait_for_gate(now)
         self.orders[ticket] = order
         self.profiles[ticket] = profile
         if profile.urgent and len(self.routine):
@@ -272,12 +293,22 @@
             times.append(stalls_at)
         if self.resume_at is not None and times:
             times.append(self.resume_at)
+        if self.gate_opens_at is not None and times:
+            times.append(self.gate_opens_at)
         return min(times, default=None)
 
+    def come_back_ms(self, now: float) -> int:
+        waiting = len(self.urgent) + len(self.routine)
+        ahead = waiting + max(0, self.in_use + 1 - self.limit)
+        slot_ms = ahead * self.times.expected_ms(now) / self.limit
+        return max(1, round(max(slot_ms, self.gate.wait_s(waiting, now) * 1000)))
+
     def report(self, now: float) -> LoadReport:
+        # Others share out work by it: a cold server has room for what it bears, in slots.
+        borne = self.gate.concurrency(self.times.mean.value, now)
         return LoadReport(
             in_use=self.in_use,
-            limit=self.limit,
+            limit=round(min(self.limit, borne)),
             queued_urgent=len(self.urgent),
             queued_routine=len(self.routine),
             service_time_ms=self.times.expected_ms(now),
@@ -296,7 +327,24 @@
             return self.urgent.ahead_of(order)
         return len(self.urgent) + self.routine.ahead_of(order)
 
-    def _may_start(self, urgent: bool) -> bool:
+    def _may_start(self, urgent: bool, now: float) -> bool:
+        return self._has_slot(urgent) and self.gate.allows(now)
+
+    def _wait_for_gate(self, now: float) -> None:
+        """Look again when a cold server bears another request, where that is all that is lacking.
+
+        Not where it is open: what is queued then waits for the pace or for a slot, and would be
+        looked at without an end.
+        """
+        opens_at = self.gate.opens_at(now)
+        self.gate_opens_at = opens_at if opens_at > now and self.in_use < self.limit else None
+
+    def _cold_wait_ms(self, ahead: int, profile: CallProfile, now: float) -> float:
+        """Return the wait for a cold server behind ``ahead`` others, in milliseconds."""
+        left = max(LEAST_LEFT, 1 - self.shares.before(profile))
+        return self.gate.wait_s(ahead, now) * 1000 / left
+
+    def _has_slot(self, urgent: bool) -> bool:
         if urgent and self.in_use - self.routine_running < self.urgent_slots:
             # Also where the limit has fallen so low that routine requests fill it: an urgent one
             # would otherwise wait for a long routine one to end.
@@ -326,6 +374,7 @@
 
     def _start(self, ticket: int, profile: CallProfile, now: float) -> None:
         self.orders.pop(ticket, None)
+        self.gate.note_sent(now)
         self.times.start(ticket, now, profile.kind)
         self.began_with[ticket] = self.in_use
         self.profiles[ticket] = profile
@@ -345,12 +394,14 @@
         started = []
         for urgent in (True, False):
             queue = self._queue(urgent)
-            while len(queue) and self._may_start(urgent):
+            while len(queue) and self._may_start(urgent, now):
                 if self._waits(self.profiles[queue.first], now):
                     break
                 ticket = queue.pop()
                 self._start(ticket, self.profiles[ticket], now)
                 started.append(ticket)
+        if len(self.urgent) + len(self.routine):
+            self._wait_for_gate(now)
         return started
 
     def _drop_queued(self, ticket: int) -> None:
--- a/src/marjoramtide/serving/_health_reading.py
+++ b/src/marjoramtide/serving/_health_reading.py
@@ -10,10 +10,12 @@
 class HealthReading:
     """Its state, the identity it states (or empty), and its load where it tells it.
 
-    ``answered`` is false where the endpoint could not be read.
+    ``answered`` is false where the endpoint could not be read. ``cold_left_s`` is for how much
+    longer the server is cold, in seconds, ``None`` where it doesn't tell.
     """
 
     state: BackendState
     instance: str = ""
     load: ServerLoad | None = None
     answered: bool = True
+    cold_left_s: float | None = None
--- a/src/marjoramtide/serving/_registrar.py
+++ b/src/marjoramtide/serving/_registrar.py
@@ -95,7 +95,7 @@
                     slots=slots,
                     draining=False,
                     sequence=0,
-                    cold_left_s=0.0,
+                    cold_left_s=None,
                 )
             )
 
--- a/src/marjoramtide/serving/_registration.py
+++ b/src/marjoramtide/serving/_registration.py
@@ -10,7 +10,8 @@
     ``instance`` is its identity, and ``born`` the Unix time of its start in milliseconds, where it
     tells that: one that starts again may keep its identity, and is then known by a later ``born``.
     ``sequence`` grows with each heartbeat of one start, so that a late one is known.
-    ``cold_left_s`` is for how much longer it is slow after its start, in seconds.
+    ``cold_left_s`` is for how much longer it is slow after its start, in seconds, ``None`` where it
+    has not told that.
     """
 
     instance: str
@@ -21,7 +22,7 @@
     slots: int
     draining: bool
     sequence: int
-    cold_left_s: float
+    cold_left_s: float | None
     born: int | None = None
 
     def precedes(self, other: "Registration") -> bool:
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -59,14 +59,19 @@
         metrics: Metrics,
         tracer: Tracer,
         guard: RunGuard | None = None,
+        began_at: float | None = None,
     ) -> None:
-        """Without a ``guard`` the backend server may begin every request."""
+        """Without a ``guard`` the backend server may begin every request.
+
+        ``began_at`` is when this process began, in seconds of the monotonic clock; now by default.
+        """
         self.guard = guard or NoGuard()
         self.ends = ServerEnds(service, self.guard, clock, metrics)
         self.service = service
         self.is_open = False
+        self.evacuated = False
         self.admission: Admission = make_admission(
-            RouteSettings(service=service), clock.monotonic()
+            RouteSettings(service=service), clock.monotonic() if began_at is None else began_at
         )
         self.admission.set_accepting(False)
         self.queue = SlotQueue(self.admission, clock, self.report)
@@ -113,6 +118,15 @@
         """Take new requests, or reject them while those in progress go on."""
         self.admission.set_accepting(accepting)
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Give the backend server nothing more, what waits for it included, or work again.
+
+        What it runs ends as it would. The last check, since others may not have heard yet.
+        """
+        self.evacuated = evacuated
+        if evacuated:
+            self.queue.hand_back(ErrorCode.EVACUATED)
+
     def note_load(self, load: ServerLoad) -> None:
         """Take in what the backend server says of itself, with an answer or its health."""
         now = self.clock.monotonic()
@@ -127,6 +141,12 @@
         if changed and self.pace_listener is not None:
             self.pace_listener(self.report(now))
 
+    def note_cold(self, left_s: float) -> None:
+        """Take in for how much longer the backend server is cold, in seconds."""
+        now = self.clock.monotonic()
+        self.admission.note_cold(left_s, now)
+        self.queue.resume(now)
+
     def report(self, now: float) -> LoadReport:
         """Return the load at this moment, as other nodes are told."""
         return self.interference.annotate(self.admission.report(now), now)
@@ -142,6 +162,13 @@
                 f"this node serves {self.service!r}, not {request.service!r}",
                 step="serving.admit",
             )
+        if self.evacuated:
+            raise NotRunError(
+                ErrorCode.EVACUATED,
+                "the data centre is evacuated",
+                step="serving.admit",
+                retry_after_ms=0,
+            )
         fingerprint = self.guard.fingerprint(request, body)
         self.guard.check(request, fingerprint)
         ticket = next(self.tickets)
--- a/src/marjoramtide/serving/_slot_queue.py
+++ b/src/marjoramtide/serving/_slot_queue.py
@@ -68,27 +68,37 @@
         """Refuse at once what can no longer finish in time."""
         now = self.clock.monotonic()
         expired = self.admission.expire(now)
-        self.give_up(expired, ErrorCode.DEADLINE, "it could no longer finish in time")
+        come_back_ms = self.admission.come_back_ms(now) if expired else 0
+        reason = "it could no longer finish in time"
+        self.give_up(expired, ErrorCode.DEADLINE, reason, come_back_ms)
         self.start(self.admission.resume(now))
         self.schedule_expiry()
 
-    def hand_back(self) -> None:
+    def hand_back(self, code: ErrorCode = ErrorCode.DRAINING) -> None:
         """Refuse all that waits, so that other nodes may take it.
 
         For a backend server that leaves: what waits for it would reach it seconds after it was told
         that nothing new would.
         """
-        self.give_up(self.admission.release(), ErrorCode.DRAINING, "the backend server leaves")
+        self.give_up(self.admission.release(), code, "the backend server takes nothing more")
         self.schedule_expiry()
 
-    def give_up(self, tickets: list[int], code: ErrorCode, reason: str) -> None:
+    def give_up(
+        self, tickets: list[int], code: ErrorCode, reason: str, retry_after_ms: int = 0
+    ) -> None:
         """Refuse tickets that the admission has dropped."""
         report = self.report(self.clock.monotonic()) if tickets else None
         for ticket in tickets:
             waiter = self.waiting.get(ticket)
             if waiter is not None and not waiter.done():
                 waiter.set_exception(
-                    NotRunError(code, reason, step="serving.queue", retry_after_ms=0, report=report)
+                    NotRunError(
+                        code,
+                        reason,
+                        step="serving.queue",
+                        retry_after_ms=retry_after_ms,
+                        report=report,
+                    )
                 )
 
     def refuse(self, ticket: int, error: NotRunError) -> None:
--- a/src/marjoramtide/settings/_route_settings.py
+++ b/src/marjoramtide/settings/_route_settings.py
@@ -31,6 +31,11 @@
     queue_limit: int = 40
     limiter: str = "adaptive"  # adaptive | fixed | knee
     min_limit: int = 0  # 0: half of the slots
+    # Cold backend servers
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0  # 0: not known, as many as there are slots for
+    cold_excess: float = 1.0
+    cold_slack: float = 0.0
     # Choice of a backend server
     selector: str = "predicted"
     choices: int = 3
--- a/src/marjoramtide/settings/_schema.py
+++ b/src/marjoramtide/settings/_schema.py
@@ -15,6 +15,7 @@
 
 REQUESTS = "Requests"
 CAPACITY = "Capacity of one backend server"
+COLD = "Cold backend servers"
 CHOICE = "Choice of a backend server"
 SECOND_TRIES = "Second tries"
 QUARANTINE = "Requests that end backend servers"
@@ -150,6 +151,43 @@
         meaning="What the adaptive limit never falls below, not more than `slots`; 0 stands for "
         "half of `slots`.",
     ),
+    NumberKey(
+        name="cold_start_s",
+        group=COLD,
+        levels=NOT_ON_ROUTES,
+        minimum=0,
+        maximum=3600,
+        fraction=True,
+        meaning="Seconds for which a backend server is cold after its start.",
+    ),
+    NumberKey(
+        name="cold_per_s",
+        group=COLD,
+        levels=NOT_ON_ROUTES,
+        minimum=0,
+        maximum=100_000,
+        fraction=True,
+        meaning="Requests a second that a cold backend server is given; 0 where it takes as many "
+        "as it has slots for.",
+    ),
+    NumberKey(
+        name="cold_excess",
+        group=COLD,
+        levels=NOT_ON_ROUTES,
+        minimum=1,
+        maximum=100,
+        fraction=True,
+        meaning="How many times `cold_per_s` may reach a cold backend server in any second.",
+    ),
+    NumberKey(
+        name="cold_slack",
+        group=COLD,
+        levels=NOT_ON_ROUTES,
+        minimum=0,
+        maximum=100_000,
+        fraction=True,
+        meaning="Requests that may reach a cold backend server in any second besides.",
+    ),
     ChoiceKey(
         name="selector",
         group=CHOICE,
--- a/src/marjoramtide/settings/sync/__init__.py
+++ b/src/marjoramtide/settings/sync/__init__.py
@@ -5,6 +5,7 @@
 from marjoramtide.settings.sync._own_tree_source import TREE_KEY, OwnTreeSource
 from marjoramtide.settings.sync._progress import Progress, Report
 from marjoramtide.settings.sync._service import SettingsService, make_settings_service
+from marjoramtide.settings.sync._side_news import SideNews
 from marjoramtide.settings.sync._tree_source import TreeSource
 from marjoramtide.settings.sync._tree_store import HISTORY_PREFIX
 from marjoramtide.settings.sync._watchers import choose_watchers
@@ -18,6 +19,7 @@
     "Progress",
     "Report",
     "SettingsService",
+    "SideNews",
     "TreeSource",
     "choose_watchers",
     "make_settings_service",
--- a/src/marjoramtide/settings/sync/_change_maker.py
+++ b/src/marjoramtide/settings/sync/_change_maker.py
@@ -122,7 +122,8 @@
         await self._meet_announced(request, report)
         report(Progress("prepare", "asking every member whether it can take the change"))
         lineage = current.lineage if current else ""
-        refusals = await self.peers.refusals(draft.edits, lineage)
+        base = current.revision if current else 0
+        refusals = await self.peers.refusals(draft.edits, lineage, base)
         if not refusals:
             return
         named = [f"{node}: {reason}" for node, reason in refusals.items()]
--- a/src/marjoramtide/settings/sync/_follower.py
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -14,7 +14,8 @@
 from marjoramtide.settings.sync._adopter import Adopter
 from marjoramtide.settings.sync._backoff import backoff
 from marjoramtide.settings.sync._peer_settings import PeerSettings
-from marjoramtide.settings.sync._tree_store import TreeStore
+from marjoramtide.settings.sync._side_news import NoSideNews, SideNews
+from marjoramtide.settings.sync._tree_store import StoredTree, TreeStore
 from marjoramtide.settings.sync._watchers import choose_watchers
 
 CHECKS_IN_BOUND = 4
@@ -30,6 +31,10 @@
 # waits for its first tree would otherwise make up to ten calls a second and node.
 ABSENT_PAUSE_S = 1.0
 PULL_MOST_S = 5.0
+# For how long a node that starts looks for others before it goes by a store that may have come back
+# from a copy, in seconds, and between two looks. They are found within 0.4 s where any are there.
+MEET_S = 1.0
+MEET_CHECK_S = 0.05
 
 log = structlog.get_logger()
 
@@ -56,6 +61,7 @@
     store_answers: bool | None = None
     ask_store_from: float = float("-inf")
     gossiped: asyncio.Event = attrs.field(factory=asyncio.Event)
+    side_news: SideNews = attrs.field(factory=NoSideNews)
 
     @property
     def freshness(self) -> Freshness:
@@ -137,6 +143,8 @@
             return False
         try:
             stored = await self.trees.read()
+            if not self.view.is_current:
+                await self._learn_beside()
         except MarjoramtideError as error:
             self.store_answers = False
             log.info("settings.store", error=str(error), code=error.code)
@@ -151,11 +159,30 @@
         # An answer older than what is in force here is a stale one: it proves nothing.
         return level and stored.envelope.revision >= self.view.revision
 
+    async def _learn_beside(self) -> None:
+        """Learn what else a node must know before it serves by what the store holds.
+
+        Failure: the store has come back from a copy that lacks the newest settings, or all of them,
+        and a node that starts serves callers by older ones than all others do. A store that tells
+        of its epochs may lack something; whoever is there knows better.
+        """
+        await self.side_news.read_store()
+        if not self.trees.store.epoch or self.view.revision:
+            return
+        until = self.clock.monotonic() + MEET_S
+        while not await self._ask_peers(CATCH_UP_PEERS) and not self.peers_answered:
+            if self.clock.monotonic() >= until:
+                return
+            await self.clock.sleep(MEET_CHECK_S)
+
     async def _ask_peers(self, count: int) -> bool:
         """Pull from ``count`` peers; return whether one that is current answered."""
         candidates = self.peers.others()
         candidates.sort(key=lambda member: member.revision <= self.view.revision)
         answers = await self.peers.pull_from(candidates[:count], self.view.revision)
+        for answer in answers:
+            if answer.news:
+                self.side_news.take(list(answer.news), answer.node)
         level = [
             answer
             for answer in answers
@@ -210,6 +237,7 @@
         self.store_answers = True
         if stored:
             self.adopter.adopt(stored.envelope, "store")
+        await self._write_lost(stored)
         source = self.trees.source
         try:
             async for event in self.trees.store.watch(source.key, since, wait=WATCH_WAIT_S):
@@ -220,6 +248,22 @@
                 raise
             log.info("settings.watch_gap", since=since)
 
+    async def _write_lost(self, stored: StoredTree | None) -> None:
+        """Write the tree in force again where the store has come back from a copy without it.
+
+        Failure: a change that operators were told is in force everywhere is gone with the next
+        restart of the fleet. The version that was read is the condition: where the answer was only
+        an old one, the write fails.
+        """
+        mine = self.view.envelope
+        if mine is None or not self.trees.source.is_ours:
+            return
+        if stored is None or stored.envelope.lineage == mine.lineage:
+            held = stored.envelope.revision if stored else 0
+            if held < mine.revision:
+                log.warning("settings.written_again", revision=mine.revision, held=held)
+                await self.trees.write_again(stored, mine)
+
     # Pulling what gossip names
 
     async def pull_gossiped(self) -> None:
--- a/src/marjoramtide/settings/sync/_peer_settings.py
+++ b/src/marjoramtide/settings/sync/_peer_settings.py
@@ -28,13 +28,15 @@
 class PeerAnswer:
     """What a peer has in force; ``envelope`` only where that is newer than what was asked with.
 
-    ``current`` is what the peer says of itself: whether it can know what is in force.
+    ``current`` is what the peer says of itself: whether it can know what is in force. ``news`` is
+    what it tells besides, empty where it knows of no such news.
     """
 
     node: str
     revision: int
     current: bool
     envelope: Envelope | None = None
+    news: tuple[Any, ...] = ()
 
 
 @attrs.define(slots=True, eq=False, repr=False)
@@ -84,12 +86,18 @@
                 raise failure
         return [answer for answer in found if isinstance(answer, PeerAnswer)]
 
-    async def refusals(self, edits: Iterable[Edit], lineage: str) -> dict[str, str]:
+    async def refusals(self, edits: Iterable[Edit], lineage: str, base: int) -> dict[str, str]:
         """Ask every member that isn't known dead or leaving whether it can take the edits.
 
+        ``base`` is the revision that they are made on top of.
+
         Returns, for each member that can't or doesn't answer, its identity and the reason.
         """
-        body = {"edits": [attrs.asdict(edit) for edit in edits], "lineage": lineage}
+        body = {
+            "edits": [attrs.asdict(edit) for edit in edits],
+            "lineage": lineage,
+            "base": base,
+        }
         gate = asyncio.Semaphore(PREPARED_AT_ONCE)
 
         async def ask(member: Member) -> str:
@@ -144,7 +152,9 @@
         return member is not None and member.state is MemberState.LEAVING
 
 
-def encode_answer(node: str, envelope: Envelope | None, have: int, current: bool) -> dict[str, Any]:
+def encode_answer(
+    node: str, envelope: Envelope | None, have: int, current: bool, news: list[Any]
+) -> dict[str, Any]:
     """Return the answer to a pull, with the envelope where the asker's revision is older."""
     revision = envelope.revision if envelope else 0
     newer = envelope is not None and revision > have
@@ -153,6 +163,7 @@
         "revision": revision,
         "current": current,
         "envelope": zlib.compress(envelope.encode()) if envelope and newer else b"",
+        "news": news,
     }
 
 
@@ -161,7 +172,14 @@
     try:
         packed = raw["envelope"]
         envelope = decode_envelope(zlib.decompress(packed)) if packed else None
-        return PeerAnswer(member.node, int(raw["revision"]), raw["current"] is True, envelope)
+        news = raw.get("news")
+        return PeerAnswer(
+            member.node,
+            int(raw["revision"]),
+            raw["current"] is True,
+            envelope,
+            tuple(news) if isinstance(news, list) else (),
+        )
     except (KeyError, TypeError, ValueError, zlib.error) as error:
         raise MarjoramtideError(
             ErrorCode.BAD_FRAME,
--- a/src/marjoramtide/settings/sync/_service.py
+++ b/src/marjoramtide/settings/sync/_service.py
@@ -97,13 +97,18 @@
         """Answer another node that asks what is in force here."""
         node = self.maker.directory.self_member.node
         have = int(body.get("have", 0))
-        return encode_answer(node, self.view.envelope, have, self.view.is_current)
+        news = self.follower.side_news.told()
+        return encode_answer(node, self.view.envelope, have, self.view.is_current, news)
 
     async def answer_prepare(self, body: dict[str, Any]) -> dict[str, Any]:
         """Answer whether this node can read a change, with the reason where it can't."""
         envelope = self.view.envelope
         if envelope and body.get("lineage") != envelope.lineage:
             return {"reason": f"follows another tree, of lineage {envelope.lineage}"}
+        if envelope and envelope.revision > int(body.get("base", envelope.revision)):
+            # A store that came back from a copy lacks what was accepted since. Made on top of the
+            # copy, the change would get the number of a revision that is in force here.
+            return {"reason": f"has revision {envelope.revision} in force, newer than the store's"}
         try:
             edits = parse_edits(body.get("edits"))
         except MarjoramtideError as error:
--- /dev/null
+++ b/src/marjoramtide/settings/sync/_side_news.py
@@ -0,0 +1,33 @@
+"""What a node learns together with the settings."""
+
+from abc import ABC, abstractmethod
+from typing import Any
+
+
+class SideNews(ABC):
+    """News that a node must have before it serves, and that travels with answers on settings."""
+
+    @abstractmethod
+    async def read_store(self) -> None:
+        """Read the news in the store; raises ``MarjoramtideError`` as the store does."""
+
+    @abstractmethod
+    def told(self) -> list[Any]:
+        """Return the news as it travels."""
+
+    @abstractmethod
+    def take(self, fields: list[Any], source: str) -> None:
+        """Take in the news of another node; what can't be read changes nothing."""
+
+
+class NoSideNews(SideNews):
+    """For a node that has none to learn."""
+
+    async def read_store(self) -> None:
+        return None
+
+    def told(self) -> list[Any]:
+        return []
+
+    def take(self, fields: list[Any], source: str) -> None:
+        return None
--- a/src/marjoramtide/settings/sync/_tree_store.py
+++ b/src/marjoramtide/settings/sync/_tree_store.py
@@ -107,6 +107,17 @@
             await self.clock.sleep(wait)
         raise AssertionError("the waits never end")
 
+    async def write_again(self, held: StoredTree | None, envelope: Envelope) -> None:
+        """Write a revision that is in force over an older one, if that is still there.
+
+        Raises what the store does, but for a conflict: somebody else has written meanwhile.
+        """
+        try:
+            await self._put(held, envelope.encode())
+        except MarjoramtideError as error:
+            if error.code is not ErrorCode.VERSION_CONFLICT:
+                raise
+
     async def keep(self, envelope: Envelope) -> None:
         """Keep a revision that is about to be replaced.
 
--- a/src/marjoramtide/store/__init__.py
+++ b/src/marjoramtide/store/__init__.py
@@ -10,6 +10,7 @@
 from marjoramtide.store._store_limits import StoreLimits
 from marjoramtide.store._store_protocol import Changes, Page, StoreProtocol
 from marjoramtide.store._stored_object import StoredObject
+from marjoramtide.store._versions import epoch_of
 from marjoramtide.store._watch_event import WatchEvent
 
 __all__ = [
@@ -28,6 +29,7 @@
     "StoredObject",
     "WatchEvent",
     "create_resolved",
+    "epoch_of",
     "open_object_store",
     "update_resolved",
 ]
--- a/src/marjoramtide/store/_call.py
+++ b/src/marjoramtide/store/_call.py
@@ -17,12 +17,13 @@
 
 @attrs.frozen(slots=True)
 class Answer:
-    """A whole answer of the store."""
+    """A whole answer of the store; ``epoch`` is that of the store which gave it."""
 
     status: int
     headers: Mapping[str, str]
     body: bytes
     meaning: Meaning
+    epoch: int = 0
 
 
 @attrs.frozen(slots=True)
--- a/src/marjoramtide/store/_http_object_store.py
+++ b/src/marjoramtide/store/_http_object_store.py
@@ -3,12 +3,13 @@
 import random
 import socket
 from collections import deque
-from collections.abc import AsyncIterator, Iterator, Mapping
+from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 from contextlib import AbstractAsyncContextManager, asynccontextmanager, contextmanager, suppress
 from email.utils import parsedate_to_datetime
 from http import HTTPStatus
 
 import aiohttp
+import attrs
 import structlog
 
 from marjoramtide.clock import Clock, SystemClock
@@ -19,12 +20,14 @@
 from marjoramtide.store._call_budget import CallBudget
 from marjoramtide.store._call_failed import AnswerLostError, CallNotSentError, no_resend
 from marjoramtide.store._circuit import Circuit
+from marjoramtide.store._epoch import Epoch
 from marjoramtide.store._listing import Listing
 from marjoramtide.store._object_store import ObjectStore
 from marjoramtide.store._own_protocol import OwnStoreProtocol
 from marjoramtide.store._store_limits import StoreLimits
 from marjoramtide.store._store_protocol import Changes, StoreProtocol
 from marjoramtide.store._stored_object import StoredObject
+from marjoramtide.store._versions import epoch_of, revision_of, version_of
 from marjoramtide.store._watch_event import WatchEvent
 
 log = structlog.get_logger()
@@ -68,6 +71,17 @@
         self.session: aiohttp.ClientSession | None = None
         self.calls_made = 0
         self.unreadable = 0
+        self.heard = Epoch()
+
+    @property
+    def epoch(self) -> int:
+        return self.heard.number
+
+    def on_epoch(self, listener: Callable[[int], None]) -> None:
+        self.heard.listeners.append(listener)
+
+    def hear_epoch(self, epoch: int) -> None:
+        self.heard.hear(epoch, self.url)
 
     async def get(self, key: str, *, timeout: float = 2.0) -> StoredObject:
         call = self.protocol.get(key)
@@ -75,7 +89,7 @@
         if answer.meaning is Meaning.MISSING:
             raise self.error(ErrorCode.NOT_FOUND, key, call.step)
         with self.parsing(ErrorCode.STORE_UNAVAILABLE, call.step):
-            return self.protocol.read_object(key, answer)
+            return dated(self.protocol.read_object(key, answer), answer.epoch)
 
     async def list(self, prefix: str, *, timeout: float = 2.0) -> Listing:
         return await self.list_pages(prefix, timeout, may_be_old=False)
@@ -85,6 +99,7 @@
 
     async def list_pages(self, prefix: str, timeout: float, *, may_be_old: bool) -> Listing:
         objects: deque[StoredObject] = deque()
+        epochs = set()
         after = ""
         while True:
             call = self.protocol.list_page(prefix, after, may_be_old=may_be_old)
@@ -92,21 +107,51 @@
             with self.parsing(ErrorCode.STORE_UNAVAILABLE, call.step):
                 page = self.protocol.read_page(prefix, answer)
             self.note_unreadable(page.unreadable, call.step)
-            objects += page.objects
+            objects += (dated(each, answer.epoch) for each in page.objects)
+            epochs.add(answer.epoch)
+            if len(epochs) > 1:
+                raise self.error(ErrorCode.STORE_UNAVAILABLE, "a list of two epochs", call.step)
             if not page.after:
-                return Listing(objects, page.version)
+                return Listing(objects, version_of(answer.epoch, page.version))
             after = page.after
 
     async def create(self, key: str, value: bytes, *, timeout: float = 2.0) -> StoredObject:
-        return await self.put(self.protocol.create(key, value), key, value, timeout)
+        call = self.protocol.create(key, value)
+        answer = await self.write(call, key, value, timeout)
+        return self.read_written(call, key, value, answer)
 
     async def update(
         self, key: str, value: bytes, version: int, *, timeout: float = 2.0
     ) -> StoredObject:
-        return await self.put(self.protocol.update(key, value, version), key, value, timeout)
+        call = self.protocol.update(key, value, self.held_revision(key, version, "store.update"))
+        answer = await self.write(call, key, value, timeout)
+        self.check_epoch(answer, version, call)
+        return self.read_written(call, key, value, answer)
 
     async def delete(self, key: str, version: int, *, timeout: float = 2.0) -> None:
-        await self.write(self.protocol.delete(key, version), key, timeout)
+        call = self.protocol.delete(key, self.held_revision(key, version, "store.delete"))
+        self.check_epoch(await self.write(call, key, b"", timeout), version, call)
+
+    def held_revision(self, key: str, version: int, step: str) -> int:
+        """Return the revision of a version; raises ``version-conflict`` where its epoch is over.
+
+        Failure: the store comes back from a copy, and counts on from an earlier revision. Under a
+        version of before, a write meets an object that got the same revision since, and replaces
+        what its writer has never read.
+        """
+        if epoch_of(version) < self.epoch:
+            raise self.error(ErrorCode.VERSION_CONFLICT, f"{key}: of an earlier epoch", step)
+        return revision_of(version)
+
+    def check_epoch(self, answer: Answer, version: int, call: Call) -> None:
+        """Raise ``store-ambiguous`` where a write met another epoch than that of its condition.
+
+        This node heard of the new epoch by the answer alone. What the write has replaced is not
+        known; made again, it raises ``version-conflict``, and its writer reads what is there.
+        """
+        if answer.epoch != epoch_of(version):
+            message = f"written in epoch {answer.epoch} under a version of {epoch_of(version)}"
+            raise self.error(ErrorCode.STORE_AMBIGUOUS, message, call.step)
 
     async def watch(
         self, prefix: str, since: int, *, wait: float = 30.0
@@ -124,26 +169,39 @@
 
     async def stream(self, prefix: str, since: int, wait: float) -> AsyncIterator[WatchEvent]:
         """Watch by one call whose answer brings a line for each change."""
-        call = self.protocol.watch(prefix, since, wait)
-        async with self.watching(call, wait) as response:
+        call = self.protocol.watch(prefix, revision_of(since), wait)
+        async with self.watching(call, since, wait) as response:
             async for line in response.content:
                 with self.parsing(ErrorCode.STORE_UNAVAILABLE, call.step):
                     event = self.protocol.read_event(prefix, line)
-                yield event
+                yield dated_event(event, epoch_of(since))
 
     async def poll(self, prefix: str, since: int, wait: float) -> Changes:
         """Watch by one call that is answered when something has changed, or after ``wait``."""
-        call = self.protocol.watch(prefix, since, wait)
-        async with self.watching(call, wait) as response:
+        epoch = epoch_of(since)
+        call = self.protocol.watch(prefix, revision_of(since), wait)
+        async with self.watching(call, since, wait) as response:
             body = await response.read()
         with self.parsing(ErrorCode.STORE_UNAVAILABLE, call.step):
             changes = self.protocol.read_events(prefix, body)
         self.note_unreadable(changes.unreadable, call.step)
-        return changes
+        return attrs.evolve(
+            changes,
+            events=[dated_event(event, epoch) for event in changes.events],
+            version=version_of(epoch, changes.version),
+        )
 
     @asynccontextmanager
-    async def watching(self, call: Call, wait: float) -> AsyncIterator[aiohttp.ClientResponse]:
-        """Make a call that may wait; raises ``not-found`` where its history is gone."""
+    async def watching(
+        self, call: Call, since: int, wait: float
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Make a call that may wait; raises ``not-found`` where its history is gone.
+
+        It also is where the store has come back from a copy. Failure: the store has counted past
+        the revision of the watch again. It takes the watch, and never tells of what changed between
+        the copy and that revision.
+        """
+        self.check_history(call, since)
         await self.reads.take(self.clock.monotonic() + wait, call.step)
         self.circuit.enter(call.step, self.url)
         timeout = aiohttp.ClientTimeout(total=wait + WATCH_GRACE_S, connect=WATCH_GRACE_S)
@@ -153,6 +211,7 @@
                 has_answered = True
                 if self.settle(call, response.status, response.headers) is Meaning.GAP:
                     raise self.error(ErrorCode.NOT_FOUND, "the history is gone", call.step)
+                self.check_history(call, since)
                 yield response
         except (AnswerLostError, CallNotSentError, aiohttp.ClientError, TimeoutError) as error:
             self.circuit.failed()
@@ -161,6 +220,12 @@
             if not has_answered:
                 self.circuit.abandoned()
 
+    def check_history(self, call: Call, since: int) -> None:
+        """Raise ``not-found`` where a watch goes on from a version of an earlier epoch."""
+        if epoch_of(since) < self.epoch:
+            message = "the store has come back from a copy"
+            raise self.error(ErrorCode.NOT_FOUND, message, call.step)
+
     def time(self, wall: float) -> float | None:
         return None if self.offset is None else wall + self.offset
 
@@ -179,15 +244,14 @@
             await self.session.close()
             self.session = None
 
-    async def put(self, call: Call, key: str, value: bytes, timeout: float) -> StoredObject:
+    def read_written(self, call: Call, key: str, value: bytes, answer: Answer) -> StoredObject:
+        with self.parsing(ErrorCode.STORE_AMBIGUOUS, call.step):
+            return dated(self.protocol.read_written(key, value, answer), answer.epoch)
+
+    async def write(self, call: Call, key: str, value: bytes, timeout: float) -> Answer:
         if len(value) > MAX_VALUE_BYTES:
             message = f"{key}: {len(value)} bytes; at most {MAX_VALUE_BYTES} are allowed"
             raise self.error(ErrorCode.BAD_REQUEST, message, call.step)
-        answer = await self.write(call, key, timeout)
-        with self.parsing(ErrorCode.STORE_AMBIGUOUS, call.step):
-            return self.protocol.read_written(key, value, answer)
-
-    async def write(self, call: Call, key: str, timeout: float) -> Answer:
         answer = await self.call(call, timeout)
         if answer.meaning is Meaning.CONFLICT:
             raise self.error(ErrorCode.VERSION_CONFLICT, key, call.step)
@@ -246,7 +310,8 @@
         async with self.request(call, timeout) as response:
             body = await response.read()
             meaning = self.settle(call, response.status, response.headers)
-            return Answer(response.status, response.headers, body, meaning)
+            epoch = self.read_epoch(call, response.headers)
+            return Answer(response.status, response.headers, body, meaning, epoch)
 
     def request(
         self, call: Call, timeout: aiohttp.ClientTimeout
@@ -264,6 +329,7 @@
 
     def settle(self, call: Call, status: int, headers: Mapping[str, str]) -> Meaning:
         """Return what a status says of the object; raises for those that say nothing of it."""
+        self.hear_epoch(self.read_epoch(call, headers))
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self.circuit.failed()
             unsure = call.is_write and not self.protocol.certainly_refused(status, headers)
@@ -278,6 +344,11 @@
             raise self.error(ErrorCode.BAD_REQUEST, f"status {status}", call.step)
         return call.meanings[status]
 
+    def read_epoch(self, call: Call, headers: Mapping[str, str]) -> int:
+        unsure = ErrorCode.STORE_AMBIGUOUS if call.is_write else ErrorCode.STORE_UNAVAILABLE
+        with self.parsing(unsure, call.step):
+            return self.protocol.epoch(headers)
+
     def opened(self) -> aiohttp.ClientSession:
         """Return the session; made on first use, since it belongs to the running loop."""
         if self.session is None:
@@ -328,6 +399,21 @@
     return made
 
 
+def dated(stored: StoredObject, epoch: int) -> StoredObject:
+    """Return an object of which the store gave the revision, with its version."""
+    if not epoch:
+        return stored
+    return attrs.evolve(stored, version=version_of(epoch, stored.version))
+
+
+def dated_event(event: WatchEvent, epoch: int) -> WatchEvent:
+    """Return a change of which the store gave the revision, with its version."""
+    if not epoch:
+        return event
+    stored = None if event.stored is None else dated(event.stored, epoch)
+    return WatchEvent(event.key, version_of(epoch, event.version), stored)
+
+
 def describe(error: BaseException) -> str:
     return str(error) or type(error).__name__
 
--- a/src/marjoramtide/store/_object_store.py
+++ b/src/marjoramtide/store/_object_store.py
@@ -1,7 +1,7 @@
 """The interface to the platform's store."""
 
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from marjoramtide.store._listing import Listing
 from marjoramtide.store._stored_object import StoredObject
@@ -16,8 +16,25 @@
     either), ``store-ambiguous`` where a write may or may not have taken effect,
     ``version-conflict`` where the condition of a write did not hold, ``not-found`` where there is
     no such object. ``timeout`` is in seconds.
+
+    A store may come back from a copy that is some seconds old, in a new *epoch*: what was written
+    since is gone. Versions hold their epoch, so those of two epochs are never taken for each other;
+    a write under a version of an earlier one raises ``version-conflict``, a watch ``not-found``.
     """
 
+    @property
+    def epoch(self) -> int:
+        """Return the newest epoch that this node has heard of, 0 in a store that tells none."""
+        return 0
+
+    def hear_epoch(self, epoch: int) -> None:
+        """Take note of an epoch that another node has told of."""
+        return None
+
+    def on_epoch(self, listener: Callable[[int], None]) -> None:
+        """Call ``listener`` with each epoch that follows the first one heard of."""
+        return None
+
     @abstractmethod
     async def get(self, key: str, *, timeout: float = 2.0) -> StoredObject:
         """Return the object under ``key``."""
--- a/src/marjoramtide/store/_own_protocol.py
+++ b/src/marjoramtide/store/_own_protocol.py
@@ -69,6 +69,9 @@
     def read_events(self, prefix: str, body: bytes) -> Changes:
         raise NotImplementedError("watches of this store stream")
 
+    def epoch(self, headers: Mapping[str, str]) -> int:
+        return int(headers.get("Epoch", "0"))
+
     def certainly_refused(self, status: int, headers: Mapping[str, str]) -> bool:
         # A gateway may answer 5xx for a write that the store behind it applied. Only the store's
         # own word that it did not look at the write makes a 5xx a certain refusal.
--- a/src/marjoramtide/store/_store_protocol.py
+++ b/src/marjoramtide/store/_store_protocol.py
@@ -92,6 +92,13 @@
     def read_events(self, prefix: str, body: bytes) -> Changes:
         """Read the answer to a watch that doesn't stream."""
 
+    def epoch(self, headers: Mapping[str, str]) -> int:
+        """Read how often the store has come back from a copy; 0 where it doesn't tell.
+
+        Raises ``ValueError`` where it tells something else than a number.
+        """
+        return 0
+
     @abstractmethod
     def certainly_refused(self, status: int, headers: Mapping[str, str]) -> bool:
         """Tell whether a status of 500 or above says that a write had no effect."""
--- a/standins/object_store/_app.py
+++ b/standins/object_store/_app.py
@@ -13,7 +13,7 @@
 
 from standins.object_store._faults import Faults
 from standins.object_store._rate import Rate
-from standins.object_store._state import Record, StoreState
+from standins.object_store._state import Record, StoreCopy, StoreState
 
 MAX_VALUE_BYTES = 1024 * 1024
 NO_EFFECT = {"Write-Applied": "no"}
@@ -38,6 +38,7 @@
         self.counts: Counter[str] = Counter()
         self.clock_ahead_s = 0.0
         self.late: list[Callable[[], object]] = []
+        self.held: StoreCopy | None = None
         self.mode_changed = asyncio.Event()
         self.hung = asyncio.Event()
 
@@ -52,6 +53,8 @@
         app.router.add_get("/v1/watch", self.watch)
         app.router.add_post("/faults", self.set_faults)
         app.router.add_post("/faults/apply-late", self.apply_late)
+        app.router.add_post("/copy", self.take_copy)
+        app.router.add_post("/restore", self.restore)
         app.router.add_post("/limits", self.set_limits)
         app.router.add_get("/stats", self.stats)
         return app
@@ -87,6 +90,7 @@
     async def tell_time(self, request: web.Request, response: web.StreamResponse) -> None:
         """Put the store's time on every answer, as HTTP servers do."""
         response.headers["Date"] = formatdate(time.time() + self.clock_ahead_s, usegmt=True)
+        response.headers["Epoch"] = str(self.state.epoch)
 
     def cut(self, request: web.Request) -> web.Response:
         """Close the connection without an answer."""
@@ -154,14 +158,17 @@
         """Send changes as JSON lines until ``wait`` seconds have passed."""
         prefix = request.query.get("prefix", "")
         since = int(request.query.get("since", "0"))
+        epoch = self.state.epoch
         ends = asyncio.get_running_loop().time() + float(request.query.get("wait", "30"))
-        if self.faults.take("watch_gaps") or self.state.has_gap(prefix, since):
+        is_ahead = since > self.state.version
+        if self.faults.take("watch_gaps") or self.state.has_gap(prefix, since) or is_ahead:
             return web.Response(status=410)
         response = web.StreamResponse(headers={"Content-Type": "application/jsonl"})
         await response.prepare(request)
         while True:
             changed = self.state.changed
-            if self.state.has_gap(prefix, since) or self.faults.mode not in ("up", "hang"):
+            is_over = self.faults.mode not in ("up", "hang") or self.state.epoch != epoch
+            if self.state.has_gap(prefix, since) or is_over:
                 return self.cut(request)
             for record in self.state.changes(prefix, since):
                 await response.write(json.dumps(as_json(record)).encode() + b"\n")
@@ -211,6 +218,18 @@
         late, self.late = self.late, []
         return [apply() is not None for apply in late]
 
+    async def take_copy(self, _: web.Request) -> web.StreamResponse:
+        """Keep a copy of all objects."""
+        self.held = self.state.copy()
+        return web.json_response({"version": self.held.version})
+
+    async def restore(self, _: web.Request) -> web.StreamResponse:
+        """Come back from the copy that was kept last."""
+        if self.held is None:
+            return web.json_response({"error": "no copy was kept"}, status=409)
+        self.state.restore(self.held)
+        return web.json_response({"epoch": self.state.epoch})
+
     async def apply_late(self, request: web.Request) -> web.StreamResponse:
         """Let the writes that were held back arrive."""
         applied = self.apply_late_writes()
--- a/standins/object_store/_state.py
+++ b/standins/object_store/_state.py
@@ -16,6 +16,14 @@
     version: int
 
 
+@attrs.frozen(slots=True)
+class StoreCopy:
+    """All objects at one version."""
+
+    version: int
+    objects: dict[str, Record]
+
+
 class StoreState:
     """All objects, in memory, under one counter of versions.
 
@@ -30,6 +38,23 @@
         self.history = history
         self.logs: dict[str, deque[Record]] = {}
         self.trimmed: Counter[str] = Counter()
+        self.epoch = 0
+        self.changed = asyncio.Event()
+
+    def copy(self) -> "StoreCopy":
+        """Return a copy, as it may be put back later."""
+        return StoreCopy(self.version, dict(self.objects))
+
+    def restore(self, held: "StoreCopy") -> None:
+        """Come back from a copy: what was written since is gone, and versions count on from it."""
+        self.version = held.version
+        self.objects = dict(held.objects)
+        self.previous = {}
+        for log in self.logs.values():
+            while log and log[-1].version > held.version:
+                log.pop()
+        self.epoch += 1
+        self.changed.set()
         self.changed = asyncio.Event()
 
     def put(self, key: str, value: bytes, if_version: int) -> Record | None:
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -18,19 +18,24 @@
 
     ``instance`` is the identity of this start; ``slowdown`` what it tells of its neighbours.
     ``extra_answers`` is how many answers are followed by a second one, ``unsealed`` how many
-    successes come without a seal. ``seen`` holds the headers of each request that ran.
+    successes come without a seal. ``seen`` holds the headers of each request that ran. Until
+    ``cold_until``, in seconds of the loop's clock, the server is cold, and tells so if
+    ``tells_cold``; ``arrivals`` holds the times at which requests came meanwhile.
     """
 
     instance = "i-1"
     slowdown = 1.0
     extra_answers = 0
     unsealed = 0
+    cold_until: float | None = None
+    tells_cold = True
 
     def __init__(self, *, slots: int, service_ms: float, seed: int = 1) -> None:
         super().__init__(name="", slots=slots, connections=250, service_ms=service_ms, seed=seed)
         self.seen: list[dict[str, str]] = []
         self.targets: list[str] = []
         self.bodies: list[bytes] = []
+        self.arrivals: list[float] = []
         self.owed: dict[Connection, Answer] = {}
         self.silent: set[Connection] = set()
         self.crash = self.end
@@ -38,11 +43,14 @@
     async def answer(self, request: Request, connection: Connection) -> Answer | None:
         if request.path == HEALTH_PATH:
             status = REFUSED if self.faults.drain else 200
-            return Answer(status, {"X-Instance-Id": self.instance, **self.load_header()})
+            told = {"X-Instance-Id": self.instance, **self.load_header(), **self.cold_header()}
+            return Answer(status, told)
         self.send_owed(connection)
         expected = request.headers.get("x-expected-instance", self.instance)
         if expected != self.instance:
             return Answer(421, {"X-Instance-Id": self.instance, "X-Not-Executed": "1"})
+        if self.cold_left_s() > 0:
+            self.arrivals.append(asyncio.get_running_loop().time())
         request.headers["x-request-id"] = attempt = request.headers.get("x-attempt-id", "")
         request.headers["request-timeout-ms"] = request.headers.get("x-deadline-ms", "")
         answer = await self.serve(request, connection)
@@ -89,6 +97,16 @@
         self.targets.append(request.target)
         self.bodies.append(request.body)
 
+    def cold_left_s(self) -> float:
+        if self.cold_until is None:
+            return 0.0
+        return max(0.0, self.cold_until - asyncio.get_running_loop().time())
+
+    def cold_header(self) -> dict[str, str]:
+        if self.cold_until is None or not self.tells_cold:
+            return {}
+        return {"X-Cold-Remaining-Ms": str(round(self.cold_left_s() * 1000))}
+
     def load_header(self) -> dict[str, str]:
         running, waiting = self.slots.in_use, self.slots.queued
         percent = round(self.slowdown * 100)
--- a/standins/platform/_registrant.py
+++ b/standins/platform/_registrant.py
@@ -21,6 +21,7 @@
     slots: int = 10
     sequence: int = 0
     born: int | None = None
+    cold_left_ms: int = 0
 
     async def heartbeat(
         self, instance: str, *, state: str = "ready", sequence: int | None = None
@@ -36,7 +37,7 @@
         return self.own_start() | {
             "Address": self.address,
             "Info": {"Service": self.service, "Version": "v1", "Zone": "z", "Slots": self.slots},
-            "Status": {"State": state, "SeqNo": sequence, "ColdLeftMs": 0},
+            "Status": {"State": state, "SeqNo": sequence, "ColdLeftMs": self.cold_left_ms},
         }
 
     def own_start(self) -> dict[str, Any]:
--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -47,6 +47,7 @@
         if self.mode == "reset":
             return self.cut(http)
         response = await handler(http)
+        response.headers["Store-Era"] = str(self.state.era)
         if http.method != "GET" and self.lose_answers:
             self.lose_answers -= 1
             return self.cut(http)
@@ -68,8 +69,11 @@
 
     async def watch(self, kind: str, since: int, wait_ms: int) -> web.Response:
         ends = asyncio.get_running_loop().time() + wait_ms / 1000
+        era = self.state.era
         while True:
-            if since < self.state.forgotten:
+            if self.state.era != era:
+                raise web.HTTPServiceUnavailable
+            if since < self.state.forgotten or since > self.state.revision:
                 return web.json_response({}, status=410)
             changed = self.state.changed
             found = self.state.changes(kind, since)
--- a/standins/platform/_store_state.py
+++ b/standins/platform/_store_state.py
@@ -19,6 +19,14 @@
     removed: bool
 
 
+@attrs.frozen(slots=True)
+class StoreCopy:
+    """All objects at one revision."""
+
+    revision: int
+    kinds: dict[str, dict[str, Item]]
+
+
 class PlatformStoreState:
     """Objects by kind and name, under one counter of revisions."""
 
@@ -27,6 +35,7 @@
         self.kinds: dict[str, dict[str, Item]] = {}
         self.history: list[Change] = []
         self.forgotten = 0
+        self.era = 0
         self.changed = asyncio.Event()
 
     def get(self, kind: str, name: str) -> Item | None:
@@ -61,6 +70,18 @@
         self.history.append(Change(self.revision, kind, copy.deepcopy(item), removed))
         self.wake()
 
+    def copy(self) -> "StoreCopy":
+        """Return a copy, as it may be put back later."""
+        return StoreCopy(self.revision, copy.deepcopy(self.kinds))
+
+    def restore(self, held: "StoreCopy") -> None:
+        """Come back from a copy: what was written since is gone, and revisions count on from it."""
+        self.revision = held.revision
+        self.kinds = copy.deepcopy(held.kinds)
+        self.history = [each for each in self.history if each.revision <= held.revision]
+        self.era += 1
+        self.wake()
+
     def wake(self) -> None:
         """Let those that wait for a change look again."""
         self.changed.set()
