Evacuations: news goes with questions for settings as with answers; the command line; scenarios that a deaf node must fail

The mutants 'last check off' and 'peers not asked' passed the first scenarios: the deaf node preferred its own server, and a starting node read the store. Both have a scenario now that they fail.

--- a/bench/memory_store.py
+++ b/bench/memory_store.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.store import ObjectStore, StoredObject, WatchEvent
+from marjoramtide.store import Listing, ObjectStore, StoredObject, WatchEvent
 
 
 class MemoryStore(ObjectStore):
@@ -18,8 +18,9 @@
             raise MarjoramtideError(ErrorCode.NOT_FOUND, key, step="store.get")
         return self.objects[key]
 
-    async def list(self, prefix: str, *, timeout: float = 2.0) -> list[StoredObject]:
-        return [self.objects[key] for key in sorted(self.objects) if key.startswith(prefix)]
+    async def list(self, prefix: str, *, timeout: float = 2.0) -> Listing:
+        found = [self.objects[key] for key in sorted(self.objects) if key.startswith(prefix)]
+        return Listing(found, self.version)
 
     async def create(self, key: str, value: bytes, *, timeout: float = 2.0) -> StoredObject:
         if key in self.objects:
--- a/features/cli/commands.feature
+++ b/features/cli/commands.feature
@@ -43,6 +43,16 @@
     And the command "explain mapdesk" ends with 0 and prints "overloaded"
     And the command "trace 0af7651916cd43dd8448eb211c80319c" ends with 0 and prints "ingress"
 
+  Scenario: A data centre is evacuated, shown and taken back
+    Then the command "evacuate north" ends with 0 and prints "north is evacuated"
+    And the command "evacuate north" ends with 0 and prints "north is evacuated"
+    And the command "evacuation list" ends with 0 and prints "running"
+    And the command "evacuation list" ends with 0 and prints "4        0               0"
+    And the command "evacuate nowhere" ends with 3 and prints "no node is in a data centre named 'nowhere'"
+    And the command "evacuate north --release" ends with 0 and prints "north gets work again"
+    And the command "evacuation release north" ends with 3 and prints "not-found"
+    And the command "evacuation list" ends with 0 and prints "data_centre  author"
+
   Scenario: A request that is held back is shown and released
     # Backend servers ended while they ran a request. It is mended in the servers, and its callers wait
     # for a time that nobody needs any more.
--- a/features/platform/evacuation.feature
+++ b/features/platform/evacuation.feature
@@ -11,7 +11,7 @@
   Scenario: A node that has not heard refuses truly, and its caller is served elsewhere
     # One node still sends to an evacuated data centre. The nodes there refuse as not run, and the
     # request goes on to another data centre, without the tries that its route allows being used up.
-    Given nodes on the platform beside mapdesk at east, mapdesk at east, mapdesk at east, mapdesk at west
+    Given nodes on the platform beside mapdesk at east, mapdesk at east, mapdesk at east, mapdesk at west, licencehub at north
     And only the nodes at east hear of what is evacuated
     When the operator evacuates east
     Then from 1 s on 20 requests through each node are answered 200, and none runs at east
@@ -43,6 +43,14 @@
     When the operator evacuates east
     Then from 1.5 s on 20 requests through each node are answered 200, and none runs at east
 
+  Scenario: A node that no datagram of it reaches hears of an evacuation with the settings
+    # Each node asks another one several times in the time for which its settings hold good.
+    Given nodes on the platform beside mapdesk at east, mapdesk at west
+    And the store turns away all nodes but node 2
+    And no news of the store goes by datagram
+    When the operator evacuates east
+    Then from 3 s on 20 requests through each node are answered 200, and none runs at east
+
   Scenario: Where all data centres are evacuated, callers are refused at once
     Given nodes on the platform beside mapdesk at east, mapdesk at west
     When the operator evacuates east and west
--- a/features/settings_fakes.py
+++ b/features/settings_fakes.py
@@ -15,7 +15,7 @@
 from marjoramtide.peers import ControlChannel
 from marjoramtide.settings import NodeSettings
 from marjoramtide.settings.sync import SettingsService, make_settings_service
-from marjoramtide.store import ObjectStore, StoredObject, WatchEvent
+from marjoramtide.store import Listing, ObjectStore, StoredObject, WatchEvent
 
 STEP_S = 0.05
 
@@ -159,8 +159,10 @@
             raise failure(ErrorCode.NOT_FOUND)
         return found
 
-    async def list(self, prefix: str, *, timeout: float = 2.0) -> list[StoredObject]:
-        return [found for key, found in sorted(self.store().objects.items()) if prefix in key]
+    async def list(self, prefix: str, *, timeout: float = 2.0) -> Listing:
+        store = self.store()
+        found = [held for key, held in sorted(store.objects.items()) if prefix in key]
+        return Listing(found, store.version)
 
     async def create(self, key: str, value: bytes, *, timeout: float = 2.0) -> StoredObject:
         stored = await self.store().write(key, value, None)
@@ -175,7 +177,9 @@
         return stored
 
     async def delete(self, key: str, version: int, *, timeout: float = 2.0) -> None:
-        self.store().objects.pop(key, None)
+        store = self.store()
+        store.objects.pop(key, None)
+        store.version += 1
 
     async def watch(
         self, prefix: str, since: int, *, wait: float = 30.0
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import shlex
 import subprocess
 import sys
@@ -15,8 +16,9 @@
 from aiohttp import web
 from behave import given, then, when
 
-from features.settings_fakes import Fleet, Node
+from features.settings_fakes import Fleet, Node, NodeStore
 from marjoramtide.clock import SystemClock
+from marjoramtide.evacuation import EvacuationService, make_evacuations
 from marjoramtide.membership import MemberState
 from marjoramtide.operators import NodeHandle, make_operators_app
 
@@ -84,10 +86,11 @@
             node.member = attrs.evolve(node.member, state=state)
 
         directory = node.service.maker.directory
+        evacuations = self.evacuations(node)
         return NodeHandle(
             settings=node.service,
             directory=directory,
-            status=lambda: {"in_progress": 0},
+            status=lambda: {"in_progress": 0, "load": {"in_use": 2, "limit": 10}},
             explain=lambda service: {
                 "members": [{"member": "a", "score": 1.0}],
                 "decisions": [{"node": "a", "outcome": "overloaded"}],
@@ -96,6 +99,23 @@
             drain=drain,
             held=lambda: list(self.held.values()),
             release=lambda fingerprint: self.held.pop(fingerprint),
+            evacuated=evacuations.shown,
+            evacuate=evacuations.evacuate,
+            take_back=evacuations.release,
+        )
+
+    def evacuations(self, node: Node) -> EvacuationService:
+        """Return the evacuations of a node, which it alone knows of."""
+        return make_evacuations(
+            NodeStore(node),
+            "evacuations/",
+            node.service.maker.directory,
+            lambda fields, readers: None,
+            self.clock,
+            random.Random(1),
+            lambda: False,
+            True,
+            lambda names: None,
         )
 
 
--- a/features/steps/platform_evacuation_steps.py
+++ b/features/steps/platform_evacuation_steps.py
@@ -100,6 +100,12 @@
             run(context, store.close())
 
 
+@given("no news of the store goes by datagram")
+def given_no_datagrams(context: Any) -> None:
+    for each in context.fleet.seats:
+        each.node.evacuations.publish = lambda fields, readers: None
+
+
 @step("the operator has evacuated {name}")
 @step("the operator evacuates {names}")
 def evacuates(context: Any, **named: str) -> None:
--- a/src/marjoramtide/settings/sync/_follower.py
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -179,7 +179,8 @@
         """Pull from ``count`` peers; return whether one that is current answered."""
         candidates = self.peers.others()
         candidates.sort(key=lambda member: member.revision <= self.view.revision)
-        answers = await self.peers.pull_from(candidates[:count], self.view.revision)
+        news = self.side_news.told()
+        answers = await self.peers.pull_from(candidates[:count], self.view.revision, news)
         for answer in answers:
             if answer.news:
                 self.side_news.take(list(answer.news), answer.node)
--- a/src/marjoramtide/settings/sync/_peer_settings.py
+++ b/src/marjoramtide/settings/sync/_peer_settings.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 import attrs
@@ -69,17 +69,18 @@
         """Return the others that report more than ``revision``, those of this region first."""
         return [member for member in self.others() if member.revision > revision]
 
-    async def pull(self, member: Member, have: int) -> PeerAnswer:
-        """Ask one member for what it has beyond revision ``have``."""
-        raw = await self.channel.ask(
-            member.peer_address, PULL, {"have": have}, timeout=PULL_TIMEOUT_S
-        )
+    async def pull(self, member: Member, have: int, news: list[Any]) -> PeerAnswer:
+        """Ask one member for what it has beyond revision ``have``, and tell it ``news``."""
+        body = {"have": have, "news": news}
+        raw = await self.channel.ask(member.peer_address, PULL, body, timeout=PULL_TIMEOUT_S)
         return decode_answer(member, raw)
 
-    async def pull_from(self, members: Iterable[Member], have: int) -> list[PeerAnswer]:
+    async def pull_from(
+        self, members: Iterable[Member], have: int, news: Sequence[Any] = ()
+    ) -> list[PeerAnswer]:
         """Ask several members at once; return the answers that came."""
         found = await asyncio.gather(
-            *(self.pull(member, have) for member in members), return_exceptions=True
+            *(self.pull(member, have, list(news)) for member in members), return_exceptions=True
         )
         for failure in found:
             if isinstance(failure, BaseException) and not isinstance(failure, MarjoramtideError):
@@ -172,13 +173,12 @@
     try:
         packed = raw["envelope"]
         envelope = decode_envelope(zlib.decompress(packed)) if packed else None
-        news = raw.get("news")
         return PeerAnswer(
             member.node,
             int(raw["revision"]),
             raw["current"] is True,
             envelope,
-            tuple(news) if isinstance(news, list) else (),
+            read_news(raw),
         )
     except (KeyError, TypeError, ValueError, zlib.error) as error:
         raise MarjoramtideError(
@@ -187,3 +187,9 @@
             step=PULL,
             peer=member.peer_address,
         ) from error
+
+
+def read_news(body: dict[str, Any]) -> tuple[Any, ...]:
+    """Return the news that comes with a question or an answer; empty where there is none."""
+    news = body.get("news")
+    return tuple(news) if isinstance(news, list) else ()
--- a/src/marjoramtide/settings/sync/_service.py
+++ b/src/marjoramtide/settings/sync/_service.py
@@ -28,6 +28,7 @@
     PULL,
     PeerSettings,
     encode_answer,
+    read_news,
 )
 from marjoramtide.settings.sync._progress import Progress, Report
 from marjoramtide.settings.sync._tree_source import TreeSource
@@ -97,6 +98,8 @@
         """Answer another node that asks what is in force here."""
         node = self.maker.directory.self_member.node
         have = int(body.get("have", 0))
+        if heard := read_news(body):
+            self.follower.side_news.take(list(heard), "a node that asked")
         news = self.follower.side_news.told()
         return encode_answer(node, self.view.envelope, have, self.view.is_current, news)
 
