--- a/src/marjoramtide/policy/admission/_cold_gate.py
+++ b/src/marjoramtide/policy/admission/_cold_gate.py
@@ -15,7 +15,8 @@
 
     A server is cold for ``start_s`` after its start and then bears ``per_s`` requests a second; 0
     where nothing is known of that, and it is given what it has slots for. In no second may it get
-    more than ``per_s`` times ``excess``, and ``slack`` besides.
+    more than ``per_s`` times ``excess``, and ``slack`` besides. It is given the former steadily, and
+    half of the latter at once.
     """
 
     start_s: float = 0.0
@@ -24,14 +25,14 @@
     slack: float = 0.0
 
     @property
-    def most(self) -> float:
-        """Return how many requests may reach a cold server in any second."""
-        return self.per_s * self.excess + self.slack
+    def rate(self) -> float:
+        """Return how many requests a second a cold server is given."""
+        return self.per_s * self.excess
 
     @property
     def burst(self) -> float:
-        """Return how many may begin at once: half of what the bound leaves above the rate."""
-        return max(1.0, (self.most - self.per_s) / 2)
+        """Return how many may begin at once."""
+        return max(1.0, self.slack / 2)
 
     @property
     def last_resort(self) -> float:
@@ -39,12 +40,12 @@
 
         Below the bound by what may arrive closer together at the server than it was sent here.
         """
-        return max(1.0, self.most - self.burst / 2)
+        return max(1.0, self.rate + 0.75 * self.slack)
 
 
 @attrs.define(slots=True, eq=False, repr=False)
 class ColdGate:
-    """Lets begin what a cold server bears: a token bucket of ``per_s`` and ``burst``.
+    """Lets begin what a cold server bears: a token bucket of ``rate`` and ``burst``.
 
     Failure: a server that has just started is idle, so everyone sends to it; it gets twenty
     requests in its first second and crashes, and all its requests are lost. This gate stands
@@ -101,7 +102,7 @@
             return now
         self._refill(now)
         self._forget(now)
-        opens_at = now + max(0.0, 1 - self.tokens) / self.rule.per_s
+        opens_at = now + max(0.0, 1 - self.tokens) / self.rule.rate
         excess = len(self.sent) + 1 - int(self.rule.last_resort)
         if excess > 0:
             opens_at = max(opens_at, self.sent[excess - 1] + SECOND_S)
@@ -112,7 +113,7 @@
         if not self.is_cold(now):
             return 0.0
         next_s = self.opens_at(now) - now
-        return min(max(next_s, (ahead + 1 - self.tokens) / self.rule.per_s), self.cold_until - now)
+        return min(max(next_s, (ahead + 1 - self.tokens) / self.rule.rate), self.cold_until - now)
 
     def concurrency(self, service_ms: float, now: float) -> float:
         """Return how many run at once where as many begin as the server bears.
@@ -121,7 +122,7 @@
         """
         if not self.is_cold(now):
             return math.inf
-        return max(1.0, self.rule.per_s * service_ms / 1000 if service_ms else self.rule.burst)
+        return max(1.0, self.rule.rate * service_ms / 1000 if service_ms else self.rule.burst)
 
     def _begin(self, now: float) -> None:
         """Start with what the last second has left of a full bucket, or empty where it is unknown.
@@ -130,17 +131,17 @@
         """
         self._forget(now)
         self.refilled_at = now
-        self.tokens = self.rule.burst - max(0.0, len(self.sent) - self.rule.per_s)
+        self.tokens = self.rule.burst - max(0.0, len(self.sent) - self.rule.rate)
         unknown_s = self.began_at + SECOND_S - now
         if self.server_began_at < self.began_at and unknown_s > 0:
-            self.tokens = 1 - self.rule.per_s * unknown_s
+            self.tokens = 1 - self.rule.rate * unknown_s
 
     def _refill(self, now: float) -> None:
         if self.refilled_at == -math.inf:
             self._begin(now)
         passed = max(0.0, now - self.refilled_at)
         self.refilled_at = now
-        self.tokens = min(self.rule.burst, self.tokens + passed * self.rule.per_s)
+        self.tokens = min(self.rule.burst, self.tokens + passed * self.rule.rate)
 
     def _forget(self, now: float) -> None:
         while self.sent and self.sent[0] <= now - SECOND_S:
