Requests that run for seconds are not held back for ends that they meet by chance

How long a request ran before an end, and how often servers end, tell what is chance: it is held back where its ends are less likely than 1 in 10,000 by chance.

Mended: many nodes tell of one lost node, each by a number of its own, so that half of a fleet lost at once counted as a thousand ends and a guilty request passed for an unlucky one. In one second no more ends count than there are servers.

--- a/features/policy/quarantine.feature
+++ b/features/policy/quarantine.feature
@@ -7,36 +7,42 @@
     Then the request <verdict>
 
     Examples:
-      | heard                                       | verdict         |
-      | nothing                                     | runs            |
-      | end 1                                       | runs            |
-      | end 1, end 1, end 1                         | runs            |
-      | end 1, end 2                                | waits 60 s      |
-      | end 1, end 2, 20 s later                    | waits 40 s      |
-      | end 1, completed, end 2                     | runs            |
-      | end 1, end 2, completed                     | runs            |
-      | end 1, end 2, completed, end 1, end 2       | runs            |
-      | end 1, end 2, completed, end 3              | runs            |
-      | end 1, end 2, completed, end 3, end 4       | waits 60 s      |
-      | cleared of 1, end 1, end 2                  | runs            |
-      | cleared of 1 and 2, end 1, end 2            | runs            |
-      | end 1, end 2 of 50 s ago                    | waits 59 s      |
-      | end 1, end 2 soon                           | runs            |
-      | end 1, end 2 soon, end 3                    | waits 60 s      |
-      | end 1, end 2 soon and begun after           | waits 60 s      |
-      | end 1 of 50 s ago, end 2 of 50 s ago        | waits 10 s      |
-      | end 1, end 2, end 3                         | waits 240 s     |
-      | end 1, end 2, end 3, end 4                  | waits 960 s     |
-      | end 1, end 2, end 3, end 4, end 5, end 6    | waits 3600 s    |
-      | end 1, end 2, 61 s later                    | runs as a trial |
-      | end 1, end 2, 61 s later, begun             | waits 10 s      |
-      | end 1, end 2, 61 s later, a trial elsewhere | waits 10 s      |
-      | end 1, end 2, 61 s later, begun, end 3      | waits 240 s     |
-      | end 1, end 2, 61 s later, begun, completed  | runs            |
-      | end 1, end 2, 61 s later, begun, 11 s later | runs as a trial |
-      | a rule of 0 ends, end 1, end 2, end 3       | runs            |
-      | a rule of 3 ends, end 1, end 2              | runs            |
-      | a rule of 3 ends, end 1, end 2, end 3       | waits 60 s      |
+      | heard                                                                  | verdict         |
+      | nothing                                                                | runs            |
+      | end 1                                                                  | runs            |
+      | end 1, end 1, end 1                                                    | runs            |
+      | end 1, end 2                                                           | waits 60 s      |
+      | end 1, end 2, 20 s later                                               | waits 40 s      |
+      | end 1, completed, end 2                                                | runs            |
+      | end 1, end 2, completed                                                | runs            |
+      | end 1, end 2, completed, end 1, end 2                                  | runs            |
+      | end 1, end 2, completed, end 3                                         | runs            |
+      | end 1, end 2, completed, end 3, end 4                                  | waits 60 s      |
+      | cleared of 1, end 1, end 2                                             | runs            |
+      | cleared of 1 and 2, end 1, end 2                                       | runs            |
+      | end 1, end 2 of 50 s ago                                               | waits 59 s      |
+      | end 1, end 2 soon                                                      | runs            |
+      | end 1, end 2 soon, end 3                                               | waits 60 s      |
+      | end 1, end 2 soon and begun after                                      | waits 60 s      |
+      | end 1 of 50 s ago, end 2 of 50 s ago                                   | waits 10 s      |
+      | end 1, end 2, end 3                                                    | waits 240 s     |
+      | end 1, end 2, end 3, end 4                                             | waits 960 s     |
+      | end 1, end 2, end 3, end 4, end 5, end 6                               | waits 3600 s    |
+      | end 1, end 2, 61 s later                                               | runs as a trial |
+      | end 1, end 2, 61 s later, begun                                        | waits 10 s      |
+      | end 1, end 2, 61 s later, a trial elsewhere                            | waits 10 s      |
+      | end 1, end 2, 61 s later, begun, end 3                                 | waits 240 s     |
+      | end 1, end 2, 61 s later, begun, completed                             | runs            |
+      | end 1, end 2, 61 s later, begun, 11 s later                            | runs as a trial |
+      | 20 other ends, end 1 after 6 s, end 2 after 6 s                        | runs            |
+      | 20 other ends, end 1 after 6 s, end 2 after 6 s, end 3 after 6 s       | runs            |
+      | 20 other ends, end 1 after 0.2 s, end 2 after 0.2 s, end 3 after 0.2 s | waits 240 s     |
+      | 200 other ends, end 1 after 0.5 s, end 2 after 0.5 s, end 3 after 0.5 s | waits 240 s     |
+      | end 1 after 6 s, end 2 after 6 s                                       | runs            |
+      | end 1 after 6 s, end 2 after 6 s, end 3 after 6 s                      | waits 240 s     |
+      | a rule of 0 ends, end 1, end 2, end 3                                  | runs            |
+      | a rule of 3 ends, end 1, end 2                                         | runs            |
+      | a rule of 3 ends, end 1, end 2, end 3                                  | waits 60 s      |
 
   Scenario: A flood of requests that are lost with servers does not push out the guilty one
     # Somebody has servers end amid thousands of different requests, and the memory is bounded.
@@ -69,6 +75,18 @@
       | all of 12 servers are lost every 12 s                  |
       | half of 12 servers that have 2 pages is lost every 8 s |
 
+  Scenario Outline: Requests that run for seconds are lost again and again, and go on being served
+    # Servers end every few seconds, and requests that take long are lost two and three times in a row.
+    # By the number of ends alone 3 in 100 of them were held back, and no server had ended by any. How
+    # long a request ran before an end, and how often servers end, tell what is chance.
+    Given a played service where <what>
+    When it is played with the seeds 1, 2, 3 and 4
+    Then at most 1 in <many> innocent requests was held back
+
+    Examples:
+      | what                                                           | many |
+      | half of 12 servers, whose requests take 6 s, is lost every 8 s | 1000 |
+
   Scenario Outline: What else runs while a request ends servers is served
     # A sixth of the servers goes with each end, and all that runs there. Before, 0.17 to 0.32 of
     # all other requests were served in these plays; as on plays without the guilty one, it is to be
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -41,6 +41,9 @@
     "half of 12 servers that have 2 pages is lost every 8 s": PlayPlan(
         servers=12, per_s=200.0, common=1.0, pages=2, loss_every_s=8.0, loss_share=0.5
     ),
+    "half of 12 servers, whose requests take 6 s, is lost every 8 s": PlayPlan(
+        servers=12, per_s=12.0, work_s=6.0, common=0.0, loss_every_s=8.0, loss_share=0.5
+    ),
     "a guilty request comes 5 times a second": PlayPlan(guilty_per_s=5.0),
     "a guilty request comes amid losses of a third": PlayPlan(
         guilty_per_s=5.0, loss_every_s=7.0, loss_share=0.3
@@ -56,7 +59,8 @@
         case "end":
             context.now = now = now + (0.03 if "soon" in event else 1.0)
             age_s = float(numbers[1]) if "ago" in event else 0.0
-            ran_s = 0.01 if "begun after" in event else 0.5
+            ran_s = float(event.split()[3]) if " after " in event and "begun" not in event else 0.5
+            ran_s = 0.01 if "begun after" in event else ran_s
             quarantine.take(Suspicion(REQUEST, (ServerEnd(numbers[0], age_s, ran_s),)), now)
         case "completed":
             quarantine.clear(REQUEST)
@@ -70,6 +74,10 @@
             quarantine.rule = HoldRule(after=numbers[0])
         case "nothing":
             pass
+        case _ if "other ends" in event:
+            for number in range(numbers[0]):
+                end = ServerEnd(1000 + number, ran_s=0.1)
+                quarantine.take(Suspicion(1000 + number, (end,)), now)
         case _:
             context.now += numbers[0]
 
@@ -77,6 +85,7 @@
 @given("a quarantine that has heard {events}")
 def given_heard(context: Any, events: str) -> None:
     context.quarantine, context.now = Quarantine(), 1000.0
+    context.quarantine.servers = 6
     for event in events.split(", "):
         hears(context, event)
 
--- a/src/marjoramtide/policy/quarantine/_quarantine.py
+++ b/src/marjoramtide/policy/quarantine/_quarantine.py
@@ -1,10 +1,12 @@
 """The requests that backend servers are suspected to end by."""
 
 import itertools
+import math
 from collections import OrderedDict
 
 from marjoramtide.policy.quarantine._hold_rule import HoldRule
 from marjoramtide.policy.quarantine._judgement import Judgement, RunVerdict
+from marjoramtide.policy.quarantine._recent_ends import RecentEnds
 from marjoramtide.policy.quarantine._suspect import Suspect
 from marjoramtide.policy.quarantine._suspicion import Suspicion
 
@@ -16,6 +18,9 @@
 REMEMBERED_S = 2 * 3600.0
 # How long a trial may take, in seconds: longer than requests run, so that there is one at a time.
 TRIAL_S = 10.0
+# How likely it may be that a request has met its ends by chance, to be held back for them. What a
+# hold costs is one refusal with when to come back, what a guilty request costs is a server.
+UNLIKELY = 1e-4
 
 RUN = Judgement(RunVerdict.RUN)
 TRIAL = Judgement(RunVerdict.TRIAL)
@@ -26,17 +31,22 @@
 
     All that a server was running when it ended is suspect, and at most one of these requests is
     guilty. The innocent ones run elsewhere and are cleared by that; a request that was running at
-    the ends of ``rule.after`` servers, and that none has completed, is held back. When its time is
-    over, the next one that comes is run alone, as a trial; another end holds it back for longer.
+    the ends of ``rule.after`` servers, that none has completed, and that is unlikely to have met
+    them by chance, is held back. When its time is over, the next one that comes is run alone, as a
+    trial; another end holds it back for longer.
+
+    ``servers`` is how many the service has, as far as this node knows.
 
     Times are in seconds of the monotonic clock. For example::
 
-        quarantine.take(Suspicion(fingerprint, (ServerEnd(0x5a),)), now=1.0)
+        quarantine.take(Suspicion(fingerprint, (ServerEnd(0x5a, ran_s=0.1),)), now=1.0)
         quarantine.judge(fingerprint, now=1.2)
     """
 
     def __init__(self, rule: HoldRule | None = None) -> None:
         self.rule = rule or HoldRule()
+        self.servers = 1
+        self.recent = RecentEnds()
         # Those of one end apart from the rest: a flood of requests that were lost with one server
         # each must not push out of memory what has ended two.
         self.weak: OrderedDict[int, Suspect] = OrderedDict()
@@ -50,8 +60,11 @@
         """Take in what a node has told; return the suspect, and whether anything was new."""
         suspect = self.find(heard.fingerprint) or Suspect(heard.fingerprint)
         is_new = suspect.take(heard, now)
+        for end in heard.ends:
+            self.recent.add(end.number, now - end.age_s)
         if is_new:
             suspect.heard_at = now
+            suspect.guilty = self._concludes(suspect, now)
             self._place(suspect)
             self._forget_old(now)
         return suspect, is_new
@@ -69,20 +82,35 @@
 
     def wait_s(self, suspect: Suspect, now: float) -> float:
         """Return for how much longer a request is held back, in seconds; 0 where it is not."""
-        hold_s = self.rule.hold_after(suspect.blamed)
-        if not hold_s:
+        if not self.is_guilty(suspect):
             return 0.0
+        hold_s = self.rule.hold_after(suspect.blamed)
         return max(0.0, suspect.last_end_at + hold_s - now, suspect.trial_until - now)
 
     def is_guilty(self, suspect: Suspect) -> bool:
         """Tell whether a request is held back, or may be run as a trial only."""
-        return self.rule.hold_after(suspect.blamed) > 0
+        return suspect.guilty and self.rule.hold_after(suspect.blamed) > 0
+
+    def _concludes(self, suspect: Suspect, now: float) -> bool:
+        """Tell whether the ends that a request is blamed for are more than chance.
+
+        Failure without it: servers end every few seconds for reasons of their own, and requests
+        that run for seconds are lost two or three times in a row. Of such requests 3 to 7 in 100
+        were held back, and none by which a server had ended (played, 10 seeds). A request that ran
+        for ``ran_s`` met an end by chance as often as a server ends in that time.
+        """
+        ends = suspect.blamed_ends()
+        if len(ends) < self.rule.after:
+            return False
+        rate = self.recent.rate(self.servers, now, suspect.ends)
+        return math.prod(min(1.0, rate * end.ran_s) for end in ends) <= UNLIKELY
 
     def clear(self, fingerprint: int) -> Suspect | None:
         """Clear a request of the ends it is suspected of; ``None`` where there is none."""
         suspect = self.find(fingerprint)
         if suspect is None or not suspect.clear():
             return None
+        suspect.guilty = False
         self._place(suspect)
         return suspect
 
--- a/src/marjoramtide/policy/quarantine/_suspect.py
+++ b/src/marjoramtide/policy/quarantine/_suspect.py
@@ -28,13 +28,18 @@
     ended_at: float
     began_at: float
 
+    @property
+    def ran_s(self) -> float:
+        return self.ended_at - self.began_at
+
 
 @attrs.define(slots=True, eq=False, repr=False)
 class Suspect:
     """What this node holds of one request; times in seconds of the monotonic clock.
 
     ``ends`` are the ends by their numbers, ``cleared`` the numbers of those of which it is cleared;
-    both in the order in which they were heard of. ``heard_at`` is when the last news of it came.
+    both in the order in which they were heard of. ``heard_at`` is when the last news of it came,
+    ``guilty`` what was concluded from that.
     ``label`` is its method and target, empty until this node has seen such a request, ``refused``
     how often this node has refused it.
     """
@@ -44,17 +49,23 @@
     cleared: dict[int, None] = attrs.Factory(dict)
     trial_until: float = float("-inf")
     heard_at: float = float("-inf")
+    guilty: bool = False
     label: str = ""
     refused: int = 0
 
     @property
     def blamed(self) -> int:
-        """Return at how many moments servers ended of whose ends it is not cleared."""
-        count, moment = 0, float("-inf")
+        """Return for how many ends it is blamed."""
+        return len(self.blamed_ends())
+
+    def blamed_ends(self) -> list[KnownEnd]:
+        """Return the ends of which it is not cleared, one of each moment, in their order."""
+        found: list[KnownEnd] = []
         for end in sorted(self._open(), key=lambda end: end.ended_at):
+            moment = found[-1].ended_at if found else float("-inf")
             if end.ended_at > moment + MOMENT_S or end.began_at > moment:
-                count, moment = count + 1, end.ended_at
-        return count
+                found.append(end)
+        return found
 
     @property
     def last_end_at(self) -> float:
@@ -92,9 +103,7 @@
         return Suspicion(
             self.fingerprint,
             tuple(
-                ServerEnd(
-                    number, min(OLDEST_S, max(0.0, now - end.ended_at)), end.ended_at - end.began_at
-                )
+                ServerEnd(number, min(OLDEST_S, max(0.0, now - end.ended_at)), end.ran_s)
                 for number, end in self.ends.items()
             ),
             tuple(self.cleared),
--- a/src/marjoramtide/quarantine/_news_spreader.py
+++ b/src/marjoramtide/quarantine/_news_spreader.py
@@ -67,7 +67,7 @@
     def tell_at_once(self, suspects: Sequence[Suspect]) -> None:
         """Tell all, and again in the next rounds."""
         if suspects:
-            self._tell(suspects, self._mates())
+            self._tell(suspects, self.mates())
             self.due.update(dict.fromkeys((each.fingerprint for each in suspects), REPEATS))
             self.news.set()
 
@@ -108,7 +108,7 @@
 
     def play_round(self) -> None:
         """Tell what is due to all, and what is held back to one node at random."""
-        mates = self._mates()
+        mates = self.mates()
         self._tell(self._found(self.due), mates)
         self.due = {each: left - 1 for each, left in self.due.items() if left > 1}
         guilty = self.policy.guilty()
@@ -130,7 +130,7 @@
     def _tell_cleared(self) -> None:
         self.timer = None
         cleared, self.cleared = self.cleared, {}
-        self._tell(self._found(cleared), self._mates())
+        self._tell(self._found(cleared), self.mates())
 
     def _found(self, fingerprints: Iterable[int]) -> list[Suspect]:
         found = map(self.policy.find, fingerprints)
@@ -144,11 +144,11 @@
         for fields in pack_news(suspicions):
             self.publish(fields, readers)
 
-    def _mates(self) -> list[Member]:
+    def mates(self) -> list[Member]:
+        """Return the other members beside servers of the own service, in whatever state."""
         return self._beside(self.directory.self_member.service)
 
     def _beside(self, service: str) -> list[Member]:
-        """Return the other members beside servers of a service, in whatever state."""
         own = self.directory.self_member
         return [
             member
--- a/src/marjoramtide/quarantine/_quarantine_service.py
+++ b/src/marjoramtide/quarantine/_quarantine_service.py
@@ -105,6 +105,7 @@
     def server_ended(self, suspects: Sequence[Run]) -> None:
         """Suspect what ran there, but for what the server has completed before."""
         now = self.clock.monotonic()
+        self._count_servers()
         self.has_ended = True
         # The same request may run there several times at once.
         different = {run.fingerprint: run for run in suspects}.values()
@@ -143,6 +144,7 @@
         end = self.rng.getrandbits(64)
         different = {run.fingerprint: run for run in suspects}.values()
         if service == self.spreader.directory.self_member.service:
+            self._count_servers()
             for run in different:
                 self._blame(run, end, now)
         self.spreader.tell_beside(service, [blamed_for(run, end, now) for run in different])
@@ -162,9 +164,13 @@
             )
             return
         now = self.clock.monotonic()
+        self._count_servers()
         for suspicion in heard:
             self._take(suspicion, now)
 
+    def _count_servers(self) -> None:
+        self.policy.servers = 1 + len(self.spreader.mates())
+
     def _take(self, heard: Suspicion, now: float, label: str = "") -> Suspect:
         was_guilty = self._is_guilty(heard.fingerprint)
         suspect, is_new = self.policy.take(heard, now)
