Claims that a copy of the store lacks are written again, and no unknown key is used meanwhile

The store comes back from a copy that is some seconds old: the claim of a booking that has run is gone, its caller asks again with the same key, and it runs twice. Ways weighed: (1) holders write their claims again: the action of a holder that died may run twice; (2) unknown keys are refused for a while: how long is not known, and after it the key is free; (3) memory at several nodes. Chosen: all three, each for what the others lack: every claim is told to two other nodes before its request is sent; all write again what they know of the last 30 s; for 15 s unknown keys are refused as not run, known ones judged by memory.

Scenarios seen failing: a given-up claim of the new epoch stood in the place of the one that was written again; a node whose first answer was of the new epoch did not write what it had been told.

--- a/features/claims/claims.feature
+++ b/features/claims/claims.feature
@@ -253,3 +253,51 @@
     Given two nodes with claims
     Then the cleaners of 22 nodes list 2 to 2.5 slices a second in all
     And the cleaners of 790 nodes list 4.5 to 5.5 slices a second in all
+
+  Scenario: A key whose claim is lost with the store's newest state, while its holder lives
+    # The store comes back from a copy made before the claim. The booking has run, its caller lost the
+    # answer and asks again with the same key, which the store takes for free.
+    Given two nodes with claims
+    And a copy of the store of claims is kept
+    And node A has claimed "booking-1"
+    When the store of claims comes back from the copy
+    And node B claims "booking-1"
+    Then node B's result is "unavailable"
+    And a refusal says when to come back
+    When the nodes write their claims again and 16 s pass
+    Then node B's claim of "booking-1" is "conflict"
+    And node B's claim of "booking-2" is "held"
+
+  Scenario: A key whose claim is lost with the store's newest state, and its holder with it
+    # As before, and the node that ran the booking is lost at the same time. Another node was told of
+    # the claim before the booking was sent.
+    Given two nodes with claims
+    And node B is told of what node A claims
+    And a copy of the store of claims is kept
+    And node A has claimed "booking-1"
+    And node A is lost
+    When the store of claims comes back from the copy
+    And node B claims "booking-1"
+    Then node B's result is "conflict"
+    When the nodes write their claims again and 16 s pass
+    Then node B's claim of "booking-1" is "conflict"
+
+  Scenario: A key that is claimed as the store comes back
+    # The node hears of it by the answer to its own claim, which the store has taken.
+    Given two nodes with claims
+    And a copy of the store of claims is kept
+    And node A has claimed "booking-1"
+    And node B has claimed "booking-2"
+    And node A is lost
+    When the store of claims comes back from the copy
+    And node B claims "booking-1"
+    Then node B's result is "unavailable"
+
+  Scenario: The outcome of a booking that the store has lost is written again
+    Given two nodes with claims
+    And a copy of the store of claims is kept
+    And node A has claimed "booking-1"
+    And node A has recorded the answer of "booking-1"
+    When the store of claims comes back from the copy
+    And the nodes write their claims again and 16 s pass
+    Then node B's claim of "booking-1" is "recorded"
--- a/src/marjoramtide/claims/__init__.py
+++ b/src/marjoramtide/claims/__init__.py
@@ -2,6 +2,7 @@
 
 from marjoramtide.claims._claim_cleaner import ClaimCleaner, make_claim_cleaner
 from marjoramtide.claims._claim_handle import ClaimHandle
+from marjoramtide.claims._claim_news import is_claim_news, pack_claim, unpack_claim
 from marjoramtide.claims._claim_outcome import ClaimOutcome
 from marjoramtide.claims._claim_record import ClaimRecord
 from marjoramtide.claims._claim_result import ClaimResult
@@ -18,6 +19,9 @@
     "ClaimState",
     "Claims",
     "ConflictReason",
+    "is_claim_news",
     "make_claim_cleaner",
     "make_claims",
+    "pack_claim",
+    "unpack_claim",
 ]
--- a/src/marjoramtide/claims/_claims.py
+++ b/src/marjoramtide/claims/_claims.py
@@ -1,14 +1,16 @@
 """Claims of idempotency keys through the platform's store."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import attrs
+import structlog
 
 from marjoramtide.claims._claim_entry import ClaimEntry
 from marjoramtide.claims._claim_handle import ClaimHandle
 from marjoramtide.claims._claim_keys import claim_key
+from marjoramtide.claims._claim_memory import ClaimMemory
 from marjoramtide.claims._claim_outcome import ClaimOutcome
 from marjoramtide.claims._claim_record import ClaimRecord, decode_record
 from marjoramtide.claims._claim_result import ClaimResult
@@ -21,6 +23,8 @@
 from marjoramtide.settings import RouteSettings
 from marjoramtide.store import ObjectStore, Resolution, create_resolved, update_resolved
 
+log = structlog.get_logger()
+
 MAX_BODY_BYTES = 4096
 MAX_HEADER_BYTES = 2048
 RECORD_TIMEOUT_S = 2.0
@@ -44,6 +48,19 @@
         self.rng = rng
         self.unsettled = Unsettled(store, clock)
         self.running: dict[str, ClaimRecord] = {}
+        self.memory = ClaimMemory(clock)
+        self.witnesses: Callable[[str, ClaimRecord], None] = lambda key, record: None
+        self.epoch = store.epoch
+        store.on_epoch(self.write_again)
+
+    def write_again(self, epoch: int) -> None:
+        """Write again what a copy of the store may lack; until that is done use no unknown key."""
+        self.epoch = epoch
+        self.memory.close()
+        claims = self.memory.to_write()
+        log.warning("claims.written_again", step="claims.write_again", claims=len(claims))
+        for key, record in claims:
+            self.unsettled.write_anew(ClaimEntry(key, record, 0, was_stored=True))
 
     async def acquire(
         self, service: str, key: str, request_digest: str, settings: RouteSettings, deadline: float
@@ -62,21 +79,30 @@
             state=ClaimState.HELD,
             expires=0.0,  # until the store has told its time
         )
+        if wait_s := self.memory.wait_s():
+            return self.judge_by_memory(stored_key, record, wait_s)
         try:
             await self.learn_time(stored_key, deadline)
             expires = store_time(self.store, self.clock) + retention_s(settings)
             record = attrs.evolve(record, expires=expires)
             resolution = await self.claim(stored_key, record, deadline)
+            self.note_epoch()
         except MarjoramtideError as error:
             return self.refuse(stored_key, record, settings, error)
         except BaseException:
             # Cancelled: the create may be on its way and would hold the key for nothing.
             self.give_up(stored_key, record)
             raise
+        if resolution.is_own and (wait_s := self.memory.wait_s()):
+            # The store has come back while it was asked: the key may have been claimed before.
+            self.give_up(stored_key, record)
+            return self.judge_by_memory(stored_key, record, wait_s)
         if resolution.is_own:
             until = started + DISPATCH_WINDOW_S
             handle = ClaimHandle(stored_key, record, resolution.stored.version, until)
             self.running[stored_key] = record
+            self.memory.note(stored_key, record)
+            self.witnesses(stored_key, record)
             return ClaimResult(ClaimOutcome.HELD, handle=handle)
         return self.judge(decode_record(resolution.stored.value), record)
 
@@ -130,6 +156,13 @@
             return self.conflict(ConflictReason.IN_PROGRESS, detail)
         return ClaimResult(ClaimOutcome.RECORDED, record=found, detail=detail)
 
+    def judge_by_memory(self, key: str, wanted: ClaimRecord, wait_s: float) -> ClaimResult:
+        """Tell what becomes of a request while the store may lack what was claimed of late."""
+        known = self.memory.find(key)
+        if known is None or known.state is ClaimState.RELEASED:
+            return self.unavailable(wait_s * 1000, "the store has come back from a copy")
+        return self.judge(known, wanted)
+
     def conflict(
         self, reason: ConflictReason, detail: str, retry_after_ms: int = RETRY_AFTER_MS
     ) -> ClaimResult:
@@ -153,13 +186,21 @@
             return ClaimResult(ClaimOutcome.HELD_UNCLAIMED, detail=str(error))
         if error.code == ErrorCode.STORE_AMBIGUOUS:
             self.give_up(key, record)
-        after = error.retry_after_ms or RETRY_AFTER_MS
+        return self.unavailable(error.retry_after_ms or RETRY_AFTER_MS, str(error))
+
+    def unavailable(self, after_ms: float, detail: str) -> ClaimResult:
+        """Return the result for a key that can't be claimed now, spread over those that come."""
         return ClaimResult(
             ClaimOutcome.UNAVAILABLE,
-            retry_after_ms=int(after * self.rng.uniform(1, 1.5)),
-            detail=str(error),
+            retry_after_ms=int(after_ms * self.rng.uniform(1, 1.5)),
+            detail=detail,
         )
 
+    def note_epoch(self) -> None:
+        """Take the first epoch that this node hears of for a new one: it can't tell how long ago."""
+        if self.store.epoch != self.epoch:
+            self.write_again(self.store.epoch)
+
     def give_up(self, key: str, record: ClaimRecord) -> None:
         """Free the key of an attempt that will not run, once the store can be reached.
 
@@ -213,6 +254,7 @@
         self, handle: ClaimHandle, record: ClaimRecord, timeout: float = RECORD_TIMEOUT_S
     ) -> bool:
         self.running.pop(handle.key, None)
+        self.memory.note(handle.key, record)
         self.unsettled.add(ClaimEntry(handle.key, record, handle.version))
         deadline = self.clock.monotonic() + timeout
         return await self.unsettled.settle(record.attempt, deadline)
--- a/src/marjoramtide/claims/_unsettled.py
+++ b/src/marjoramtide/claims/_unsettled.py
@@ -48,6 +48,12 @@
             self.dropped += 1
             log.warning("claims.unsettled.dropped", dropped=self.dropped, limit=MAX_ENTRIES)
 
+    def write_anew(self, entry: ClaimEntry) -> None:
+        """Take an entry in that the store had before, unless a newer one waits already."""
+        held = self.entries.setdefault(entry.record.attempt, entry)
+        held.version, held.was_stored = 0, True
+        self.outcomes.setdefault(entry.key, entry.record)
+
     def remove(self, attempt: str) -> None:
         entry = self.entries.pop(attempt)
         known = self.outcomes.get(entry.key)
@@ -136,6 +142,10 @@
             return True
         if record.attempt == entry.record.attempt:
             return not entry.record.supersedes(record.state)
+        if entry.was_stored and record.state in (ClaimState.HELD, ClaimState.RELEASED):
+            # Of an attempt that took the key for free, and does not run: it has met the new epoch
+            # by this very claim. The one that was stored before it stays.
+            return False
         # An attempt that was given up may have been taking over this ended claim; its update is
         # still good for the version just read, so that version must not stay.
         given_up = entry.record.state == ClaimState.RELEASED
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -9,7 +9,15 @@
 import structlog
 
 from marjoramtide import process_began_at
-from marjoramtide.claims import make_claim_cleaner, make_claims
+from marjoramtide.checked import MalformedError
+from marjoramtide.claims import (
+    ClaimRecord,
+    is_claim_news,
+    make_claim_cleaner,
+    make_claims,
+    pack_claim,
+    unpack_claim,
+)
 from marjoramtide.clock import FreezeDetector, SystemClock
 from marjoramtide.daemon._gauges import node_gauges
 from marjoramtide.daemon._operators import make_node_handle
@@ -58,6 +66,8 @@
 
 # Until the settings say how many connections the backend server takes.
 FIRST_CONNECTIONS = 10
+# Other nodes that know of each claim: with two, the loss of a node and of one datagram lose none.
+CLAIM_WITNESSES = 2
 # Keys of the settings file that are taken over while the node runs.
 RELOADED = frozenset(("bounds", "base_tree", "stop_grace_s"))
 # The backend server waits a second for the acknowledgement of its heartbeat.
@@ -89,6 +99,7 @@
         self.tracer = Tracer(self.name, self.clock, rng, settings.trace_file)
         self.transport = HttpTransport(settings.backend, FIRST_CONNECTIONS, interface.backend)
         self.claims = make_claims(self.store, self.clock, self.name)
+        self.claims.witnesses = self.tell_claim
         self.peer_client = PeerClient(settings.key, self.clock)
         self.peer_server = PeerServer(settings.key, self.clock, self.freeze)
         control = PeerControlChannel(self.peer_client, self.peer_server)
@@ -308,10 +319,35 @@
         if is_store_news(fields):
             self.evacuations.take(fields, member.node)
             return
+        if is_claim_news(fields):
+            self.take_claim(member, fields)
+            return
         report = unpack_report(fields)
         if report is not None:
             self.dispatcher.note_report(member, report)
 
+    def tell_claim(self, key: str, record: ClaimRecord) -> None:
+        """Have some other nodes know of a claim, which would write it again if this one is lost."""
+        own = self.membership.self_member.node
+        others = [member for member in self.membership.members() if member.node != own]
+        chosen = self.rng.sample(others, min(len(others), CLAIM_WITNESSES))
+        self.membership.publish(pack_claim(key, record), chosen)
+
+    def take_claim(self, member: Member, fields: list[Any]) -> None:
+        """Remember a claim of another node."""
+        try:
+            key, record = unpack_claim(fields)
+        except MalformedError as error:
+            log.warning(
+                "daemon.claim_malformed",
+                code=ErrorCode.BAD_FRAME,
+                step="daemon.bulletin",
+                peer=member.node,
+                reason=str(error),
+            )
+            return
+        self.claims.memory.hear(key, record)
+
     def registration_changed(self) -> None:
         """Go on by what the backend server has told of itself."""
         assert self.registrar is not None
--- a/src/marjoramtide/policy/admission/_cold_gate.py
+++ b/src/marjoramtide/policy/admission/_cold_gate.py
@@ -15,8 +15,8 @@
 
     A server is cold for ``start_s`` after its start and then bears ``per_s`` requests a second; 0
     where nothing is known of that, and it is given what it has slots for. In no second may it get
-    more than ``per_s`` times ``excess``, and ``slack`` besides. It is given the former steadily, and
-    half of the latter at once.
+    more than ``per_s`` times ``excess``, and ``slack`` besides. It is given the former steadily,
+    and half of the latter at once.
     """
 
     start_s: float = 0.0
