--- a/features/settings/following.feature
+++ b/features/settings/following.feature
@@ -190,3 +190,20 @@
     When the tree in the store is changed to slots 12
     Then within 9 s every settings node is current
     And every settings node has slots 12 for mapdesk
+
+  Scenario: Nodes write the tree again that the store has lost
+    # The store comes back from a copy made before the last change, of which the operator was told that
+    # it is in force everywhere. Were it left so, the next start of the fleet would take it back.
+    When an operator at a sets slots = 11 in /services/mapdesk
+    And the settings store comes back from a copy of its first state
+    And the watches of the settings end
+    Then the tree in the store has slots 11
+    And every settings node has slots 11 for mapdesk
+    And no settings node went back
+
+  Scenario: A change on top of a copy is refused while a member has newer settings in force
+    # A node that was away when the last change was made is asked for the next one, and the store has
+    # lost it. Made on top of the copy, the new change would get the number of the one in force elsewhere.
+    When an operator at a sets slots = 11 in /services/mapdesk
+    Then the settings node b can't take a change on top of revision 1, "newer than the store's"
+    And the settings node b can take a change on top of revision 2
--- a/features/steps/settings_fleet_steps.py
+++ b/features/steps/settings_fleet_steps.py
@@ -244,6 +244,34 @@
     context.fleet.store.stale_reads = count
 
 
+@when("the settings store comes back from a copy of its first state")
+def when_back_from_copy(context: Any) -> None:
+    store = context.fleet.store
+    store.objects[TREE] = store.stale[TREE]
+
+
+@then("the tree in the store has slots {value:d}")
+def then_stored_slots(context: Any, value: int) -> None:
+    assert f"slots = {value}" in stored(context).text, stored(context).text
+
+
+def refusal(context: Any, name: str, base: int) -> str:
+    """Return why a node can't take a change on top of a revision, empty where it can."""
+    body = {"edits": [], "lineage": stored(context).lineage, "base": base}
+    answer = context.fleet.run(context.fleet.nodes[name].service.answer_prepare(body))
+    return str(answer["reason"])
+
+
+@then('the settings node {name} can\'t take a change on top of revision {base:d}, "{words}"')
+def then_cannot_take(context: Any, name: str, base: int, words: str) -> None:
+    assert words in refusal(context, name, base), refusal(context, name, base)
+
+
+@then("the settings node {name} can take a change on top of revision {base:d}")
+def then_can_take(context: Any, name: str, base: int) -> None:
+    assert not refusal(context, name, base), refusal(context, name, base)
+
+
 @given("the settings node {name} is cut off from all")
 def given_cut_off(context: Any, name: str) -> None:
     if name not in context.fleet.nodes:
--- a/src/marjoramtide/claims/_claims.py
+++ b/src/marjoramtide/claims/_claims.py
@@ -197,7 +197,7 @@
         )
 
     def note_epoch(self) -> None:
-        """Take the first epoch that this node hears of for a new one: it can't tell how long ago."""
+        """Take the first epoch heard of for a new one, since nothing tells how long ago it began."""
         if self.store.epoch != self.epoch:
             self.write_again(self.store.epoch)
 
