--- a/features/steps/foreign_writers_steps.py
+++ b/features/steps/foreign_writers_steps.py
@@ -73,7 +73,7 @@
 @then("it is refused with {status:d} and counted")
 def then_refused(context: Any, status: int) -> None:
     assert context.status == status, context.status
-    registrar = seat(context, 1).node.registrar
+    registrar = seat(context, 1).node.server.registrar
     assert registrar is not None and registrar.refused == 1
 
 
@@ -83,7 +83,7 @@
     for row in context.table:
         status = run(context, each.registrant.call("PUT", INSTANCE, BYTES[row["bytes"]]))
         assert status in (400, 413), (row["bytes"], status)
-    assert each.node.registrar is not None and each.node.registrar.current is None
+    assert each.node.server.registrar is not None and each.node.server.registrar.current is None
 
 
 def stored(number: int) -> dict[str, Any]:
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -250,7 +250,7 @@
 
 @then("no server is registered at node {number:d}")
 def none_registered(context: Any, number: int) -> None:
-    registrar = seat(context, number).node.registrar
+    registrar = seat(context, number).node.server.registrar
     assert registrar is not None and registrar.current is None
 
 
--- a/features/steps/server_ends_steps.py
+++ b/features/steps/server_ends_steps.py
@@ -149,7 +149,7 @@
 def given_silent(context: Any, seconds: float) -> None:
     node = seat(context, 1).node
     watch = node.serving.ends.watch
-    node.measurer.read_listener = None
+    node.server.measurer.read_listener = None
     began = node.clock.monotonic() - seconds
     watch.heard_at = began - 1
     watch.began(1, make_run("a", began))
@@ -163,7 +163,7 @@
         node.freeze.thawed_at = now
 
     async def note() -> None:
-        node.note_health(HealthReading(BackendState.DOWN, answered=False), now - 1)
+        node.server.note_health(HealthReading(BackendState.DOWN, answered=False), now - 1)
 
     run(context, note())
 
--- a/features/steps/server_starts_steps.py
+++ b/features/steps/server_starts_steps.py
@@ -17,7 +17,7 @@
 
 
 def registered(context: Any, number: int) -> Registration:
-    registrar = seat(context, number).node.registrar
+    registrar = seat(context, number).node.server.registrar
     assert registrar is not None and registrar.current is not None
     return registrar.current
 
--- a/src/marjoramtide/claims/_claims.py
+++ b/src/marjoramtide/claims/_claims.py
@@ -197,7 +197,7 @@
         )
 
     def note_epoch(self) -> None:
-        """Take the first epoch heard of for a new one, since nothing tells how long ago it began."""
+        """Take the first epoch that is heard of for a new one: it may have just begun."""
         if self.store.epoch != self.epoch:
             self.write_again(self.store.epoch)
 
--- a/src/marjoramtide/daemon/_gauges.py
+++ b/src/marjoramtide/daemon/_gauges.py
@@ -25,7 +25,7 @@
         "serving.accepts": report.accepts,
         "serving.slowdown": report.slowdown,
         "serving.connections": len(node.transport.open),
-        "serving.registrations_refused": node.registrar.refused if node.registrar else 0,
+        "serving.registrations_refused": node.server.refused_registrations,
         "quarantine.held": len(node.quarantine.policy.held(now)),
         "quarantine.suspects": len(node.quarantine.policy),
         "evacuations": len(node.evacuations.in_force),
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -9,23 +9,19 @@
 import structlog
 
 from marjoramtide import process_began_at
-from marjoramtide.checked import MalformedError
 from marjoramtide.claims import (
-    ClaimRecord,
-    is_claim_news,
     make_claim_cleaner,
     make_claims,
-    pack_claim,
-    unpack_claim,
 )
 from marjoramtide.clock import FreezeDetector, SystemClock
 from marjoramtide.daemon._gauges import node_gauges
+from marjoramtide.daemon._node_news import NodeNews
 from marjoramtide.daemon._operators import make_node_handle
+from marjoramtide.daemon._own_server import OwnServer
 from marjoramtide.daemon._planned_stop import stop_as_planned
 from marjoramtide.daemon._supervision import keep_running
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.evacuation import is_store_news, make_evacuations
-from marjoramtide.exchange import LoadReport
+from marjoramtide.evacuation import make_evacuations
 from marjoramtide.ingress import Dispatcher, Ingress, PeerEnds, StartUp
 from marjoramtide.interface import Interface, own_interface
 from marjoramtide.membership import Member, MemberState, make_membership
@@ -34,21 +30,11 @@
     PeerClient,
     PeerControlChannel,
     PeerServer,
-    report_fields,
-    unpack_report,
 )
-from marjoramtide.policy import bulletin_readers
-from marjoramtide.quarantine import is_quarantine_news, make_quarantine
+from marjoramtide.quarantine import make_quarantine
 from marjoramtide.serving import (
-    BackendState,
     ClaimGate,
-    HealthReading,
     HttpTransport,
-    Measurer,
-    Registrar,
-    Registration,
-    ReplyReading,
-    ReplyVerdict,
     ServingService,
 )
 from marjoramtide.settings import NodeSettings, parse_address
@@ -66,12 +52,8 @@
 
 # Until the settings say how many connections the backend server takes.
 FIRST_CONNECTIONS = 10
-# Other nodes that know of each claim: with two, the loss of a node and of one datagram lose none.
-CLAIM_WITNESSES = 2
 # Keys of the settings file that are taken over while the node runs.
 RELOADED = frozenset(("bounds", "base_tree", "stop_grace_s"))
-# The backend server waits a second for the acknowledgement of its heartbeat.
-IDENTITY_TIMEOUT_S = 0.3
 
 
 class Node:
@@ -99,7 +81,6 @@
         self.tracer = Tracer(self.name, self.clock, rng, settings.trace_file)
         self.transport = HttpTransport(settings.backend, FIRST_CONNECTIONS, interface.backend)
         self.claims = make_claims(self.store, self.clock, self.name)
-        self.claims.witnesses = self.tell_claim
         self.peer_client = PeerClient(settings.key, self.clock)
         self.peer_server = PeerServer(settings.key, self.clock, self.freeze)
         control = PeerControlChannel(self.peer_client, self.peer_server)
@@ -142,22 +123,17 @@
             began_at,
         )
         self.peer_server.handler = self.serving
-        self.measurer = Measurer(
+        self.server = OwnServer(
+            self.serving,
             self.transport,
+            interface,
             self.clock,
+            self.freeze,
             self.metrics,
-            self.backend_changed,
-            interface.backend,
-            self.note_health,
+            self.update_state,
+            lambda: self.settings_changed(self.view.revision),
         )
-        self.measurer.next_look_at = self.serving.next_look_at
-        self.transport.on_reading = self.note_reply
-        self.transport.on_refused = self.serving.ends.refused
         self.quarantine.held_listener = self.serving.refuse_held
-        self.serving.pace_listener = self.publish_load
-        self.membership.on_bulletin(self.take_bulletin)
-
-        self.serving.measurer = self.measurer
         self.start_up = StartUp(self.clock)
         self.dispatcher = Dispatcher(
             self.membership,
@@ -188,16 +164,12 @@
             interface.callers,
             self.start_up,
         )
-        self.registrar: Registrar | None = None
-        self.registered_slots: int | None = None
-        self.served: Registration | None = None
-        self.cold_is_told = False
-        self.cold_start_s = 0.0
-        if interface.registration_app is not None:
-            self.registrar = Registrar(
-                settings.service, self.ask_identity, self.registration_changed
-            )
-        self.backend_state: BackendState | None = None
+        self.news = NodeNews(
+            self.membership, self.dispatcher, self.quarantine, self.evacuations, self.claims, rng
+        )
+        self.membership.on_bulletin(self.news.take)
+        self.serving.pace_listener = self.news.tell_load
+        self.claims.witnesses = self.news.tell_claim
         self.drained_by_operator = False
         self.servers = self.make_servers()
         self.stopping = False
@@ -226,7 +198,7 @@
         works: dict[str, Callable[[], Awaitable[None]]] = {
             "freeze": self.freeze.run,
             "settings": self.settings_service.run,
-            "measurer": self.measurer.run,
+            "measurer": self.server.measurer.run,
             "metrics": self.metrics.run,
             "logs": summarise_logs,
             "quarantine": self.quarantine.run,
@@ -260,8 +232,8 @@
         if self.interface.readiness_app is not None and settings.readiness:
             app = self.interface.readiness_app(self.takes_callers)
             servers[settings.readiness] = AppServer("readiness", app)
-        if self.interface.registration_app is not None and self.registrar is not None:
-            app = self.interface.registration_app(self.registrar)
+        if self.interface.registration_app is not None and self.server.registrar is not None:
+            app = self.interface.registration_app(self.server.registrar)
             servers[settings.registration] = AppServer("registration", app)
         return servers
 
@@ -274,111 +246,6 @@
         """Tell whether callers may be sent to this node."""
         return self.view.revision > 0 and self.view.is_current and not self.stopping
 
-    async def ask_identity(self) -> str:
-        """Read from the backend server who it is; empty where it doesn't say."""
-        path = self.measurer.path
-        try:
-            answer = await self.transport.read(path, IDENTITY_TIMEOUT_S)
-        except (MarjoramtideError, TimeoutError) as error:
-            log.info("daemon.identity_unknown", reason=str(error), step="daemon.identity")
-            return ""
-        return self.interface.backend.read_health(answer).instance
-
-    def note_health(self, reading: HealthReading, asked_at: float) -> None:
-        # Given up because this process stood still, a look says nothing of the backend server.
-        is_late = not reading.answered and self.freeze.was_frozen(self.clock.monotonic())
-        if reading.instance in ("", self.transport.instance) and not is_late:
-            self.serving.ends.read(answered=reading.answered, asked_at=asked_at)
-        if reading.load is not None:
-            self.serving.note_load(reading.load)
-            if self.registrar is not None and reading.state is BackendState.READY:
-                self.registrar.found(reading.instance, reading.load.slots)
-        if reading.cold_left_s is not None and reading.instance in ("", self.transport.instance):
-            self.cold_is_told = True
-            self.serving.note_cold(reading.cold_left_s)
-
-    def note_reply(self, reading: ReplyReading) -> None:
-        if reading.load is not None:
-            self.serving.note_load(reading.load)
-        if reading.verdict is ReplyVerdict.MISDIRECTED and self.registrar is not None:
-            self.registrar.misdirected(reading.instance)
-
-    def publish_load(self, report: LoadReport) -> None:
-        """Tell the others at once that this backend server's speed has changed."""
-        own = self.membership.self_member
-        if own.state is not MemberState.READY:
-            return
-        readers = bulletin_readers(own, self.membership.members())
-        self.membership.publish(report_fields(report), readers)
-
-    def take_bulletin(self, member: Member, fields: list[Any]) -> None:
-        """Take in the small news of another node."""
-        if is_quarantine_news(fields):
-            self.quarantine.take(member, fields)
-            return
-        if is_store_news(fields):
-            self.evacuations.take(fields, member.node)
-            return
-        if is_claim_news(fields):
-            self.take_claim(member, fields)
-            return
-        report = unpack_report(fields)
-        if report is not None:
-            self.dispatcher.note_report(member, report)
-
-    def tell_claim(self, key: str, record: ClaimRecord) -> None:
-        """Have some other nodes know of a claim, which would write it again if this one is lost."""
-        own = self.membership.self_member.node
-        others = [member for member in self.membership.members() if member.node != own]
-        chosen = self.rng.sample(others, min(len(others), CLAIM_WITNESSES))
-        self.membership.publish(pack_claim(key, record), chosen)
-
-    def take_claim(self, member: Member, fields: list[Any]) -> None:
-        """Remember a claim of another node."""
-        try:
-            key, record = unpack_claim(fields)
-        except MalformedError as error:
-            log.warning(
-                "daemon.claim_malformed",
-                code=ErrorCode.BAD_FRAME,
-                step="daemon.bulletin",
-                peer=member.node,
-                reason=str(error),
-            )
-            return
-        self.claims.memory.hear(key, record)
-
-    def registration_changed(self) -> None:
-        """Go on by what the backend server has told of itself."""
-        assert self.registrar is not None
-        current = self.registrar.current
-        self.transport.instance = current.instance if current is not None else ""
-        if current is not None:
-            is_known = self.served is not None and current.is_same_start(self.served)
-            if self.served is not None and not is_known:
-                self.serving.server_replaced()
-            self.served = current
-            self.note_cold(current, is_known)
-        elif self.registrar.departed:
-            self.serving.ends.watch.leaves()
-        slots = current.slots if current is not None else None
-        if slots != self.registered_slots:
-            self.registered_slots = slots
-            self.settings_changed(self.view.revision)
-        self.update_state()
-        if not self.registrar.is_ready:
-            self.serving.hand_back()
-
-    def note_cold(self, current: Registration, is_known: bool) -> None:
-        """Go by what a heartbeat tells of a cold start, unless the server tells newer itself.
-
-        Of a start that has told nothing yet the worst is taken: that it has just begun.
-        """
-        if self.cold_is_told and is_known:
-            return
-        left_s = current.cold_left_s
-        self.serving.note_cold(self.cold_start_s if left_s is None else left_s)
-
     def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         """Run a task of the node for as long as the node runs."""
         task = asyncio.create_task(work)
@@ -402,19 +269,13 @@
         except MarjoramtideError as error:
             log.warning("daemon.no_service", code=error.code, reason=error.message)
             return
-        if self.registrar is not None and self.registrar.current is not None:
-            settings = attrs.evolve(settings, slots=self.registrar.current.slots)
-        self.transport.limit = settings.connections
-        self.cold_start_s = settings.cold_start_s
+        if self.server.slots is not None:
+            settings = attrs.evolve(settings, slots=self.server.slots)
         self.serving.open(settings)
-        self.measurer.configure(settings)
+        self.server.configure(settings)
         self.quarantine.configure(settings)
         self.update_state()
 
-    def backend_changed(self, state: BackendState) -> None:
-        self.backend_state = state
-        self.update_state()
-
     def evacuations_changed(self, data_centres: frozenset[str]) -> None:
         """Send nothing to backend servers of evacuated data centres, nor give the own one any."""
         self.membership.set_evacuated(data_centres)
@@ -434,11 +295,10 @@
         The admission rejects at once, whatever the others still believe, so a leaving backend
         server gets nothing new however slowly the word spreads.
         """
-        opened = self.serving.is_open and self.backend_state is not None
+        opened = self.serving.is_open and self.server.is_known
         is_able = (
             opened
-            and self.backend_state is BackendState.READY
-            and (self.registrar is None or self.registrar.is_ready)
+            and self.server.is_ready
             and not self.drained_by_operator
             and not self.serving_ended
         )
@@ -452,7 +312,7 @@
         else:
             state = MemberState.DRAINING if opened else MemberState.STARTING
         if state is not self.membership.self_member.state:
-            log.info("daemon.state", state=state, backend=self.backend_state)
+            log.info("daemon.state", state=state, backend=self.server.state)
             self.membership.set_state(state)
 
     def member_changed(self, member: Member) -> None:
--- a/src/marjoramtide/daemon/_operators.py
+++ b/src/marjoramtide/daemon/_operators.py
@@ -36,7 +36,7 @@
     report = node.serving.report(node.clock.monotonic())
     return {
         "version": __version__,
-        "backend": str(node.backend_state or "unknown"),
+        "backend": str(node.server.state or "unknown"),
         "drained_by_operator": node.drained_by_operator,
         "evacuated": sorted(node.evacuations.in_force),
         "store_epoch": node.store.epoch,
