Scenario of a former start's runs: the server crashes in the same turn in which its booking runs

The crash comes in the same turn of the loop now; what is checked is unchanged, and fails without the safeguard.

--- a/features/platform/server_starts.feature
+++ b/features/platform/server_starts.feature
@@ -20,7 +20,7 @@
     # became of it, never that it did not run, and it is not run a second time.
     Given a fleet on the platform with 1 slot of 200 ms: mapdesk
     And the server of node 1 was born at 1000 and has sent 0 heartbeats
-    And 1 bookings are under way through node 1, where only node 1 has a server
+    And a booking runs at the server of node 1 when that crashes without a word
     When the server of node 1 starts again under its identity, born at 2000
     And a client asks node 1 for "/tiles/7"
     Then the client gets 200 with the seal and the whole body of its own request
--- a/features/steps/server_starts_steps.py
+++ b/features/steps/server_starts_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, step, then, when  # type: ignore[attr-defined]
 
-from features.steps.platform_node_steps import run, seat
+from features.steps.platform_node_steps import begin_booking, register_first_time, run, seat
 from marjoramtide.exchange import LoadReport
 from marjoramtide.policy import CallProfile
 from marjoramtide.serving import Registration
@@ -39,6 +39,23 @@
         assert run(context, registrant.heartbeat(INSTANCE)) == 200
 
 
+@given("a booking runs at the server of node 1 when that crashes without a word")
+def crashes_amid_a_booking(context: Any) -> None:
+    """Crash it in the same turn of the loop, so that the booking can't have ended before."""
+    each = seat(context, 1)
+
+    async def begin() -> None:
+        await register_first_time(each)
+        ready = each.node.serving.admission
+        await context.fleet.wait_for(lambda: ready.report(0.0).accepts)
+        await context.fleet.wait_for(each.node.takes_callers)
+        context.bookings = [asyncio.create_task(begin_booking(context, each))]
+        await context.fleet.wait_for(lambda: each.server.slots.in_use == 1)
+        each.server.start_again(each.registrant.slots)
+
+    run(context, begin())
+
+
 @step("the server of node {number:d} starts again under its identity, born at {born:d}")
 def starts_again(context: Any, number: int, born: int) -> None:
     each = seat(context, number)
