--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -25,9 +25,13 @@
 import cbor2
 
 from marjoramtide.checked import MalformedError, read_json
+from marjoramtide.claims import is_claim_news, pack_claim, unpack_claim
 from marjoramtide.claims._claim_record import ClaimRecord, decode_record
 from marjoramtide.claims._claim_state import ClaimState
 from marjoramtide.errors import MarjoramtideError
+from marjoramtide.evacuation import EvacuationRecord, StoreNews, is_store_news
+from marjoramtide.evacuation._evacuation_store import record_of
+from marjoramtide.evacuation._store_news import unpack_store_news
 from marjoramtide.membership import decode_announcement
 from marjoramtide.membership._bulletin import MAGIC, BulletinCodec
 from marjoramtide.membership._member_state import MemberState
@@ -37,11 +41,11 @@
 from marjoramtide.peers._codec import decode, encode, unpack_headers, unpack_report
 from marjoramtide.peers._handshake import open_as_client, open_as_server
 from marjoramtide.peers._messages import CreditMessage, RequestMessage
-from marjoramtide.platform._backends import read_load, read_retry_after
+from marjoramtide.platform._backends import read_cold, read_load, read_retry_after
 from marjoramtide.platform._configuration import OperatorConfiguration
 from marjoramtide.platform._heartbeat import read_departure, read_registration
 from marjoramtide.platform._store_protocol import PlatformStore
-from marjoramtide.policy import ServerEnd, Suspicion
+from marjoramtide.policy import Evacuated, ServerEnd, Suspicion
 from marjoramtide.quarantine import is_quarantine_news, pack_news, unpack_news
 from marjoramtide.settings import decode_envelope, parse_tree
 from marjoramtide.store import Answer, Meaning, StoredObject
@@ -237,17 +241,26 @@
     _, fields = codec.decode(MAGIC + codec.seal.close(data))
     if is_quarantine_news(fields):
         unpack_news(fields)
+    elif is_store_news(fields):
+        unpack_store_news(fields)
+    elif is_claim_news(fields):
+        unpack_claim(fields)
     else:
         unpack_report(fields)
 
 
 def read_headers(data: bytes) -> None:
-    """Read a load and a retry header; what says nothing counts as taken."""
+    """Read a load, a cold and a retry header; what says nothing counts as taken."""
     text = data.decode("latin-1")
     read_load(text)
+    read_cold(text)
     read_retry_after(text)
 
 
+def read_epoch(data: bytes) -> None:
+    PlatformStore().epoch({"Store-Era": data.decode("latin-1")})
+
+
 async def send(address: str, data: bytes) -> bytes:
     """Send one input; return what came back until the end, or until nothing more comes."""
     host, _, port = address.rpartition(":")
@@ -317,7 +330,9 @@
     suspicion = Suspicion(7, (ServerEnd(1, 0.5, 0.1),), (2,), 1.0)
     (fields,) = pack_news([suspicion])
     news = cbor2.dumps([5, *fields])
-    claim = ClaimRecord("a", "n", "d", ClaimState.HELD, 5.0).encode()
+    evacuated = StoreNews(1, Evacuated(7, frozenset(("a",)), (("b", 3.0),)))
+    record = ClaimRecord("a", "n", "d", ClaimState.HELD, 5.0)
+    claim = record.encode()
     foreign: dict[str, tuple[Callable[[bytes], Any], bytes]] = {
         "heartbeats": (read_heartbeat, HEARTBEAT),
         "departures": (lambda data: read_departure(read_json(data)), b'{"born":1764731292000}'),
@@ -328,6 +343,10 @@
         "claims": (decode_record, claim),
         "headers": (read_headers, b"3,0,8,250"),
         "news": (read_news, news),
+        "store news": (read_news, cbor2.dumps([5, *evacuated.pack()])),
+        "claim news": (read_news, cbor2.dumps([5, *pack_claim("claims/1/s/2", record)])),
+        "evacuated": (lambda data: record_of("a", data), EvacuationRecord("me", 1.5).encode()),
+        "epochs": (read_epoch, b"3"),
     }
     tallies += [
         try_all(name, inputs(rng(name), count, sound), read, end)
