--- a/bench/model/_mechanisms.py
+++ b/bench/model/_mechanisms.py
@@ -8,6 +8,7 @@
 FORECAST = f"{PLACING}._forecast_selector"
 PREDICTED = f"{PLACING}._predicted_selector"
 ADMISSION = f"{POLICY}.admission._edf_admission"
+ESTIMATES = f"{POLICY}.admission._run_estimates"
 TIMES = f"{POLICY}.admission._execution_times"
 INGRESS = "marjoramtide.ingress"
 
@@ -21,7 +22,7 @@
     Mechanism("wait for the server's pace", PACE, "Pace.waits", NEVER),
     Mechanism("follow the grid of changes", f"{POLICY}.pace._interference", "fit_grid", NOTHING),
     Mechanism("length of slow stretches", f"{POLICY}.pace._stretches", "Stretches.left_s", ZERO),
-    Mechanism("turn first tries away while slow", ADMISSION, "EdfAdmission._misses_goal", NEVER),
+    Mechanism("turn first tries away while slow", ESTIMATES, "RunEstimates.misses_goal", NEVER),
     Mechanism(
         "ask again where none is quicker",
         f"{INGRESS}._dispatcher",
@@ -34,8 +35,8 @@
     Mechanism("silence of a node", f"{PLACING}._node_view", "NodeView.silence_ms", ZERO),
     Mechanism(
         "goal before deadline",
-        ADMISSION,
-        "EdfAdmission._due",
+        ESTIMATES,
+        "RunEstimates.due",
         "lambda self, profile, now: profile.deadline",
     ),
     Mechanism("rank order", ADMISSION, "RANK_STEP_S", "0.0"),
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -15,7 +15,8 @@
 from marjoramtide.policy.admission._limiter import Limiter
 from marjoramtide.policy.admission._limiters import make_limiter
 from marjoramtide.policy.admission._rank_shares import RankShares
-from marjoramtide.policy.pace import ASSUMED_WORK_MS, Pace
+from marjoramtide.policy.admission._run_estimates import RunEstimates
+from marjoramtide.policy.pace import Pace
 from marjoramtide.settings import RouteSettings
 
 DRAINING_RETRY_MS = 1000
@@ -48,7 +49,7 @@
     queue_limit: int
     started_at: float
     accepting: bool = True
-    times: ExecutionTimes = attrs.Factory(ExecutionTimes)
+    runs: RunEstimates = attrs.Factory(RunEstimates)
     urgent: ClassQueue = attrs.Factory(ClassQueue)
     routine: ClassQueue = attrs.Factory(ClassQueue)
     profiles: dict[int, CallProfile] = attrs.Factory(dict)
@@ -62,7 +63,6 @@
     stall_seen: float | None = None
     limited_by: tuple[str, int, int] = ("", 0, 0)
     recheck_at: float | None = None
-    pace: Pace = attrs.Factory(Pace)
     resume_at: float | None = None
     gate: ColdGate = attrs.field()
     gate_opens_at: float | None = None
@@ -71,6 +71,14 @@
     def _gate_from_the_start(self) -> ColdGate:
         return ColdGate(self.started_at)
 
+    @property
+    def times(self) -> ExecutionTimes:
+        return self.runs.times
+
+    @property
+    def pace(self) -> Pace:
+        return self.runs.pace
+
     @property
     def in_use(self) -> int:
         return len(self.times.running)
@@ -101,7 +109,7 @@
     def server_replaced(self, now: float) -> list[int]:
         for ticket in list(self.times.running):
             self._end(ticket, now)
-        self.times = ExecutionTimes()
+        self.runs = RunEstimates()
         self.limiter = self.limiter.fresh()
         self.shares = RankShares()
         self.stall_seen = None
@@ -119,8 +127,7 @@
         self.gate.note_cold(left_s, now)
 
     def set_pace(self, pace: Pace) -> None:
-        self.pace = pace
-        self.times.pace = pace.slowdown
+        self.runs.set_pace(pace)
         self.resume_at = pace.settles_at if pace.settles_at < math.inf else None
 
     def resume(self, now: float) -> list[int]:
@@ -146,13 +153,13 @@
             # runs ten times slower although others have room. Turned away at once, it costs its
             # caller one hop. Only first attempts are: where all are slow, the second one runs.
             return _reject(ErrorCode.OVERLOADED, silence)
-        if profile.attempt == 1 and self._misses_goal(profile, now):
+        if profile.attempt == 1 and self.runs.misses_goal(profile, now):
             # Failure: a neighbour has slowed this server down since its last report, and a booking
             # that arrives now takes four times as long here, although others are quick. Turned away
             # at once it costs a hop; whoever asks again has found nobody quicker.
             return _reject(ErrorCode.SLOWED, self.pace.quick_in_ms(now))
-        self.dues[ticket] = self._due(profile, now)
-        if self._may_start(profile.urgent, now) and not self._waits(profile, now):
+        self.dues[ticket] = self.runs.due(profile, now)
+        if self._may_start(profile.urgent, now) and not self.runs.waits(profile, now):
             decision = self._start_or_reject(ticket, profile, remaining_ms, now)
         else:
             decision = self._queue_or_reject(ticket, profile, now)
@@ -160,35 +167,6 @@
             del self.dues[ticket]
         return decision
 
-    def _due(self, profile: CallProfile, now: float) -> float:
-        """Return when a request is to be answered: by its goal, or its deadline after that.
-
-        Failure: more comes than can be done, and requests wait in the order of their deadlines. All
-        are answered, and nearly all too late to be worth much to their callers. Where the goal
-        counts, those that can still meet it do, and the rest is refused at once.
-        """
-        if profile.goal >= profile.deadline:
-            return profile.deadline
-        work_ms = self._kept_ms(profile, profile.goal)
-        return profile.goal if now + work_ms / 1000 < profile.goal else profile.deadline
-
-    def _misses_goal(self, profile: CallProfile, now: float) -> bool:
-        """Tell whether neighbours make a request late here that would not be late elsewhere."""
-        work_ms = self.times.kind(profile.kind).mean.value
-        left_ms = (profile.goal - now) * 1000
-        if not self.pace.is_slow or not work_ms or left_ms < work_ms:
-            return False
-        return self.pace.run_ms(work_ms) > left_ms
-
-    def _waits(self, profile: CallProfile, now: float) -> bool:
-        """Tell whether a request should wait for the server's pace, see ``Pace.waits``."""
-        return self.pace.waits(self._work_ms(profile), now)
-
-    def _work_ms(self, profile: CallProfile) -> float:
-        """Return how long a request runs undisturbed, or others do while its kind is new."""
-        known_ms = self.times.kind(profile.kind).mean.value or self.times.mean.value
-        return known_ms or ASSUMED_WORK_MS
-
     def _start_or_reject(
         self, ticket: int, profile: CallProfile, remaining_ms: float, now: float
     ) -> Decision:
@@ -201,7 +179,7 @@
         return Decision(Verdict.START)
 
     def _queue_or_reject(self, ticket: int, profile: CallProfile, now: float) -> Decision:
-        waits = self._waits(profile, now)
+        waits = self.runs.waits(profile, now)
         service_ms = self.times.expected_ms(now)
         if waits:
             service_ms *= self.pace.best / self.pace.slowdown
@@ -210,7 +188,7 @@
         order = self._order(profile, due, now)
         ahead = self._ahead(profile.urgent, order)
         wait_ms = self._wait_ms(ahead, profile, service_ms)
-        own_ms = self._own_ms(profile, due, now)
+        own_ms = self.runs.own_ms(profile, due, now)
         if self.gate.is_cold(now):
             wait_ms = max(wait_ms, self._cold_wait_ms(ahead, profile, now))
         elif self._has_slot(profile.urgent):
@@ -378,7 +356,7 @@
         self.times.start(ticket, now, profile.kind)
         self.began_with[ticket] = self.in_use
         self.profiles[ticket] = profile
-        self.shares.started(profile, self._work_ms(profile))
+        self.shares.started(profile, self.runs.work_ms(profile))
         if not profile.urgent:
             self.routine_running += 1
 
@@ -395,7 +373,7 @@
         for urgent in (True, False):
             queue = self._queue(urgent)
             while len(queue) and self._may_start(urgent, now):
-                if self._waits(self.profiles[queue.first], now):
+                if self.runs.waits(self.profiles[queue.first], now):
                     break
                 ticket = queue.pop()
                 self._start(ticket, self.profiles[ticket], now)
@@ -410,33 +388,10 @@
             del self.dues[ticket]
             self._queue(profile.urgent).remove(self.orders.pop(ticket), ticket)
 
-    def _kept_ms(self, profile: CallProfile, due: float) -> float:
-        """Return the time that a request is kept until it is due, 0 while its kind is new.
-
-        One that is due at its deadline gets the mean: it may still be in time, and there is nothing
-        left to lose by being late.
-        """
-        times = self.times.kind(profile.kind)
-        return times.planned_ms if due == profile.goal else times.mean.value
-
-    def _own_ms(self, profile: CallProfile, due: float, now: float) -> float:
-        """Return how long this request itself is expected to run, 0 while its kind is new."""
-        own_ms = self._kept_ms(profile, due)
-        if not own_ms:
-            return 0.0
-        waits = self.pace.waits(own_ms, now)
-        paced_ms = own_ms * (self.pace.best if waits else self.pace.slowdown)
-        return max(paced_ms, self.times.silence_ms(now))
-
     def _latest_start(self, queue: ClassQueue) -> float:
-        """Return until when the first of a queue must start to end in time, at the best pace.
-
-        Failure: a server is slow for a moment, and all that waits there for its quick state is
-        given up, since by the pace of that moment none of it would end in time.
-        """
+        """Return until when the first of a queue must start to end in time."""
         _, ticket = queue.entries[0]
-        work_ms = self._kept_ms(self.profiles[ticket], self.dues[ticket])
-        return self.dues[ticket] - work_ms * min(self.pace.slowdown, self.pace.best) / 1000
+        return self.runs.latest_start(self.profiles[ticket], self.dues[ticket])
 
     def _too_late(self, queue: ClassQueue, now: float) -> list[int]:
         """Drop and return what could not finish even if it started now."""
--- a/src/marjoramtide/store/_http_object_store.py
+++ b/src/marjoramtide/store/_http_object_store.py
@@ -1,7 +1,6 @@
 """The platform's object API over HTTP."""
 
 import random
-import socket
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 from contextlib import AbstractAsyncContextManager, asynccontextmanager, contextmanager, suppress
@@ -14,31 +13,29 @@
 
 from marjoramtide.clock import Clock, SystemClock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.sockets import notice_silence
 from marjoramtide.store._backoff import full_jitter
 from marjoramtide.store._call import Answer, Call, Meaning
 from marjoramtide.store._call_budget import CallBudget
-from marjoramtide.store._call_failed import AnswerLostError, CallNotSentError, no_resend
+from marjoramtide.store._call_failed import AnswerLostError, CallNotSentError
 from marjoramtide.store._circuit import Circuit
 from marjoramtide.store._epoch import Epoch
+from marjoramtide.store._http_session import open_session
 from marjoramtide.store._listing import Listing
 from marjoramtide.store._object_store import ObjectStore
 from marjoramtide.store._own_protocol import OwnStoreProtocol
 from marjoramtide.store._store_limits import StoreLimits
 from marjoramtide.store._store_protocol import Changes, StoreProtocol
 from marjoramtide.store._stored_object import StoredObject
-from marjoramtide.store._versions import epoch_of, revision_of, version_of
+from marjoramtide.store._versions import dated, dated_event, epoch_of, revision_of, version_of
 from marjoramtide.store._watch_event import WatchEvent
 
 log = structlog.get_logger()
 
 MAX_TRIES = 4
 MAX_VALUE_BYTES = 1024 * 1024
-MAX_LINE_BYTES = 2 * 1024 * 1024
 WATCH_GRACE_S = 2.0
 # What is left of a watch's time below this is not worth a call, which counts like any other.
 SHORTEST_POLL_S = 0.5
-CONNECTIONS = 16
 SHORTEST_COUNTED_S = 0.25
 LONGEST_TIMING_S = 5.0
 RETRIED = (ErrorCode.STORE_UNAVAILABLE, ErrorCode.STORE_THROTTLED)
@@ -352,15 +349,7 @@
     def opened(self) -> aiohttp.ClientSession:
         """Return the session; made on first use, since it belongs to the running loop."""
         if self.session is None:
-            connector = aiohttp.TCPConnector(
-                limit=CONNECTIONS, keepalive_timeout=10, socket_factory=silence_noticing_socket
-            )
-            self.session = aiohttp.ClientSession(
-                connector=connector,
-                middlewares=[no_resend],
-                cookie_jar=aiohttp.DummyCookieJar(),
-                read_bufsize=MAX_LINE_BYTES,
-            )
+            self.session = open_session()
         return self.session
 
     @contextmanager
@@ -387,33 +376,6 @@
         return MarjoramtideError(code, message, step=step, peer=self.url)
 
 
-def silence_noticing_socket(info: aiohttp.AddrInfoType) -> socket.socket:
-    """Return a socket for a connection to the store that ends when nothing answers any more.
-
-    Failure: a connection goes silent without a reset while a watch waits on it. For half a minute
-    the node takes the silence for "no change", and serves by settings replaced long ago.
-    """
-    family, kind, proto, _, _ = info
-    made = socket.socket(family, kind, proto)
-    notice_silence(made)
-    return made
-
-
-def dated(stored: StoredObject, epoch: int) -> StoredObject:
-    """Return an object of which the store gave the revision, with its version."""
-    if not epoch:
-        return stored
-    return attrs.evolve(stored, version=version_of(epoch, stored.version))
-
-
-def dated_event(event: WatchEvent, epoch: int) -> WatchEvent:
-    """Return a change of which the store gave the revision, with its version."""
-    if not epoch:
-        return event
-    stored = None if event.stored is None else dated(event.stored, epoch)
-    return WatchEvent(event.key, version_of(epoch, event.version), stored)
-
-
 def describe(error: BaseException) -> str:
     return str(error) or type(error).__name__
 
--- a/src/marjoramtide/store/_versions.py
+++ b/src/marjoramtide/store/_versions.py
@@ -1,5 +1,10 @@
 """Versions of objects that stay ordered when the store comes back from an older copy."""
 
+import attrs
+
+from marjoramtide.store._stored_object import StoredObject
+from marjoramtide.store._watch_event import WatchEvent
+
 # Above any revision that a store gives out, and small enough for 64 bits with thousands of epochs.
 REVISIONS_AN_EPOCH = 1 << 48
 
@@ -22,3 +27,18 @@
 def revision_of(version: int) -> int:
     """Return the store's own revision of a version."""
     return version % REVISIONS_AN_EPOCH
+
+
+def dated(stored: StoredObject, epoch: int) -> StoredObject:
+    """Return an object of which the store gave the revision, with its version."""
+    if not epoch:
+        return stored
+    return attrs.evolve(stored, version=version_of(epoch, stored.version))
+
+
+def dated_event(event: WatchEvent, epoch: int) -> WatchEvent:
+    """Return a change of which the store gave the revision, with its version."""
+    if not epoch:
+        return event
+    stored = None if event.stored is None else dated(event.stored, epoch)
+    return WatchEvent(event.key, version_of(epoch, event.version), stored)
