Changes in quick succession are asked for by one node, which tells the others

After a change all but the first of those that watch leave the store alone for a second; gossip tells them meanwhile. Cost where the first one does not reach the store: the others are later by that pause.

--- a/features/platform/configuration.feature
+++ b/features/platform/configuration.feature
@@ -32,6 +32,14 @@
     And the store comes back
     Then "/new/1" is served through every node within 4 s
 
+  Scenario: Changes in quick succession are asked for by one node, which tells the others
+    # Each change would cost a call of every node that watches: among 19 nodes 108 of the 438 calls of a
+    # day were for one storm of 18 changes.
+    Given nodes on the platform beside mapdesk at east, mapdesk at east, mapdesk at west
+    When the operator writes 12 versions, one each 0.1 s
+    Then the last of them is in force everywhere within 2 s
+    And the nodes have asked for changes at most 20 times
+
   Scenario: A configuration that can't be read leaves the one in force
     Given a fleet on the platform: mapdesk
     When the operator writes a configuration without routes' names of services as version 9
--- a/features/steps/platform_evacuation_steps.py
+++ b/features/steps/platform_evacuation_steps.py
@@ -274,3 +274,32 @@
 def few_in_vain(context: Any, number: int, count: int) -> None:
     retries = seat(context, number).node.metrics.totals.get("ingress.retries", 0)
     assert 0 < retries <= count, retries
+
+
+@when("the operator writes {count:d} versions, one each {seconds:g} s")
+def write_versions(context: Any, count: int, seconds: float) -> None:
+    fleet = context.fleet
+    context.asked = fleet.store.calls["watches"]
+
+    async def write() -> None:
+        for number in range(count):
+            fleet.configure(10 + number, [route("/tiles/", {"mapdesk": 1}, TimeoutMs=900 + number)])
+            await asyncio.sleep(seconds)
+        context.version = 10 + count - 1
+
+    run(context, write())
+
+
+@then("the last of them is in force everywhere within {seconds:d} s")
+def last_in_force(context: Any, seconds: int) -> None:
+    nodes = [each.node for each in context.fleet.seats]
+    known = context.fleet.wait_for(
+        lambda: all(node.view.revision == context.version for node in nodes), float(seconds)
+    )
+    run(context, known)
+
+
+@then("the nodes have asked for changes at most {most:d} times")
+def asked_at_most(context: Any, most: int) -> None:
+    asked = context.fleet.store.calls["watches"] - context.asked
+    assert asked <= most, asked
--- a/src/marjoramtide/settings/sync/_follower.py
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -26,6 +26,8 @@
 ROLE_CHECK_S = 1.0
 FIRST_WATCH_S = 2.0
 SHORTEST_WATCH_S = 1.0
+# How long after a change all nodes that watch but the first one leave the store alone, in seconds.
+NEXT_CHANGE_S = 1.0
 # How long the store is not asked again by a node that has just heard that there is no tree yet, in
 # seconds. Peers are asked meanwhile, and gossip tells of the first that finds one: a fleet that
 # waits for its first tree would otherwise make up to ten calls a second and node.
@@ -204,6 +206,11 @@
         ]
         return here.node in choose_watchers(neighbours, self.view.node_values["watchers"])
 
+    def is_first_watcher(self) -> bool:
+        """Tell whether this node is the first of all that watch, as far as it knows them."""
+        members = self.directory.members()
+        return choose_watchers(members, 1) == [self.directory.self_member.node]
+
     async def watch(self) -> None:
         """Watch the store while chosen; the choice is looked at again after each watch.
 
@@ -244,11 +251,21 @@
             async for event in self.trees.store.watch(source.key, since, wait=WATCH_WAIT_S):
                 if event.stored and event.key == source.key:
                     self.adopter.adopt(source.decode(event.stored), "watch")
+                    await self._let_first_go_on()
         except MarjoramtideError as error:
             if error.code is not ErrorCode.NOT_FOUND:
                 raise
             log.info("settings.watch_gap", since=since)
 
+    async def _let_first_go_on(self) -> None:
+        """Leave what changes next to the first node that watches; it tells the others by gossip.
+
+        Changes come in quick succession at times, and each would cost a call of every node that
+        watches. Where the first one does not reach the store, the others are later by this pause.
+        """
+        if not self.is_first_watcher():
+            await self.clock.sleep(NEXT_CHANGE_S * self.rng.uniform(0.75, 1.25))
+
     async def _write_lost(self, stored: StoredTree | None) -> None:
         """Write the tree in force again where the store has come back from a copy without it.
 
