--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -171,7 +171,7 @@
         self.serving.pace_listener = self.news.tell_load
         self.claims.witnesses = self.news.tell_claim
         self.drained_by_operator = False
-        self.servers = self.make_servers()
+        self.app_servers = self.make_app_servers()
         self.stopping = False
         self.serving_ended = False
         self.stop_asked = asyncio.Event()
@@ -189,7 +189,7 @@
             await self.membership.start()
             self.start_up.begin()
             await self.ingress.start(*parse_address(settings.callers))
-            for address, server in self.servers.items():
+            for address, server in self.app_servers.items():
                 await server.start(*parse_address(address))
         except OSError as error:
             raise MarjoramtideError(
@@ -221,7 +221,7 @@
         )
         return {"claims": self.claims.run, "claim cleaner": cleaner.run}
 
-    def make_servers(self) -> dict[str, AppServer]:
+    def make_app_servers(self) -> dict[str, AppServer]:
         """Return the small HTTP servers of this node by their addresses."""
         settings = self.settings
         operators = make_operators_app(make_node_handle(self))
@@ -378,7 +378,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await asyncio.gather(*(server.close() for server in self.servers.values()))
+        await asyncio.gather(*(server.close() for server in self.app_servers.values()))
         await self.peer_server.close()
         await self.peer_client.close()
         await self.serving.close()
