--- a/standins/mesh/_mesh.py
+++ b/standins/mesh/_mesh.py
@@ -117,23 +117,26 @@
             await asyncio.sleep(delay_s)
             await node.start_server()
 
-    def kill_nodes_that_serve(self, prefix: str, delay_s: float) -> None:
+    def kill_nodes_that_serve(self, prefix: str, delay_s: float, after_s: float = 0.0) -> None:
         """Kill each node beside whose server a request runs whose id begins with ``prefix``.
 
-        It is started again after ``delay_s`` seconds.
+        That is ``after_s`` seconds after the run was seen; it is started again after ``delay_s``.
         """
         self.supervisors += [
-            asyncio.create_task(self.kill_when_serving(node, prefix, delay_s))
+            asyncio.create_task(self.kill_when_serving(node, prefix, delay_s, after_s))
             for node in self.nodes
         ]
 
-    async def kill_when_serving(self, node: MeshNode, prefix: str, delay_s: float) -> None:
+    async def kill_when_serving(
+        self, node: MeshNode, prefix: str, delay_s: float, after_s: float
+    ) -> None:
         seen = 0
         while node.process is not None:
             await asyncio.sleep(POLL_S)
             served = sum(request.startswith(prefix) for _, request, _ in node.journal())
             if served > seen:
                 seen = served
+                await asyncio.sleep(after_s)
                 await node.process.kill()
                 await asyncio.sleep(delay_s)
                 await node.start_node()
