A node's witness knows what it runs for its own callers, and speaks for it when it ends

Cause: nobody but the node itself knows of such a run, and it tells nobody when it ends.

Mend: before a run begins that no other node knows of and that the server has not completed lately, its fingerprint goes to one other node of the own data centre, over a connection of its own. What a process has written before it is killed arrives, and the connection breaks at that moment: the witness looks whether the node refuses connections and tells all, as a node does that had sent a request there. Runs that are over go with the next message or after 0.1 s. A connection closed as agreed, a reset, a host that answers nothing and a node known to leave accuse nobody; a witness that ends is followed by another one, which is told all that runs; one that takes nothing off its connection holds up no request; a node alone serves as before.

Datagrams to one or two witnesses cost the same and get lost, and their readers learn of the end by a connection all the same. Sending what is not known to be sound through another node costs a whole hop each.

Seen failing, each taken out: the difference of a close as agreed, runs of other nodes' requests are not told, what is sound is not told, the own data centre, open runs told to the next witness, the ends of runs, the bound on what waits unsent.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -40,7 +40,8 @@
 from marjoramtide.membership._packet_error import PacketError
 from marjoramtide.peers._codec import decode, encode, unpack_headers, unpack_report
 from marjoramtide.peers._handshake import open_as_client, open_as_server
-from marjoramtide.peers._messages import CreditMessage, RequestMessage
+from marjoramtide.peers._messages import CreditMessage, RequestMessage, RunsMessage
+from marjoramtide.peers._run_session import read_runs
 from marjoramtide.platform._backends import read_cold, read_load, read_retry_after
 from marjoramtide.platform._configuration import OperatorConfiguration
 from marjoramtide.platform._heartbeat import read_departure, read_registration
@@ -347,6 +348,7 @@
         "claim news": (read_news, cbor2.dumps([5, *pack_claim("claims/1/s/2", record)])),
         "evacuated": (lambda data: record_of("a", data), EvacuationRecord("me", 1.5).encode()),
         "epochs": (read_epoch, b"3"),
+        "runs": (lambda data: read_runs(decode(data)), encode(RunsMessage("n", [[1, 2]], [3]))),
     }
     tallies += [
         try_all(name, inputs(rng(name), count, sound), read, end)
--- a/features/edge/bad_frames.feature
+++ b/features/edge/bad_frames.feature
@@ -39,6 +39,10 @@
       | a credit of a gigabyte          | peers.bad_frame | bad-frame |
       | a negative credit               | peers.bad_frame | bad-frame |
       | a request number used twice     | peers.bad_frame | bad-frame |
+      | runs that are none              | peers.bad_frame | bad-frame |
+      | a run without a fingerprint     | peers.bad_frame | bad-frame |
+      | a ticket that is no number      | peers.bad_frame | bad-frame |
+      | a request among runs            | peers.bad_frame | bad-frame |
     Then all lookups completed
 
   Scenario: Frames for requests that are not there are dropped
--- a/features/edge/peer_attacks.py
+++ b/features/edge/peer_attacks.py
@@ -17,6 +17,7 @@
     CreditMessage,
     RequestChunk,
     RequestMessage,
+    RunsMessage,
 )
 from standins.mesh._mesh_node import KEY
 
@@ -54,10 +55,10 @@
     return await connect(f"ws://{address}/", compression=None, max_size=None, proxy=None)
 
 
-async def open_peer(address: str, key: str = KEY) -> ClientConnection:
+async def open_peer(address: str, lane: str = "routine") -> ClientConnection:
     """Open a connection as a node does."""
     socket = await open_socket(address)
-    await open_as_client(socket, key, "routine", address)
+    await open_as_client(socket, KEY, lane, address)
     return socket
 
 
@@ -74,11 +75,11 @@
         raise TimeoutError(f"the connection stayed open; it brought {came}") from error
 
 
-def frames(*wanted: bytes) -> Attack:
+def frames(*wanted: bytes, lane: str = "routine") -> Attack:
     """Return the attack that sends these frames after a sound handshake."""
 
     async def attack(address: str) -> None:
-        socket = await open_peer(address)
+        socket = await open_peer(address, lane)
         for frame in wanted:
             await socket.send(frame)
         await closed(socket)
@@ -180,6 +181,10 @@
     "too few fields": frames(cbor2.dumps([0, 1])),
     "a frame of 3 MB": frames(cbor2.dumps(b"a" * 3_000_000)),
     "a request number used twice": frames(request(), request()),
+    "runs that are none": frames(encode(RunsMessage("n", ["x"], [])), lane="runs"),
+    "a run without a fingerprint": frames(encode(RunsMessage("n", [[1]], [])), lane="runs"),
+    "a ticket that is no number": frames(encode(RunsMessage("n", [], ["1"])), lane="runs"),
+    "a request among runs": frames(request(), lane="runs"),
     "a target that leads elsewhere": frames(request(target="@127.0.0.1:9/")),
     "a target with a line break": frames(request(target="/ HTTP/1.1\r\nX: y\r\n\r\n")),
     "a deadline that is no number": frames(request(remaining_ms=float("nan"))),
--- /dev/null
+++ b/features/steps/witness_steps.py
@@ -0,0 +1,222 @@
+"""Steps on what nodes tell each other of their runs, over real connections, without processes."""
+
+import asyncio
+import random
+import socket
+from typing import Any
+
+import attrs
+from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
+
+from features.peer_places import KEY, Place, end_slowly, listen_silently, meet, open_place, until
+from features.steps.platform_node_steps import run as run_fleet
+from features.steps.platform_node_steps import seat
+from marjoramtide.clock import SystemClock
+from marjoramtide.membership import MemberState
+from marjoramtide.peers import PeerClient
+from marjoramtide.telemetry import Metrics
+from marjoramtide.witness import RunTeller, RunWitness
+
+use_step_matcher("parse")
+
+# A step of a coroutine that waits for nothing takes far less, also on a busy machine.
+AT_ONCE_S = 0.5
+# Until a node that answers nothing is not looked at any more.
+LOOKED_AT_S = 0.8
+SMALL_BUFFER_BYTES = 4096
+
+
+async def start_teller(context: Any) -> None:
+    """Start to tell, and wait until a witness is there where there can be one."""
+    own = context.places[0]
+    client = PeerClient(KEY, SystemClock())
+    context.teller = RunTeller(
+        own.directory, client, lambda fingerprint: False, SystemClock(), random.Random(1), Metrics()
+    )
+    context.telling = asyncio.create_task(context.teller.run())
+    if len(context.places) > 1:
+        await until(lambda: context.teller.link is not None)
+    context.closing.insert(0, client.close)
+
+
+def start(context: Any, *data_centres: str) -> None:
+    """Start the teller's own port, and one for each of the data centres."""
+    context.runner = context.cleanup.enter_context(asyncio.Runner())
+    context.places, context.closing = [], []
+
+    async def work() -> None:
+        await open_place(context, "teller")
+        for number, data_centre in enumerate(data_centres, start=1):
+            await open_place(context, f"other-{number}", data_centre)
+        meet(context)
+        for place in context.places:
+            place.server.run_listener = RunWitness(place.directory, place.ends)
+        await start_teller(context)
+
+    async def close() -> None:
+        context.telling.cancel()
+        await asyncio.gather(context.telling, return_exceptions=True)
+        for end in context.closing:
+            await end()
+
+    context.runner.run(work())
+    context.cleanup.callback(lambda: context.runner.run(close()))
+
+
+@given("a node that tells a witness what it runs")
+def given_teller(context: Any) -> None:
+    start(context, "nadi-hall")
+
+
+@given("a node that tells a witness what it runs, where another node could be it as well")
+def given_two(context: Any) -> None:
+    start(context, "nadi-hall", "nadi-hall")
+
+
+@given("a node that tells a witness what it runs, where nodes elsewhere could be it as well")
+def given_elsewhere(context: Any) -> None:
+    start(context, *["lautoka-hall"] * 5, "nadi-hall", *["sigatoka-hall"] * 5)
+
+
+@given("a node that knows of no other")
+def given_alone(context: Any) -> None:
+    start(context)
+
+
+@given("a node whose witness takes nothing off its connection any more")
+def given_stuck(context: Any) -> None:
+    given_teller(context)
+
+    async def work() -> None:
+        await until(lambda: context.places[1].sessions)
+        for session in context.places[1].sessions:
+            session.transport.pause_reading()
+        own_end = context.teller.link.socket.transport.get_extra_info("socket")
+        own_end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+
+    context.runner.run(work())
+
+
+def witness(context: Any) -> Place:
+    """Return the node that the teller has chosen."""
+    return next(place for place in context.places if place.member.node == context.teller.last)
+
+
+async def begin_runs(context: Any) -> None:
+    for name in "abc":
+        await context.teller.began(ord(name), ord(name))
+    context.teller.over(ord("c"))
+    # What is over is told a little later.
+    await asyncio.sleep(0.2)
+
+
+@when("it begins a, b and c, c is over, and {what}")
+def begins(context: Any, what: str) -> None:
+    async def work() -> None:
+        await begin_runs(context)
+        own, other = context.places[0], witness(context)
+        link = context.teller.link.socket
+        match what:
+            case "its process ends":
+                own.end()
+                link.transport.abort()
+            case "its process ends, and takes connections for 0.2 s":
+                end_slowly(own, 0.2)
+                link.transport.abort()
+            case "its connection is closed as agreed":
+                own.end()
+                context.telling.cancel()
+            case "its connection is reset":
+                link.transport.abort()
+            case "nobody answers or refuses at its address":
+                silent = listen_silently(context)
+                other.directory.known["teller"] = attrs.evolve(own.member, peer_address=silent)
+                link.transport.abort()
+            case "it is known to leave, and its process ends":
+                leaving = attrs.evolve(own.member, state=MemberState.LEAVING)
+                other.directory.known["teller"] = leaving
+                own.end()
+                link.transport.abort()
+            case "its witness ends":
+                context.ended = other
+                other.end()
+        await asyncio.sleep(LOOKED_AT_S)
+
+    context.runner.run(work())
+
+
+@then("the witness puts down {names}")
+def puts_down(context: Any, names: str) -> None:
+    found = sorted(map(chr, witness(context).blamed))
+    assert found == ([] if names == "none" else names.split(", ")), found
+
+
+@then("the other node is told of a and b within {seconds:g} s")
+def other_told(context: Any, seconds: float) -> None:
+    (other,) = (place for place in context.places[1:] if place is not context.ended)
+
+    async def work() -> None:
+        await until(lambda: context.teller.link is not None)
+        context.places[0].end()
+        context.teller.link.socket.transport.abort()
+        await until(lambda: sorted(map(chr, other.blamed)) == ["a", "b"])
+
+    context.runner.run(work())
+
+
+@then("the witness is in its data centre")
+def in_data_centre(context: Any) -> None:
+    chosen = witness(context).member.data_centre
+    assert chosen == context.places[0].member.data_centre, chosen
+
+
+@when("it begins a")
+def begins_one(context: Any) -> None:
+    begins_many(context, 1)
+
+
+@when("it begins {count:d} runs")
+def begins_many(context: Any, count: int) -> None:
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        context.took_s = []
+        for number in range(count):
+            began = loop.time()
+            await context.teller.began(number, number << 40)
+            context.took_s.append(loop.time() - began)
+
+    context.runner.run(work())
+
+
+@then("that took no time")
+@then("none of them waited")
+def took_no_time(context: Any) -> None:
+    assert max(context.took_s) < AT_ONCE_S, max(context.took_s)
+
+
+@given("all requests are served by node {number:d}")
+def served_by(context: Any, number: int) -> None:
+    async def drain() -> None:
+        for other, each in enumerate(context.fleet.seats, start=1):
+            each.node.drain(other != number)
+        await context.fleet.wait_for(
+            lambda: all(
+                len(each.node.membership.members_of(each.settings.service)) == 1
+                for each in context.fleet.seats
+            )
+        )
+        teller = seat(context, number).node.run_teller
+        await context.fleet.wait_for(lambda: teller.link is not None)
+
+    run_fleet(context, drain())
+
+
+@then("node {number:d} has told its witness of {count:d} run")
+def has_told(context: Any, number: int, count: int) -> None:
+    counts = seat(context, number).node.metrics.counts
+    assert counts["witness.told"] == count, counts
+
+
+@then("no run is open at the witness of node {number:d}")
+def none_open(context: Any, number: int) -> None:
+    assert not seat(context, number).node.run_teller.open
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -47,6 +47,7 @@
     make_metrics_app,
     summarise_logs,
 )
+from marjoramtide.witness import RunTeller, RunWitness
 
 log = structlog.get_logger()
 
@@ -111,6 +112,14 @@
         self.quarantine = make_quarantine(
             settings.key, self.membership, self.membership.publish, self.clock, rng, self.metrics
         )
+        self.run_teller = RunTeller(
+            self.membership,
+            self.peer_client,
+            self.quarantine.vouches_for,
+            self.clock,
+            rng,
+            self.metrics,
+        )
         self.serving = ServingService(
             settings.service,
             self.transport,
@@ -121,6 +130,7 @@
             self.tracer,
             self.quarantine,
             began_at,
+            self.run_teller,
         )
         self.peer_server.handler = self.serving
         self.server = OwnServer(
@@ -135,6 +145,14 @@
         )
         self.quarantine.held_listener = self.serving.refuse_held
         self.start_up = StartUp(self.clock)
+        self.peer_ends = PeerEnds(
+            self.peer_client,
+            self.clock,
+            self.metrics,
+            self.quarantine.fingerprint,
+            self.quarantine.node_ended,
+        )
+        self.peer_server.run_listener = RunWitness(self.membership, self.peer_ends)
         self.dispatcher = Dispatcher(
             self.membership,
             self.view,
@@ -146,13 +164,7 @@
             self.tracer,
             self.serving.running.get,
             self.start_up,
-            PeerEnds(
-                self.peer_client,
-                self.clock,
-                self.metrics,
-                self.quarantine.fingerprint,
-                self.quarantine.node_ended,
-            ),
+            self.peer_ends,
         )
         self.ingress = Ingress(
             self.name,
@@ -202,6 +214,7 @@
             "metrics": self.metrics.run,
             "logs": summarise_logs,
             "quarantine": self.quarantine.run,
+            "run teller": self.run_teller.run,
             "evacuations": self.evacuations.run,
         }
         if self.interface.takes_keys:
--- a/src/marjoramtide/evacuation/_store_news.py
+++ b/src/marjoramtide/evacuation/_store_news.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from marjoramtide.checked import MalformedError
+from marjoramtide.checked import MalformedError, is_number
 from marjoramtide.policy import KEPT_S, Evacuated
 
 SUBJECT = "store"
@@ -44,7 +44,7 @@
     if not is_store_news(fields) or len(fields[0]) < 1 + FIELDS:
         raise MalformedError("no news of the store")
     epoch, version, names, kept = fields[0][1 : 1 + FIELDS]
-    if not (is_number(epoch, MOST_EPOCH) and is_number(version, 1 << 64)):
+    if not (is_number(epoch, MOST_EPOCH) and is_number(version)):
         raise MalformedError("no epoch or version")
     if not isinstance(names, list) or not isinstance(kept, list):
         raise MalformedError("no lists of data centres")
@@ -66,7 +66,3 @@
 
 def is_name(value: Any) -> bool:
     return isinstance(value, str) and 0 < len(value) <= MOST_NAME_CHARACTERS
-
-
-def is_number(value: Any, below: int) -> bool:
-    return type(value) is int and 0 <= value < below
--- a/src/marjoramtide/exchange/_request.py
+++ b/src/marjoramtide/exchange/_request.py
@@ -16,7 +16,8 @@
     lower ``rank`` goes first; an answer after ``goal``, on the same clock as the deadline and equal
     to it where none is known, is worth less to its caller. ``depth`` is 1 for a caller's request
     and one more for each call on the way that led to this one; ``parent`` is the id of the running
-    request that made this call, empty where that isn't told.
+    request that made this call, empty where that isn't told. ``relayed`` where another node took it
+    from its caller, and knows that it is here.
     """
 
     service: str
@@ -34,6 +35,7 @@
     rank: int = 0
     goal: float = float("inf")
     parent: str = ""
+    relayed: bool = False
 
     @property
     def label(self) -> str:
--- a/src/marjoramtide/ingress/_peer_ends.py
+++ b/src/marjoramtide/ingress/_peer_ends.py
@@ -29,12 +29,13 @@
 
 
 class PeerEnds:
-    """Finds out whether a node has ended, and reports what this one had sent there.
+    """Finds out whether a node has ended, and reports what is known to have run there.
 
     Failure: a request ends the node that serves it. That node tells nobody what it served, so the
     request is sent to the next one, and callers send it again: 34 ends in 12 s among six nodes.
-    Those that had sent it there know. A node whose address refuses connections has ended, and its
-    host has not; one that leaves as planned, or can't be reached, is put down to nobody.
+    Those that had sent it there know, and the witness of what the node ran for its own callers. A
+    node whose address refuses connections has ended, and its host has not; one that leaves as
+    planned, or can't be reached, is put down to nobody.
     """
 
     def __init__(
--- a/src/marjoramtide/peers/__init__.py
+++ b/src/marjoramtide/peers/__init__.py
@@ -5,7 +5,10 @@
 from marjoramtide.peers._control_channel import ControlChannel
 from marjoramtide.peers._peer_control import PeerControlChannel
 from marjoramtide.peers._peer_sign import PeerSign
+from marjoramtide.peers._run_link import RunLink
+from marjoramtide.peers._run_listener import RunListener
 from marjoramtide.peers._server import PeerServer
+from marjoramtide.peers._told_run import ToldRun
 
 __all__ = [
     "ControlChannel",
@@ -13,6 +16,9 @@
     "PeerControlChannel",
     "PeerServer",
     "PeerSign",
+    "RunLink",
+    "RunListener",
+    "ToldRun",
     "report_fields",
     "unpack_report",
 ]
--- a/src/marjoramtide/peers/_client.py
+++ b/src/marjoramtide/peers/_client.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any
 
-from websockets.asyncio.client import connect
+from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import WebSocketException
 
 from marjoramtide.clock import Clock
@@ -17,7 +17,7 @@
 )
 from marjoramtide.peers._client_connection import PeerClientConnection
 from marjoramtide.peers._handshake import HANDSHAKE_TIMEOUT_S, open_as_client
-from marjoramtide.peers._lanes import CONTROL, ROUTINE, URGENT
+from marjoramtide.peers._lanes import CONTROL, ROUTINE, RUNS, URGENT
 from marjoramtide.peers._limits import (
     CLOSE_TIMEOUT_S,
     MAX_FRAME_BYTES,
@@ -26,6 +26,7 @@
 )
 from marjoramtide.peers._link import Link
 from marjoramtide.peers._peer_sign import PeerSign
+from marjoramtide.peers._run_link import RunLink
 from marjoramtide.sockets import notice_silence
 
 CONNECT_TIMEOUT_S = 0.5
@@ -103,6 +104,17 @@
             del self.links[name]
 
     async def open(self, address: str, lane: str) -> Link:
+        """Open a connection for requests, or for questions."""
+        return Link(await self.open_socket(address, lane), address, lane)
+
+    async def open_runs(self, address: str, node: str) -> RunLink:
+        """Open a connection by which this node, ``node``, tells what it runs.
+
+        Raises ``NotRunError`` where there can't be one.
+        """
+        return RunLink(await self.open_socket(address, RUNS), node)
+
+    async def open_socket(self, address: str, lane: str) -> ClientConnection:
         """Connect and prove the key; nothing of a request is sent before."""
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -129,7 +141,7 @@
             ) from error
         except MarjoramtideError as error:
             raise NotRunError(error.code, error.message, step=error.step, peer=address) from error
-        return Link(socket, address, lane)
+        return socket
 
     async def look(self, address: str, timeout_s: float) -> PeerSign:
         """Find out by a new connection whether a node lives.
--- a/src/marjoramtide/peers/_codec.py
+++ b/src/marjoramtide/peers/_codec.py
@@ -21,6 +21,7 @@
     messages.CreditMessage,
     messages.QuestionMessage,
     messages.ReplyMessage,
+    messages.RunsMessage,
 ]
 TYPE_NUMBERS = {cls: number for number, cls in enumerate(MESSAGE_TYPES)}
 NUMBERS = range(len(MESSAGE_TYPES))
@@ -34,6 +35,7 @@
     float: (int, float),
     dict[str, Any]: dict,
     list[tuple[str, str]]: list,
+    list[Any]: list,
     list[Any] | None: (list, type(None)),
 }
 CHECKS = [
--- a/src/marjoramtide/peers/_lanes.py
+++ b/src/marjoramtide/peers/_lanes.py
@@ -3,4 +3,6 @@
 URGENT = "urgent"
 ROUTINE = "routine"
 CONTROL = "control"
-LANES = (URGENT, ROUTINE, CONTROL)
+# For what a node runs for its own callers; one way.
+RUNS = "runs"
+LANES = (URGENT, ROUTINE, CONTROL, RUNS)
--- a/src/marjoramtide/peers/_messages.py
+++ b/src/marjoramtide/peers/_messages.py
@@ -103,6 +103,19 @@
     size: int
 
 
+@attrs.frozen(slots=True)
+class RunsMessage:
+    """What the sender begins to run for its own callers, and which of these runs are over.
+
+    ``node`` is the sender, empty after the first message of a connection. ``begun`` holds a ticket
+    and a fingerprint for each run, ``ended`` tickets.
+    """
+
+    node: str
+    begun: list[Any]
+    ended: list[Any]
+
+
 @attrs.frozen(slots=True)
 class QuestionMessage:
     """A question of one node to another, beside callers' requests."""
--- /dev/null
+++ b/src/marjoramtide/peers/_run_listener.py
@@ -0,0 +1,14 @@
+"""Who is told what other nodes run for their own callers."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+from marjoramtide.peers._told_run import ToldRun
+
+
+class RunListener(ABC):
+    """Takes in what became of the connections by which nodes tell of their runs."""
+
+    @abstractmethod
+    def lost(self, node: str, runs: Sequence[ToldRun]) -> None:
+        """Note that such a connection broke, and what its node was running then."""
--- a/src/marjoramtide/peers/_server.py
+++ b/src/marjoramtide/peers/_server.py
@@ -11,6 +11,7 @@
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import RequestHandler
 from marjoramtide.peers._handshake import HANDSHAKE_TIMEOUT_S, open_as_server
+from marjoramtide.peers._lanes import RUNS
 from marjoramtide.peers._limits import (
     CLOSE_TIMEOUT_S,
     MAX_HANDSHAKE_BYTES,
@@ -18,6 +19,8 @@
     PING_TIMEOUT_S,
 )
 from marjoramtide.peers._peer_connection import PeerConnection
+from marjoramtide.peers._run_listener import RunListener
+from marjoramtide.peers._run_session import RunSession
 from marjoramtide.peers._session import QuestionHandler, Session
 from marjoramtide.sockets import notice_silence
 
@@ -34,6 +37,7 @@
     def __init__(self, key: str, clock: Clock, freeze: FreezeDetector) -> None:
         self.key = key
         self.handler: RequestHandler | None = None
+        self.run_listener: RunListener | None = None
         self.clock = clock
         self.freeze = freeze
         self.questions: dict[str, QuestionHandler] = {}
@@ -63,7 +67,7 @@
         notice_silence(socket.transport.get_extra_info("socket"))
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                await open_as_server(socket, self.key, peer)
+                lane = await open_as_server(socket, self.key, peer)
         except MarjoramtideError as error:
             await self.refuse(socket, error)
             return
@@ -74,6 +78,10 @@
                 MarjoramtideError(ErrorCode.BAD_KEY, reason, step="peers.handshake", peer=peer),
             )
             return
+        if lane == RUNS:
+            assert self.run_listener is not None
+            await RunSession(socket, peer, self.run_listener, self.clock).run()
+            return
         assert self.handler is not None
         session = Session(socket, peer, self.handler, self.questions, self.clock, self.freeze)
         self.sessions.add(session)
--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -221,6 +221,7 @@
             request_id=message.request_id,
             rank=message.rank,
             goal=math.inf if message.goal_ms < 0 else now + message.goal_ms / 1000,
+            relayed=True,
         )
         if not message.more:
             return await self.handler.handle(request, inline_body(message.body))
--- a/src/marjoramtide/quarantine/_news_codec.py
+++ b/src/marjoramtide/quarantine/_news_codec.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-from marjoramtide.checked import MalformedError
+from marjoramtide.checked import MalformedError, is_number
 from marjoramtide.policy import MAX_ENDS, ServerEnd, Suspicion
 
 SUBJECT = "quarantine"
@@ -84,11 +84,6 @@
     return ServerEnd(number, age_ms / 1000, ran_ms / 1000)
 
 
-def is_number(value: Any) -> bool:
-    """Tell whether a value is an unsigned number of 64 bits."""
-    return type(value) is int and 0 <= value < 1 << 64
-
-
 def is_duration(value: Any) -> bool:
     """Tell whether a value is a number of milliseconds that such news may tell."""
     return type(value) in (int, float) and 0 <= value <= LONGEST_MS
--- a/src/marjoramtide/quarantine/_quarantine_service.py
+++ b/src/marjoramtide/quarantine/_quarantine_service.py
@@ -95,6 +95,10 @@
         log.warning("quarantine.trial", step=STEP, **describe(suspect))
         self.spreader.tell_at_once([suspect])
 
+    def vouches_for(self, fingerprint: int) -> bool:
+        """Tell whether the backend server has completed a request lately, and nothing blames it."""
+        return fingerprint in self.completed_here and self.policy.find(fingerprint) is None
+
     def completed(self, fingerprint: int) -> None:
         if self.has_ended:
             self.server_replaced()
@@ -137,8 +141,8 @@
     def node_ended(self, member: Member, suspects: Sequence[Run]) -> None:
         """Suspect what was lost with a node that has ended; those of its service are told.
 
-        Its runs are known to the nodes that had sent them there, each of which tells its part of
-        the same end, by the same number.
+        Its runs are known to the nodes that had sent them there, and to its witness. Each tells its
+        part of the same end, by the same number.
         """
         now = self.clock.monotonic()
         service, end = member.service, member_key(member.node)
--- a/src/marjoramtide/serving/__init__.py
+++ b/src/marjoramtide/serving/__init__.py
@@ -15,6 +15,7 @@
 from marjoramtide.serving._reply_reading import ReplyReading, ReplyVerdict
 from marjoramtide.serving._run import Run
 from marjoramtide.serving._run_guard import RunGuard
+from marjoramtide.serving._run_reporter import RunReporter
 from marjoramtide.serving._server_load import ServerLoad
 from marjoramtide.serving._service import ServingService
 
@@ -35,6 +36,7 @@
     "ReplyVerdict",
     "Run",
     "RunGuard",
+    "RunReporter",
     "ServerLoad",
     "ServingService",
 ]
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -32,6 +32,7 @@
 from marjoramtide.serving._measurer import Measurer
 from marjoramtide.serving._request_kinds import RequestKinds
 from marjoramtide.serving._run_guard import NoGuard, RunGuard
+from marjoramtide.serving._run_reporter import NoReporter, RunReporter
 from marjoramtide.serving._server_ends import ServerEnds
 from marjoramtide.serving._server_load import ServerLoad
 from marjoramtide.serving._slot_queue import SlotQueue
@@ -60,12 +61,15 @@
         tracer: Tracer,
         guard: RunGuard | None = None,
         began_at: float | None = None,
+        reporter: RunReporter | None = None,
     ) -> None:
         """Without a ``guard`` the backend server may begin every request.
 
+        Without a ``reporter`` no other node knows what this one runs for its own callers.
         ``began_at`` is when this process began, in seconds of the monotonic clock; now by default.
         """
         self.guard = guard or NoGuard()
+        self.reporter = reporter or NoReporter()
         self.ends = ServerEnds(service, self.guard, clock, metrics)
         self.service = service
         self.is_open = False
@@ -311,6 +315,8 @@
         self.guard.begin(request, execution.fingerprint)
         try:
             async with asyncio.timeout(remaining):
+                if not request.relayed:
+                    await self.reporter.began(execution.ticket, execution.fingerprint)
                 if request.key and not request.idempotent:
                     return await self.claim_gate.send(execution, self.dispatch)
                 return await self.dispatch(execution)
@@ -399,6 +405,7 @@
 
     def done(self, execution: Execution) -> None:
         self.in_progress.pop(execution.ticket, None)
+        self.reporter.over(execution.ticket)
         self.running.pop(execution.request.request_id, None)
         if not self.in_progress:
             self.idle.set()
