One attempt of a caller loses two runs at most

Mend: the attempt knows its own losses at once. After two tries that broke off without an answer there is no third, nor after one while another try runs that began later than the lost one: that may be lost in the same way. A try that has run for longer than one that was lost speaks for the request, so that 'a second try fails while the first one runs' (unchanged) still asks a third node; so does one whose second try was refused.

What it costs: a request that loses two connections to resets gets 502 where the route allows three tries; callers repeat it themselves.

Seen failing without the rule (rows 1 to 4) and without the younger try (row 4).

--- a/features/path/hedging.feature
+++ b/features/path/hedging.feature
@@ -54,6 +54,26 @@
     Then the caller gets 503 from node-3
     And no answer is left open
 
+  Scenario Outline: A request that was lost with two servers is not given to a third one
+    # It may have ended them, and they may take so long to end that nobody knows of it yet.
+    Given a dispatcher with nodes that do <lost>, answer 200
+    When an idempotent request is dispatched
+    Then the caller gets an unknown outcome with the code <code>
+    And 2 nodes were asked
+
+    Examples:
+      | lost                                                | code           |
+      | lose, lose                                          | peer-lost      |
+      | crash, crash                                        | backend-failed |
+      | crash, lose                                         | backend-failed |
+      | crash after 60 ms, crash after 60 ms                | backend-failed |
+
+  Scenario: A third server is asked where the second one has refused
+    # One run was lost, the other one has not begun: two are allowed.
+    Given a dispatcher with nodes that do crash after 60 ms, unclaimed after 60 ms, answer 200
+    When an idempotent request is dispatched
+    Then the caller gets 200 from node-3
+
   Scenario: No second try where servers have just refused for want of room
     # More comes than the servers can do. The first try is slow as all are; a second one would take a
     # slot for which somebody else is refused.
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -33,7 +33,7 @@
 
 @attrs.define(eq=False)
 class ScriptedNodes:
-    """Stands for the peers: each does what its script says, ``hang``, ``lose`` or ``answer N``."""
+    """Stands for the peers: each does what its script says, ``hang``, ``lose``, ``answer N``."""
 
     scripts: dict[str, str]
     asked: list[str] = attrs.Factory(list)
@@ -53,11 +53,14 @@
         what, _, status = self.scripts[node].partition(" ")
         if what == "hang":
             await asyncio.Event().wait()
-        await asyncio.sleep(0)
+        delay_ms = float(status.split()[1]) if status.startswith("after") else 0.0
+        await asyncio.sleep(delay_ms / 1000)
         if what == "unclaimed":
             raise NotRunError(
                 ErrorCode.STORE_UNAVAILABLE, "no claim", step="test", retry_after_ms=1000
             )
+        if what == "crash":
+            raise UnknownOutcomeError(ErrorCode.BACKEND_FAILED, "ended", step="test", peer=node)
         if what == "lose":
             raise UnknownOutcomeError(ErrorCode.PEER_LOST, "lost", step="test", peer=node)
         self.open.add(node)
@@ -223,5 +226,6 @@
 
 
 @then("{count:d} node was asked")
+@then("{count:d} nodes were asked")
 def then_asked(context: Any, count: int) -> None:
     assert len(context.nodes.asked) == count, context.nodes.asked
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -17,6 +17,9 @@
 from marjoramtide.settings import RouteSettings
 
 SPREAD = 1.5
+# Runs that may be lost with their servers or nodes until a request is not given to another one.
+MAX_LOST = 2
+LOST = frozenset((ErrorCode.PEER_LOST, ErrorCode.BACKEND_FAILED, ErrorCode.TRUNCATED))
 
 
 @attrs.define(slots=True, eq=False, repr=False)
@@ -27,6 +30,8 @@
     it is set, "not run" would be a lie whatever later tries say. ``count`` is how many nodes were
     asked, ``turned_away`` how many of them refused before their backend server saw the request.
     ``slowed`` are nodes that refused only because their backend server is slow at this moment.
+    ``running`` holds when each try that has not ended was begun, by its node; ``lost`` when those
+    were that broke off without an answer, with whatever ran them.
     ``story`` holds what became of each try, for the log of a request that fails.
     """
 
@@ -39,6 +44,8 @@
     slowed: set[str] = attrs.Factory(set)
     count: int = 0
     turned_away: int = 0
+    running: dict[str, float] = attrs.Factory(dict)
+    lost: list[float] = attrs.Factory(list)
     unknown: UnknownOutcomeError | None = None
     refused: RequestFailedError | None = None
     answers: list[Answer] = attrs.Factory(list)
@@ -111,10 +118,35 @@
         hop and no execution. Servers that may have seen the request are what ``max_attempts``
         bounds; a try under way counts as one of them.
         """
+        if self.may_be_lost_again():
+            return False
         asks = self.settings.max_asks or self.settings.max_attempts
         reached_at_most = self.count - self.turned_away
         return self.count < asks and reached_at_most < self.settings.max_attempts
 
+    def may_be_lost_again(self) -> bool:
+        """Tell whether one more run might be the third that is lost.
+
+        Failure: a request ends the server that runs it, which takes some time to end, so that
+        nobody knows of it yet. Where the route allows three tries, one attempt of a caller ended
+        three servers; also by a second try beside the first, which was under way when that was
+        lost. A try that has run for longer than one that was lost speaks for the request.
+        """
+        if not self.lost:
+            return False
+        younger = sum(began > self.lost[-1] for began in self.running.values())
+        return len(self.lost) + younger >= MAX_LOST
+
+    def began(self, node: str, now: float) -> None:
+        """Note a try that begins."""
+        self.running[node] = now
+
+    def ended(self, node: str, error: BaseException | None = None) -> None:
+        """Note the end of a try, by an answer or an error."""
+        began = self.running.pop(node)
+        if isinstance(error, UnknownOutcomeError) and error.code in LOST:
+            self.lost.append(began)
+
     def final_error(self, now: float) -> RequestFailedError:
         """Return what the caller is told when there is no answer."""
         if self.unknown is not None:
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -326,9 +326,11 @@
         # Taken now, since the log is to tell what the choice rested on, not what came of it.
         believed = selector.believed(node, started)
         selector.sent(node, started)
+        attempts.began(node, started)
         try:
             answer = await self.send(attempts, node)
         except BaseException as error:
+            attempts.ended(node, error)
             code = getattr(error, "code", ErrorCode.CANCELLED)
             now = self.clock.monotonic()
             learn_failure(attempts, self.directory, node, error, now, (now - started) * 1000)
@@ -336,6 +338,7 @@
             await self.look_for_end(attempts, node, error, started)
             self.note_decision(attempts, node, started, str(code), message, believed)
             raise
+        attempts.ended(node)
         now = self.clock.monotonic()
         self.note_decision(attempts, node, started, ANSWERED, str(answer.status), believed)
         selector.answered(
