--- a/features/path/crashing_requests.feature
+++ b/features/path/crashing_requests.feature
@@ -22,6 +22,22 @@
     And in the last 5 s each deadly was refused as not-run, with 10 s to wait
     And every promise is kept
 
+  Scenario: A lookup that ends servers which go on taking connections for a while
+    # The connections of a server that ends break, yet it takes new ones for some time: nobody knows
+    # that it has ended when its callers' requests are to be tried elsewhere.
+    Given a mesh of 6 mapdesk nodes, whose servers "/deadly" ends within 200 ms, back after 1.5 s
+    And traffic: 60 lookups a second of mapdesk for 14 s
+      | key     | value |
+      | retries | 1     |
+    And traffic: 3 deadly a second of mapdesk for 12 s
+      | key  | value |
+      | from | 1     |
+    When the traffic enters by all nodes
+    Then no attempt of a caller ended more than 2 of them
+    And deadly ended at most 3 servers later than 3 s after the third end
+    And at least 98% of the lookups of the last 5 s completed
+    And every promise is kept
+
   Scenario Outline: A booking that ends each server that runs it
     # The same by a booking: nobody repeats it for its caller, so each attempt ends one server, and
     # its caller, who gets 502, books the same again; with a key, by another one.
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from typing import Any
 
+import attrs
 from behave import given, then, use_step_matcher  # type: ignore[attr-defined]
 
 from bench.load import Outcome
@@ -18,12 +19,31 @@
 )
 def given_mortal_mesh(context: Any, count: int, service: str, path: str, seconds: float) -> None:
     start_mesh(context, {service: count}, deadly=path)
+    supervise(context, seconds)
 
-    async def supervise() -> None:
+
+def supervise(context: Any, seconds: float) -> None:
+    async def begin() -> None:
         context.mesh.supervise_servers(seconds)
         await asyncio.sleep(0)
 
-    run(context, supervise())
+    run(context, begin())
+
+
+@given(
+    'a mesh of {count:d} {service} nodes, whose servers "{path}" ends within {most_ms:d} ms, '
+    "back after {seconds:g} s"
+)
+def given_lingering(
+    context: Any, count: int, service: str, path: str, most_ms: int, seconds: float
+) -> None:
+    """Start servers that take from none to ``most_ms`` milliseconds to end."""
+    start_mesh(context, {service: count}, deadly=path)
+    for number, each in enumerate(context.mesh.nodes):
+        lingers_ms = number * most_ms / (count - 1)
+        each.plan = attrs.evolve(each.plan, deadly_lingers_ms=lingers_ms)
+        run(context, each.set_faults(deadly_lingers_ms=lingers_ms))
+    supervise(context, seconds)
 
 
 @given('a mesh of {count:d} {service} nodes, whose servers "{path}" freezes')
@@ -49,6 +69,14 @@
     assert 0 < len(ends) <= most, f"{len(ends)} ends, {ends}\n{told(context)}"
 
 
+@then("{label} ended at most {most:d} servers later than {seconds:g} s after the third end")
+def ended_late(context: Any, label: str, most: int, seconds: float) -> None:
+    rows = sorted(row for each in context.mesh.nodes for row in each.journal())
+    ends = [at for at, request, _ in rows if request.startswith(f"{label}-")]
+    late = [at for at in ends if at > ends[min(2, len(ends) - 1)] + seconds]
+    assert ends and len(late) <= most, f"{len(late)} of {len(ends)} ends\n{told(context)}"
+
+
 @then("no attempt of a caller ended more than {most:d} of them")
 def ended_by_one(context: Any, most: int) -> None:
     """All tries of one attempt have its id."""
--- a/standins/backend/__main__.py
+++ b/standins/backend/__main__.py
@@ -18,6 +18,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--journal", default="", help="file to which executions are written")
     parser.add_argument("--deadly", default="", help="path of requests that end the stand-in")
+    parser.add_argument("--deadly-lingers-ms", type=float, default=0.0, help="how long it takes")
     parser.add_argument("--deadly-freezes", action="store_true", help="or that freeze it")
     return parser.parse_args()
 
@@ -36,7 +37,13 @@
         seed=options.seed,
         journal=options.journal,
     )
-    server.set_faults(Faults(deadly=options.deadly, deadly_freezes=options.deadly_freezes))
+    server.set_faults(
+        Faults(
+            deadly=options.deadly,
+            deadly_lingers_ms=options.deadly_lingers_ms,
+            deadly_freezes=options.deadly_freezes,
+        )
+    )
     print(json.dumps({"event": "listening", "address": server.name}), flush=True)
     await ended.wait()
     await server.close()
--- a/standins/backend/_faults.py
+++ b/standins/backend/_faults.py
@@ -28,6 +28,7 @@
     late_ms: float = 0.0
     deadly: str = ""  # the path of requests that end the stand-in while it runs them
     deadly_ms: float = 60.0  # how long it runs them until then
+    deadly_lingers_ms: float = 0.0  # then all connections break; it takes new ones for so long
     deadly_freezes: bool = False  # they don't end it, but freeze it
     noise_factor: float = 1.0  # neighbours slow the server by this factor in a share of all steps
     noise_share: float = 0.3
--- a/standins/backend/_server.py
+++ b/standins/backend/_server.py
@@ -52,6 +52,7 @@
         self.snapshots: deque[dict[str, object]] = deque(maxlen=2)
         self.sampler: asyncio.Task[None] | None = None
         self.crash: Callable[[], None] = end_process
+        self.ending: asyncio.Task[None] | None = None
         self.listener: asyncio.Server | None = None
 
     @staticmethod
@@ -126,7 +127,8 @@
                     self.set_faults(attrs.evolve(self.faults, freeze=True))
                     await self.thawed.wait()
                 else:
-                    self.crash()
+                    # A task of its own: this one ends with its connection.
+                    self.ending = asyncio.create_task(self.end())
             own_ms = request.number("ms")
             await asyncio.sleep(
                 self.service_time.draw_s(self.faults, began, self.cold_since, own_ms)
@@ -134,6 +136,16 @@
         finally:
             self.ledger.busy_s += self.now() - began
 
+    async def end(self) -> None:
+        """End by a request: all connections break, and new ones are taken for some time."""
+        if self.faults.deadly_lingers_ms:
+            for connection in list(self.connections):
+                if connection.transport is not None:
+                    connection.transport.abort()
+            self.thawed.clear()
+            await asyncio.sleep(self.faults.deadly_lingers_ms / 1000)
+        self.crash()
+
     def write_journal(self, request_id: str, key: str) -> None:
         """Write the execution down at once, where it outlasts this process."""
         if self.journal is not None:
--- a/standins/mesh/_mesh_node.py
+++ b/standins/mesh/_mesh_node.py
@@ -77,6 +77,7 @@
         arguments += ["--service-ms", str(plan.service_ms), "--seed", str(plan.seed)]
         arguments += ["--journal", str(self.journal_file)]
         arguments += ["--connections", str(plan.connections), "--deadly", plan.deadly]
+        arguments += ["--deadly-lingers-ms", str(plan.deadly_lingers_ms)]
         arguments += ["--deadly-freezes"] if plan.deadly_freezes else []
         self.server = await start_process(f"{self.name}-backend", arguments, self.folder)
 
--- a/standins/mesh/_plan.py
+++ b/standins/mesh/_plan.py
@@ -13,6 +13,7 @@
     """One backend server with its node.
 
     ``deadly`` is the path of requests that end the backend server while it runs them, or freeze it.
+    It goes on taking connections for ``deadly_lingers_ms`` while it ends.
     """
 
     service: str
@@ -22,6 +23,7 @@
     seed: int = 1
     connections: int = 250
     deadly: str = ""
+    deadly_lingers_ms: float = 0.0
     deadly_freezes: bool = False
 
 
