The addresses of the announcements are tried as soon as they are read

Cause: the addresses waited for the next tick (0.1 s), and where a tick had come before them, which found nothing to try, for 0.2 s more. Now they are tried when they are read, and a tick without addresses counts for nothing. Seen failing without either: 0 pings in place of 3.

--- a/features/membership/announcements.feature
+++ b/features/membership/announcements.feature
@@ -13,6 +13,13 @@
       | fleet of many  | once        | 1      | 790   | 1     | 1    |
       | fleet of one   | every 10 s  | 1      | 1     | 7     | 15   |
 
+  Scenario: The addresses of the list are tried as soon as it is read
+    # A node that starts again serves callers by what it knows itself until it has met another. Its
+    # first addresses waited for up to 0.3 s, for the next tick and for the one after that.
+    Given a membership that has ticked for 0.1 s without an address to try
+    When it reads a list of 5 others
+    Then it has sent pings to 3 of them
+
   Scenario Outline: A list that may be old is enough where it tells of somebody
     # A list of seconds ago is a tenth as dear. Read blindly, two nodes that start at once could both
     # miss each other. One that holds what this node has just written can't be older than that; an
--- a/features/steps/announcements_steps.py
+++ b/features/steps/announcements_steps.py
@@ -8,13 +8,15 @@
 
 from bench.memory_store import MemoryStore
 from marjoramtide.clock import ManualClock
-from marjoramtide.membership import Member, MemberState
+from marjoramtide.membership import Member, MembershipService, MemberState, PacketCodec, SwimCore
 from marjoramtide.membership._announcement import announcement_of
 from marjoramtide.membership._announcer import Announcer
+from marjoramtide.membership._bulletin import BulletinCodec
 from marjoramtide.store import StoredObject
 
 use_step_matcher("parse")
 
+KEY = "a key for announcements only"
 TURNS = 20
 BEFORE_S = 4.0
 
@@ -128,3 +130,31 @@
 @then("it has read the announcements {least:d} to {most:d} times")
 def then_read(context: Any, least: int, most: int) -> None:
     assert least <= context.store.lists <= most, context.store.lists
+
+
+@given("a membership that has ticked for {seconds:g} s without an address to try")
+def given_ticking(context: Any, seconds: float) -> None:
+    rng, clock = random.Random(1), ManualClock()
+    own = Member("own", "s", "r", "d", "127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1")
+    core = SwimCore(own, PacketCodec(KEY), rng)
+    context.membership = MembershipService(core, BulletinCodec(KEY), MemoryStore(), clock, rng)
+    context.sent = []
+    context.membership._send = lambda address, data: context.sent.append(address)
+    for _ in range(round(seconds / core.options.tick_s)):
+        core.tick(clock.monotonic(), clock.wall())
+        clock.advance(core.options.tick_s)
+
+
+@when("it reads a list of {count:d} others")
+def reads_list(context: Any, count: int) -> None:
+    addresses = [f"127.0.0.1:{number}" for number in range(10, 10 + count)]
+    members = [
+        Member(f"n{number}", "s", "r", "d", address, address, address)
+        for number, address in enumerate(addresses)
+    ]
+    context.membership._found([announcement_of(member, 0.0) for member in members])
+
+
+@then("it has sent pings to {count:d} of them")
+def has_sent(context: Any, count: int) -> None:
+    assert len(set(context.sent)) == len(context.sent) == count, context.sent
--- a/src/marjoramtide/membership/_membership_service.py
+++ b/src/marjoramtide/membership/_membership_service.py
@@ -211,6 +211,8 @@
         known = {member.gossip_address for member in self.members()}
         addresses = [item.gossip_address for item in announcements]
         self.core.add_seeds([address for address in addresses if address not in known])
+        self.core.seek(self.clock.monotonic(), self.clock.wall())
+        self._flush()
 
 
 def make_membership(
--- a/src/marjoramtide/membership/_swim_core.py
+++ b/src/marjoramtide/membership/_swim_core.py
@@ -113,6 +113,12 @@
         self.seeds = [item for item in addresses if item != self.own.member.gossip_address]
         self.untried_seeds = True
 
+    def seek(self, now: float, wall: float) -> None:
+        """Try seeds at once, where it is time for it, rather than at the next tick."""
+        self._advance(now, wall)
+        if not (self.left or self.superseded):
+            self._try_seeds(now)
+
     def try_address(self, address: str) -> None:
         """Ping whoever listens at a gossip address, to find a part of the fleet not yet known."""
         self.sender.send(Kind.PING, address, 0, number=self.detector.next_number())
@@ -299,7 +305,7 @@
         # where nobody listens yet, and knows only itself for another second: it refuses what is for
         # other services, and its own backend server gets all the rest.
         new = now - self.started < NEW_FOR_S
-        if now - self.last_seed < (NEW_INTERVAL_S if new else SEED_INTERVAL_S):
+        if not self.seeds or now - self.last_seed < (NEW_INTERVAL_S if new else SEED_INTERVAL_S):
             return
         self.last_seed = now
         self.untried_seeds = False
