A fleet that stood still goes on while the store answers nothing

Cause: a node that was stopped is not current until somebody tells it what is in force. None of its peers is current, so each of its five rounds asks the store, and waits for the two seconds that a call may take before it times out. (The log lines of the play: only settings.store, one each 2 s and more.)

Mend: a node that has peers' answers to go on by waits 0.5 s for the store, and leaves it alone for 1 to 3 s when it got none. The five rounds, and what they ask, are unchanged: the scenario of nodes that were frozen beside others that were not holds as it stands.

Seen failing without the patience and without the pause.

--- a/features/settings/following.feature
+++ b/features/settings/following.feature
@@ -168,6 +168,15 @@
     Then no settings node is current
     And within 10 s every settings node is current
 
+  Scenario: A whole region that was frozen at once does not wait for a store that answers nothing
+    Each of its rounds would take as long as a call takes to time out, and callers get nothing.
+    Given the settings store hangs
+    And every settings node is frozen
+    And 60 s pass for the settings nodes
+    When every settings node wakes
+    Then no settings node is current
+    And within 3 s every settings node is current
+
   Scenario: Many nodes were frozen at once, and ask each other when they wake
     None of them knows of the change. One that takes another's word for it would serve callers by
     the old settings.
--- a/features/settings_fakes.py
+++ b/features/settings_fakes.py
@@ -44,6 +44,7 @@
         self.events: list[WatchEvent] = []
         self.version = 0
         self.down = False
+        self.hangs = False
         self.faults: list[str] = []
         self.late: Callable[[], None] | None = None
         self.stale: dict[str, StoredObject] | None = None
@@ -153,6 +154,9 @@
 
     async def get(self, key: str, *, timeout: float = 2.0) -> StoredObject:
         store = self.store()
+        if store.hangs:
+            await self.node.fleet.clock.sleep(timeout)
+            raise failure(ErrorCode.STORE_UNAVAILABLE)
         found = store.read(key) if key in store.objects else None
         await self.finish(store)
         if found is None:
--- a/features/steps/settings_fleet_steps.py
+++ b/features/steps/settings_fleet_steps.py
@@ -151,6 +151,11 @@
     context.fleet.store.gap = True
 
 
+@given("the settings store hangs")
+def given_hangs(context: Any) -> None:
+    context.fleet.store.hangs = True
+
+
 @given("the settings store is down")
 def given_down(context: Any) -> None:
     context.fleet.store.down = True
--- a/src/marjoramtide/platform/_configuration.py
+++ b/src/marjoramtide/platform/_configuration.py
@@ -28,9 +28,9 @@
     def __init__(self, base: dict[str, Any]) -> None:
         self.base = base
 
-    async def read(self, store: ObjectStore) -> tuple[StoredObject | None, int]:
+    async def read(self, store: ObjectStore, timeout: float) -> tuple[StoredObject | None, int]:
         # A list, since it also tells where a watch goes on; the kind holds this one object.
-        listing = await store.list(KIND)
+        listing = await store.list(KIND, timeout=timeout)
         found = next((each for each in listing if each.key == self.key), None)
         return found, listing.version
 
--- a/src/marjoramtide/settings/sync/_follower.py
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -15,7 +15,7 @@
 from marjoramtide.settings.sync._backoff import backoff
 from marjoramtide.settings.sync._peer_settings import PeerSettings
 from marjoramtide.settings.sync._side_news import NoSideNews, SideNews
-from marjoramtide.settings.sync._tree_store import StoredTree, TreeStore
+from marjoramtide.settings.sync._tree_store import READ_TIMEOUT_S, StoredTree, TreeStore
 from marjoramtide.settings.sync._watchers import choose_watchers
 
 CHECKS_IN_BOUND = 4
@@ -32,6 +32,10 @@
 # seconds. Peers are asked meanwhile, and gossip tells of the first that finds one: a fleet that
 # waits for its first tree would otherwise make up to ten calls a second and node.
 ABSENT_PAUSE_S = 1.0
+# How long a node that isn't current waits for the store in one round, in seconds, and how long it
+# then leaves the store alone and goes by its peers.
+STORE_PATIENCE_S = 0.5
+UNANSWERED_PAUSE_S = 2.0
 PULL_MOST_S = 5.0
 # For how long a node that starts looks for others before it goes by a store that may have come back
 # from a copy, in seconds, and between two looks. They are found within 0.4 s where any are there.
@@ -144,31 +148,58 @@
         if self.clock.monotonic() < self.ask_store_from:
             return False
         try:
-            stored = await self.trees.read()
-            if not self.view.is_current:
-                await self._learn_beside()
+            stored = await self._read_store()
         except MarjoramtideError as error:
             self.store_answers = False
+            if self._can_go_on():
+                self._leave_store_alone(UNANSWERED_PAUSE_S)
             log.info("settings.store", error=str(error), code=error.code)
             return False
         self.store_answers = True
         if stored is None:
             # No tree: true of a fleet that has none yet, but also what a stale read says.
-            pause_s = ABSENT_PAUSE_S * (0.5 + self.rng.random())
-            self.ask_store_from = self.clock.monotonic() + pause_s
+            self._leave_store_alone(ABSENT_PAUSE_S)
             return self.view.revision == 0 and self.trees.source.may_be_absent
         level = self.adopter.adopt(stored.envelope, "store")
         # An answer older than what is in force here is a stale one: it proves nothing.
         return level and stored.envelope.revision >= self.view.revision
 
-    async def _learn_beside(self) -> None:
-        """Learn what else a node must know before it serves by what the store holds.
+    def _can_go_on(self) -> bool:
+        """Tell whether this node isn't current, and has peers' answers to go on by."""
+        return bool(self.view.revision) and not self.view.is_current and self.peers_answered
+
+    def _store_patience_s(self) -> float:
+        """Return how long one read of the store may take.
+
+        Failure: all nodes are stopped for a moment while the store answers nothing. None of them is
+        current, each waits for the store in each of its rounds, and the fleet refuses everything
+        for as long as five calls take to time out. A node that has nothing to go on by waits.
+        """
+        return STORE_PATIENCE_S if self._can_go_on() else READ_TIMEOUT_S
+
+    def _leave_store_alone(self, seconds: float) -> None:
+        """Ask the store no more for about so many seconds."""
+        self.ask_store_from = self.clock.monotonic() + seconds * (0.5 + self.rng.random())
+
+    async def _read_store(self) -> StoredTree | None:
+        """Return the tree, and learn what else a node must know that isn't current.
+
+        That is read at the same time, since callers wait for both.
+        """
+        reading = self.trees.read(self._store_patience_s())
+        if self.view.is_current:
+            return await reading
+        stored, _ = await asyncio.gather(reading, self.side_news.read_store())
+        await self._hear_others()
+        return stored
+
+    async def _hear_others(self) -> None:
+        """Hear what others have in force before this node serves by what the store holds.
 
         Failure: the store has come back from a copy that lacks the newest settings, or all of them,
         and a node that starts serves callers by older ones than all others do. A store that tells
         of its epochs may lack something; whoever is there knows better.
         """
-        await self.side_news.read_store()
         if not self.trees.store.epoch or self.view.revision:
             return
         until = self.clock.monotonic() + MEET_S
--- a/src/marjoramtide/settings/sync/_own_tree_source.py
+++ b/src/marjoramtide/settings/sync/_own_tree_source.py
@@ -15,9 +15,9 @@
     may_be_absent = True
     is_ours = True
 
-    async def read(self, store: ObjectStore) -> tuple[StoredObject | None, int]:
+    async def read(self, store: ObjectStore, timeout: float) -> tuple[StoredObject | None, int]:
         try:
-            stored = await store.get(self.key)
+            stored = await store.get(self.key, timeout=timeout)
         except MarjoramtideError as error:
             if error.code is ErrorCode.NOT_FOUND:
                 return None, 0
--- a/src/marjoramtide/settings/sync/_tree_source.py
+++ b/src/marjoramtide/settings/sync/_tree_source.py
@@ -19,8 +19,11 @@
     """Whether nodes write the object; else they only follow what another system writes there."""
 
     @abstractmethod
-    async def read(self, store: ObjectStore) -> tuple[StoredObject | None, int]:
-        """Return the object, and the store's version from which a watch goes on."""
+    async def read(self, store: ObjectStore, timeout: float) -> tuple[StoredObject | None, int]:
+        """Return the object, and the store's version from which a watch goes on.
+
+        Raises what the store does, ``store-unavailable`` after ``timeout`` seconds among it.
+        """
 
     @abstractmethod
     def decode(self, stored: StoredObject) -> Envelope:
--- a/src/marjoramtide/settings/sync/_tree_store.py
+++ b/src/marjoramtide/settings/sync/_tree_store.py
@@ -17,6 +17,7 @@
 
 HISTORY_PREFIX = "settings/history/"
 HISTORY_KEPT = 1000
+READ_TIMEOUT_S = 2.0
 ATTEMPTS = 4
 CERTAINLY_NO_EFFECT = (ErrorCode.STORE_UNAVAILABLE, ErrorCode.STORE_THROTTLED)
 
@@ -40,13 +41,15 @@
     rng: random.Random
     source: TreeSource = attrs.field(factory=OwnTreeSource)
 
-    async def read(self) -> StoredTree | None:
+    async def read(self, timeout: float = READ_TIMEOUT_S) -> StoredTree | None:
         """Return the tree, or ``None`` where none was ever written; raises what the store does."""
-        return (await self.read_with_position())[0]
+        return (await self.read_with_position(timeout))[0]
 
-    async def read_with_position(self) -> tuple[StoredTree | None, int]:
+    async def read_with_position(
+        self, timeout: float = READ_TIMEOUT_S
+    ) -> tuple[StoredTree | None, int]:
         """Return the tree, and the store's version from which a watch goes on."""
-        stored, position = await self.source.read(self.store)
+        stored, position = await self.source.read(self.store, timeout)
         if stored is None:
             return None, position
         return StoredTree(self.source.decode(stored), stored.version), position
