After a stop requests wait until the node has asked what is in force, as after a start

Cause: it knows that within 0.1 to 0.4 s, from the store, but what comes before is refused. For a start this was mended by letting requests wait for 0.5 s at most; a stop is the same. Whoever looks at the clock first finds it, before a request is refused for it.

Ways weighed: serving on for a moment by the settings of before the stop. A scenario says that a node refuses from its first look until it has asked, and it is right: a change may have passed it by.

Seen failing without the listener, and without the look.

--- a/features/path/start_up.feature
+++ b/features/path/start_up.feature
@@ -20,6 +20,18 @@
     When a request comes to it, and 0.9 s later news of a node
     Then it was refused within 0.7 s as no-candidate
 
+  Scenario: A request that has waited while the node stood still is served
+    # A host stops all its processes for a second. None of them can know which settings are in force
+    # until it has asked again, and all that waited was refused by the whole fleet in one moment.
+    Given a callers' port that has long been up, and stood still for 1 s
+    When a caller asks there, and 0.1 s later the settings come
+    Then the caller gets 200
+
+  Scenario: A node that can't know which settings are in force does not let requests wait for long
+    Given a callers' port that has long been up, and stood still for 1 s
+    When a caller asks there, and 0.9 s later the settings come
+    Then the caller gets 503
+
   Scenario: A request that comes before the settings is served
     # The port is open before the store has answered. A caller's request waits the tenth of a second
     # until the settings are there, and is then handled by them.
--- a/features/steps/start_up_steps.py
+++ b/features/steps/start_up_steps.py
@@ -10,7 +10,7 @@
 
 from features.steps.ingress_callers_steps import answer_at_once
 from features.steps.slowed_steps import SETTINGS, SlowedNodes
-from marjoramtide.clock import SystemClock
+from marjoramtide.clock import FreezeDetector, SystemClock
 from marjoramtide.exchange import Answer, NotRunError, Request, inline_body
 from marjoramtide.ingress import Dispatcher, Ingress, StartUp
 from marjoramtide.membership import Member, MemberState
@@ -102,9 +102,10 @@
     assert context.took_s < seconds, context.took_s
 
 
-@given("a callers' port in its first moments without settings")
-def given_port(context: Any) -> None:
+def start_port(context: Any) -> None:
+    """Start a callers' port whose node holds no settings in force."""
     clock = SystemClock()
+    context.freeze = FreezeDetector(clock)
     context.view = SimpleNamespace(
         is_current=False,
         revision=0,
@@ -113,7 +114,7 @@
         on_change=lambda listener: None,
     )
     context.runner = context.cleanup.enter_context(asyncio.Runner())
-    context.start_up = StartUp(clock)
+    context.start_up = StartUp(clock, context.freeze)
     context.ingress = Ingress(
         "n",
         context.view,
@@ -123,11 +124,22 @@
         Tracer("n", clock, random.Random(1)),
         start_up=context.start_up,
     )
-    context.start_up.begin()
     context.runner.run(context.ingress.start("127.0.0.1", 0))
     context.cleanup.callback(lambda: context.runner.run(context.ingress.close()))
 
 
+@given("a callers' port in its first moments without settings")
+def given_port(context: Any) -> None:
+    start_port(context)
+    context.start_up.begin()
+
+
+@given("a callers' port that has long been up, and stood still for {seconds:g} s")
+def given_stopped_port(context: Any, seconds: float) -> None:
+    start_port(context)
+    context.freeze.last_look -= seconds
+
+
 @when("a caller asks there, and {seconds:g} s later the settings come")
 def asks_before_settings(context: Any, seconds: float) -> None:
     port = context.ingress.runner.addresses[0][1]
--- a/src/marjoramtide/clock/_freeze.py
+++ b/src/marjoramtide/clock/_freeze.py
@@ -1,5 +1,7 @@
 """Finding out that this process was stopped for a while."""
 
+from collections.abc import Callable
+
 from marjoramtide.clock._clock import Clock
 
 TICK_S = 0.05
@@ -22,12 +24,20 @@
         self.last_look = clock.monotonic()
         self.thawed_at = float("-inf")
         self.count = 0
+        self.listeners: list[Callable[[], None]] = []
+
+    def on_thaw(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when a stop has been found."""
+        self.listeners.append(listener)
 
     def was_frozen(self, now: float) -> bool:
         """Look at the clock; tell whether the process has just come back from a stop."""
         if now - self.last_look > FREEZE_S:
             self.thawed_at = now
             self.count += 1
+            self.last_look = now
+            for listener in self.listeners:
+                listener()
         self.last_look = now
         return now - self.thawed_at < RECOVERY_S
 
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -144,7 +144,7 @@
             lambda: self.settings_changed(self.view.revision),
         )
         self.quarantine.held_listener = self.serving.refuse_held
-        self.start_up = StartUp(self.clock)
+        self.start_up = StartUp(self.clock, self.freeze)
         self.peer_ends = PeerEnds(
             self.peer_client,
             self.clock,
