Scenario of a suspended machine: it serves nobody until it has asked, and refuses where it can't

The scenario asserted that the first request after a suspension is refused. What the check is for is that nothing is served by what may have been replaced. It is replaced by two as strict: the first request is answered only once the node has asked after the suspension, by the time of its question; and with the store away and no peer that knows it is refused with when to come back, as before. Both fail where a node does not mind a stop (the check of Freshness taken out).

--- a/features/steps/platform_machines_steps.py
+++ b/features/steps/platform_machines_steps.py
@@ -29,6 +29,7 @@
 
 @when("the machines are suspended for {seconds:g} s")
 def suspended(context: Any, seconds: float) -> None:
+    context.woke_at = time.clock_gettime(time.CLOCK_BOOTTIME) + seconds
     shift_clocks(context, since_boot_s=seconds)
 
 
@@ -44,6 +45,18 @@
     assert float(result.headers["Retry-After"]) >= 0, result.headers
 
 
+@then(
+    "the first request through node {number:d} is answered {status:d}, "
+    "and the node had asked what is in force"
+)
+def answered_after_asking(context: Any, number: int, status: int) -> None:
+    freshness = seat(context, number).node.view.freshness
+    assert freshness.caught_up_at < context.woke_at, "it asked before the first request"
+    result = run(context, context.fleet.call(seat(context, number)))
+    assert result.status == status, result
+    assert freshness.caught_up_at >= context.woke_at, (freshness.caught_up_at, context.woke_at)
+
+
 @then("a request through node {number:d} is answered {status:d} within {seconds:g} s")
 def answered_soon(context: Any, number: int, status: int, seconds: float) -> None:
     async def ask() -> None:
