Stand-in: ending by a request has a name of its own

The platform's stand-in has an end() of its own, which the common one called in its place since it lets servers linger: no server ended in platform/crashing_requests (three scenarios failed at 'at most 3 servers ended', none had).

--- a/standins/backend/_server.py
+++ b/standins/backend/_server.py
@@ -128,7 +128,7 @@
                     await self.thawed.wait()
                 else:
                     # A task of its own: this one ends with its connection.
-                    self.ending = asyncio.create_task(self.end())
+                    self.ending = asyncio.create_task(self.end_by_request())
             own_ms = request.number("ms")
             await asyncio.sleep(
                 self.service_time.draw_s(self.faults, began, self.cold_since, own_ms)
@@ -136,7 +136,7 @@
         finally:
             self.ledger.busy_s += self.now() - began
 
-    async def end(self) -> None:
+    async def end_by_request(self) -> None:
         """End by a request: all connections break, and new ones are taken for some time."""
         if self.faults.deadly_lingers_ms:
             for connection in list(self.connections):
