Scenario of a stopped node goes by what the loop could run

Open finding: 'A node that is stopped serves callers' fails on an overloaded machine, and what its bounds should go by was open.

The scenario now knows when the loop stood still for over 0.25 s. A request of such a moment is not judged; at least one other must be.

--- a/features/platform_harness.py
+++ b/features/platform_harness.py
@@ -9,6 +9,7 @@
 import attrs
 from aiohttp import web
 
+from features.loop_stops import LoopStops
 from marjoramtide.daemon._node import Node
 from marjoramtide.platform import platform_interface
 from marjoramtide.settings import NodeSettings
@@ -75,8 +76,10 @@
         }
         self.service_fields: dict[str, Any] = {}
         self.store_url = ""
+        self.stops = LoopStops()
 
     async def start(self) -> None:
+        self.stops.start()
         await self.runner.setup()
         await web.TCPSite(self.runner, self.host, 0).start()
         self.store_url = "http://{}:{}".format(*self.runner.addresses[0][:2])
@@ -190,6 +193,7 @@
             )
 
     async def close(self) -> None:
+        self.stops.close()
         for seat in self.seats:
             await seat.node.membership.stop(leave=False)
             await seat.node.ingress.close()
