What waits behind others is refused as soon as it can no longer end in time

Cause, by what each node decided (trial with these lines): the request waits at its first node until it can't meet its goal, goes to a second one, is queued there behind all that still can, as it should, with 0.6 s left, and nobody looks at it again. Whether a waiting request is too late was asked of the first of its class alone, and those before it come anew all the time. So it is with every request that waits behind others of a higher rank.

Mend: all that waits also stands in the order of when it must start, and that one's first is asked. A request that is due at its deadline may now wait as long as the quickest run of its kind could still end in time; the mean had been kept, of which half take less.

Both rows of the new scenario failed before.

--- a/features/policy/admission.feature
+++ b/features/policy/admission.feature
@@ -49,6 +49,20 @@
     And the clock of the admission moves on by 1 ms
     Then the routine requests due in 60 ms are dropped and no others
 
+  Scenario Outline: What waits behind others is refused as soon as it can no longer end in time
+    # A caller gets no answer at all until its deadline, and then no time to come back.
+    Given an admission with 4 slots, 0 of them urgent, and executions of 20 ms
+    When 4 routine requests due in 1000 ms arrive
+    And 1 <last> requests due in 45 ms arrive
+    And 8 <others> requests due in 1000 ms arrive
+    And the clock of the admission moves on by 26 ms
+    Then the <last> requests due in 45 ms are dropped and no others
+
+    Examples:
+      | last    | others     |
+      | routine | first-rank |
+      | overdue | routine    |
+
   Scenario: In a surge of urgent work routine work is refused on arrival
     # Routine callers wait most of their deadline for a slot that the next urgent request takes, and
     # hear of it when it is too late to go elsewhere.
--- a/features/policy_fakes.py
+++ b/features/policy_fakes.py
@@ -101,6 +101,7 @@
             True,
             due,
             attempt,
+            goal=self.now if kind == "overdue" else float("inf"),
             rank=0 if kind == "first-rank" else 1,
             is_call=kind == "call",
         )
--- a/src/marjoramtide/policy/admission/_class_queue.py
+++ b/src/marjoramtide/policy/admission/_class_queue.py
@@ -7,9 +7,9 @@
 
 @attrs.define(slots=True, eq=False, repr=False)
 class ClassQueue:
-    """Tickets in the order of their deadlines (earliest deadline first).
+    """Tickets in the order of a time, the earliest first.
 
-    A sorted list instead of a heap, because admission asks how many are ahead of a deadline: a
+    A sorted list instead of a heap, because admission asks how many are ahead of a time: a
     heap can't tell without reading all of it. Searching takes O(log n); inserting moves pointers
     within a list that ``queue_limit`` bounds.
     """
@@ -19,23 +19,19 @@
     def __len__(self) -> int:
         return len(self.entries)
 
-    def ahead_of(self, deadline: float) -> int:
-        """Return how many would run before a request with ``deadline``."""
-        return bisect.bisect_right(self.entries, (deadline, 1 << 62))
+    def ahead_of(self, time: float) -> int:
+        """Return how many would run before a request with this time."""
+        return bisect.bisect_right(self.entries, (time, 1 << 62))
 
-    def add(self, deadline: float, ticket: int) -> None:
-        bisect.insort(self.entries, (deadline, ticket))
+    def add(self, time: float, ticket: int) -> None:
+        bisect.insort(self.entries, (time, ticket))
 
-    def remove(self, deadline: float, ticket: int) -> None:
+    def remove(self, time: float, ticket: int) -> None:
         """Remove an entry that is queued."""
-        position = bisect.bisect_left(self.entries, (deadline, ticket))
+        position = bisect.bisect_left(self.entries, (time, ticket))
         del self.entries[position]
 
     @property
     def first(self) -> int:
-        """Return the ticket with the earliest deadline."""
+        """Return the ticket with the earliest time."""
         return self.entries[0][1]
-
-    def pop(self) -> int:
-        """Remove and return the ticket with the earliest deadline."""
-        return self.entries.pop(0)[1]
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -9,13 +9,13 @@
 from marjoramtide.exchange import LoadReport, first_sequence
 from marjoramtide.policy._call_profile import CallProfile
 from marjoramtide.policy.admission._admission import Admission, Decision, Verdict
-from marjoramtide.policy.admission._class_queue import ClassQueue
 from marjoramtide.policy.admission._cold_gate import ColdGate, ColdRule
 from marjoramtide.policy.admission._execution_times import ExecutionTimes
 from marjoramtide.policy.admission._limiter import Limiter
 from marjoramtide.policy.admission._limiters import make_limiter
 from marjoramtide.policy.admission._rank_shares import RankShares
 from marjoramtide.policy.admission._run_estimates import RunEstimates
+from marjoramtide.policy.admission._waiting_requests import Place, WaitingRequests
 from marjoramtide.policy.pace import Pace
 from marjoramtide.settings import RouteSettings
 
@@ -50,11 +50,9 @@
     started_at: float
     accepting: bool = True
     runs: RunEstimates = attrs.Factory(RunEstimates)
-    urgent: ClassQueue = attrs.Factory(ClassQueue)
-    routine: ClassQueue = attrs.Factory(ClassQueue)
+    waiting: WaitingRequests = attrs.Factory(WaitingRequests)
     profiles: dict[int, CallProfile] = attrs.Factory(dict)
     dues: dict[int, float] = attrs.Factory(dict)
-    orders: dict[int, float] = attrs.Factory(dict)
     began_with: dict[int, int] = attrs.Factory(dict)
     incarnation: int = 0
     sequence: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(first_sequence(0)))
@@ -137,7 +135,7 @@
         return self._start_queued(now)
 
     def release(self) -> list[int]:
-        queued = [ticket for _, ticket in self.urgent.entries + self.routine.entries]
+        queued = self.waiting.tickets()
         for ticket in queued:
             self._drop_queued(ticket)
         return queued
@@ -186,7 +184,7 @@
         due = self.dues[ticket]
         remaining_ms = (due - now) * 1000
         order = self._order(profile, due, now)
-        ahead = self._ahead(profile.urgent, order)
+        ahead = self.waiting.ahead_of(profile.urgent, order)
         wait_ms = self._wait_ms(ahead, profile, service_ms)
         own_ms = self.runs.own_ms(profile, due, now)
         if self.gate.is_cold(now):
@@ -199,19 +197,18 @@
         if profile.urgent and self.urgent_slots and own_ms:
             # Slots that only urgent requests use free at their pace, not at that of the rest.
             wait_ms = min(wait_ms, (ahead + 1) * own_ms / min(self.urgent_slots, self.limit))
-        queue = self._queue(profile.urgent)
-        if len(queue) >= self.queue_limit:
+        if len(self.waiting.of(profile.urgent)) >= self.queue_limit:
             return _reject(ErrorCode.OVERLOADED, wait_ms)
         lateness_ms = wait_ms + own_ms - remaining_ms
         if lateness_ms > 0:
             # Failure: a request waits its whole deadline in a queue that could never have served
             # it, and the caller is told at the end. Refused now, the caller can go elsewhere.
             return _reject(ErrorCode.OVERLOADED, min(lateness_ms, wait_ms))
-        queue.add(order, ticket)
+        starts_by = self.runs.latest_start(profile, due)
+        self.waiting.add(ticket, Place(profile.urgent, order, starts_by))
         self._wait_for_gate(now)
-        self.orders[ticket] = order
         self.profiles[ticket] = profile
-        if profile.urgent and len(self.routine):
+        if profile.urgent and len(self.waiting.routine):
             self.recheck_at = now
         return Decision(Verdict.QUEUE)
 
@@ -252,7 +249,7 @@
 
     def expire(self, now: float) -> list[int]:
         service_ms = self.times.expected_ms(now)
-        late = self._too_late(self.urgent, now) + self._too_late(self.routine, now)
+        late = self._too_late(now)
         stalls_at = self._next_stall()
         if stalls_at is not None and stalls_at <= now:
             self.stall_seen = stalls_at
@@ -263,20 +260,13 @@
         return late
 
     def next_expiry(self) -> float | None:
-        times = [self._latest_start(queue) for queue in (self.urgent, self.routine) if len(queue)]
-        if self.recheck_at is not None and times:
-            times.append(self.recheck_at)
-        stalls_at = self._next_stall()
-        if stalls_at is not None:
-            times.append(stalls_at)
-        if self.resume_at is not None and times:
-            times.append(self.resume_at)
-        if self.gate_opens_at is not None and times:
-            times.append(self.gate_opens_at)
-        return min(times, default=None)
+        if not self.waiting:
+            return None
+        looks = (self.recheck_at, self._next_stall(), self.resume_at, self.gate_opens_at)
+        return min([self._first_late(), *(each for each in looks if each is not None)])
 
     def come_back_ms(self, now: float) -> int:
-        waiting = len(self.urgent) + len(self.routine)
+        waiting = len(self.waiting)
         ahead = waiting + max(0, self.in_use + 1 - self.limit)
         slot_ms = ahead * self.times.expected_ms(now) / self.limit
         return max(1, round(max(slot_ms, self.gate.wait_s(waiting, now) * 1000)))
@@ -287,8 +277,8 @@
         return LoadReport(
             in_use=self.in_use,
             limit=round(min(self.limit, borne)),
-            queued_urgent=len(self.urgent),
-            queued_routine=len(self.routine),
+            queued_urgent=len(self.waiting.urgent),
+            queued_routine=len(self.waiting.routine),
             service_time_ms=self.times.expected_ms(now),
             success_rate=self.times.success.value,
             accepts=self.accepting,
@@ -296,15 +286,6 @@
             sequence=next(self.sequence),
         )
 
-    def _queue(self, urgent: bool) -> ClassQueue:
-        return self.urgent if urgent else self.routine
-
-    def _ahead(self, urgent: bool, order: float) -> int:
-        """Return how many queued requests would start before one with this place in the order."""
-        if urgent:
-            return self.urgent.ahead_of(order)
-        return len(self.urgent) + self.routine.ahead_of(order)
-
     def _may_start(self, urgent: bool, now: float) -> bool:
         return self._has_slot(urgent) and self.gate.allows(now)
 
@@ -351,7 +332,6 @@
         return (ahead + 1) * service_ms / (limit * left)
 
     def _start(self, ticket: int, profile: CallProfile, now: float) -> None:
-        self.orders.pop(ticket, None)
         self.gate.note_sent(now)
         self.times.start(ticket, now, profile.kind)
         self.began_with[ticket] = self.in_use
@@ -371,42 +351,40 @@
     def _start_queued(self, now: float) -> list[int]:
         started = []
         for urgent in (True, False):
-            queue = self._queue(urgent)
+            queue = self.waiting.of(urgent)
             while len(queue) and self._may_start(urgent, now):
-                if self.runs.waits(self.profiles[queue.first], now):
+                ticket = queue.first
+                if self.runs.waits(self.profiles[ticket], now):
                     break
-                ticket = queue.pop()
+                self.waiting.remove(ticket)
                 self._start(ticket, self.profiles[ticket], now)
                 started.append(ticket)
-        if len(self.urgent) + len(self.routine):
+        if self.waiting:
             self._wait_for_gate(now)
         return started
 
     def _drop_queued(self, ticket: int) -> None:
-        profile = self.profiles.pop(ticket, None)
-        if profile is not None:
-            del self.dues[ticket]
-            self._queue(profile.urgent).remove(self.orders.pop(ticket), ticket)
+        if ticket in self.waiting:
+            self.waiting.remove(ticket)
+            del self.profiles[ticket], self.dues[ticket]
 
-    def _latest_start(self, queue: ClassQueue) -> float:
-        """Return until when the first of a queue must start to end in time."""
-        _, ticket = queue.entries[0]
+    def _first_late(self) -> float:
+        """Return until when the first that must start has to start to end in time."""
+        ticket = self.waiting.by_start.first
         return self.runs.latest_start(self.profiles[ticket], self.dues[ticket])
 
-    def _too_late(self, queue: ClassQueue, now: float) -> list[int]:
+    def _too_late(self, now: float) -> list[int]:
         """Drop and return what could not finish even if it started now."""
         late = []
-        while len(queue) and self._latest_start(queue) <= now:
-            late.append(queue.pop())
-        for ticket in late:
-            del self.profiles[ticket], self.dues[ticket], self.orders[ticket]
+        while self.waiting and self._first_late() <= now:
+            late.append(self.waiting.by_start.first)
+            self._drop_queued(late[-1])
         return late
 
     def _next_stall(self) -> float | None:
         """Return when the queue is to be handed back unless an execution ends before."""
         stalls_at = self.times.stalls_at()
-        waiting = len(self.urgent) + len(self.routine)
-        return stalls_at if waiting and stalls_at != self.stall_seen else None
+        return stalls_at if self.waiting and stalls_at != self.stall_seen else None
 
     def _first_attempts(self) -> list[int]:
         """Drop and return the queued requests that no other node has refused yet.
@@ -415,7 +393,7 @@
         although others have room. Handed back as not run, each costs one hop. Second attempts
         stay: they come from a service of which more than this node is slow.
         """
-        queued = [ticket for _, ticket in self.urgent.entries + self.routine.entries]
+        queued = self.waiting.tickets()
         first = [ticket for ticket in queued if self.profiles[ticket].attempt == 1]
         for ticket in first:
             self._drop_queued(ticket)
@@ -430,8 +408,8 @@
         the middle of their wait many that would have been served.
         """
         late: list[int] = []
-        for order, ticket in list(self.routine.entries):
-            ahead = len(self.urgent) + self.routine.ahead_of(order) - 1
+        for order, ticket in list(self.waiting.routine.entries):
+            ahead = self.waiting.ahead_of(False, order) - 1
             need_ms = self._wait_ms(ahead, self.profiles[ticket], service_ms) + service_ms
             if need_ms > (self.dues[ticket] - now) * 1000 * RECHECK_SLACK:
                 self._drop_queued(ticket)
--- a/src/marjoramtide/policy/admission/_run_estimates.py
+++ b/src/marjoramtide/policy/admission/_run_estimates.py
@@ -70,7 +70,9 @@
         """Return until when a request must start to end in time, at the best pace.
 
         Failure: a server is slow for a moment, and all that waits there for its quick state is
-        given up, since by the pace of that moment none of it would end in time.
+        given up, since by the pace of that moment none of it would end in time. One that is due at
+        its deadline has nothing to lose by being late, and waits while the quickest could end.
         """
-        work_ms = self.kept_ms(profile, due)
+        times = self.times.kind(profile.kind)
+        work_ms = times.planned_ms if due == profile.goal else times.quick.value
         return due - work_ms * min(self.pace.slowdown, self.pace.best) / 1000
