--- a/features/steps/gossip_datagrams_steps.py
+++ b/features/steps/gossip_datagrams_steps.py
@@ -8,7 +8,7 @@
 from behave import then, when
 from structlog.testing import capture_logs
 
-from features.steps.membership_steps import node_of
+from features.gossip_scenarios import node_of
 from marjoramtide.membership import DropCode, PacketCodec
 from marjoramtide.membership._drop_log import DropLog
 from standins.gossip_network import KEY, Network
--- a/features/steps/gossip_places_steps.py
+++ b/features/steps/gossip_places_steps.py
@@ -4,7 +4,7 @@
 
 from behave import then  # type: ignore[attr-defined]
 
-from features.steps.membership_steps import running
+from features.gossip_scenarios import running
 from marjoramtide.membership import MemberState
 
 
