--- a/features/run.py
+++ b/features/run.py
@@ -49,7 +49,7 @@
     except (OSError, json.JSONDecodeError):
         features = []
     results = [
-        ScenarioResult(feature, element["name"], element.get("status", "failed"))
+        ScenarioResult(feature, element["name"].strip(), element.get("status", "failed"))
         for entry in features
         for element in entry.get("elements", [])
         if element["type"] != "background"
