Scenario, failing: servers that name limits and say that they leave, beside real nodes

What callers saw: nothing. What the servers saw: a limit of 7.6 a second brings 62 requests in 4 s, its even share as before (50.6 allowed); all three limited, 85 each; 0.5 a second 65 (8 allowed), 0 a second 85 (5); after a start of the node beside it 82 (35). A server that leaves gets 47 to 61 requests later than 2 s after their node had passed its word on.

--- a/features/platform_harness.py
+++ b/features/platform_harness.py
@@ -147,6 +147,18 @@
         await node.start()
         return seat
 
+    async def restart_node(self, number: int) -> None:
+        """End the node of a seat without a word, and start another at its addresses."""
+        seat = self.seats[number]
+        await self.end_node(seat.node)
+        seat.node = Node(seat.settings, platform_interface(seat.settings))
+        await seat.node.start()
+
+    async def end_node(self, node: Node) -> None:
+        await node.membership.stop(leave=False)
+        await node.ingress.close()
+        await node.close()
+
     async def settle(self) -> None:
         """Register each backend server, and wait until all nodes know all and take callers."""
         for seat in self.seats:
@@ -195,9 +207,7 @@
     async def close(self) -> None:
         self.stops.close()
         for seat in self.seats:
-            await seat.node.membership.stop(leave=False)
-            await seat.node.ingress.close()
-            await seat.node.close()
+            await self.end_node(seat.node)
             await seat.server.close()
         self.store.mode = "reset"
         self.store.state.forget_history()
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -1,6 +1,9 @@
 """A backend server that speaks the platform's headers."""
 
 import asyncio
+import time
+
+import attrs
 
 from standins.backend._answer import Answer
 from standins.backend._connection import Connection
@@ -13,6 +16,14 @@
 HEALTH_PATH = "/health"
 
 
+@attrs.frozen(slots=True)
+class Arrival:
+    """A request that reached the server: when, in seconds of the monotonic clock, and its id."""
+
+    at: float
+    attempt: str
+
+
 class PlatformBackendServer(BackendServer):
     """The stand-in with identities, seals, load headers and the platform's faults.
 
@@ -21,6 +32,9 @@
     successes come without a seal. ``seen`` holds the headers of each request that ran. Until
     ``cold_until``, in seconds of the loop's clock, the server is cold, and tells so if
     ``tells_cold``; ``arrivals`` holds the times at which requests came meanwhile.
+
+    It names ``rate`` as its limit, in any form of text, and says that it leaves while ``leaves``;
+    in its health too if ``health_states``. ``received`` holds each request that came to this start.
     """
 
     instance = "i-1"
@@ -29,6 +43,9 @@
     unsealed = 0
     cold_until: float | None = None
     tells_cold = True
+    rate: str | None = None
+    leaves = False
+    health_states = True
 
     def __init__(self, *, slots: int, service_ms: float, seed: int = 1) -> None:
         super().__init__(name="", slots=slots, connections=250, service_ms=service_ms, seed=seed)
@@ -36,6 +53,7 @@
         self.targets: list[str] = []
         self.bodies: list[bytes] = []
         self.arrivals: list[float] = []
+        self.received: list[Arrival] = []
         self.owed: dict[Connection, Answer] = {}
         self.silent: set[Connection] = set()
         self.crash = self.end
@@ -44,6 +62,8 @@
         if request.path == HEALTH_PATH:
             status = REFUSED if self.faults.drain else 200
             told = {"X-Instance-Id": self.instance, **self.load_header(), **self.cold_header()}
+            if self.health_states:
+                told |= self.statement_headers()
             return Answer(status, told)
         self.send_owed(connection)
         expected = request.headers.get("x-expected-instance", self.instance)
@@ -52,6 +72,7 @@
         if self.cold_left_s() > 0:
             self.arrivals.append(asyncio.get_running_loop().time())
         request.headers["x-request-id"] = attempt = request.headers.get("x-attempt-id", "")
+        self.received.append(Arrival(time.monotonic(), attempt))
         request.headers["request-timeout-ms"] = request.headers.get("x-deadline-ms", "")
         answer = await self.serve(request, connection)
         if connection in self.silent:
@@ -59,9 +80,11 @@
         if answer is None:
             return None
         if answer.headers.pop("Request-Outcome", ""):
-            return Answer(REFUSED, {"X-Not-Executed": "1", "X-Attempt-Id": attempt})
+            refused = {"X-Not-Executed": "1", "X-Attempt-Id": attempt}
+            return Answer(REFUSED, refused | self.statement_headers())
         self.note(request)
         answer.headers |= {"X-Attempt-Id": attempt, **self.load_header()}
+        answer.headers |= self.statement_headers()
         if self.unsealed:
             self.unsealed -= 1
         else:
@@ -107,6 +130,10 @@
             return {}
         return {"X-Cold-Remaining-Ms": str(round(self.cold_left_s() * 1000))}
 
+    def statement_headers(self) -> dict[str, str]:
+        rate = {} if self.rate is None else {"Server-Limit": self.rate}
+        return rate | ({"Server-Leaving": "1"} if self.leaves else {})
+
     def load_header(self) -> dict[str, str]:
         running, waiting = self.slots.in_use, self.slots.queued
         percent = round(self.slowdown * 100)
