--- a/bench/limits/__init__.py
+++ b/bench/limits/__init__.py
@@ -1,5 +1,7 @@
 """Real nodes beside backend servers that name limits and leave."""
 
+from bench.limits._limit_plan import LimitPlan, draw_plan
+from bench.limits._limit_tally import LimitTally
 from bench.limits._limit_watch import (
     EnteredRequest,
     FullestWindow,
@@ -7,11 +9,19 @@
     allowed_between,
     fullest_window,
 )
+from bench.limits._lookups import Lookups, Reply
+from bench.limits._play import play_limits
 
 __all__ = [
     "EnteredRequest",
     "FullestWindow",
+    "LimitPlan",
+    "LimitTally",
+    "Lookups",
     "NamedRate",
+    "Reply",
     "allowed_between",
+    "draw_plan",
     "fullest_window",
+    "play_limits",
 ]
--- /dev/null
+++ b/bench/limits/_limit_tally.py
@@ -0,0 +1,40 @@
+"""What came of one play of servers that name limits."""
+
+from collections import Counter
+
+import attrs
+
+from bench.limits._limit_watch import FullestWindow
+
+
+@attrs.frozen(slots=True)
+class LimitTally:
+    """The fullest window of any limited server, and what callers got.
+
+    ``late`` is what a leaving server got though its node had passed its word on two seconds before.
+    ``used`` is the share of what the limits offered that the limited servers ran.
+    """
+
+    worst: FullestWindow | None
+    late: int
+    used: float
+    asked: int
+    lost: int
+    statuses: Counter[str]
+
+    @property
+    def is_within(self) -> bool:
+        return self.late == 0 and (self.worst is None or self.worst.is_within)
+
+    def line(self) -> str:
+        """Return it for people."""
+        worst = "none binds"
+        if self.worst is not None:
+            worst = f"{self.worst.count:3} of {self.worst.allowed:5.1f}"
+        answered = self.statuses["200"] / max(1, self.asked)
+        others = {name: count for name, count in self.statuses.items() if name != "200"}
+        verdict = "ok    " if self.is_within else "BROKEN"
+        return (
+            f"{verdict} {worst:14} late {self.late:2}  used {self.used:.2f}  "
+            f"answered {answered:.3f}  lost {self.lost:3}  {others}"
+        )
