A first try that would wait for a limited server longer than it runs goes elsewhere; strict reading proved

Found by a scenario of our own interface, where requests have no goal: lookups waited up to their deadline of 2 s at the limited server while two others were idle, and two were refused when it had passed. Their times made the server pass for slow: after its limit had ended it got 5 to 11 requests in 4 s of 80. Now the first try is turned away where its wait is longer than its run; a second one waits, as before.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -32,17 +32,31 @@
 from marjoramtide.evacuation import EvacuationRecord, StoreNews, is_store_news
 from marjoramtide.evacuation._evacuation_store import record_of
 from marjoramtide.evacuation._store_news import unpack_store_news
+from marjoramtide.exchange import LoadReport, ServerStatement
 from marjoramtide.membership import decode_announcement
 from marjoramtide.membership._bulletin import MAGIC, BulletinCodec
 from marjoramtide.membership._member_state import MemberState
 from marjoramtide.membership._packet import AppliedSettings, Kind, Packet, Status
 from marjoramtide.membership._packet_codec import PacketCodec
 from marjoramtide.membership._packet_error import PacketError
-from marjoramtide.peers._codec import decode, encode, unpack_headers, unpack_report
+from marjoramtide.peers._codec import (
+    decode,
+    encode,
+    pack_statement,
+    report_fields,
+    unpack_headers,
+    unpack_report,
+    unpack_statement,
+)
 from marjoramtide.peers._handshake import open_as_client, open_as_server
 from marjoramtide.peers._messages import CreditMessage, RequestMessage, RunsMessage
 from marjoramtide.peers._run_session import read_runs
-from marjoramtide.platform._backends import read_cold, read_load, read_retry_after
+from marjoramtide.platform._backends import (
+    STATEMENTS,
+    read_cold,
+    read_load,
+    read_retry_after,
+)
 from marjoramtide.platform._configuration import OperatorConfiguration
 from marjoramtide.platform._heartbeat import read_departure, read_registration
 from marjoramtide.platform._store_protocol import PlatformStore
@@ -71,6 +85,9 @@
     1, "mapdesk", "POST", "/x?y=1", [("Host", "mapdesk")], False, False, 900.0, 1, "k", "", 1,
     b"body", False, 4,
 )  # fmt: skip
+STATEMENT = ServerStatement("i-1", 7.6, True)
+STATING_REPORT = LoadReport(1, 5, statement=STATEMENT)
+STATING_REQUEST = attrs.evolve(REQUEST, statement=pack_statement(STATEMENT))
 PACKET = Packet(
     kind=Kind.PING,
     sender=1,
@@ -173,6 +190,7 @@
     message = decode(data)
     if isinstance(message, RequestMessage):
         unpack_headers(message.headers)
+        unpack_statement(message.statement)
 
 
 @attrs.define(slots=True)
@@ -258,6 +276,14 @@
     read_retry_after(text)
 
 
+def read_statements(data: bytes) -> None:
+    """Read what a server says that it takes; what can't be read counts as refused."""
+    texts = data.decode("latin-1").split(";")
+    statement, malformed = STATEMENTS.read(texts[:1], texts[1:2], "i-1")
+    if malformed and not statement.is_empty and len(malformed) > 1:
+        raise RuntimeError("taken and refused")
+
+
 def read_epoch(data: bytes) -> None:
     PlatformStore().epoch({"Store-Era": data.decode("latin-1")})
 
@@ -315,7 +341,7 @@
 def run_readers(count: int, seed: int, end: float) -> list[Tally]:
     """Fuzz what reads bytes without a node around it, until ``end`` on the monotonic clock."""
     packet = PacketCodec(KEY).encode(PACKET)
-    frames = (encode(REQUEST), encode(CreditMessage(1, 2)))
+    frames = (encode(REQUEST), encode(STATING_REQUEST), encode(CreditMessage(1, 2)))
     envelope = cbor2.dumps({"revision": 1, "text": TREE.decode()})
 
     rng = partial(draw, seed)
@@ -343,6 +369,8 @@
         "configured": (read_configuration, CONFIGURATION),
         "claims": (decode_record, claim),
         "headers": (read_headers, b"3,0,8,250"),
+        "statements": (read_statements, b"7.6;1"),
+        "reports": (read_news, cbor2.dumps([5, *report_fields(STATING_REPORT)])),
         "news": (read_news, news),
         "store news": (read_news, cbor2.dumps([5, *evacuated.pack()])),
         "claim news": (read_news, cbor2.dumps([5, *pack_claim("claims/1/s/2", record)])),
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -24,3 +24,26 @@
     Given the settings of a machine, filled into the deployed template
     When a bound is written without its name
     Then the settings are refused, and told is what is allowed
+
+  Scenario Outline: What a server says that it takes is read strictly
+    # A limit that is none must not hold a server back, nor end in an error: the answer is its caller's.
+    When a server answers with <headers>
+    Then it is read to take <rate> a second, <leaving>, with <malformed> malformed
+
+    Examples:
+      | headers                                   | rate    | leaving     | malformed |
+      | nothing                                   | nothing | not leaving | 0         |
+      | Server-Limit: 7.6                         | 7.6     | not leaving | 0         |
+      | server-limit: 0                           | 0       | not leaving | 0         |
+      | Server-Limit: 12, Server-Leaving: 1       | 12      | leaving     | 0         |
+      | Server-Leaving: 1                         | nothing | leaving     | 0         |
+      | Server-Limit: -1                          | nothing | not leaving | 1         |
+      | Server-Limit: nan                         | nothing | not leaving | 1         |
+      | Server-Limit: inf                         | nothing | not leaving | 1         |
+      | Server-Limit: 1e9                         | nothing | not leaving | 1         |
+      | Server-Limit: 2000000                     | nothing | not leaving | 1         |
+      | Server-Limit: many                        | nothing | not leaving | 1         |
+      | Server-Limit:                             | nothing | not leaving | 1         |
+      | Server-Limit: 5, Server-Limit: 9          | nothing | not leaving | 1         |
+      | Server-Limit: ٣                           | nothing | not leaving | 1         |
+      | Server-Leaving: yes, Server-Limit: x      | nothing | not leaving | 2         |
--- a/features/policy/server_starts.feature
+++ b/features/policy/server_starts.feature
@@ -26,3 +26,9 @@
   Scenario: A report to which a later version has added figures is read
     Given reports of a server before and after it has started again
     Then a report with two more figures at its end is read as it is without them
+
+  Scenario: What a server says that it takes travels beside what the version before reads
+    # In a rolling update both versions share a fleet. Messages that say nothing of it stay as they were.
+    Given a report and a request that tell of a limit of 7.6, and ones that tell of none
+    Then a node of the version before reads both reports, and the request that tells of none
+    And this version reads all four, and what the version before sends
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -14,6 +14,8 @@
 from marjoramtide.clock import FreezeDetector, ManualClock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.platform import platform_interface
+from marjoramtide.platform._backends import PlatformBackend
+from marjoramtide.serving import EndpointAnswer
 from marjoramtide.settings import (
     Envelope,
     Freshness,
@@ -155,3 +157,19 @@
 @then("the call is known as one and the caller's request is not")
 def then_call(context: Any) -> None:
     assert [each.is_call for each in context.requests] == [True, False], context.requests
+
+
+@when("a server answers with {headers}")
+def when_answers(context: Any, headers: str) -> None:
+    pairs = () if headers == "nothing" else headers.split(", ")
+    fields = [each.partition(":")[::2] for each in pairs]
+    answer = EndpointAnswer(200, tuple((name, value.strip(" ")) for name, value in fields))
+    context.reading = PlatformBackend().read_health(answer)
+
+
+@then("it is read to take {rate} a second, {leaving}, with {count:d} malformed")
+def then_read(context: Any, rate: str, leaving: str, count: int) -> None:
+    said = context.reading.statement
+    assert said.rate_per_s == (None if rate == "nothing" else float(rate)), said
+    assert said.leaving == (leaving == "leaving"), said
+    assert len(context.reading.malformed) == count, context.reading.malformed
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -230,6 +230,27 @@
     assert not rows, f"{[(at - context.began, request) for at, request, _ in rows]}"
 
 
+def ran_at(context: Any, name: str) -> list[float]:
+    """Return when a server began what it ran, in seconds since the traffic began."""
+    return [at - context.began for at, _, _ in node(context, name).journal()]
+
+
+@then("{name} ran {least:d} to {most:d} in each 4 s from second {second:g} on")
+def ran_in_windows(context: Any, name: str, least: int, most: int, second: float) -> None:
+    times = ran_at(context, name)
+    last = max(call.at_s for call in context.calls)
+    ends = [second + 0.1 * step for step in range(round((last - second) * 10))]
+    counts = [sum(end - 4 < at <= end for at in times) for end in ends]
+    assert max(counts) <= most, counts
+    assert counts[-1] >= least, counts
+
+
+@then("{name} ran nothing between second {first:g} and {second:g}")
+def ran_nothing_between(context: Any, name: str, first: float, second: float) -> None:
+    between = [at for at in ran_at(context, name) if first < at < second]
+    assert not between, between
+
+
 @then("{name} had run some before")
 def had_run(context: Any, name: str) -> None:
     assert len(node(context, name).journal()) > 1, told(context)
--- a/src/marjoramtide/daemon/_operators.py
+++ b/src/marjoramtide/daemon/_operators.py
@@ -42,6 +42,7 @@
         "store_epoch": node.store.epoch,
         "callers_requests": node.ingress.in_progress,
         "load": attrs.asdict(report),
+        "stated": attrs.asdict(node.server.statements.statement),
         "held_requests": len(node.quarantine.shown()),
         "freezes": node.freeze.count,
         "totals": dict(node.metrics.totals),
--- a/src/marjoramtide/daemon/_own_statements.py
+++ b/src/marjoramtide/daemon/_own_statements.py
@@ -25,6 +25,11 @@
         self.changed = changed
         self.said = StartStatements()
 
+    @property
+    def statement(self) -> ServerStatement:
+        """Return what the server says now, for operators."""
+        return self.said.statement or ServerStatement(self.said.instance)
+
     def begin(self, instance: str) -> None:
         """Go on with another start, which owes nothing of what the former one said."""
         self.said = StartStatements(instance)
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -162,11 +162,10 @@
             # at once it costs a hop; whoever asks again has found nobody quicker.
             return _reject(ErrorCode.SLOWED, self.pace.quick_in_ms(now))
         self.dues[ticket] = self.runs.due(profile, now)
-        if profile.attempt == 1 and self._misses_goal_by_rate(profile, now):
-            # Failure: a server that has named a limit lets what arrives wait for its turn, late,
-            # although others have room. Turned away at once it costs a hop.
+        if profile.attempt == 1 and (wait_ms := self._long_wait_ms(profile, now)):
+            # Failure: a server that has named a limit lets what arrives wait for its turn, though
+            # others would have answered by then. Turned away at once it costs a hop.
             del self.dues[ticket]
-            wait_ms = self.gate.wait_s(len(self.waiting), now) * 1000
             return _reject(ErrorCode.RATE_LIMITED, wait_ms)
         if self._may_start(profile.urgent, now) and not self.runs.waits(profile, now):
             decision = self._start_or_reject(ticket, profile, remaining_ms, now)
@@ -311,13 +310,12 @@
         opens_at = self.gate.opens_at(now)
         self.gate_opens_at = opens_at if opens_at > now and self.in_use < self.limit else None
 
-    def _misses_goal_by_rate(self, profile: CallProfile, now: float) -> bool:
-        """Tell whether the limit that the server has named makes a request late here."""
+    def _long_wait_ms(self, profile: CallProfile, now: float) -> float:
+        """Return the wait for the server's named limit where it is longer than the run, else 0."""
         if not self.gate.named.holds(now):
-            return False
+            return 0.0
         wait_ms = self.gate.wait_s(len(self.waiting), now) * 1000
-        due = self.runs.due(profile, now)
-        return wait_ms + self.runs.own_ms(profile, due, now) > (due - now) * 1000
+        return wait_ms if wait_ms > self.runs.work_ms(profile) else 0.0
 
     def _gate_wait_ms(self, ahead: int, profile: CallProfile, now: float) -> float:
         """Return the wait for the gate behind ``ahead`` others, in milliseconds."""
--- a/src/marjoramtide/policy/placing/_predicted_selector.py
+++ b/src/marjoramtide/policy/placing/_predicted_selector.py
@@ -270,7 +270,8 @@
         if view is None or view.report is None:
             return {"known": view is not None}
         report = view.report
-        return {
+        stated = {} if report.statement is None else attrs.asdict(report.statement)
+        return stated | {
             "age_ms": round((now - view.reported_at) * 1000),
             "in_use": report.in_use,
             "queued": report.queued_urgent + report.queued_routine,
--- a/standins/backend/_faults.py
+++ b/standins/backend/_faults.py
@@ -16,6 +16,8 @@
     freeze: bool = False  # accepts and never answers until lifted, its health endpoint included
     fail_fast: float = 0.0  # share answered 500 at once, without taking a slot
     shed: float = 0.0  # share answered 503 "not run" at once
+    rate_limit: str = ""  # the requests a second that it says it takes, as it says so
+    leaving: bool = False  # says in each answer that it leaves, and serves on
     drain: bool = False
     drain_grace_ms: float = 1000.0  # after it, a draining server refuses new requests
     mislead: bool = False  # the load endpoint says idle
--- a/standins/backend/_server.py
+++ b/standins/backend/_server.py
@@ -71,6 +71,18 @@
         if request.path.startswith("/_admin/"):
             return self.administer(request)
         await self.thawed.wait()
+        answer = await self.answer_caller(request, connection)
+        if answer is not None:
+            answer.headers |= self.statement_headers()
+        return answer
+
+    def statement_headers(self) -> dict[str, str]:
+        """Return what it says that it takes."""
+        rate = {"Backend-Rate-Limit": self.faults.rate_limit} if self.faults.rate_limit else {}
+        return rate | ({"Backend-Leaving": "1"} if self.faults.leaving else {})
+
+    async def answer_caller(self, request: Request, connection: Connection) -> Answer | None:
+        """Return the answer to anyone but those who drive the stand-in."""
         if request.path == "/health":
             self.ledger.health_reads += 1
             return json_answer({"state": self.state})
