--- a/src/marjoramtide/platform/_backends.py
+++ b/src/marjoramtide/platform/_backends.py
@@ -72,7 +72,7 @@
             verdict = ReplyVerdict.REFUSED
         elif reply.status < 300 and not reply.header(SEAL.lower()):
             verdict = ReplyVerdict.SPOILED
-        statement, malformed = read_statement(reply, instance)
+        statement, malformed = read_statement(reply)
         return ReplyReading(verdict, leaving, retry_after_ms, load, instance, statement, malformed)
 
     def read_health(self, answer: EndpointAnswer) -> HealthReading:
@@ -82,7 +82,7 @@
         load = read_load(answer.header(LOAD.lower()))
         cold_left_s = read_cold(answer.header(COLD.lower()))
         instance = answer.header(INSTANCE.lower())
-        statement, malformed = read_statement(answer, instance)
+        statement, malformed = read_statement(answer)
         return HealthReading(
             state,
             instance,
@@ -94,13 +94,12 @@
 
 
 def read_statement(
-    answer: BackendReply | EndpointAnswer, instance: str
+    answer: BackendReply | EndpointAnswer,
 ) -> tuple[ServerStatement, tuple[str, ...]]:
     """Read what a server says that it takes, and what of it can't be read."""
     return STATEMENTS.read(
         answer.header_values(SERVER_RATE.lower()),
         answer.header_values(SERVER_LEAVING.lower()),
-        instance,
     )
 
 
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -98,13 +98,14 @@
             self.limited_by = wanted
         self.urgent_slots = settings.urgent_slots
         self.queue_limit = settings.queue_limit
-        rule = ColdRule(
-            settings.cold_start_s,
-            settings.cold_per_s,
-            settings.cold_excess,
-            settings.cold_slack,
+        self.gate.cold.set_rule(
+            ColdRule(
+                settings.cold_start_s,
+                settings.cold_per_s,
+                settings.cold_excess,
+                settings.cold_slack,
+            )
         )
-        self.gate.cold.set_rule(rule)
 
     def server_replaced(self, now: float) -> list[int]:
         for ticket in list(self.times.running):
@@ -161,12 +162,11 @@
             # that arrives now takes four times as long here, although others are quick. Turned away
             # at once it costs a hop; whoever asks again has found nobody quicker.
             return _reject(ErrorCode.SLOWED, self.pace.quick_in_ms(now))
-        self.dues[ticket] = self.runs.due(profile, now)
         if profile.attempt == 1 and (wait_ms := self._long_wait_ms(profile, now)):
             # Failure: a server that has named a limit lets what arrives wait for its turn, though
             # others would have answered by then. Turned away at once it costs a hop.
-            del self.dues[ticket]
             return _reject(ErrorCode.RATE_LIMITED, wait_ms)
+        self.dues[ticket] = self.runs.due(profile, now)
         if self._may_start(profile.urgent, now) and not self.runs.waits(profile, now):
             decision = self._start_or_reject(ticket, profile, remaining_ms, now)
         else:
--- a/src/marjoramtide/serving/_own_backend.py
+++ b/src/marjoramtide/serving/_own_backend.py
@@ -61,7 +61,7 @@
     answer: BackendReply | EndpointAnswer,
 ) -> tuple[ServerStatement, tuple[str, ...]]:
     """Read what a server says that it takes, and what of it can't be read."""
-    return STATEMENTS.read(answer.header_values(RATE_LIMIT), answer.header_values(LEAVING), "")
+    return STATEMENTS.read(answer.header_values(RATE_LIMIT), answer.header_values(LEAVING))
 
 
 def parse_state(status: int, body: bytes) -> BackendState:
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -165,6 +165,9 @@
         rate = None if statement is None else statement.rate_per_s
         self.admission.name_rate(rate, since, now)
         self.queue.resume(now)
+        if self.queue.waiting:
+            # What waited for a lower limit is looked at by the new one.
+            self.queue.schedule_expiry()
 
     def report(self, now: float) -> LoadReport:
         """Return the load at this moment, as other nodes are told."""
--- a/src/marjoramtide/serving/_statement_reader.py
+++ b/src/marjoramtide/serving/_statement_reader.py
@@ -6,6 +6,7 @@
 import attrs
 
 from marjoramtide.exchange import ServerStatement
+from marjoramtide.serving._reply_reading import NOTHING_STATED
 
 # No backend server takes a million requests a second; more is no rate.
 MOST_PER_S = 1_000_000.0
@@ -28,11 +29,11 @@
     leaving_name: str
 
     def read(
-        self, rates: Sequence[str], leavings: Sequence[str], instance: str
+        self, rates: Sequence[str], leavings: Sequence[str]
     ) -> tuple[ServerStatement, tuple[str, ...]]:
         """Return what the values of both headers say, and what of them can't be read."""
         if not rates and not leavings:
-            return ServerStatement(instance), ()
+            return NOTHING_STATED, ()
         rate = read_rate(rates[0]) if len(rates) == 1 else None
         leaving = len(leavings) == 1 and leavings[0].strip() == LEAVING
         malformed = []
@@ -40,7 +41,7 @@
             malformed.append(told(self.rate_name, rates))
         if leavings and not leaving:
             malformed.append(told(self.leaving_name, leavings))
-        return ServerStatement(instance, rate, leaving), tuple(malformed)
+        return ServerStatement("", rate, leaving), tuple(malformed)
 
 
 def read_rate(text: str) -> float | None:
