An idle connection to a backend server is given up before the server closes it, where it says when

What callers would see: a server keeps idle connections for a second and says so (Keep-Alive: timeout=1); a booking sent when it closes meets the close, 502, nobody knows whether it ran. Nodes kept them for 4 s whatever the server said. IdleConnections is a file of its own.

--- a/features/platform/users_platform.feature
+++ b/features/platform/users_platform.feature
@@ -89,3 +89,11 @@
     When the server of node 1 registers as "i-2"
     And a client books through node 1
     Then the client gets 200 with the seal and the whole body of its own request
+
+  Scenario: A booking does not meet the end of an idle connection that the server had announced
+    # The server keeps an idle connection for a second and says so. Sent on it later, a booking breaks
+    # off, and nobody can tell its caller whether it ran.
+    Given a fleet on the platform: mapdesk
+    And its server keeps idle connections for 1 s, and its health is not read
+    When a booking is made, and another one 1.3 s later
+    Then both bookings are answered 200
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -429,3 +429,31 @@
         return ""
 
     assert "another system" in run(context, change())
+
+
+@given("its server keeps idle connections for {seconds:d} s, and its health is not read")
+def keeps_idle(context: Any, seconds: int) -> None:
+    first = seat(context, 1)
+    first.server.keeps_idle_s = seconds
+
+    async def unread() -> None:
+        # A look at the health uses the connection that the bookings use.
+        await asyncio.Event().wait()
+
+    first.node.server.measurer.read = unread
+    run(context, asyncio.sleep(1.5))
+
+
+@when("a booking is made, and another one {seconds:g} s later")
+def two_bookings(context: Any, seconds: float) -> None:
+    async def book() -> None:
+        first = await begin_booking(context, seat(context, 1))
+        await asyncio.sleep(seconds)
+        context.two = [first, await begin_booking(context, seat(context, 1))]
+
+    run(context, book())
+
+
+@then("both bookings are answered 200")
+def both_booked(context: Any) -> None:
+    assert [result.status for result in context.two] == [200, 200], context.two
--- a/src/marjoramtide/serving/_backend_connection.py
+++ b/src/marjoramtide/serving/_backend_connection.py
@@ -13,8 +13,9 @@
 class BackendConnection(asyncio.Protocol):
     """Carries one request at a time; used again only after a whole answer with nothing behind it.
 
-    ``lost`` is called once, when the connection has ended. ``idle_since`` is in seconds of the
-    loop's clock.
+    ``lost`` is called once, when the connection has ended. ``told_idle_s`` is how long the server
+    keeps it while it is idle, in seconds, ``None`` where the last answer did not tell; until
+    ``idle_until``, in seconds of the monotonic clock, it may be used again.
     """
 
     def __init__(self, peer: str, lost: "Callable[[BackendConnection], None]") -> None:
@@ -25,7 +26,8 @@
         self.sender: asyncio.Task[None] | None = None
         self.writable = asyncio.Event()
         self.writable.set()
-        self.idle_since = 0.0
+        self.told_idle_s: float | None = None
+        self.idle_until = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -107,6 +109,7 @@
             self.abort()
             return False
         self.sender = None
+        self.told_idle_s = reply.told_idle_s()
         return True
 
     def abort(self) -> None:
--- a/src/marjoramtide/serving/_backend_reply.py
+++ b/src/marjoramtide/serving/_backend_reply.py
@@ -1,6 +1,7 @@
 """What comes back from the backend server for one request."""
 
 import asyncio
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -11,6 +12,7 @@
 
 MAX_HEAD_BYTES = 64 * 1024
 NO_CONTENT = (204, 304)
+IDLE_TIMEOUT = re.compile(r"\btimeout=([0-9]{1,6})\b", re.IGNORECASE)
 
 
 class BackendReply:
@@ -64,6 +66,11 @@
         """Return all headers of this name (lower case)."""
         return [value for each, value in self.headers if each.lower() == name]
 
+    def told_idle_s(self) -> float | None:
+        """Return how long the server keeps the connection while idle, ``None`` if it didn't say."""
+        told = IDLE_TIMEOUT.search(self.header("keep-alive"))
+        return None if told is None else float(told[1])
+
     async def first(self, size: int) -> bytes:
         """Wait for ``size`` bytes of the body or its end, and take what is there.
 
--- a/src/marjoramtide/serving/_http_transport.py
+++ b/src/marjoramtide/serving/_http_transport.py
@@ -22,6 +22,7 @@
 from marjoramtide.serving._backend_reply import BackendReply
 from marjoramtide.serving._backend_transport import BackendTransport
 from marjoramtide.serving._endpoint_answer import EndpointAnswer
+from marjoramtide.serving._idle_connections import IdleConnections
 from marjoramtide.serving._own_backend import OwnBackend
 from marjoramtide.serving._reply_reading import ReplyReading, ReplyVerdict
 from marjoramtide.serving._request_head import encode_head
@@ -29,8 +30,6 @@
 log = structlog.get_logger()
 
 CONNECT_TIMEOUT_S = 1.0
-# Shorter than servers commonly keep an idle connection, so that a request seldom meets a close.
-KEEP_ALIVE_S = 4.0
 # For how long the failure of a request may be held back until it is known whether the server has
 # ended, in seconds. Beside the server a connection is made or refused within a millisecond.
 LOOK_TIMEOUT_S = 0.02
@@ -67,9 +66,7 @@
         self.limit = limit
         self.open: set[BackendConnection] = set()
         self.opening = 0
-        # The one used last stands last and is taken first; the first has been idle the longest.
-        self.idle: list[BackendConnection] = []
-        self.sweeper: asyncio.TimerHandle | None = None
+        self.idle = IdleConnections(self.clock)
         self.looking: asyncio.Task[None] | None = None
 
     async def send(
@@ -164,11 +161,7 @@
 
     async def take(self) -> BackendConnection:
         """Return a free connection, or a new one; raises ``NotRunError`` where there is none."""
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.usable:
-                return connection
-        return await self.connect(CONNECT_TIMEOUT_S)
+        return self.idle.take() or await self.connect(CONNECT_TIMEOUT_S)
 
     async def look(self) -> None:
         """Open one connection, which is kept for the next request, for however many lost ones."""
@@ -202,7 +195,7 @@
                 continue
             await asyncio.sleep(SETTLE_S)
             if connection.usable:
-                self.keep(connection)
+                self.idle.keep(connection)
                 return
 
     def looked(self) -> None:
@@ -236,41 +229,18 @@
     def give_back(self, connection: BackendConnection) -> None:
         """Keep a connection for the next request where its exchange ended cleanly."""
         if connection.end():
-            self.keep(connection)
-
-    def keep(self, connection: BackendConnection) -> None:
-        """Keep a connection for the next request, for some seconds."""
-        loop = asyncio.get_running_loop()
-        connection.idle_since = loop.time()
-        self.idle.append(connection)
-        if self.sweeper is None:
-            self.sweeper = loop.call_later(KEEP_ALIVE_S, self.sweep)
-
-    def sweep(self) -> None:
-        """Close the connections that were idle for too long."""
-        loop = asyncio.get_running_loop()
-        self.sweeper = None
-        limit = loop.time() - KEEP_ALIVE_S
-        stale = [each for each in self.idle if each.idle_since <= limit]
-        self.idle = self.idle[len(stale) :]
-        for connection in stale:
-            connection.abort()
-        if self.idle:
-            due = self.idle[0].idle_since + KEEP_ALIVE_S
-            self.sweeper = loop.call_at(due, self.sweep)
+            self.idle.keep(connection)
 
     def lost(self, connection: BackendConnection) -> None:
         self.open.discard(connection)
-        if connection in self.idle:
-            self.idle.remove(connection)
+        self.idle.drop(connection)
 
     def server_replaced(self) -> None:
         for connection in list(self.open):
             connection.abort()
 
     async def close(self) -> None:
-        if self.sweeper is not None:
-            self.sweeper.cancel()
+        self.idle.close()
         if self.looking is not None:
             self.looking.cancel()
         self.server_replaced()
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -35,6 +35,7 @@
 
     It names ``rate`` as its limit, in any form of text, and says that it leaves while ``leaves``;
     in its health too if ``health_states``. ``received`` holds each request that came to this start.
+    A connection that was idle for ``keeps_idle_s``, unless that is 0, breaks by the next request.
     """
 
     instance = "i-1"
@@ -46,6 +47,7 @@
     rate: str | None = None
     leaves = False
     health_states = True
+    keeps_idle_s = 0
 
     def __init__(self, *, slots: int, service_ms: float, seed: int = 1) -> None:
         super().__init__(name="", slots=slots, connections=250, service_ms=service_ms, seed=seed)
@@ -57,8 +59,20 @@
         self.owed: dict[Connection, Answer] = {}
         self.silent: set[Connection] = set()
         self.crash = self.end
+        self.idle_since: dict[Connection, float] = {}
 
     async def answer(self, request: Request, connection: Connection) -> Answer | None:
+        now = time.monotonic()
+        if self.keeps_idle_s and now - self.idle_since.get(connection, now) > self.keeps_idle_s:
+            return None
+        answer = await self.answer_kept(request, connection)
+        if self.keeps_idle_s and answer is not None:
+            answer.headers["Keep-Alive"] = f"timeout={self.keeps_idle_s}"
+            self.idle_since[connection] = time.monotonic()
+        return answer
+
+    async def answer_kept(self, request: Request, connection: Connection) -> Answer | None:
+        """Answer on a connection that is still kept."""
         if request.path == HEALTH_PATH:
             status = REFUSED if self.faults.drain else 200
             told = {"X-Instance-Id": self.instance, **self.load_header(), **self.cold_header()}
