A first try is turned away by a named limit where that makes it late, by its goal where it has one

Without a goal it stays as it was, which our own interface needs.

The model knows the fault 'limit' and three mechanisms more; drawn deployments stay as they were. 'ablate' takes a deployment file.

--- a/bench/model/__main__.py
+++ b/bench/model/__main__.py
@@ -88,13 +88,16 @@
         seeds: int = 1,
         processes: int = PROCESSES,
         only: str = "",
+        deployment: str = "",
     ) -> None:
         """Print what is lost without each mechanism, as rows of a table.
 
-        ONLY names some of them, with commas between.
+        ONLY names some of them, with commas between; DEPLOYMENT is a file to play in place of drawn
+        ones.
         """
         chosen = only.split(",") if only else [each.name for each in MECHANISMS]
-        jobs = make_jobs(drawn(first, count), seeds, {})
+        played = [load_deployment(Path(deployment))] if deployment else drawn(first, count)
+        jobs = make_jobs(played, seeds, {})
         whole = list(run_jobs(jobs, processes))
         for mechanism in MECHANISMS:
             if mechanism.name in chosen:
--- a/bench/model/_draw.py
+++ b/bench/model/_draw.py
@@ -7,7 +7,7 @@
 
 from bench.model._call_plan import CallPlan
 from bench.model._deployment import Deployment
-from bench.model._fault_plan import FAULTS, FaultPlan
+from bench.model._fault_plan import DRAWN, FaultPlan
 from bench.model._kind_plan import KindPlan
 from bench.model._neighbours import Neighbours
 from bench.model._service_plan import ServicePlan
@@ -204,9 +204,7 @@
     """Draw what happens on the day: nothing on one in four."""
     if rng.random() < 0.25:
         return []
-    return [
-        draw_fault(rng, rng.choice(FAULTS), seconds) for _ in range(rng.randint(1, MOST_FAULTS))
-    ]
+    return [draw_fault(rng, rng.choice(DRAWN), seconds) for _ in range(rng.randint(1, MOST_FAULTS))]
 
 
 def draw_fault(rng: random.Random, kind: str, seconds: float) -> FaultPlan:
--- a/bench/model/_fault_plan.py
+++ b/bench/model/_fault_plan.py
@@ -4,7 +4,9 @@
 
 from bench.model._neighbours import between
 
-FAULTS = ("burst", "shift", "abuse", "slow", "grey", "crash", "leave", "join", "restart", "lossy")
+# Those that are drawn; adding one would change every drawn deployment.
+DRAWN = ("burst", "shift", "abuse", "slow", "grey", "crash", "leave", "join", "restart", "lossy")
+FAULTS = (*DRAWN, "limit")
 
 
 @attrs.frozen(slots=True)
@@ -18,6 +20,7 @@
     and come back cold. ``leave``: they drain and leave for good. ``join``: as many new ones come.
     ``restart``: a ``share`` of the nodes end at one moment and begin anew after ``for_s``; with
     ``factor`` above 1 their servers too. ``lossy``: a ``share`` of the news between nodes is lost.
+    ``limit``: a ``share`` of the servers name ``factor`` requests a second as their limit.
     """
 
     kind: str = attrs.field(validator=attrs.validators.in_(FAULTS))
--- a/bench/model/_mechanisms.py
+++ b/bench/model/_mechanisms.py
@@ -76,6 +76,21 @@
         "KneeLimiter.limit",
         "property(lambda self: self.slots)",
     ),
+    Mechanism(
+        "what a server has said that it takes",
+        f"{POLICY}.admission._named_rate_gate",
+        "NamedRateGate.name",
+        NOTHING,
+    ),
+    Mechanism(
+        "turn first tries away by a named limit", ADMISSION, "EdfAdmission._long_wait_ms", ZERO
+    ),
+    Mechanism(
+        "slots told of by a named limit",
+        f"{POLICY}.admission._named_rate_gate",
+        "NamedRateGate.concurrency",
+        "lambda self, service_ms, now: float('inf')",
+    ),
     Mechanism("own bonus", FORECAST, "OWN_BONUS", "0.0"),
     Mechanism("jitter of loads", FORECAST, "LOAD_JITTER", "0.0"),
     Mechanism("slowed nodes last", FORECAST, "SLOWED", "1e9"),
--- a/bench/model/_model_node.py
+++ b/bench/model/_model_node.py
@@ -11,9 +11,10 @@
 from bench.model._model_transport import ModelProtocol, ModelTransport
 from bench.model._model_work import ModelWork
 from bench.model._virtual_loop import LoopClock
-from marjoramtide.exchange import Answer, LoadReport, Request, inline_body
+from marjoramtide.exchange import Answer, LoadReport, Request, ServerStatement, inline_body
 from marjoramtide.ingress import Dispatcher, StartUp
 from marjoramtide.membership import Member, MemberState
+from marjoramtide.policy import StartStatements
 from marjoramtide.serving import BackendState, HealthReading, Measurer, ServerLoad, ServingService
 from marjoramtide.settings import Place, RouteSettings
 from marjoramtide.telemetry import Metrics, Tracer
@@ -42,7 +43,8 @@
         self.view = make_view(text, Place(member.region, member.data_centre), self.clock)
         self.metrics = Metrics()
         tracer = Tracer(member.node, self.clock, rng)
-        self.transport = ModelTransport(server, work, self.note_load)
+        self.statements = StartStatements(member.node)
+        self.transport = ModelTransport(server, work, self.note_load, self.note_statement)
         self.serving = ServingService(
             member.service, self.transport, None, self.view, self.clock, self.metrics, tracer
         )
@@ -91,6 +93,12 @@
     def note_load(self, load: ServerLoad) -> None:
         self.serving.note_load(load)
 
+    def note_statement(self, said: ServerStatement, sent_at: float) -> None:
+        before = self.statements.statement
+        self.statements.answer(said, sent_at, self.clock.monotonic())
+        if self.statements.statement != before:
+            self.serving.note_statement(self.statements.statement, self.statements.since)
+
     def note_health(self, reading: HealthReading, asked_at: float) -> None:
         if reading.load is not None:
             self.serving.note_load(reading.load)
--- a/bench/model/_model_server.py
+++ b/bench/model/_model_server.py
@@ -9,10 +9,15 @@
 
 from bench.model._neighbours import PaceTimeline
 from bench.model._service_plan import ServicePlan
+from marjoramtide.exchange import ServerStatement
 from marjoramtide.serving import ServerLoad
 
 # What a refusal by the server, or an error that it gives at once, takes, in seconds.
 QUICK_S = 0.001
+# What a server that has named a limit bears: so many times it over a span in seconds, and a number
+# besides. What begins beyond that takes so many times longer.
+BORNE_EXCESS, BORNE_SPAN_S, BORNE_SLACK = 1.5, 4.0, 5.0
+OVERRUN_FACTOR = 4.0
 
 Calls = Callable[[], Awaitable[bool]]
 """Makes the calls of a request; tells whether all of them succeeded."""
@@ -30,7 +35,8 @@
 class ModelServer:
     """Runs requests at the pace that it has when each begins.
 
-    ``trouble`` is by how much a fault slows it down, ``grey`` the share that a fault makes it fail.
+    ``trouble`` is by how much a fault slows it down, ``grey`` the share that a fault makes it fail,
+    ``limit`` the requests a second that it names, ``None`` for none.
     """
 
     plan: ServicePlan
@@ -41,6 +47,8 @@
     speed: float = 1.0
     trouble: float = 1.0
     grey: float = 0.0
+    limit: float | None = None
+    begun: deque[float] = attrs.Factory(deque)
     is_up: bool = True
     running: set["asyncio.Task[bool]"] = attrs.Factory(set)
     waiting: deque["asyncio.Future[None]"] = attrs.Factory(deque)
@@ -63,7 +71,20 @@
     def run_s(self, work_ms: float, now: float) -> float:
         """Return how long work that begins now takes, in seconds."""
         knee = self.plan.knee_factor if self.in_use > self.plan.knee * self.plan.slots else 1.0
-        return work_ms / 1000 * self.slowdown(now) * knee * self.speed * self.trouble
+        overrun = OVERRUN_FACTOR if self.is_overrun(now) else 1.0
+        return work_ms / 1000 * self.slowdown(now) * knee * overrun * self.speed * self.trouble
+
+    def statement(self) -> ServerStatement:
+        """Return what it says that it takes."""
+        return ServerStatement(rate_per_s=self.limit)
+
+    def is_overrun(self, now: float) -> bool:
+        """Tell whether more has begun of late than the limit bears."""
+        while self.begun and self.begun[0] <= now - BORNE_SPAN_S:
+            self.begun.popleft()
+        if self.limit is None:
+            return False
+        return len(self.begun) > BORNE_EXCESS * self.limit * BORNE_SPAN_S + BORNE_SLACK
 
     async def run(self, work_ms: float, calls: Calls) -> bool:
         """Run one request with its calls; tell whether it succeeded.
@@ -89,6 +110,7 @@
 
     async def _work(self, work_ms: float, calls: Calls) -> bool:
         self.runs += 1
+        self.begun.append(self.clock())
         if self.rng.random() < self.grey:
             await asyncio.sleep(QUICK_S)
             return False
--- a/bench/model/_model_transport.py
+++ b/bench/model/_model_transport.py
@@ -6,7 +6,14 @@
 from bench.model._model_server import ModelServer, ServerFullError, ServerGoneError
 from bench.model._model_work import ModelWork
 from marjoramtide.errors import ErrorCode
-from marjoramtide.exchange import Answer, NotRunError, Request, RequestBody, UnknownOutcomeError
+from marjoramtide.exchange import (
+    Answer,
+    NotRunError,
+    Request,
+    RequestBody,
+    ServerStatement,
+    UnknownOutcomeError,
+)
 from marjoramtide.serving import (
     BackendProtocol,
     BackendReply,
@@ -27,14 +34,23 @@
 
 
 class ModelTransport(BackendTransport):
-    """Hands requests to a played server; ``note_load`` is told what the server says with each."""
+    """Hands requests to a played server.
+
+    ``note_load`` and ``note_statement`` are told what the server says with each, the latter also
+    when the request was sent.
+    """
 
     def __init__(
-        self, server: ModelServer, work: ModelWork, note_load: Callable[[ServerLoad], None]
+        self,
+        server: ModelServer,
+        work: ModelWork,
+        note_load: Callable[[ServerLoad], None],
+        note_statement: Callable[[ServerStatement, float], None],
     ) -> None:
         self.server = server
         self.work = work
         self.note_load = note_load
+        self.note_statement = note_statement
 
     async def send(
         self,
@@ -44,6 +60,7 @@
         begun: Callable[[], None],
     ) -> Answer:
         begun()
+        sent_at = asyncio.get_running_loop().time()
         await asyncio.sleep(BESIDE_S)
         try:
             succeeded = await self.work.run(self.server, request)
@@ -57,6 +74,7 @@
                 ErrorCode.BACKEND_FAILED, "the connection ended", step=STEP
             ) from error
         self.note_load(self.server.load())
+        self.note_statement(self.server.statement(), sent_at)
         return Answer(200 if succeeded else 500, ())
 
     async def read(self, path: str, timeout_s: float) -> EndpointAnswer:
--- a/bench/model/_world.py
+++ b/bench/model/_world.py
@@ -286,6 +286,11 @@
             seat.server.grey = min(1.0, fault.factor)
             self.loop.call_later(fault.for_s, setattr, seat.server, "grey", 0.0)
 
+    def strike_limit(self, fault: FaultPlan) -> None:
+        for seat in self.struck(fault):
+            seat.server.limit = fault.factor
+            self.loop.call_later(fault.for_s, setattr, seat.server, "limit", None)
+
     def strike_crash(self, fault: FaultPlan) -> None:
         for seat in self.struck(fault):
             seat.server.end()
--- a/features/policy/named_rates.feature
+++ b/features/policy/named_rates.feature
@@ -41,10 +41,12 @@
     And it names none while 25 come for 5 s
     Then it is given at least 95 of them in the last 4 s
 
-  Scenario: A first try that would wait for longer than it runs goes elsewhere at once, a second one waits
+  Scenario: A first try that would be late goes elsewhere at once, a second one waits its turn
+    # Without a goal late is what waits for longer than it runs.
     Given a server of 18 slots with work of 160 ms, which gets 25 requests a second
     When it names 2 a second while 25 come for 6 s
-    Then a first try due in 1200 ms is refused as rate-limited, to come back in 161 to 700 ms
+    Then a first try with a goal in 300 ms is refused as rate-limited, to come back in 161 to 700 ms
+    And a first try without a goal is refused as rate-limited, to come back in 161 to 700 ms
     And a second try due in 1200 ms waits
 
   Scenario: A node that has just started begins with nothing to give
--- a/features/steps/named_rates_steps.py
+++ b/features/steps/named_rates_steps.py
@@ -1,5 +1,6 @@
 """Steps on one admission whose server names a rate, in virtual time."""
 
+import math
 from typing import Any
 
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
@@ -14,7 +15,7 @@
 BEFORE_S = 5.0
 GRACE_S = 3.0
 WINDOW_S = 4.0
-GOAL_S = 0.5
+DUE_S = 1.2
 
 
 @given("a server of {slots:d} slots with work of {ms:d} ms, which gets {rate:d} requests a second")
@@ -97,18 +98,25 @@
     assert len(context.play.begun) - context.before <= most, len(context.play.begun)
 
 
-def offer(context: Any, ms: int, attempt: int) -> Decision:
+def offer(context: Any, attempt: int, goal_s: float) -> Decision:
     play = context.play
-    due = play.now + ms / 1000
-    profile = CallProfile(False, True, due, attempt=attempt, goal=due)
+    due = play.now + DUE_S
+    profile = CallProfile(False, True, due, attempt=attempt, goal=play.now + goal_s)
     return play.admission.offer(10**9 + attempt, profile, play.now)
 
 
 @then(
-    "a first try due in {ms:d} ms is refused as {reason}, to come back in {least:d} to {most:d} ms"
+    "a first try with a goal in {ms:d} ms is refused as {reason}, "
+    "to come back in {least:d} to {most:d} ms"
 )
 def then_refused(context: Any, ms: int, reason: str, least: int, most: int) -> None:
-    decision = offer(context, ms, attempt=1)
+    decision = offer(context, 1, ms / 1000)
+    assert decision.reason == reason and least <= decision.retry_after_ms <= most, decision
+
+
+@then("a first try without a goal is refused as {reason}, to come back in {least:d} to {most:d} ms")
+def then_refused_without(context: Any, reason: str, least: int, most: int) -> None:
+    decision = offer(context, 1, math.inf)
     assert decision.reason == reason and least <= decision.retry_after_ms <= most, decision
 
 
@@ -119,7 +127,7 @@
     play.come({}, 2.0)
     play.offer(1)
     play.offer(1)
-    decision = offer(context, ms, attempt=2)
+    decision = offer(context, 2, ms / 1000)
     assert decision.verdict is Verdict.QUEUE, decision
 
 
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -163,8 +163,8 @@
             # at once it costs a hop; whoever asks again has found nobody quicker.
             return _reject(ErrorCode.SLOWED, self.pace.quick_in_ms(now))
         if profile.attempt == 1 and (wait_ms := self._long_wait_ms(profile, now)):
-            # Failure: a server that has named a limit lets what arrives wait for its turn, though
-            # others would have answered by then. Turned away at once it costs a hop.
+            # Failure: a server that has named a limit lets what arrives wait for its turn, late,
+            # though others have room. Turned away at once it costs a hop.
             return _reject(ErrorCode.RATE_LIMITED, wait_ms)
         self.dues[ticket] = self.runs.due(profile, now)
         if self._may_start(profile.urgent, now) and not self.runs.waits(profile, now):
@@ -311,11 +311,16 @@
         self.gate_opens_at = opens_at if opens_at > now and self.in_use < self.limit else None
 
     def _long_wait_ms(self, profile: CallProfile, now: float) -> float:
-        """Return the wait for the server's named limit where it is longer than the run, else 0."""
+        """Return the wait for the server's named limit where it makes a request late, else 0.
+
+        Without a goal late is what waits for longer than it runs.
+        """
         if not self.gate.named.holds(now):
             return 0.0
         wait_ms = self.gate.wait_s(len(self.waiting), now) * 1000
-        return wait_ms if wait_ms > self.runs.work_ms(profile) else 0.0
+        work_ms = self.runs.work_ms(profile)
+        borne_ms = work_ms if math.isinf(profile.goal) else (profile.goal - now) * 1000 - work_ms
+        return wait_ms if wait_ms > borne_ms else 0.0
 
     def _gate_wait_ms(self, ahead: int, profile: CallProfile, now: float) -> float:
         """Return the wait for the gate behind ``ahead`` others, in milliseconds."""
