--- a/bench/limits/_limit_tally.py
+++ b/bench/limits/_limit_tally.py
@@ -6,6 +6,8 @@
 
 from bench.limits._limit_watch import FullestWindow
 
+OK = 200
+
 
 @attrs.frozen(slots=True)
 class LimitTally:
@@ -20,7 +22,7 @@
     used: float
     asked: int
     lost: int
-    statuses: Counter[str]
+    statuses: Counter[int]
 
     @property
     def is_within(self) -> bool:
@@ -31,8 +33,8 @@
         worst = "none binds"
         if self.worst is not None:
             worst = f"{self.worst.count:3} of {self.worst.allowed:5.1f}"
-        answered = self.statuses["200"] / max(1, self.asked)
-        others = {name: count for name, count in self.statuses.items() if name != "200"}
+        answered = self.statuses[OK] / max(1, self.asked)
+        others = {status: count for status, count in self.statuses.items() if status != OK}
         verdict = "ok    " if self.is_within else "BROKEN"
         return (
             f"{verdict} {worst:14} late {self.late:2}  used {self.used:.2f}  "
--- a/bench/limits/_play.py
+++ b/bench/limits/_play.py
@@ -11,7 +11,7 @@
 from bench.limits._fleet import LimitFleet, LimitSeat
 from bench.limits._limit_plan import LimitPlan, NodeEvent
 from bench.limits._limit_tally import LimitTally
-from bench.limits._limit_watch import NamedRate, fullest_window
+from bench.limits._limit_watch import FullestWindow, NamedRate, fullest_window
 from bench.limits._lookups import Lookups
 
 LIMIT, LEAVING = "Server-Limit", "Server-Leaving"
@@ -96,18 +96,11 @@
 
     def tally(self) -> LimitTally:
         """Return what came of it."""
-        windows = [
-            fullest_window(
-                self.named,
-                self.lookups.requests_at(each.server),
-                self.lookups.told(each.server, LIMIT),
-            )
-            for each in self.limited
-        ]
+        windows = [self.fullest_at(each) for each in self.limited]
         binding = [window for window in windows if window is not None]
         left = self.fleet.seats[-1].server
         late = self.lookups.late_at(left, self.lookups.told(left, LEAVING), DRAIN_S)
-        statuses = Counter(self.outcome(each.reply.status) for each in self.lookups.done)
+        statuses = Counter(each.reply.status for each in self.lookups.done)
         return LimitTally(
             worst=max(binding, key=lambda each: each.excess, default=None),
             late=len(late),
@@ -117,9 +110,10 @@
             statuses=statuses,
         )
 
-    @staticmethod
-    def outcome(status: int) -> str:
-        return str(status)
+    def fullest_at(self, seat: LimitSeat) -> FullestWindow | None:
+        """Return the fullest window of a limited server."""
+        requests = self.lookups.requests_at(seat.server)
+        return fullest_window(self.named, requests, self.lookups.told(seat.server, LIMIT))
 
     def used(self) -> float:
         """Return which share of what the first limit offered ran, while it was in force."""
--- /dev/null
+++ b/features/steps/bench_limits_steps.py
@@ -0,0 +1,96 @@
+"""Steps on what a play of limits counts."""
+
+from types import SimpleNamespace
+from typing import Any
+
+from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
+
+from bench.limits import (
+    EnteredRequest,
+    Lookups,
+    NamedRate,
+    Reply,
+    allowed_between,
+    draw_plan,
+    fullest_window,
+)
+from bench.limits._limit_plan import SHAPES
+from standins.platform._backend import Arrival
+
+use_step_matcher("parse")
+
+
+@given(
+    "a server that names {rate:g} requests a second at second {at:g}, "
+    "and node {node} passes that on at second {told:g}"
+)
+def given_named(context: Any, rate: float, at: float, node: str, told: float) -> None:
+    context.rates = [NamedRate(at, rate)]
+    context.told = {node: told}
+
+
+@when("it gets {count:d} requests of {entry} from second {first:g} on, one each {gap:g} s")
+def when_gets(context: Any, count: int, entry: str, first: float, gap: float) -> None:
+    context.requests = [EnteredRequest(first + number * gap, entry) for number in range(count)]
+
+
+@then("the fullest window holds {held:d} of {allowed:g} allowed, {verdict}")
+def then_held(context: Any, held: int, allowed: float, verdict: str) -> None:
+    found = fullest_window(context.rates, context.requests, context.told)
+    count = 0 if found is None else found.count
+    assert count == held, found
+    assert found is None or abs(found.allowed - allowed) < 1e-9, found
+    assert (found is None or found.is_within) == (verdict == "within"), found
+
+
+@then(
+    "limits of {first:g} from second {at:g} and {second:g} from second {change:g} on "
+    "allow {allowed:g} between second {begins:g} and {ends:g}"
+)
+def then_allow(
+    context: Any,
+    first: float,
+    at: float,
+    second: float,
+    change: float,
+    allowed: float,
+    begins: float,
+    ends: float,
+) -> None:
+    rates = [NamedRate(at, first), NamedRate(change, second)]
+    assert abs(allowed_between(rates, begins, ends) - allowed) < 1e-9
+
+
+async def unsent(turn: int, attempt: str) -> Reply:
+    raise OSError
+
+
+@given("a server that leaves, whose word node {node} passes on at second {told:g}")
+def given_leaving(context: Any, node: str, told: float) -> None:
+    context.told = {node: told}
+    context.lookups = Lookups(2, unsent)
+
+
+@when(
+    "it gets requests that began at node {one} at second {first:g} and {second:g}, "
+    "and at node {other} at second {third:g}"
+)
+def when_began(
+    context: Any, one: str, first: float, second: float, other: str, third: float
+) -> None:
+    context.lookups.entered = {"1": (one, first), "2": (one, second), "3": (other, third)}
+    received = [Arrival(third, attempt) for attempt in context.lookups.entered]
+    context.server = SimpleNamespace(received=received)
+
+
+@then("one of them came later than {seconds:d} s after its node was told")
+def then_late(context: Any, seconds: int) -> None:
+    late = context.lookups.late_at(context.server, context.told, seconds)
+    assert late == ["2"], late
+
+
+@then("the plans of seed {one:d} are the same twice, and those of seed {other:d} are others")
+def then_plans(context: Any, one: int, other: int) -> None:
+    for shape in SHAPES:
+        assert draw_plan(one, shape) == draw_plan(one, shape)
+        assert draw_plan(one, shape) != draw_plan(other, shape)
