--- a/features/loop_stops.py
+++ b/features/loop_stops.py
@@ -38,6 +38,10 @@
         await asyncio.sleep(0)
         return sum(end - max(began, start) for start, end in self.stops if end > began)
 
+    def touches(self, began: float, ended: float, after_s: float) -> bool:
+        """Tell whether the loop stood still between two times, or within ``after_s`` before."""
+        return any(start < ended and end + after_s > began for start, end in self.stops)
+
     def close(self) -> None:
         if self.task is not None:
             self.task.cancel()
