--- a/features/steps/named_rates_steps.py
+++ b/features/steps/named_rates_steps.py
@@ -13,8 +13,6 @@
 use_step_matcher("parse")
 
 BEFORE_S = 5.0
-GRACE_S = 3.0
-WINDOW_S = 4.0
 DUE_S = 1.2
 
 
@@ -29,7 +27,6 @@
     context.play = Play(ms / 1000, admission)
     context.play.come({1: float(rate)} if rate else {}, BEFORE_S if rate else 0.0)
     context.named_at = None
-    context.cold_s = 0.0
 
 
 @when("it names {rate} a second while {load:d} come for {seconds:d} s")
