Callers are known by their keys: workspaces in the settings tree, through both interfaces

The node that a caller reaches looks its key up by digest before it reads a body; 401 for none, an unknown, a malformed or a second one. The tree holds digests alone, so that nothing that is stored, shown or sent between nodes holds a key. Calls of a run need none: they name the run by an identity that only its server has. A call goes by its parent's rank in Calls, no longer in the Dispatcher. Where no settings ask for keys nothing changes but that X-Tenant-Name is never passed on.

--- a/bench/model/_mechanisms.py
+++ b/bench/model/_mechanisms.py
@@ -48,9 +48,9 @@
     ),
     Mechanism(
         "calls ranked as their parents",
-        f"{INGRESS}._dispatcher",
-        "Dispatcher.as_urgent_as_its_parent",
-        "lambda self, request: request",
+        f"{INGRESS}._calls",
+        "Calls.as_its_parent",
+        "lambda self, request: None",
     ),
     Mechanism(
         "time kept for longer requests",
--- a/bench/model/_model_node.py
+++ b/bench/model/_model_node.py
@@ -12,7 +12,7 @@
 from bench.model._model_work import ModelWork
 from bench.model._virtual_loop import LoopClock
 from marjoramtide.exchange import Answer, LoadReport, Request, ServerStatement, inline_body
-from marjoramtide.ingress import Dispatcher, StartUp
+from marjoramtide.ingress import Calls, Dispatcher, StartUp
 from marjoramtide.membership import Member, MemberState
 from marjoramtide.policy import StartStatements
 from marjoramtide.serving import BackendState, HealthReading, Measurer, ServerLoad, ServingService
@@ -71,9 +71,9 @@
             rng,
             self.metrics,
             tracer,
-            self.serving.running.get,
             start_up,
         )
+        self.calls = Calls(self.serving.running)
         settings = self.view.route(member.service, "/")
         self.serving.open(settings)
         self.measurer.configure(settings)
@@ -117,6 +117,7 @@
 
     async def dispatch(self, request: Request, settings: RouteSettings) -> Answer:
         """Serve a request that entered here."""
+        request = self.calls.as_its_parent(request) or request
         task = asyncio.ensure_future(self.dispatcher.dispatch(request, inline_body(), settings))
         self.served.add(task)
         task.add_done_callback(self.served.discard)
--- a/features/steps/ingress_callers_steps.py
+++ b/features/steps/ingress_callers_steps.py
@@ -13,7 +13,7 @@
 from marjoramtide.clock import SystemClock
 from marjoramtide.exchange import Answer, Request, RequestBody
 from marjoramtide.ingress import Ingress
-from marjoramtide.settings import DEFAULTS, RouteSettings
+from marjoramtide.settings import DEFAULTS, RouteSettings, Workspaces
 from marjoramtide.telemetry import Metrics, Tracer
 from standins.raw_caller import STATUS_LINE, RawAnswer, send_raw
 
@@ -34,6 +34,7 @@
         is_current=True,
         revision=1,
         node_values=DEFAULTS,
+        workspaces=Workspaces(),
         find=lambda host, path: RouteSettings(service=host),
         on_change=lambda listener: None,
     )
--- a/features/steps/start_up_steps.py
+++ b/features/steps/start_up_steps.py
@@ -14,7 +14,7 @@
 from marjoramtide.exchange import Answer, NotRunError, Request, inline_body
 from marjoramtide.ingress import Dispatcher, Ingress, StartUp
 from marjoramtide.membership import Member, MemberState
-from marjoramtide.settings import DEFAULTS, RouteSettings
+from marjoramtide.settings import DEFAULTS, RouteSettings, Workspaces
 from marjoramtide.telemetry import Metrics, Tracer
 
 use_step_matcher("parse")
@@ -126,6 +126,7 @@
         is_current=False,
         revision=0,
         node_values=DEFAULTS,
+        workspaces=Workspaces(),
         find=lambda host, path: RouteSettings(service=host),
         on_change=lambda listener: None,
     )
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -22,7 +22,7 @@
 from marjoramtide.daemon._supervision import keep_running
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.evacuation import make_evacuations
-from marjoramtide.ingress import Dispatcher, Ingress, PeerEnds, StartUp
+from marjoramtide.ingress import Authenticator, Calls, Dispatcher, Ingress, PeerEnds, StartUp
 from marjoramtide.interface import Interface, own_interface
 from marjoramtide.membership import Member, MemberState, make_membership
 from marjoramtide.operators import make_operators_app
@@ -163,7 +163,6 @@
             rng,
             self.metrics,
             self.tracer,
-            self.serving.running.get,
             self.start_up,
             self.peer_ends,
         )
@@ -176,6 +175,11 @@
             self.tracer,
             interface.callers,
             self.start_up,
+            Authenticator(
+                self.view,
+                interface.callers.scheme,
+                Calls(interface.runs or self.serving.running),
+            ),
         )
         self.news = NodeNews(
             self.membership, self.dispatcher, self.quarantine, self.evacuations, self.claims, rng
--- a/src/marjoramtide/exchange/__init__.py
+++ b/src/marjoramtide/exchange/__init__.py
@@ -13,6 +13,7 @@
 from marjoramtide.exchange._outcome import Outcome
 from marjoramtide.exchange._request import Request
 from marjoramtide.exchange._request_body import INLINE_BYTES, RequestBody, inline_body, stream_body
+from marjoramtide.exchange._runs import NoRuns, Runs
 from marjoramtide.exchange._server_statement import ServerStatement
 from marjoramtide.exchange._target import is_origin_form
 
@@ -23,12 +24,14 @@
     "Answer",
     "Fingerprinter",
     "LoadReport",
+    "NoRuns",
     "NotRunError",
     "Outcome",
     "Request",
     "RequestBody",
     "RequestFailedError",
     "RequestHandler",
+    "Runs",
     "ServerStatement",
     "UnknownOutcomeError",
     "end_to_end",
--- a/src/marjoramtide/exchange/_headers.py
+++ b/src/marjoramtide/exchange/_headers.py
@@ -18,7 +18,15 @@
 )
 # Written anew at each hop.
 OWN_REQUEST = frozenset(
-    ("content-length", "expect", "request-timeout-ms", "marjoramtide-depth", "traceparent")
+    (
+        "content-length",
+        "expect",
+        "request-timeout-ms",
+        "marjoramtide-depth",
+        "marjoramtide-run",
+        "marjoramtide-workspace",
+        "traceparent",
+    )
 )
 OWN_ANSWER = frozenset(
     ("content-length", "request-outcome", "retry-after-ms", "marjoramtide-node", "date", "server")
--- a/src/marjoramtide/exchange/_request.py
+++ b/src/marjoramtide/exchange/_request.py
@@ -20,7 +20,8 @@
     and one more for each call on the way that led to this one; ``parent`` is the id of the running
     request that made this call, empty where that isn't told. ``relayed`` where another node took it
     from its caller, and knows that it is here; ``statement`` is what that one has heard of the
-    backend server here, ``None`` where it asks for nothing.
+    backend server here, ``None`` where it asks for nothing. ``workspace`` is whom it is for, empty
+    where that isn't known; a call is for the workspace of the request that made it.
     """
 
     service: str
@@ -40,6 +41,7 @@
     parent: str = ""
     relayed: bool = False
     statement: ServerStatement | None = None
+    workspace: str = ""
 
     @property
     def label(self) -> str:
--- a/src/marjoramtide/ingress/__init__.py
+++ b/src/marjoramtide/ingress/__init__.py
@@ -1,6 +1,8 @@
 """The side of a node that callers reach."""
 
+from marjoramtide.ingress._authenticator import Authenticator
 from marjoramtide.ingress._caller_protocol import CallerProtocol
+from marjoramtide.ingress._calls import Calls
 from marjoramtide.ingress._dispatcher import Dispatcher
 from marjoramtide.ingress._ingress import Ingress
 from marjoramtide.ingress._own_callers import OwnCallers
@@ -9,7 +11,9 @@
 from marjoramtide.ingress._start_up import StartUp
 
 __all__ = [
+    "Authenticator",
     "CallerProtocol",
+    "Calls",
     "Dispatcher",
     "Ingress",
     "OwnCallers",
--- a/src/marjoramtide/ingress/_caller_protocol.py
+++ b/src/marjoramtide/ingress/_caller_protocol.py
@@ -17,13 +17,17 @@
     turned_away: bytes
     """The whole answer to a connection that is one too many."""
 
+    scheme: str
+    """The scheme of ``Authorization`` with which callers send their keys."""
+
     @abstractmethod
     def read(
         self, http: web.BaseRequest, view: SettingsView, tracer: Tracer, now: float
     ) -> tuple[Request, RouteSettings]:
         """Return the request with the settings of its route.
 
-        ``now`` is in seconds of the monotonic clock. Raises ``bad-request``, ``head-too-large``,
+        ``now`` is in seconds of the monotonic clock. ``parent`` of the request names the run that
+        it is a call of, as its sender says. Raises ``bad-request``, ``head-too-large``,
         ``unknown-service`` or ``depth-exceeded``.
         """
 
--- /dev/null
+++ b/src/marjoramtide/ingress/_calls.py
@@ -0,0 +1,34 @@
+"""Calls of requests that the own backend server runs."""
+
+import attrs
+
+from marjoramtide.exchange import NoRuns, Request, Runs
+
+
+@attrs.define(slots=True, eq=False, repr=False)
+class Calls:
+    """Knows calls by the runs that they name."""
+
+    runs: Runs = attrs.field(factory=NoRuns)
+
+    def as_its_parent(self, request: Request) -> Request | None:
+        """Return a call with the class, rank and workspace of the request that waits for it.
+
+        ``None`` where it is the call of no run here. Failure: lookups for routine requests go
+        before callers' own urgent ones of the service that is called, since its operator has ranked
+        the lookup by itself. By their parents' rank, calls of routine requests wait behind what is
+        more urgent, and those of urgent ones don't.
+        """
+        parent = self.runs.find(request.parent) if request.parent else None
+        if parent is None:
+            return None
+        return attrs.evolve(
+            request, urgent=parent.urgent, rank=parent.rank, workspace=parent.workspace
+        )
+
+    def may_be_of_a_run(self, request: Request) -> bool:
+        """Tell whether a request names a run that this node may have missed, or has just seen end.
+
+        A node that starts anew beside a server that runs on doesn't know what that one runs.
+        """
+        return bool(request.parent) and self.runs.may_have_run(request.parent)
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -57,17 +57,14 @@
         rng: random.Random,
         metrics: Metrics,
         tracer: Tracer,
-        running: Callable[[str], Request | None] = lambda request_id: None,
         start_up: StartUp | None = None,
         peer_ends: PeerEnds | None = None,
     ) -> None:
-        """``running`` returns what the own backend server runs under an id, where it does.
+        """Without a ``start_up`` no request waits for members.
 
-        Without a ``start_up`` no request waits for members, without ``peer_ends`` nobody looks
-        whether a node has ended with what it served.
+        Without ``peer_ends`` nobody looks whether a node has ended with what it served.
         """
         self.directory = directory
-        self.running = running
         self.view = view
         self.local = local
         self.peers = peers
@@ -130,7 +127,6 @@
         """
         if settings.split:
             request = attrs.evolve(request, service=self.draw(settings))
-        request = self.as_urgent_as_its_parent(request)
         attempts = Attempts(request, body, settings, self.state(request.service))
         now = self.clock.monotonic()
         attempts.budgets.retries.deposit(now)
@@ -181,18 +177,6 @@
         """Tell whether any node is known that may take work of a service."""
         return bool(self.directory.members_of(service))
 
-    def as_urgent_as_its_parent(self, request: Request) -> Request:
-        """Return a call with the class and rank of the request that waits for it.
-
-        Failure: lookups for routine requests go before callers' own urgent ones of the service that
-        is called, since its operator has ranked the lookup by itself. By their parents' rank, calls
-        of routine requests wait behind what is more urgent, and those of urgent ones don't.
-        """
-        parent = self.running(request.parent) if request.parent else None
-        if parent is None:
-            return request
-        return attrs.evolve(request, urgent=parent.urgent, rank=parent.rank)
-
     async def try_in_turn(self, attempts: Attempts) -> Answer:
         """Try one node after the other."""
         while True:
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -20,6 +20,7 @@
     UnknownOutcomeError,
     inline_body,
 )
+from marjoramtide.ingress._authenticator import Authenticator
 from marjoramtide.ingress._caller_connection import log_fields
 from marjoramtide.ingress._caller_protocol import CallerProtocol
 from marjoramtide.ingress._caller_server import CallerServer
@@ -60,11 +61,17 @@
         tracer: Tracer,
         protocol: CallerProtocol | None = None,
         start_up: StartUp | None = None,
+        authenticator: Authenticator | None = None,
     ) -> None:
-        """Without a ``start_up`` no request waits for settings."""
+        """Without a ``start_up`` no request waits for settings.
+
+        Without an ``authenticator`` the backend server beside this node makes no calls without a
+        key.
+        """
         self.node = node
         self.start_up = start_up or StartUp(clock)
         self.protocol = protocol or OwnCallers()
+        self.authenticator = authenticator or Authenticator(view, self.protocol.scheme)
         self.view = view
         self.dispatcher = dispatcher
         self.clock = clock
@@ -139,6 +146,7 @@
             await self.start_up.wait_until(lambda: self.view.is_current)
             self.check_open()
             request, settings = self.protocol.read(http, self.view, self.tracer, now)
+            request = self.authenticator.admit(http, request, settings)
             self.check_room(request)
             body = await self.read_body(http, request, settings)
             with self.tracer.span("ingress", request.trace) as span:
@@ -336,6 +344,7 @@
     return {
         "service": request.service,
         "path": request.target[:100],
+        "workspace": request.workspace,
         "idempotent": request.idempotent,
         "tries": [
             {
--- a/src/marjoramtide/ingress/_own_callers.py
+++ b/src/marjoramtide/ingress/_own_callers.py
@@ -24,6 +24,7 @@
     """``Request-Timeout-Ms``, ``Priority`` and ``Idempotency-Key``; ``Request-Outcome`` back."""
 
     turned_away = TURNED_AWAY
+    scheme = "Bearer"
 
     def read(
         self, http: web.BaseRequest, view: SettingsView, tracer: Tracer, now: float
--- a/src/marjoramtide/ingress/_read_request.py
+++ b/src/marjoramtide/ingress/_read_request.py
@@ -171,6 +171,7 @@
         key=read_key(http),
         trace=trace.header(),
         request_id=http.headers.get("X-Request-Id", "")[:MAX_KEY_CHARACTERS],
+        parent=single(http, "Marjoramtide-Run"),
         rank=settings.rank,
         goal=now + settings.goal_ms / 1000 if settings.goal_ms else float("inf"),
     )
--- a/src/marjoramtide/ingress/_refusal.py
+++ b/src/marjoramtide/ingress/_refusal.py
@@ -16,6 +16,10 @@
     ErrorCode.HEAD_TOO_LARGE: (431, "http_request_error"),
     ErrorCode.SLOW_CALLER: (408, "http_request_error"),
     ErrorCode.KEY_REUSED: (422, "http_request_denied"),
+    ErrorCode.UNAUTHENTICATED: (401, "http_request_denied"),
+    ErrorCode.WORKSPACE_LIMITED: (429, "http_request_denied"),
+    ErrorCode.CREDIT_UNKNOWN: (503, "destination_unavailable"),
+    ErrorCode.KEY_UNVERIFIED: (503, "proxy_internal_error"),
     ErrorCode.QUARANTINED: (503, "http_request_denied"),
     ErrorCode.OVERLOADED: (503, "connection_limit_reached"),
     ErrorCode.RATE_LIMITED: (503, "connection_limit_reached"),
@@ -53,6 +57,8 @@
         "Marjoramtide-Node": node,
         "Server": "marjoramtide",
     }
+    if error.code is ErrorCode.UNAUTHENTICATED:
+        headers["WWW-Authenticate"] = "Bearer"
     if error.retry_after_ms is not None:
         headers["Retry-After"] = str(math.ceil(error.retry_after_ms / 1000))
         headers["Retry-After-Ms"] = str(error.retry_after_ms)
--- a/src/marjoramtide/interface/_interface.py
+++ b/src/marjoramtide/interface/_interface.py
@@ -5,6 +5,7 @@
 import attrs
 from aiohttp import web
 
+from marjoramtide.exchange import Runs
 from marjoramtide.ingress import CallerProtocol
 from marjoramtide.serving import BackendProtocol, Registrar
 from marjoramtide.settings.sync import TreeSource
@@ -21,7 +22,8 @@
     where the interface tells it; for ``stop_linger_s`` of it callers may still be sent here, since
     whoever sends them has not yet noticed. ``takes_keys`` is false where no caller ever sends an
     idempotency key, so that there are no claims to keep or to clean. ``evacuations`` is the prefix
-    of the store's objects that name evacuated data centres, empty where there are none.
+    of the store's objects that name evacuated data centres, empty where there are none. ``runs``
+    finds the run that a call names; without it calls name the identity of its request.
     """
 
     store: StoreProtocol
@@ -34,3 +36,4 @@
     stop_linger_s: float = 0.0
     takes_keys: bool = True
     evacuations: str = "evacuations/"
+    runs: Runs | None = None
--- a/src/marjoramtide/interface/_own.py
+++ b/src/marjoramtide/interface/_own.py
@@ -1,12 +1,16 @@
 """The interface that this project defines itself."""
 
+from marjoramtide.clock import SystemClock
 from marjoramtide.ingress import OwnCallers
 from marjoramtide.interface._interface import Interface
-from marjoramtide.serving import OwnBackend
+from marjoramtide.serving import OwnBackend, RunTokens
 from marjoramtide.settings.sync import OwnTreeSource
 from marjoramtide.store import OwnStoreProtocol
 
 
 def own_interface() -> Interface:
     """Return the project's own protocols for all parties."""
-    return Interface(OwnStoreProtocol(), OwnTreeSource(), OwnCallers(), OwnBackend())
+    tokens = RunTokens(SystemClock())
+    return Interface(
+        OwnStoreProtocol(), OwnTreeSource(), OwnCallers(), OwnBackend(tokens), runs=tokens
+    )
--- a/src/marjoramtide/peers/_codec.py
+++ b/src/marjoramtide/peers/_codec.py
@@ -38,6 +38,7 @@
     list[tuple[str, str]]: list,
     list[Any]: list,
     list[Any] | None: (list, type(None)),
+    str | None: (str, type(None)),
 }
 CHECKS = [
     tuple(FIELD_TYPES[field.type] for field in attrs.fields(cls))  # type: ignore[index]
@@ -48,12 +49,12 @@
 def encode(message: Any) -> bytes:
     """Return the message as a CBOR array: its type's number, then its fields.
 
-    A last field that says nothing isn't sent: a node of the version before reads all other messages
+    Last fields that say nothing aren't sent: a node of the version before reads all other messages
     during a rolling update.
     """
     cls = type(message)
     fields = [getattr(message, name) for name in FIELD_NAMES[cls]]
-    if fields[-1] is None:
+    while fields[-1] is None:
         fields.pop()
     return cbor2.dumps([TYPE_NUMBERS[cls], *fields])
 
@@ -65,8 +66,7 @@
         if number not in NUMBERS:
             raise ValueError("no such message")
         checks = CHECKS[number]
-        if len(fields) == len(checks) - 1 and isinstance(None, checks[-1]):
-            fields.append(None)
+        fields += [None for check in checks[len(fields) :] if isinstance(None, check)]
         if len(fields) != len(checks) or not all(map(isinstance, fields, checks)):
             raise ValueError("fields do not match the message")
         return MESSAGE_TYPES[number](*fields)
--- a/src/marjoramtide/peers/_link.py
+++ b/src/marjoramtide/peers/_link.py
@@ -89,6 +89,7 @@
             rank=request.rank,
             goal_ms=goal_ms(request, remaining_ms),
             statement=pack_statement(request.statement),
+            workspace=request.workspace or None,
         )
         frame = encode(message)
         if self.closed:
--- a/src/marjoramtide/peers/_messages.py
+++ b/src/marjoramtide/peers/_messages.py
@@ -11,6 +11,7 @@
 
     ``goal_ms`` is what remains until the answer is worth less, below 0 where that is not known.
     ``statement`` is what the sender has heard of the backend server beside the receiver.
+    ``workspace`` is whom the request is for, ``None`` where that isn't known.
     """
 
     id: int
@@ -32,6 +33,7 @@
     rank: int = 0
     goal_ms: float = -1.0
     statement: list[Any] | None = None
+    workspace: str | None = None
 
 
 @attrs.frozen(slots=True)
--- a/src/marjoramtide/peers/_session.py
+++ b/src/marjoramtide/peers/_session.py
@@ -229,6 +229,7 @@
             goal=math.inf if message.goal_ms < 0 else now + message.goal_ms / 1000,
             relayed=True,
             statement=unpack_statement(message.statement),
+            workspace=message.workspace or "",
         )
         if not message.more:
             return await self.handler.handle(request, inline_body(message.body))
--- a/src/marjoramtide/platform/_backends.py
+++ b/src/marjoramtide/platform/_backends.py
@@ -15,6 +15,7 @@
     SEAL,
     SERVER_LEAVING,
     SERVER_RATE,
+    WORKSPACE,
 )
 from marjoramtide.serving import (
     BackendProtocol,
@@ -55,6 +56,8 @@
         yield DEADLINE, str(max(1, int(remaining_ms)))
         if instance:
             yield EXPECTED_INSTANCE, instance
+        if request.workspace and not request.is_call:
+            yield WORKSPACE, request.workspace
 
     def belongs(self, request_id: str, reply: BackendReply) -> bool:
         echoed = reply.header(REQUEST_ID.lower())
--- a/src/marjoramtide/platform/_callers.py
+++ b/src/marjoramtide/platform/_callers.py
@@ -13,13 +13,21 @@
     EXPECTED_INSTANCE,
     REQUEST_ID,
     RETRY_AFTER,
+    WORKSPACE,
 )
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Tracer
 
 WRITTEN_ANEW = frozenset(
     name.lower()
-    for name in ("Content-Length", "Expect", DEADLINE, CALLING_SERVICE, EXPECTED_INSTANCE)
+    for name in (
+        "Content-Length",
+        "Expect",
+        DEADLINE,
+        CALLING_SERVICE,
+        EXPECTED_INSTANCE,
+        WORKSPACE,
+    )
 )
 MAX_ID_CHARACTERS = 255
 # A call made by a running request has that request's id, this, and a part of its own for an id.
@@ -33,6 +41,8 @@
     ErrorCode.BODY_TOO_LARGE: 413,
     ErrorCode.HEAD_TOO_LARGE: 431,
     ErrorCode.SLOW_CALLER: 408,
+    ErrorCode.UNAUTHENTICATED: 401,
+    ErrorCode.WORKSPACE_LIMITED: 429,
 }
 UNKNOWN = 502
 UNKNOWNS = {ErrorCode.DEADLINE: 504, ErrorCode.BAD_REQUEST: 400, ErrorCode.BODY_TOO_LARGE: 413}
@@ -49,6 +59,7 @@
     """
 
     turned_away = TURNED_AWAY
+    scheme = "Token"
 
     def __init__(self, calling_service: str) -> None:
         self.calling_service = calling_service
@@ -82,6 +93,8 @@
         else:
             status = REFUSALS.get(error.code, REFUSED)
         headers = {REQUEST_ID: request_id} if request_id else {}
+        if status == REFUSALS[ErrorCode.UNAUTHENTICATED]:
+            headers["WWW-Authenticate"] = self.scheme
         if error.retry_after_ms is not None and status not in UNKNOWNS.values():
             headers[RETRY_AFTER] = f"{error.retry_after_ms / 1000:.3f}"
         return web.Response(status=status, headers=headers, text=f"{error.code}: {error.message}\n")
--- a/src/marjoramtide/platform/_configuration.py
+++ b/src/marjoramtide/platform/_configuration.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.platform._workspaces import exemption, workspace_tables
 from marjoramtide.settings import Envelope
 from marjoramtide.settings.sync import TreeSource
 from marjoramtide.store import ObjectStore, StoredObject
@@ -66,7 +67,8 @@
         host = route["Host"].lower()
         branch = services.setdefault(host, {"hosts": [host], "unmatched": "refuse", "routes": {}})
         branch["routes"][route["PathPrefix"]] = route_branch(route)
-    return limits(configuration.get("Limits") or {}) | {"services": services}
+    tables = limits(configuration.get("Limits") or {}) | {"services": services}
+    return tables | workspace_tables(configuration)
 
 
 def limits(given: dict[str, Any]) -> dict[str, Any]:
@@ -104,7 +106,7 @@
         "max_attempts": route["MaxAttempts"],
         "priority": "urgent" if priority == HIGHEST_PRIORITY else "routine",
         "rank": priority,
-    }
+    } | exemption(route)
 
 
 def merge(below: dict[str, Any], above: dict[str, Any]) -> dict[str, Any]:
--- a/src/marjoramtide/platform/_headers.py
+++ b/src/marjoramtide/platform/_headers.py
@@ -24,6 +24,9 @@
 CALLING_SERVICE = "X-Calling-Service"
 """The service on whose instance the request began."""
 
+WORKSPACE = "X-Tenant-Name"
+"""The workspace of the caller, as the node knows it by the key."""
+
 RETRY_AFTER = "Retry-After"
 """Seconds, with a fraction where need be."""
 
--- a/src/marjoramtide/platform/_interface.py
+++ b/src/marjoramtide/platform/_interface.py
@@ -32,7 +32,10 @@
     return Interface(
         store=PlatformStore(),
         tree=OperatorConfiguration(
-            read_base(settings.base_tree) | second_tries(bounds) | cold_servers(bounds)
+            read_base(settings.base_tree)
+            | second_tries(bounds)
+            | cold_servers(bounds)
+            | revocation(bounds)
         ),
         callers=PlatformCallers(settings.service),
         backend=PlatformBackend(),
@@ -61,6 +64,13 @@
     return {key: value for key, value in told.items() if value is not None}
 
 
+def revocation(bounds: Bounds) -> dict[str, float]:
+    """Return the setting that bounds for how long a key that was taken away may be good."""
+    if not bounds.strict_revoke or bounds.revoke_ms is None:
+        return {}
+    return {"revocation_s": bounds.revoke_ms / 1000}
+
+
 def read_base(path: str) -> dict[str, Any]:
     """Read the tree that the operator's configuration is laid over; none without a path."""
     if not path:
--- a/src/marjoramtide/serving/__init__.py
+++ b/src/marjoramtide/serving/__init__.py
@@ -16,6 +16,7 @@
 from marjoramtide.serving._run import Run
 from marjoramtide.serving._run_guard import RunGuard
 from marjoramtide.serving._run_reporter import RunReporter
+from marjoramtide.serving._run_tokens import RunTokens
 from marjoramtide.serving._server_load import ServerLoad
 from marjoramtide.serving._service import ServingService
 from marjoramtide.serving._statement_reader import StatementReader
@@ -38,6 +39,7 @@
     "Run",
     "RunGuard",
     "RunReporter",
+    "RunTokens",
     "ServerLoad",
     "ServingService",
     "StatementReader",
--- a/src/marjoramtide/serving/_own_backend.py
+++ b/src/marjoramtide/serving/_own_backend.py
@@ -10,6 +10,7 @@
 from marjoramtide.serving._endpoint_answer import EndpointAnswer
 from marjoramtide.serving._health_reading import HealthReading
 from marjoramtide.serving._reply_reading import ReplyReading, ReplyVerdict
+from marjoramtide.serving._run_tokens import RunTokens
 from marjoramtide.serving._statement_reader import StatementReader
 
 MAX_DIGITS = 7
@@ -24,16 +25,27 @@
     In any answer, of its health too, a server may name ``Backend-Rate-Limit``, the requests a
     second that it takes from all callers together for as long as it says so, and say
     ``Backend-Leaving: 1``.
+
+    A request for a workspace comes with ``Marjoramtide-Workspace`` and ``Marjoramtide-Run``. Calls
+    that the server makes for it need no key where they bring the latter back.
     """
 
     own_answer_headers = OWN_ANSWER | {RATE_LIMIT, LEAVING}
 
+    def __init__(self, tokens: RunTokens | None = None) -> None:
+        """Without ``tokens`` requests come without ``Marjoramtide-Run``."""
+        self.tokens = tokens
+
     def request_headers(
         self, request: Request, remaining_ms: float, instance: str
     ) -> Iterator[tuple[str, str]]:
         yield "Request-Timeout-Ms", str(max(1, int(remaining_ms)))
         yield "Marjoramtide-Depth", str(request.depth)
         yield "Traceparent", request.trace
+        if request.workspace:
+            yield "Marjoramtide-Workspace", request.workspace
+            if self.tokens is not None:
+                yield "Marjoramtide-Run", self.tokens.issue(request)
 
     def belongs(self, request_id: str, reply: BackendReply) -> bool:
         return True
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -34,6 +34,7 @@
 from marjoramtide.serving._request_kinds import RequestKinds
 from marjoramtide.serving._run_guard import NoGuard, RunGuard
 from marjoramtide.serving._run_reporter import NoReporter, RunReporter
+from marjoramtide.serving._running_requests import RunningRequests
 from marjoramtide.serving._server_ends import ServerEnds
 from marjoramtide.serving._server_load import ServerLoad
 from marjoramtide.serving._slot_queue import SlotQueue
@@ -94,7 +95,7 @@
         self.kinds = RequestKinds(view)
         self.tickets = itertools.count(1)
         self.in_progress: dict[int, Execution] = {}
-        self.running: dict[str, Request] = {}
+        self.running = RunningRequests(clock, clock.monotonic() if began_at is None else began_at)
         self.background: set[asyncio.Task[Answer]] = set()
         self.idle = asyncio.Event()
         self.idle.set()
@@ -208,8 +209,7 @@
         except BaseException:
             self.done(execution)
             raise
-        if request.request_id:
-            self.running[request.request_id] = request
+        self.running.begin(request)
         if request.idempotent:
             return await self.execute(execution)
         return await self.execute_to_the_end(execution)
@@ -433,7 +433,7 @@
     def done(self, execution: Execution) -> None:
         self.in_progress.pop(execution.ticket, None)
         self.reporter.over(execution.ticket)
-        self.running.pop(execution.request.request_id, None)
+        self.running.end(execution.request)
         if not self.in_progress:
             self.idle.set()
 
--- a/src/marjoramtide/settings/__init__.py
+++ b/src/marjoramtide/settings/__init__.py
@@ -22,6 +22,13 @@
 from marjoramtide.settings._settings_view import SettingsView
 from marjoramtide.settings._tree import SettingsTree, parse_tree
 from marjoramtide.settings._tree_view import TreeSettingsView
+from marjoramtide.settings._workspace_settings import WorkspaceSettings
+from marjoramtide.settings._workspaces import (
+    Workspaces,
+    key_digest,
+    key_fingerprint,
+    make_workspaces,
+)
 
 __all__ = [
     "DEFAULTS",
@@ -40,12 +47,17 @@
     "SettingsTree",
     "SettingsView",
     "TreeSettingsView",
+    "WorkspaceSettings",
+    "Workspaces",
     "apply_edits",
     "check_address",
     "compare_trees",
     "conflicting_branches",
     "decode_envelope",
+    "key_digest",
+    "key_fingerprint",
     "load_node_settings",
+    "make_workspaces",
     "parse_address",
     "parse_branch",
     "parse_edits",
--- a/src/marjoramtide/settings/_branch.py
+++ b/src/marjoramtide/settings/_branch.py
@@ -9,9 +9,14 @@
 
 NAME = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
 NAME_RULE = "1 to 63 of a-z, 0-9, '-' and '.', beginning and ending with a letter or a digit"
+# Other systems name workspaces, too, and backend servers are told the name as it is.
+WORKSPACE_NAME = re.compile(r"[A-Za-z0-9]([A-Za-z0-9._@:+-]{0,126}[A-Za-z0-9])?")
+WORKSPACE_NAME_RULE = (
+    "1 to 128 of A-Z, a-z, 0-9 and '._@:+-', beginning and ending with a letter or a digit"
+)
 FORMS = (
-    "/, /regions/R, /regions/R/data_centres/D, or one of these followed by "
-    "services/S or services/S/routes/PREFIX"
+    "/, /workspaces/W, /regions/R, /regions/R/data_centres/D, or one of these but the second "
+    "followed by services/S or services/S/routes/PREFIX"
 )
 
 
@@ -27,9 +32,12 @@
     data_centre: str = ""
     service: str = ""
     route: str | None = None
+    workspace: str = ""
 
     @property
     def level(self) -> Level:
+        if self.workspace:
+            return Level.WORKSPACE
         if self.route is not None:
             return Level.ROUTE
         if self.service:
@@ -41,6 +49,8 @@
     @property
     def keys(self) -> tuple[str, ...]:
         """Return the TOML keys that lead to this branch."""
+        if self.workspace:
+            return ("workspaces", self.workspace)
         parts: tuple[str, ...] = ()
         if self.region:
             parts += ("regions", self.region)
@@ -72,6 +82,8 @@
 def parse_branch(path: str) -> Branch:
     """Read a path such as ``/services/mapdesk``; raises ``bad-settings`` for any other form."""
     parts = path.removeprefix("/").split("/") if path.strip("/") else []
+    if len(parts) == 2 and parts[0] == "workspaces":
+        return _parse_workspace(path, parts[1])
     found: dict[str, str] = {}
     levels = {"regions": "region", "data_centres": "data_centre", "services": "service"}
     allowed = ["regions", "services"]
@@ -93,3 +105,13 @@
             step="settings.path",
         )
     return Branch(**found)
+
+
+def _parse_workspace(path: str, name: str) -> Branch:
+    if not WORKSPACE_NAME.fullmatch(name):
+        raise MarjoramtideError(
+            ErrorCode.BAD_SETTINGS,
+            f"{path}: {name!r} is not {WORKSPACE_NAME_RULE}",
+            step="settings.path",
+        )
+    return Branch(workspace=name)
--- a/src/marjoramtide/settings/_edit.py
+++ b/src/marjoramtide/settings/_edit.py
@@ -8,6 +8,7 @@
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.settings._branch import Branch, parse_branch
+from marjoramtide.settings._schema import SCHEMA
 
 
 class EditAction(StrEnum):
@@ -37,7 +38,9 @@
 
     def __str__(self) -> str:
         if self.action is EditAction.SET:
-            return f"set {self.path} {self.key} = {self.value!r}"
+            spec = SCHEMA.get(self.key)
+            shown = repr(self.value) if spec is None else spec.shown(self.value)
+            return f"set {self.path} {self.key} = {shown}"
         return " ".join(part for part in (self.action, self.path, self.key) if part)
 
 
--- a/src/marjoramtide/settings/_level.py
+++ b/src/marjoramtide/settings/_level.py
@@ -11,3 +11,4 @@
     DATA_CENTRE = "data centre"
     SERVICE = "service"
     ROUTE = "route"
+    WORKSPACE = "workspace"
--- a/src/marjoramtide/settings/_route_settings.py
+++ b/src/marjoramtide/settings/_route_settings.py
@@ -24,6 +24,8 @@
     idempotent: str = "method"  # method | yes | no
     priority: str = "caller"  # caller | urgent | routine
     max_body_bytes: int = 8 * 1024 * 1024
+    # Callers
+    authentication: str = "none"  # none | key
     # Capacity of one backend server
     slots: int = 10
     urgent_slots: int = 1
--- a/src/marjoramtide/settings/_schema.py
+++ b/src/marjoramtide/settings/_schema.py
@@ -5,15 +5,18 @@
 import attrs
 
 from marjoramtide.settings._choice_key import ChoiceKey
+from marjoramtide.settings._digests_key import DigestsKey
 from marjoramtide.settings._hosts_key import HostsKey
-from marjoramtide.settings._key_spec import NODE_WIDE, NOT_ON_ROUTES, KeySpec
+from marjoramtide.settings._key_spec import NODE_WIDE, NOT_ON_ROUTES, WORKSPACES, KeySpec
 from marjoramtide.settings._level import Level
 from marjoramtide.settings._number_key import NumberKey
 from marjoramtide.settings._path_key import PathKey
 from marjoramtide.settings._route_settings import RouteSettings
 from marjoramtide.settings._split_key import SplitKey
+from marjoramtide.settings._workspace_settings import WorkspaceSettings
 
 REQUESTS = "Requests"
+CALLERS = "Callers and workspaces"
 CAPACITY = "Capacity of one backend server"
 COLD = "Cold backend servers"
 CHOICE = "Choice of a backend server"
@@ -102,6 +105,63 @@
         maximum=1 << 30,
         meaning="The largest request body, in bytes.",
     ),
+    ChoiceKey(
+        name="authentication",
+        group=CALLERS,
+        choices=("none", "key"),
+        meaning="Whether a request needs the key of a workspace.",
+    ),
+    DigestsKey(
+        name="key_digests",
+        group=CALLERS,
+        levels=frozenset({Level.WORKSPACE}),
+        meaning="Digests of the keys that open the workspace; a digest belongs to one workspace.",
+    ),
+    ChoiceKey(
+        name="workspace_priority",
+        group=CALLERS,
+        levels=WORKSPACES,
+        choices=("route", "urgent", "routine"),
+        meaning="The class of the workspace's requests: as the route has it, or fixed.",
+    ),
+    NumberKey(
+        name="workspace_rank",
+        group=CALLERS,
+        levels=WORKSPACES,
+        minimum=-1,
+        maximum=1000,
+        meaning="The rank of the workspace's requests in place of the route's; -1 leaves it to "
+        "the route.",
+    ),
+    NumberKey(
+        name="requests_per_s",
+        group=CALLERS,
+        levels=WORKSPACES,
+        minimum=0,
+        maximum=10_000_000,
+        fraction=True,
+        meaning="Requests a second that all nodes together admit for the workspace; 0 stands for "
+        "no limit.",
+    ),
+    NumberKey(
+        name="request_burst",
+        group=CALLERS,
+        levels=WORKSPACES,
+        minimum=0,
+        maximum=10_000_000,
+        fraction=True,
+        meaning="Requests that are admitted at once besides.",
+    ),
+    NumberKey(
+        name="revocation_s",
+        group=CALLERS,
+        levels=NODE_WIDE,
+        minimum=0,
+        maximum=3600,
+        fraction=True,
+        meaning="Seconds after which a key that was taken away opens nothing at any node, also at "
+        "one that can't hear of it, which refuses all keys then; 0 leaves it to `freshness_s`.",
+    ),
     NumberKey(
         name="slots",
         group=CAPACITY,
@@ -432,7 +492,11 @@
     "idle_timeout_ms": 75_000,
     "freshness_s": 6.0,
     "watchers": 3,
+    "revocation_s": 0.0,
 }
 DEFAULTS: dict[str, Any] = {
-    field.name: field.default for field in attrs.fields(RouteSettings) if field.name in SCHEMA
+    field.name: field.default
+    for settings in (RouteSettings, WorkspaceSettings)
+    for field in attrs.fields(settings)
+    if field.name in SCHEMA
 } | NODE_DEFAULTS
--- a/src/marjoramtide/settings/_settings_view.py
+++ b/src/marjoramtide/settings/_settings_view.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from marjoramtide.settings._route_settings import RouteSettings
+from marjoramtide.settings._workspaces import Workspaces
 
 
 class SettingsView(ABC):
@@ -29,6 +30,21 @@
         was frozen and has not caught up: it can't know what is in force.
         """
 
+    @property
+    @abstractmethod
+    def workspaces(self) -> Workspaces:
+        """Return the workspaces in force."""
+
+    @property
+    @abstractmethod
+    def vouches_for_keys(self) -> bool:
+        """Tell whether no key in force here can have been taken away for longer than allowed."""
+
+    @property
+    @abstractmethod
+    def knows_all_keys(self) -> bool:
+        """Tell whether a key that isn't in force here is none, but for one added just now."""
+
     @abstractmethod
     def service_for_host(self, host: str) -> str | None:
         """Return the service that a ``Host`` header names, or ``None``."""
--- a/src/marjoramtide/settings/_tree.py
+++ b/src/marjoramtide/settings/_tree.py
@@ -10,23 +10,31 @@
 import attrs
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.settings._branch import NAME, NAME_RULE, Branch
+from marjoramtide.settings._branch import (
+    NAME,
+    NAME_RULE,
+    WORKSPACE_NAME,
+    WORKSPACE_NAME_RULE,
+    Branch,
+)
 from marjoramtide.settings._level import Level
 from marjoramtide.settings._path_key import PATH
 from marjoramtide.settings._place import Place
 from marjoramtide.settings._resolved import Resolved, precedence
 from marjoramtide.settings._schema import SCHEMA
+from marjoramtide.settings._workspaces import key_fingerprint
 
 STEP = "settings.check"
 PROBLEMS_NAMED = 10
 # No TOML text begins with a brace.
 JSON_BEGINS = "{"
 CONTAINERS: dict[Level, tuple[str, ...]] = {
-    Level.ROOT: ("regions", "services"),
+    Level.ROOT: ("regions", "services", "workspaces"),
     Level.REGION: ("data_centres", "services"),
     Level.DATA_CENTRE: ("services",),
     Level.SERVICE: ("routes",),
     Level.ROUTE: (),
+    Level.WORKSPACE: (),
 }
 FIELDS = {"regions": "region", "data_centres": "data_centre", "services": "service"}
 
@@ -69,6 +77,13 @@
         """Return the host names of a service: its own name where it sets none."""
         return self.branches.get(Branch(service=service), {}).get("hosts", [service])
 
+    def workspaces(self) -> Iterator[tuple[str, dict[str, Any]]]:
+        """Yield the name of each workspace with its values, those it inherits included."""
+        for branch in self.branches:
+            if branch.workspace:
+                chain = [(each, self.branches.get(each, {})) for each in (Branch(), branch)]
+                yield branch.workspace, Resolved.of(chain).values
+
     def resolve(self, place: Place, service: str = "", route: str | None = None) -> Resolved:
         """Return the values in force for a service and route prefix at ``place``."""
         chain = [
@@ -107,7 +122,12 @@
     problems = list(_read(Branch(), raw, branches))
     tree = SettingsTree(branches)
     if not problems:
-        problems = [*_check_hosts(tree), *_check_services(tree), *_check_resolved(tree, places)]
+        problems = [
+            *_check_hosts(tree),
+            *_check_services(tree),
+            *_check_workspaces(tree),
+            *_check_resolved(tree, places),
+        ]
     if problems:
         raise bad_settings(problems)
     return tree
@@ -134,7 +154,7 @@
     if key == "hosts" and branch.region:
         return [f"{branch}: hosts can be set on /services/{branch.service} only"]
     if not spec.accepts(value):
-        return [f"{branch}: {key} = {value!r}; allowed: {spec.allowed}"]
+        return [f"{branch}: {key} = {spec.shown(value)}; allowed: {spec.allowed}"]
     return []
 
 
@@ -175,6 +195,11 @@
                 yield from _read(attrs.evolve(branch, route=name), table, branches)
             else:
                 yield f"{path}: {name!r} is not a path that begins with /"
+        elif container == "workspaces":
+            if WORKSPACE_NAME.fullmatch(name):
+                yield from _read(attrs.evolve(branch, workspace=name), table, branches)
+            else:
+                yield f"{path}: {name!r} is not {WORKSPACE_NAME_RULE}"
         elif not NAME.fullmatch(name):
             yield f"{path}: {name!r} is not {NAME_RULE}"
         else:
@@ -190,6 +215,15 @@
                 yield f"/services/{service}: host {host!r} belongs to /services/{owner} already"
 
 
+def _check_workspaces(tree: SettingsTree) -> Iterator[str]:
+    owners: dict[str, Branch] = {}
+    for branch, values in tree.branches.items():
+        for digest in values.get("key_digests", ()):
+            owner = owners.setdefault(digest, branch)
+            if owner != branch:
+                yield f"{branch}: key {key_fingerprint(digest)} belongs to {owner} already"
+
+
 def _check_services(tree: SettingsTree) -> Iterator[str]:
     known = [branch.service for branch in tree.branches if branch == Branch(service=branch.service)]
     for branch in tree.branches:
--- a/src/marjoramtide/settings/_tree_view.py
+++ b/src/marjoramtide/settings/_tree_view.py
@@ -13,7 +13,10 @@
 from marjoramtide.settings._route_settings import RouteSettings
 from marjoramtide.settings._settings_view import SettingsView
 from marjoramtide.settings._tree import SettingsTree
+from marjoramtide.settings._workspaces import Workspaces, make_workspaces
 
+# Within this time a key that was added is in force everywhere, in seconds.
+KEYS_KNOWN_S = 2.0
 ROUTE_KEYS = frozenset(field.name for field in attrs.fields(RouteSettings))
 
 
@@ -41,6 +44,7 @@
         self.own_values: dict[str, Any] = Resolved.of([]).values
         self.routes: dict[str, list[tuple[str, RouteSettings]]] = {}
         self.hosts: dict[str, str] = {}
+        self.held_workspaces = Workspaces()
         # Services that refuse a path which no route of theirs covers.
         self.closed: set[str] = set()
         self.listeners: list[Callable[[int], None]] = []
@@ -57,10 +61,23 @@
     def node_values(self) -> dict[str, Any]:
         return self.own_values
 
+    @property
+    def workspaces(self) -> Workspaces:
+        return self.held_workspaces
+
     @property
     def is_current(self) -> bool:
         return self.freshness.is_current
 
+    @property
+    def vouches_for_keys(self) -> bool:
+        bound_s = self.own_values["revocation_s"]
+        return not bound_s or self.freshness.proof_age_s <= bound_s
+
+    @property
+    def knows_all_keys(self) -> bool:
+        return not self.own_values["revocation_s"] or self.freshness.proof_age_s <= KEYS_KNOWN_S
+
     def service_for_host(self, host: str) -> str | None:
         service = self.hosts.get(host)
         if service is None:
@@ -121,6 +138,7 @@
             for service, found in routes.items()
             if found[-1][1].unmatched == "refuse" and "/" not in tree.own_routes(service)
         }
+        self.held_workspaces = make_workspaces(tree.workspaces())
         self.own_values = tree.resolve(self.place).values
         self.envelope, self.tree, self.routes = envelope, tree, routes
         self.freshness.bound_s = self.node_values["freshness_s"]
