A key that was taken away opens nothing: a node's proof of its settings has an age

Freshness could not bound it: nodes that are cut off together vouch for each other without an end.

A proof is a time of a node's own clock at which what it has in force was the newest in the store; a peer that passes its own on states its age, and the asker dates it by its question. Watchers read the store, the others ask them. Beyond the bound keys are refused as not run, with when to come back; routes that need none go on. Scenarios with real nodes: the store away, one node turned away, keys taken away and added; calls; logs and pages that operators see.

--- a/features/platform_harness.py
+++ b/features/platform_harness.py
@@ -75,14 +75,18 @@
             "IdleTimeoutMs": 15000,
         }
         self.service_fields: dict[str, Any] = {}
-        self.store_url = ""
+        self.tenants: list[dict[str, Any]] | None = None
+        self.bounds = BOUNDS
         self.stops = LoopStops()
 
     async def start(self) -> None:
         self.stops.start()
         await self.runner.setup()
+
+    async def open_store(self) -> str:
+        """Return a new address of the store, so that it can tell one node from the others."""
         await web.TCPSite(self.runner, self.host, 0).start()
-        self.store_url = "http://{}:{}".format(*self.runner.addresses[0][:2])
+        return "http://{}:{}".format(*self.runner.addresses[-1][:2])
 
     def configure(self, version: int, routes: list[dict[str, Any]] | None = None) -> None:
         """Write a configuration as the operator does."""
@@ -100,7 +104,8 @@
                     for name in services
                 ],
                 "Limits": self.limits,
-            },
+            }
+            | ({} if self.tenants is None else {"Tenants": self.tenants}),
         )
 
     async def add_seat(
@@ -134,11 +139,11 @@
             readiness=readiness,
             registration=registration,
             backend=server.name,
-            store=self.store_url,
+            store=await self.open_store(),
             key="a key for tests on loopback only",
             interface="platform",
             base_tree="deploy/base-tree.toml",
-            bounds=BOUNDS,
+            bounds=self.bounds,
         )
         node = Node(settings, platform_interface(settings))
         registrant = Registrant(registration, service, server.name, slots)
--- a/features/steps/store_epoch_steps.py
+++ b/features/steps/store_epoch_steps.py
@@ -104,7 +104,7 @@
 def client_of(context: Any) -> HttpObjectStore:
     """Return a client of a store on the platform that ends with the scenario."""
     fleet = start_fleet(context)
-    client = open_object_store(fleet.store_url, protocol=PlatformStore())
+    client = open_object_store(run(context, fleet.open_store()), protocol=PlatformStore())
     context.cleanup.callback(lambda: run(context, client.close()))
     return client
 
--- a/src/marjoramtide/settings/sync/_follower.py
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -13,7 +13,7 @@
 from marjoramtide.settings._tree_view import TreeSettingsView
 from marjoramtide.settings.sync._adopter import Adopter
 from marjoramtide.settings.sync._backoff import backoff
-from marjoramtide.settings.sync._peer_settings import PeerSettings
+from marjoramtide.settings.sync._peer_settings import PeerAnswer, PeerSettings
 from marjoramtide.settings.sync._side_news import NoSideNews, SideNews
 from marjoramtide.settings.sync._tree_store import READ_TIMEOUT_S, StoredTree, TreeStore
 from marjoramtide.settings.sync._watchers import choose_watchers
@@ -35,6 +35,8 @@
 # How long a node that isn't current waits for the store in one round, in seconds, and how long it
 # then leaves the store alone and goes by its peers.
 STORE_PATIENCE_S = 0.5
+# For a read that is made again soon, and that other nodes make as well, in seconds.
+PROOF_TIMEOUT_S = 0.6
 UNANSWERED_PAUSE_S = 2.0
 PULL_MOST_S = 5.0
 # For how long a node that starts looks for others before it goes by a store that may have come back
@@ -95,6 +97,9 @@
                 waits = backoff(self.rng)
                 wait = self.freshness.bound_s / CHECKS_IN_BOUND
                 await self._pause(wait * (0.75 + self.rng.random() / 4))
+                while self.view.is_current and self.freshness.age_s < wait / 2:
+                    # Whoever renews the proof has asked meanwhile.
+                    await self._pause(wait / 2)
             else:
                 await self.clock.sleep(next(waits))
 
@@ -147,6 +152,7 @@
         """Read the tree; return whether the answer shows what is in force."""
         if self.clock.monotonic() < self.ask_store_from:
             return False
+        asked_at = self.clock.monotonic()
         try:
             stored = await self._read_store()
         except MarjoramtideError as error:
@@ -162,7 +168,10 @@
             return self.view.revision == 0 and self.trees.source.may_be_absent
         level = self.adopter.adopt(stored.envelope, "store")
         # An answer older than what is in force here is a stale one: it proves nothing.
-        return level and stored.envelope.revision >= self.view.revision
+        level = level and stored.envelope.revision >= self.view.revision
+        if level:
+            self._prove_by_store(stored, asked_at)
+        return level
 
     def _can_go_on(self) -> bool:
         """Tell whether this node isn't current, and has peers' answers to go on by."""
@@ -212,8 +221,19 @@
         """Pull from ``count`` peers; return whether one that is current answered."""
         candidates = self.peers.others()
         candidates.sort(key=lambda member: member.revision <= self.view.revision)
+        return await self.ask(candidates[:count])
+
+    async def ask_any(self, count: int) -> None:
+        """Pull from some peers, and catch up where one that is current answers."""
+        asked_at = self.clock.monotonic()
+        if await self._ask_peers(count):
+            self.freshness.caught_up(asked_at)
+
+    async def ask(self, members: list[Member]) -> bool:
+        """Pull from these members; return whether one that is current answered."""
+        asked_at = self.clock.monotonic()
         news = self.side_news.told()
-        answers = await self.peers.pull_from(candidates[:count], self.view.revision, news)
+        answers = await self.peers.pull_from(members, self.view.revision, news)
         for answer in answers:
             if answer.news:
                 self.side_news.take(list(answer.news), answer.node)
@@ -223,19 +243,53 @@
             if answer.envelope is None or self.adopter.adopt(answer.envelope, answer.node)
         ]
         self.peers_answered = bool(level)
+        for answer in level:
+            self._take_proof(answer, asked_at)
         return any(answer.current for answer in level)
 
+    def _take_proof(self, answer: PeerAnswer, asked_at: float) -> None:
+        """Take over a peer's proof, older by all the time since it was asked.
+
+        Whoever has it from another states the age that it has there, so that nodes which only hear
+        each other see their proofs grow old together.
+        """
+        if answer.proof_age_s is not None and answer.revision == self.view.revision:
+            self.freshness.prove(asked_at - answer.proof_age_s)
+
+    async def read_proof(self) -> None:
+        """Read the store for what is in force; raises what the store does."""
+        asked_at = self.clock.monotonic()
+        stored = await self.trees.read(PROOF_TIMEOUT_S)
+        if stored is None or not self.adopter.adopt(stored.envelope, "store"):
+            return
+        if stored.envelope.revision >= self.view.revision:
+            self.freshness.caught_up(asked_at)
+            self._prove_by_store(stored, asked_at)
+
+    def _prove_by_store(self, stored: StoredTree, asked_at: float) -> None:
+        """Take what was read for a proof, unless some member has more in force than the store.
+
+        Such a store has come back from a copy.
+        """
+        known = max((member.revision for member in self.directory.members()), default=0)
+        if stored.envelope.revision >= known:
+            self.freshness.prove(asked_at)
+
     # Watching the store
 
     def is_watcher(self) -> bool:
         """Tell whether this node is one of those of its data centre that watch the store."""
+        return self.directory.self_member.node in self.watchers_here()
+
+    def watchers_here(self) -> list[str]:
+        """Return the nodes of this data centre that watch the store, in their order."""
         here = self.directory.self_member
         neighbours = [
             member
             for member in self.directory.members()
             if (member.region, member.data_centre) == (here.region, here.data_centre)
         ]
-        return here.node in choose_watchers(neighbours, self.view.node_values["watchers"])
+        return choose_watchers(neighbours, self.view.node_values["watchers"])
 
     def is_first_watcher(self) -> bool:
         """Tell whether this node is the first of all that watch, as far as it knows them."""
--- a/src/marjoramtide/settings/sync/_peer_settings.py
+++ b/src/marjoramtide/settings/sync/_peer_settings.py
@@ -1,6 +1,7 @@
 """Settings questions between nodes."""
 
 import asyncio
+import math
 import random
 import zlib
 from collections.abc import Iterable, Sequence
@@ -29,7 +30,8 @@
     """What a peer has in force; ``envelope`` only where that is newer than what was asked with.
 
     ``current`` is what the peer says of itself: whether it can know what is in force. ``news`` is
-    what it tells besides, empty where it knows of no such news.
+    what it tells besides, empty where it knows of no such news. ``proof_age_s`` is how long ago its
+    settings were the newest in the store, ``None`` where it can't say.
     """
 
     node: str
@@ -37,6 +39,7 @@
     current: bool
     envelope: Envelope | None = None
     news: tuple[Any, ...] = ()
+    proof_age_s: float | None = None
 
 
 @attrs.define(slots=True, eq=False, repr=False)
@@ -154,7 +157,12 @@
 
 
 def encode_answer(
-    node: str, envelope: Envelope | None, have: int, current: bool, news: list[Any]
+    node: str,
+    envelope: Envelope | None,
+    have: int,
+    current: bool,
+    news: list[Any],
+    proof_age_s: float = math.inf,
 ) -> dict[str, Any]:
     """Return the answer to a pull, with the envelope where the asker's revision is older."""
     revision = envelope.revision if envelope else 0
@@ -165,6 +173,7 @@
         "current": current,
         "envelope": zlib.compress(envelope.encode()) if envelope and newer else b"",
         "news": news,
+        "proof_age_ms": None if math.isinf(proof_age_s) else round(proof_age_s * 1000, 1),
     }
 
 
@@ -179,6 +188,7 @@
             raw["current"] is True,
             envelope,
             read_news(raw),
+            read_age(raw),
         )
     except (KeyError, TypeError, ValueError, zlib.error) as error:
         raise MarjoramtideError(
@@ -189,6 +199,17 @@
         ) from error
 
 
+def read_age(raw: dict[str, Any]) -> float | None:
+    """Return the age of a peer's proof in seconds, ``None`` where it has none.
+
+    A node of the version before states none.
+    """
+    age_ms = raw.get("proof_age_ms")
+    if isinstance(age_ms, bool) or not isinstance(age_ms, int | float) or not age_ms >= 0:
+        return None
+    return age_ms / 1000
+
+
 def read_news(body: dict[str, Any]) -> tuple[Any, ...]:
     """Return the news that comes with a question or an answer; empty where there is none."""
     news = body.get("news")
--- a/src/marjoramtide/settings/sync/_service.py
+++ b/src/marjoramtide/settings/sync/_service.py
@@ -31,6 +31,7 @@
     read_news,
 )
 from marjoramtide.settings.sync._progress import Progress, Report
+from marjoramtide.settings.sync._prover import Prover
 from marjoramtide.settings.sync._tree_source import TreeSource
 from marjoramtide.settings.sync._tree_store import TreeStore
 from marjoramtide.store import ObjectStore
@@ -53,6 +54,7 @@
 
     view: TreeSettingsView
     follower: Follower
+    prover: Prover
     maker: ChangeMaker
     own_freeze: FreezeDetector | None = None
     changes: set["asyncio.Task[ChangeOutcome]"] = attrs.field(factory=set)
@@ -62,6 +64,7 @@
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self.follower.run())
+                tasks.create_task(self.prover.run())
                 if self.own_freeze:
                     tasks.create_task(self.own_freeze.run())
         finally:
@@ -101,7 +104,14 @@
         if heard := read_news(body):
             self.follower.side_news.take(list(heard), "a node that asked")
         news = self.follower.side_news.told()
-        return encode_answer(node, self.view.envelope, have, self.view.is_current, news)
+        return encode_answer(
+            node,
+            self.view.envelope,
+            have,
+            self.view.is_current,
+            news,
+            self.view.freshness.proof_age_s,
+        )
 
     async def answer_prepare(self, body: dict[str, Any]) -> dict[str, Any]:
         """Answer whether this node can read a change, with the reason where it can't."""
@@ -148,7 +158,8 @@
     adopter = Adopter(view, directory)
     follower = Follower(view, adopter, trees, peers, directory, clock, rng)
     maker = ChangeMaker(view, adopter, trees, peers, directory, clock)
-    service = SettingsService(view, follower, maker, None if freeze else detector)
+    prover = Prover(view, follower, clock, rng)
+    service = SettingsService(view, follower, prover, maker, None if freeze else detector)
     control_channel.answer(PULL, service.answer_pull)
     control_channel.answer(PREPARE, service.answer_prepare)
     directory.on_change(follower.member_changed)
--- a/src/marjoramtide/settings/sync/_tree_store.py
+++ b/src/marjoramtide/settings/sync/_tree_store.py
@@ -13,7 +13,7 @@
 from marjoramtide.settings.sync._backoff import backoff
 from marjoramtide.settings.sync._own_tree_source import OwnTreeSource
 from marjoramtide.settings.sync._tree_source import TreeSource
-from marjoramtide.store import ObjectStore
+from marjoramtide.store import ObjectStore, StoredObject
 
 HISTORY_PREFIX = "settings/history/"
 HISTORY_KEPT = 1000
@@ -40,6 +40,8 @@
     clock: Clock
     rng: random.Random
     source: TreeSource = attrs.field(factory=OwnTreeSource)
+    decoded_by: TreeSource | None = None
+    decoded: StoredTree | None = None
 
     async def read(self, timeout: float = READ_TIMEOUT_S) -> StoredTree | None:
         """Return the tree, or ``None`` where none was ever written; raises what the store does."""
@@ -52,7 +54,15 @@
         stored, position = await self.source.read(self.store, timeout)
         if stored is None:
             return None, position
-        return StoredTree(self.source.decode(stored), stored.version), position
+        return self._decode(stored), position
+
+    def _decode(self, stored: StoredObject) -> StoredTree:
+        """Return the tree in an object; one that was read before isn't decoded again."""
+        known = self.decoded if self.decoded_by is self.source else None
+        if known is None or known.version != stored.version:
+            known = StoredTree(self.source.decode(stored), stored.version)
+            self.decoded, self.decoded_by = known, self.source
+        return known
 
     async def read_history(self, revision: int) -> Envelope:
         """Return an earlier revision; raises ``not-found`` where it is no longer kept."""
--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -16,13 +16,15 @@
     """Answers from a ``PlatformStoreState``, with the faults in force.
 
     ``mode`` is ``up``, ``refuse`` (503, nothing done) or ``reset`` (the connection ends without an
-    answer and without effect). ``lose_answers`` writes are done and not answered. ``page_size``
+    answer and without effect). Callers of the addresses in ``turned_away`` are refused whatever the
+    mode. ``lose_answers`` writes are done and not answered. ``page_size``
     bounds what one list returns.
     """
 
     def __init__(self) -> None:
         self.state = PlatformStoreState()
         self.mode = "up"
+        self.turned_away: set[str] = set()
         self.lose_answers = 0
         self.page_size = 500
         self.calls: Counter[str] = Counter()
@@ -42,7 +44,7 @@
         if "StaleOk" in http.query:
             kind = "stale"
         self.calls[kind] += 1
-        if self.mode == "refuse":
+        if self.mode == "refuse" or self.address_of(http) in self.turned_away:
             return web.Response(status=503)
         if self.mode == "reset":
             return self.cut(http)
@@ -53,6 +55,12 @@
             return self.cut(http)
         return response
 
+    def address_of(self, http: web.Request) -> str:
+        """Return the address of the store at which a call came."""
+        if http.transport is None:
+            return ""
+        return "{}:{}".format(*http.transport.get_extra_info("sockname")[:2])
+
     def cut(self, http: web.Request) -> web.Response:
         if http.transport is not None:
             http.transport.abort()
