--- a/src/marjoramtide/platform/_bounds.py
+++ b/src/marjoramtide/platform/_bounds.py
@@ -12,7 +12,7 @@
     ``stop_grace_s`` is the time between the signal to stop and the end by force.
     ``retry_ratio`` and ``retry_slack`` bound the arrivals at a service beyond the first of each
     request, over ``retry_window_s``: a share of its requests, and a number besides.
-    With ``strict_revoke`` a key that was taken away opens nothing after ``revoke_ms`` at any node.
+    A key that was taken away opens nothing after ``revoke_ms``, told where that holds at any node.
     ``evacuation_ms`` is told where data centres can be evacuated. What reaches a cold backend
     server in any second is bounded by ``cold_excess`` times the rate that it bears, and
     ``cold_slack`` besides.
@@ -26,7 +26,6 @@
     cold_excess: float | None = None
     cold_slack: float | None = None
     revoke_ms: float | None = None
-    strict_revoke: bool = False
 
 
 FIELDS = {
@@ -39,8 +38,8 @@
     "ColdSlack": "cold_slack",
     "RevokeMs": "revoke_ms",
 }
-WORDS = {"StrictRevoke": "strict_revoke"}
-TRUE = "true"
+REVOKE_MS = "RevokeMs"
+STRICT_REVOKE = "StrictRevoke=true"
 
 
 def read_bounds(texts: Iterable[str]) -> Bounds:
@@ -53,6 +52,11 @@
         # Passed over, it would leave the node without any bound, and nobody would hear of it.
         raise ValueError(f"{', '.join(nameless)}; allowed: name=value")
     pairs = [text.partition("=")[::2] for text in texts]
-    figures = {FIELDS[name]: float(value) for name, value in pairs if name in FIELDS}
-    words = {WORDS[name]: value.strip().lower() == TRUE for name, value in pairs if name in WORDS}
-    return Bounds(**figures, **words)
+    passed_over = set() if STRICT_REVOKE in texts else {REVOKE_MS}
+    return Bounds(
+        **{
+            FIELDS[name]: float(value)
+            for name, value in pairs
+            if name in FIELDS.keys() - passed_over
+        }
+    )
--- a/src/marjoramtide/platform/_interface.py
+++ b/src/marjoramtide/platform/_interface.py
@@ -66,7 +66,7 @@
 
 def revocation(bounds: Bounds) -> dict[str, float]:
     """Return the setting that bounds for how long a key that was taken away may be good."""
-    if not bounds.strict_revoke or bounds.revoke_ms is None:
+    if bounds.revoke_ms is None:
         return {}
     return {"revocation_s": bounds.revoke_ms / 1000}
 
