One quota for each workspace over all nodes together: leased tokens

What callers saw: with a limit of 20 a second and 80 coming, all 80 ran, however they came.

In each data centre one member owns that data centre's part of the quota in a token bucket; nodes lease tokens from it for half a second, owners lend to each other. The parts are those of the nodes that are seen among all that are known, silent ones for 60 s, so that two halves of a fleet that lose each other have no more than the whole. Beyond it 429, not run, with when there is a token; a request that was refused otherwise gives its token back.

--- /dev/null
+++ b/bench/quota/__main__.py
@@ -0,0 +1,69 @@
+"""Prints how well fleets keep one limit for each workspace, by way, demand and fault."""
+
+import argparse
+import itertools
+import logging
+from typing import Any
+
+import attrs
+import structlog
+
+from bench.quota import QuotaFigures, QuotaPlan, play
+
+SIZES = (70, 300)
+WAYS = ("leases", "one owner", "even shares", "told use")
+HOWS = ("spread", "one", "moving")
+FAULTS = (
+    "owner ends",
+    "owner starts again",
+    "all start again in turn",
+    "half end",
+    "owner stands still",
+    "a third is cut off",
+    "limit falls",
+)
+HEAD = (
+    f"{'nodes':>5}  {'way':12} {'hot callers':12} {'fault':24} {'excess':>7} {'limit':>6} "
+    f"{'served':>6} {'small':>6} {'msg/s':>6} {'kB/s':>6} {'across':>6}"
+)
+
+
+def plan_of(size: int, **fields: Any) -> QuotaPlan:
+    """Return the plan of a fleet whose workspaces and requests grow with its nodes."""
+    return QuotaPlan(size=size, workspaces=77 * size // 70, per_s=390.0 * size / 70, **fields)
+
+
+def row(plan: QuotaPlan, found: list[QuotaFigures]) -> str:
+    """Return the worst excess and the means of some seeds of a plan."""
+    worst = max(found, key=lambda each: each.excess)
+
+    def mean(name: str) -> float:
+        return sum(getattr(each, name) for each in found) / len(found)
+
+    return (
+        f"{plan.size:5}  {plan.way:12} {plan.how:12} {plan.fault or '-':24} {worst.excess:7.1f} "
+        f"{worst.limit:6.0f} {mean('served'):6.3f} {mean('small_served'):6.3f} "
+        f"{mean('datagrams_per_s'):6.0f} {mean('bytes_per_s') / 1000:6.1f} "
+        f"{mean('crossed_bytes_per_s') / 1000:6.1f}"
+    )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="python -m bench.quota", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=3)
+    seeds = range(1, parser.parse_args().seeds + 1)
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    print(HEAD)
+    plans = [
+        plan_of(size, way=way, how=how)
+        for size, way, how in itertools.product(SIZES, WAYS, HOWS)
+        # All tell all: at 300 nodes that is more than can be played.
+        if not (way == "told use" and size > SIZES[0])
+    ]
+    plans += [plan_of(size, fault=fault) for size, fault in itertools.product(SIZES, FAULTS)]
+    for plan in plans:
+        print(row(plan, [play(attrs.evolve(plan, seed=seed)) for seed in seeds]), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/features/steps/quota_steps.py
@@ -0,0 +1,106 @@
+"""Steps for quotas without a network."""
+
+from typing import Any
+
+import attrs
+from behave import given, step, then, use_step_matcher, when  # type: ignore[attr-defined]
+
+from bench.quota import QuotaFigures, play
+from bench.quota.__main__ import plan_of
+from marjoramtide.policy.quota import FleetShares, QuotaAccount, make_quota_pool
+from marjoramtide.policy.quota._fleet_shares import REMEMBERED_S
+
+use_step_matcher("parse")
+
+HOWS = {
+    "by all nodes": "spread",
+    "by one node": "one",
+    "by another node each second": "moving",
+}
+FAULTS = {
+    "the owner of its quota ends": "owner ends",
+    "the owner starts again": "owner starts again",
+    "all nodes start again in turn": "all start again in turn",
+    "the owner stands still": "owner stands still",
+    "a third of the nodes is cut off": "a third is cut off",
+    "half of the nodes end": "half end",
+    "its limit falls": "limit falls",
+}
+EXCESS = 0.1
+SLACK = 20.0
+
+
+@given("quotas on {nodes:d} nodes")
+def given_fleet(context: Any, nodes: int) -> None:
+    context.plan = plan_of(nodes)
+
+
+@when("its largest workspace comes {how}")
+def when_comes(context: Any, how: str) -> None:
+    how, _, fault = how.partition(" while ")
+    plan = attrs.evolve(context.plan, how=HOWS[how], fault=FAULTS.get(fault, ""))
+    context.figures = play(plan)
+
+
+@then("no workspace has more than its limit, 10 in 100 and 20 requests in any 5 s")
+def then_within(context: Any) -> None:
+    figures: QuotaFigures = context.figures
+    assert figures.excess <= EXCESS * figures.limit + SLACK, figures
+
+
+@step("at least {share:d} in 100 of what is allowed is admitted, also of small workspaces")
+def nearly_all(context: Any, share: int) -> None:
+    figures: QuotaFigures = context.figures
+    assert min(figures.served, figures.small_served) * 100 >= share, figures
+
+
+@given("an account with {count:d} tokens that were asked for at {at:f} s")
+def given_account(context: Any, count: int, at: float) -> None:
+    context.account = QuotaAccount()
+    context.account.leased(count, at)
+
+
+@then("it has {count:d} tokens at {at:f} s")
+def then_has(context: Any, count: int, at: float) -> None:
+    assert context.account.tokens.held(at) == count
+
+
+@given("a pool of {rate:d} a second and {burst:d} at once, owned for {known:f} s")
+def given_pool(context: Any, rate: int, burst: int, known: float) -> None:
+    context.pool = make_quota_pool(rate, burst, known, 100.0)
+
+
+@then("it leases {count:d} of {wanted:d} tokens")
+def then_leases(context: Any, count: int, wanted: int) -> None:
+    assert context.pool.lease(wanted, 100.0) == count
+
+
+@given("{nodes:d} nodes in each of 2 data centres")
+def given_places(context: Any, nodes: int) -> None:
+    context.shares = FleetShares()
+    for place in ("east", "west"):
+        for number in range(nodes):
+            context.shares.seen(f"{place}-{number}", place)
+
+
+@when("one data centre falls silent")
+def when_silent(context: Any) -> None:
+    for address in [each for each, place in context.shares.present.items() if place == "east"]:
+        context.shares.lost(address, 100.0)
+
+
+@then("the share of the other one is 0.5 for 60 s, and 1.0 after that")
+def then_half(context: Any) -> None:
+    assert context.shares.share("west", 100.0 + REMEMBERED_S - 1) == 0.5
+    assert attrs.evolve(context.shares).share("west", 100.0 + REMEMBERED_S + 1) == 1.0
+
+
+@when("one of its nodes says that it leaves")
+def when_leaves(context: Any) -> None:
+    for address in list(context.shares.silent):
+        context.shares.left(address)
+
+
+@then("the share of the other one is {share:f}")
+def then_share(context: Any, share: float) -> None:
+    assert context.shares.share("west", 101.0) == share
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -32,6 +32,7 @@
     PeerServer,
 )
 from marjoramtide.quarantine import make_quarantine
+from marjoramtide.quota import make_quota_service
 from marjoramtide.serving import (
     ClaimGate,
     HttpTransport,
@@ -166,6 +167,15 @@
             self.start_up,
             self.peer_ends,
         )
+        self.quotas = make_quota_service(
+            self.view,
+            self.membership,
+            self.membership.publish,
+            self.clock,
+            rng,
+            self.metrics,
+            lambda: self.membership.announced,
+        )
         self.ingress = Ingress(
             self.name,
             self.view,
@@ -180,9 +190,16 @@
                 interface.callers.scheme,
                 Calls(interface.runs or self.serving.running),
             ),
+            self.quotas,
         )
         self.news = NodeNews(
-            self.membership, self.dispatcher, self.quarantine, self.evacuations, self.claims, rng
+            self.membership,
+            self.dispatcher,
+            self.quarantine,
+            self.evacuations,
+            self.claims,
+            self.quotas,
+            rng,
         )
         self.membership.on_bulletin(self.news.take)
         self.serving.pace_listener = self.news.tell_load
--- a/src/marjoramtide/daemon/_node_news.py
+++ b/src/marjoramtide/daemon/_node_news.py
@@ -16,6 +16,7 @@
 from marjoramtide.peers import report_fields, unpack_report
 from marjoramtide.policy import bulletin_readers
 from marjoramtide.quarantine import QuarantineService, is_quarantine_news
+from marjoramtide.quota import QuotaService, is_quota_message
 
 log = structlog.get_logger()
 
@@ -32,6 +33,7 @@
     quarantine: QuarantineService
     evacuations: EvacuationService
     claims: Claims
+    quotas: QuotaService
     rng: random.Random
 
     def tell_load(self, report: LoadReport) -> None:
@@ -54,6 +56,8 @@
             self.quarantine.take(member, fields)
         elif is_store_news(fields):
             self.evacuations.take(fields, member.node)
+        elif is_quota_message(fields):
+            self.quotas.take(member, fields)
         elif is_claim_news(fields):
             self.take_claim(member, fields)
         elif (report := unpack_report(fields)) is not None:
--- a/src/marjoramtide/ingress/__init__.py
+++ b/src/marjoramtide/ingress/__init__.py
@@ -8,6 +8,7 @@
 from marjoramtide.ingress._own_callers import OwnCallers
 from marjoramtide.ingress._peer_ends import PeerEnds
 from marjoramtide.ingress._read_request import bad, read_idempotent, read_route, single
+from marjoramtide.ingress._request_quota import NoQuota, QuotaLease, RequestQuota
 from marjoramtide.ingress._start_up import StartUp
 
 __all__ = [
@@ -16,8 +17,11 @@
     "Calls",
     "Dispatcher",
     "Ingress",
+    "NoQuota",
     "OwnCallers",
     "PeerEnds",
+    "QuotaLease",
+    "RequestQuota",
     "StartUp",
     "bad",
     "read_idempotent",
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -28,6 +28,7 @@
 from marjoramtide.ingress._dispatcher import Dispatcher
 from marjoramtide.ingress._own_callers import OwnCallers
 from marjoramtide.ingress._read_body import read_body
+from marjoramtide.ingress._request_quota import NoQuota, QuotaLease, RequestQuota
 from marjoramtide.ingress._start_up import StartUp
 from marjoramtide.settings import RouteSettings, SettingsView
 from marjoramtide.telemetry import Metrics, Tracer, read_trace
@@ -62,16 +63,18 @@
         protocol: CallerProtocol | None = None,
         start_up: StartUp | None = None,
         authenticator: Authenticator | None = None,
+        quotas: RequestQuota | None = None,
     ) -> None:
         """Without a ``start_up`` no request waits for settings.
 
         Without an ``authenticator`` the backend server beside this node makes no calls without a
-        key.
+        key, without ``quotas`` no workspace is limited.
         """
         self.node = node
         self.start_up = start_up or StartUp(clock)
         self.protocol = protocol or OwnCallers()
         self.authenticator = authenticator or Authenticator(view, self.protocol.scheme)
+        self.quotas = quotas or NoQuota()
         self.view = view
         self.dispatcher = dispatcher
         self.clock = clock
@@ -142,12 +145,14 @@
     async def answer(self, http: web.BaseRequest, now: float) -> web.StreamResponse:
         body: RequestBody | None = None
         request: Request | None = None
+        lease: QuotaLease | None = None
         try:
             await self.start_up.wait_until(lambda: self.view.is_current)
             self.check_open()
             request, settings = self.protocol.read(http, self.view, self.tracer, now)
             request = self.authenticator.admit(http, request, settings)
             self.check_room(request)
+            lease = await self.quotas.admit(request)
             body = await self.read_body(http, request, settings)
             with self.tracer.span("ingress", request.trace) as span:
                 if span is not None:
@@ -160,6 +165,8 @@
             return await self.send(http, request, answer)
         except MarjoramtideError as error:
             broken = body.error if body is not None else None
+            if lease is not None and not isinstance(error, UnknownOutcomeError):
+                lease.give_back()
             return self.refuse(http, broken or error, request)
 
     async def read_body(
--- a/src/marjoramtide/membership/_membership_service.py
+++ b/src/marjoramtide/membership/_membership_service.py
@@ -54,6 +54,8 @@
         self.drop_log = DropLog()
         # Whether the announcements that were read last are of this node alone.
         self.is_alone = False
+        # How many nodes have announced themselves, as was read last.
+        self.announced = 0
         self.destinations: dict[str, tuple[str, int]] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self.protocol: GossipProtocol | None = None
@@ -212,6 +214,7 @@
         # the fleet that both sides have forgotten after a long cut.
         known = {member.gossip_address for member in self.members()}
         addresses = [item.gossip_address for item in announcements]
+        self.announced = len(set(addresses))
         self.core.add_seeds([address for address in addresses if address not in known])
         self.is_alone = len(known) < 2 and not self.core.seeds
         self.core.seek(self.clock.monotonic(), self.clock.wall())
