Claims and fingerprints hold the workspace: callers of two never meet

Two workspaces that choose the same Idempotency-Key would have met each other's claims; and since the key of a caller ends at its node, requests that differ by their callers alone had one fingerprint.

--- a/src/marjoramtide/claims/_claim_keys.py
+++ b/src/marjoramtide/claims/_claim_keys.py
@@ -9,12 +9,13 @@
 MAX_KEY_CHARACTERS = 255
 
 
-def claim_key(service: str, idempotency_key: str) -> str:
+def claim_key(service: str, idempotency_key: str, workspace: str = "") -> str:
     """Return the object's key: ``claims/{slice}/{service}/{hash}``.
 
     The hash bounds what a caller can put into a key of the store; a 128-bit BLAKE2b does not
     collide by accident or on purpose within reach. The slice, its first four hex digits, lets a
-    cleaner list a small part of all claims at a time. Raises ``bad-request``.
+    cleaner list a small part of all claims at a time. Callers of different workspaces may choose
+    the same key, and never meet each other's claims. Raises ``bad-request``.
     """
     if not 0 < len(idempotency_key) <= MAX_KEY_CHARACTERS:
         raise MarjoramtideError(
@@ -23,9 +24,9 @@
             "are allowed",
             step="claims.acquire",
         )
-    hashed = hashlib.blake2b(
-        idempotency_key.encode(errors="surrogatepass"), digest_size=16, person=b"claim"
-    )
+    # A line feed stands in no name of a workspace.
+    named = f"{workspace}\n{idempotency_key}" if workspace else idempotency_key
+    hashed = hashlib.blake2b(named.encode(errors="surrogatepass"), digest_size=16, person=b"claim")
     digest = hashed.hexdigest()
     return f"{PREFIX}/{digest[:4]}/{service}/{digest}"
 
--- a/src/marjoramtide/claims/_claims.py
+++ b/src/marjoramtide/claims/_claims.py
@@ -63,14 +63,20 @@
             self.unsettled.write_anew(ClaimEntry(key, record, 0, was_stored=True))
 
     async def acquire(
-        self, service: str, key: str, request_digest: str, settings: RouteSettings, deadline: float
+        self,
+        service: str,
+        key: str,
+        request_digest: str,
+        settings: RouteSettings,
+        deadline: float,
+        workspace: str = "",
     ) -> ClaimResult:
         """Claim ``key`` for one attempt to run the request that ``request_digest`` stands for.
 
         ``deadline`` is in seconds of the monotonic clock. Raises ``bad-request`` where the key is
         empty or too long.
         """
-        stored_key = claim_key(service, key)
+        stored_key = claim_key(service, key, workspace)
         started = self.clock.monotonic()
         record = ClaimRecord(
             attempt=f"{self.node_id}/{self.rng.getrandbits(128):032x}",
--- a/src/marjoramtide/exchange/_fingerprint.py
+++ b/src/marjoramtide/exchange/_fingerprint.py
@@ -1,6 +1,8 @@
 """Telling whether two requests are the same one, sent again."""
 
 import hashlib
+import itertools
+from collections.abc import Iterable
 
 from marjoramtide.exchange._request import Request
 from marjoramtide.exchange._request_body import RequestBody
@@ -14,8 +16,8 @@
 class Fingerprinter:
     """Makes a number of 64 bits of what stays the same when a request is sent again.
 
-    That is its service, method, target, body and ``IDENTITY_HEADERS``. Of a body that is read as a
-    stream only the length is known before a backend server has been sent all of it.
+    That is its service, workspace, method, target, body and ``IDENTITY_HEADERS``. Of a body that is
+    read as a stream only the length is known before a backend server has been sent all of it.
 
     By BLAKE2b (RFC 7693) with the fleet's key: all nodes of a fleet make the same number of a
     request, and no caller can make up another request with the number of somebody else's.
@@ -26,11 +28,13 @@
 
     def of(self, request: Request, body: RequestBody) -> int:
         """Return the fingerprint of a request."""
-        who = (
+        who: Iterable[str] = (
             f"{name.lower()}:{value}"
             for name, value in request.headers
             if name.lower() in IDENTITY_HEADERS
         )
+        if request.workspace:
+            who = itertools.chain(who, (f"workspace:{request.workspace}",))
         # Line feeds stand in no method, target or header, so that no part runs into the next.
         head = "\n".join((request.service, request.method, request.target, *who, ""))
         digest = hashlib.blake2b(
--- a/src/marjoramtide/serving/_claim_gate.py
+++ b/src/marjoramtide/serving/_claim_gate.py
@@ -50,7 +50,12 @@
         try:
             settings = self.view.route(request.service, request.target)
             result = await self.claims.acquire(
-                request.service, request.key, digest(execution), settings, request.deadline
+                request.service,
+                request.key,
+                digest(execution),
+                settings,
+                request.deadline,
+                request.workspace,
             )
         except MarjoramtideError as error:
             raise NotRunError(error.code, error.message, step=STEP) from error
