--- a/src/marjoramtide/settings/sync/_prover.py
+++ b/src/marjoramtide/settings/sync/_prover.py
@@ -13,6 +13,10 @@
 log = structlog.get_logger()
 
 STEP_S = 0.1
+# How soon a node notices that settings need proofs, in seconds.
+NOT_NEEDED_S = 0.5
+# For how long a store that is away is left alone, as a share of the bound.
+STORE_PAUSE_SHARE = 0.15
 # Ages of the proof, in seconds, and as shares of the bound where that is short: from when on the
 # first watcher reads the store, the others ask it, and a node asks whoever may help.
 READ_AT_S, READ_AT_SHARE = 0.9, 0.18
@@ -47,11 +51,29 @@
 
     async def run(self) -> None:
         """Renew the proof whenever it is due, until cancelled."""
+        self.view.on_change(self.settings_changed)
         while True:
-            await self.clock.sleep(STEP_S * self.rng.uniform(0.5, 1.5))
+            await self.clock.sleep(self._pause_s())
             if self.bound_s and self.view.revision and not await self.renew():
                 await self.clock.sleep(PAUSE_S * self.rng.uniform(0.75, 1.25))
 
+    def settings_changed(self, revision: int) -> None:
+        """Look for a store that is away as often as a short bound needs it.
+
+        Failure: the store is back, and keys are refused for as long as every watcher leaves it
+        alone, since all of them have called it in vain for a while.
+        """
+        if self.bound_s:
+            self.follower.trees.store.ask_again_within(STORE_PAUSE_SHARE * self.bound_s)
+
+    def _pause_s(self) -> float:
+        """Return after how many seconds to look whether the proof is due."""
+        if not self.bound_s:
+            return NOT_NEEDED_S
+        due_s = min(READ_AT_S, READ_AT_SHARE * self.bound_s)
+        left_s = due_s - self.view.freshness.proof_age_s
+        return max(STEP_S, left_s) * self.rng.uniform(0.75, 1.25)
+
     async def renew(self) -> bool:
         """Ask for a younger proof where that is due; return whether it is young enough then."""
         if self._reads_store():
--- a/src/marjoramtide/store/_circuit.py
+++ b/src/marjoramtide/store/_circuit.py
@@ -19,7 +19,7 @@
 
     Without it each request that needs the store waits out its whole timeout during an outage, and
     the fleet meets the recovering store with every waiting call at the same moment. Pauses double
-    up to ``LONGEST_PAUSE_S`` and are drawn between half and whole, so that nodes do not try
+    up to ``longest_pause`` and are drawn between half and whole, so that nodes do not try
     together.
     """
 
@@ -28,6 +28,7 @@
         self.rng = rng
         self.failures = 0
         self.pause = FIRST_PAUSE_S
+        self.longest_pause = LONGEST_PAUSE_S
         self.open_until = 0.0
         self.trying = False
 
@@ -66,7 +67,7 @@
             log.warning("store.circuit.opened", failures=self.failures)
         if self.is_open:
             self.open_until = self.clock.monotonic() + self.pause * self.rng.uniform(0.5, 1)
-            self.pause = min(self.pause * 2, LONGEST_PAUSE_S)
+            self.pause = min(self.pause * 2, self.longest_pause)
 
     def abandoned(self) -> None:
         """Forget a call that its caller cancelled: it says nothing of the store."""
--- a/src/marjoramtide/store/_http_object_store.py
+++ b/src/marjoramtide/store/_http_object_store.py
@@ -236,6 +236,9 @@
             with suppress(ValueError):
                 self.offset = parsedate_to_datetime(date).timestamp() - wall
 
+    def ask_again_within(self, seconds: float) -> None:
+        self.circuit.longest_pause = seconds
+
     async def close(self) -> None:
         if self.session is not None:
             await self.session.close()
--- a/src/marjoramtide/store/_object_store.py
+++ b/src/marjoramtide/store/_object_store.py
@@ -75,6 +75,10 @@
         (a gap): the reader lists anew.
         """
 
+    def ask_again_within(self, seconds: float) -> None:
+        """Leave a store that doesn't answer alone for no longer than that between two calls."""
+        return None
+
     def time(self, wall: float) -> float | None:
         """Return the store's time where this node's is ``wall``, both in seconds since the epoch.
 
