A fair share among workspaces where a server is short, and late requests told at once

In a rank, requests of a workspace that has had more work begun than the max-min level of what all ask for go behind the others; no second queue: one order of lateness, class, rank and share (Standing).

--- a/bench/model/_mechanisms.py
+++ b/bench/model/_mechanisms.py
@@ -39,7 +39,7 @@
         "RunEstimates.due",
         "lambda self, profile, now: profile.deadline",
     ),
-    Mechanism("rank order", ADMISSION, "RANK_STEP_S", "0.0"),
+    Mechanism("rank order", f"{POLICY}.admission._standing", "RANK_STEP_S", "0.0"),
     Mechanism(
         "calls first in their rank",
         "marjoramtide.exchange._request",
@@ -60,8 +60,8 @@
     ),
     Mechanism(
         "share of what goes first in a wait",
-        f"{POLICY}.admission._rank_shares",
-        "RankShares.before",
+        f"{POLICY}.admission._standing_shares",
+        "StandingShares.before",
         ZERO,
     ),
     Mechanism(
--- a/features/policy/overload.feature
+++ b/features/policy/overload.feature
@@ -7,3 +7,16 @@
     Given 3 servers whose work of 200 ms deviates by 60 in 100
     When lookups bring them 160 in 100 of what they can do
     Then at least 50 in 100 of the lookups are answered within the goal
+
+  Scenario Outline: A request whose goal has passed waits only where it will be served
+    # A node gives a request up for its goal, and another one takes it behind all that can still meet
+    # theirs. As long as such requests fill the server it never starts, and its caller, who could have
+    # been told at once, hears of it at the deadline.
+    Given one server with 10 slots and work of 200 ms
+    When it has been asked for <load> in 100 of what it can do for 10 s, and all its slots are taken
+    Then a request whose goal has passed, with 1.5 s left, is <decision>
+
+    Examples:
+      | load | decision |
+      | 160  | refused  |
+      | 50   | queued   |
--- a/src/marjoramtide/policy/_call_profile.py
+++ b/src/marjoramtide/policy/_call_profile.py
@@ -12,7 +12,8 @@
     ``deadline`` is in seconds of the monotonic clock; ``attempt`` counts from 1. ``kind`` names the
     requests that take about as long as this one: those of its route and class. An answer after
     ``goal``, on the clock of the deadline, is worth less; a lower ``rank`` goes first in its class.
-    ``is_call`` is true where a running request waits for this one.
+    ``is_call`` is true where a running request waits for this one. ``workspace`` is whose share of
+    a server it counts for, empty where that isn't known.
     """
 
     urgent: bool
@@ -23,6 +24,7 @@
     goal: float = float("inf")
     rank: int = 0
     is_call: bool = False
+    workspace: str = ""
 
 
 def make_call_profile(request: Request, deadline: float, attempt: int, kind: str) -> CallProfile:
@@ -40,4 +42,5 @@
         goal=float("inf") if request.is_call else request.goal,
         rank=request.rank,
         is_call=request.is_call,
+        workspace=request.workspace,
     )
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -13,10 +13,12 @@
 from marjoramtide.policy.admission._execution_times import ExecutionTimes
 from marjoramtide.policy.admission._limiter import Limiter
 from marjoramtide.policy.admission._limiters import make_limiter
-from marjoramtide.policy.admission._rank_shares import RankShares
 from marjoramtide.policy.admission._run_estimates import RunEstimates
 from marjoramtide.policy.admission._server_gate import ServerGate
+from marjoramtide.policy.admission._standing import Standing, standing_of
+from marjoramtide.policy.admission._standing_shares import StandingShares
 from marjoramtide.policy.admission._waiting_requests import Place, WaitingRequests
+from marjoramtide.policy.admission._workspace_shares import WorkspaceShares
 from marjoramtide.policy.pace import Pace
 from marjoramtide.settings import RouteSettings
 
@@ -25,12 +27,6 @@
 # The least share of the slots that is reckoned to be left for what goes last: estimates of the rest
 # are known to a few in a hundred.
 LEAST_LEFT = 0.02
-# What one rank counts for in the order of a queue, in seconds: above any deadline, so that a lower
-# rank always goes first. By 50 ms, as before, routine requests that had waited went before urgent
-# ones that had just come, and under more than could be done fewer of the urgent ones were served.
-RANK_STEP_S = 1000.0
-# Puts what can no longer meet its goal behind all that can, in seconds; above any rank's.
-AFTER_ALL_OTHERS_S = 10_000_000.0
 
 
 @attrs.define(slots=True, eq=False, repr=False)
@@ -57,7 +53,9 @@
     began_with: dict[int, int] = attrs.Factory(dict)
     incarnation: int = 0
     sequence: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(first_sequence(0)))
-    shares: RankShares = attrs.Factory(RankShares)
+    shares: StandingShares = attrs.Factory(StandingShares)
+    workspaces: WorkspaceShares = attrs.Factory(WorkspaceShares)
+    standings: dict[int, Standing] = attrs.Factory(dict)
     routine_running: int = 0
     stall_seen: float | None = None
     limited_by: tuple[str, int, int] = ("", 0, 0)
@@ -112,7 +110,8 @@
             self._end(ticket, now)
         self.runs = RunEstimates()
         self.limiter = self.limiter.fresh()
-        self.shares = RankShares()
+        self.shares = StandingShares()
+        self.workspaces = WorkspaceShares()
         self.stall_seen = None
         self.gate.server_started(now)
         self.set_pace(Pace())
@@ -166,13 +165,17 @@
             # Failure: a server that has named a limit lets what arrives wait for its turn, late,
             # though others have room. Turned away at once it costs a hop.
             return _reject(ErrorCode.RATE_LIMITED, wait_ms)
-        self.dues[ticket] = self.runs.due(profile, now)
+        work_ms = self.runs.work_ms(profile)
+        due = self.dues[ticket] = self.runs.due(profile, now)
+        self.workspaces.asked(profile.workspace, work_ms, now)
+        over_share = self.workspaces.is_over(profile.workspace, work_ms, now)
+        self.standings[ticket] = standing_of(profile, due, over_share)
         if self._may_start(profile.urgent, now) and not self.runs.waits(profile, now):
             decision = self._start_or_reject(ticket, profile, remaining_ms, now)
         else:
             decision = self._queue_or_reject(ticket, profile, now)
         if decision.verdict is Verdict.REJECT:
-            del self.dues[ticket]
+            del self.dues[ticket], self.standings[ticket]
         return decision
 
     def _start_or_reject(
@@ -193,11 +196,16 @@
             service_ms *= self.pace.best / self.pace.slowdown
         due = self.dues[ticket]
         remaining_ms = (due - now) * 1000
-        order = self._order(profile, due, now)
+        standing = self.standings[ticket]
+        # A call waits before all of its rank that no other run waits for: what is in the queue
+        # already is due later than now. Failure: a request holds a slot at another server, and its
+        # call waits here behind requests that hold none, or is refused for want of room; then the
+        # whole run was in vain.
+        order = standing.order(now if profile.is_call else due)
         ahead = self.waiting.ahead_of(profile.urgent, order)
-        wait_ms = self._wait_ms(ahead, profile, service_ms)
+        wait_ms = self._wait_ms(ahead, standing, service_ms)
         own_ms = self.runs.own_ms(profile, due, now)
-        gate_ms = self._gate_wait_ms(ahead, profile, now)
+        gate_ms = self._gate_wait_ms(ahead, standing, now)
         if not self.gate.holds(now) and self._has_slot(profile.urgent):
             # Slots are free, and it waits for the pace alone.
             wait_ms = 0.0
@@ -224,19 +232,6 @@
             self.recheck_at = now
         return Decision(Verdict.QUEUE)
 
-    def _order(self, profile: CallProfile, due: float, now: float) -> float:
-        """Return by what a request is queued, the smallest first: rank, calls, and when it is due.
-
-        Failure: a request holds a slot at another server, and its call waits here behind requests
-        of its rank that hold none, or is refused for want of room. The slot is held for longer, and
-        where the call is refused the whole run was in vain.
-        """
-        if profile.is_call:
-            # What waits already is due later than this.
-            return now + profile.rank * RANK_STEP_S
-        order = due + profile.rank * RANK_STEP_S
-        return order + AFTER_ALL_OTHERS_S if due > profile.goal else order
-
     def finished(self, ticket: int, now: float, duration_ms: float, succeeded: bool) -> list[int]:
         pressed = self._is_pressed()
         kind = self.profiles[ticket].kind if ticket in self.profiles else ""
@@ -322,9 +317,9 @@
         borne_ms = work_ms if math.isinf(profile.goal) else (profile.goal - now) * 1000 - work_ms
         return wait_ms if wait_ms > borne_ms else 0.0
 
-    def _gate_wait_ms(self, ahead: int, profile: CallProfile, now: float) -> float:
+    def _gate_wait_ms(self, ahead: int, standing: Standing, now: float) -> float:
         """Return the wait for the gate behind ``ahead`` others, in milliseconds."""
-        left = max(LEAST_LEFT, 1 - self.shares.before(profile))
+        left = max(LEAST_LEFT, 1 - self.shares.before(standing, self.limit))
         return self.gate.wait_s(ahead, now) * 1000 / left
 
     def _has_slot(self, urgent: bool) -> bool:
@@ -343,7 +338,7 @@
         """
         return self.in_use * 2 >= self.limit or len(self.profiles) > self.in_use
 
-    def _wait_ms(self, ahead: int, profile: CallProfile, service_ms: float) -> float:
+    def _wait_ms(self, ahead: int, standing: Standing, service_ms: float) -> float:
         """Return the expected wait behind ``ahead`` others, in milliseconds.
 
         A slot frees ``limit`` times in a service time. Of those that a request could get, what goes
@@ -351,8 +346,8 @@
         that: in a surge routine requests are queued that never get a slot, and are refused only
         when it is too late for them.
         """
-        limit = self.limit if profile.urgent else self.routine_limit
-        left = max(LEAST_LEFT, 1 - self.shares.before(profile))
+        limit = self.routine_limit if standing.routine else self.limit
+        left = max(LEAST_LEFT, 1 - self.shares.before(standing, self.limit))
         return (ahead + 1) * service_ms / (limit * left)
 
     def _start(self, ticket: int, profile: CallProfile, now: float) -> None:
@@ -360,7 +355,9 @@
         self.times.start(ticket, now, profile.kind)
         self.began_with[ticket] = self.in_use
         self.profiles[ticket] = profile
-        self.shares.started(profile, self.runs.work_ms(profile))
+        work_ms = self.runs.work_ms(profile)
+        self.shares.started(self.standings.pop(ticket), work_ms, now)
+        self.workspaces.begun(profile.workspace, work_ms, now)
         if not profile.urgent:
             self.routine_running += 1
 
@@ -390,7 +387,7 @@
     def _drop_queued(self, ticket: int) -> None:
         if ticket in self.waiting:
             self.waiting.remove(ticket)
-            del self.profiles[ticket], self.dues[ticket]
+            del self.profiles[ticket], self.dues[ticket], self.standings[ticket]
 
     def _first_late(self) -> float:
         """Return until when the first that must start has to start to end in time."""
@@ -434,7 +431,7 @@
         late: list[int] = []
         for order, ticket in list(self.waiting.routine.entries):
             ahead = self.waiting.ahead_of(False, order) - 1
-            need_ms = self._wait_ms(ahead, self.profiles[ticket], service_ms) + service_ms
+            need_ms = self._wait_ms(ahead, self.standings[ticket], service_ms) + service_ms
             if need_ms > (self.dues[ticket] - now) * 1000 * RECHECK_SLACK:
                 self._drop_queued(ticket)
                 late.append(ticket)
