Workspaces for operators: list, show, digest; proof of the settings and refusals by reason

workspaces list and show sum what all members tell, keys by fingerprint alone; metrics without names of workspaces; status tells how old the node's proof is.

--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -102,6 +102,7 @@
             evacuated=evacuations.shown,
             evacuate=evacuations.evacuate,
             take_back=evacuations.release,
+            workspaces=list,
         )
 
     def evacuations(self, node: Node) -> EvacuationService:
--- a/src/marjoramtide/cli/_commands.py
+++ b/src/marjoramtide/cli/_commands.py
@@ -13,6 +13,7 @@
 from marjoramtide.cli._service_commands import ServiceCommands
 from marjoramtide.cli._session import Session
 from marjoramtide.cli._settings_commands import HEAD_PATTERN, SettingsCommands, read_file
+from marjoramtide.cli._workspace_commands import WorkspaceCommands
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.settings import load_node_settings, parse_tree
 
@@ -43,6 +44,7 @@
         self.service = ServiceCommands(session)
         self.quarantine = QuarantineCommands(session)
         self.evacuation = EvacuationCommands(session)
+        self.workspaces = WorkspaceCommands(session)
 
     def nodes(self) -> None:
         """Print the members that the asked node knows."""
--- a/src/marjoramtide/daemon/_operators.py
+++ b/src/marjoramtide/daemon/_operators.py
@@ -8,6 +8,7 @@
 
 from marjoramtide import __version__
 from marjoramtide.operators import NodeHandle
+from marjoramtide.settings import key_fingerprint
 from marjoramtide.telemetry import log_output
 
 if TYPE_CHECKING:
@@ -28,9 +29,27 @@
         evacuated=node.evacuations.shown,
         evacuate=node.evacuations.evacuate,
         take_back=node.evacuations.release,
+        workspaces=lambda: shown_workspaces(node),
     )
 
 
+def shown_workspaces(node: Node) -> list[dict[str, Any]]:
+    """Return what a node knows of each workspace, its keys by fingerprint."""
+    now = node.clock.monotonic()
+    short = node.serving.admission.short_workspaces(now)
+    return [
+        {
+            "name": each.name,
+            "keys": [key_fingerprint(digest) for digest in each.key_digests],
+            "limit_per_s": each.requests_per_s,
+            "burst": each.request_burst,
+            "short": each.name in short,
+        }
+        | node.quotas.shown(each.name)
+        for each in node.view.workspaces
+    ]
+
+
 def node_status(node: Node) -> dict[str, Any]:
     """Return what the parts of a node tell of themselves."""
     report = node.serving.report(node.clock.monotonic())
--- a/src/marjoramtide/operators/_app.py
+++ b/src/marjoramtide/operators/_app.py
@@ -1,5 +1,6 @@
 """The operators' API of a node."""
 
+import math
 import re
 from typing import Any
 
@@ -37,6 +38,8 @@
                 "revision": settings.revision,
                 "digest": settings.digest,
                 "current": settings.is_current,
+                "proof_age_s": rounded(settings.freshness.proof_age_s),
+                "vouches_for_keys": settings.vouches_for_keys,
                 "unreadable": settings.freshness.unreadable,
                 "store_answers": self.node.settings.follower.store_answers,
                 "watcher": self.node.settings.follower.is_watcher(),
@@ -105,6 +108,9 @@
         await self.node.take_back(data_centre)
         return web.json_response({"released": data_centre})
 
+    async def workspaces(self, _: web.Request) -> web.Response:
+        return web.json_response({"workspaces": self.node.workspaces()})
+
     async def drain(self, _: web.Request) -> web.Response:
         return self._set_drained(True)
 
@@ -127,6 +133,11 @@
     return attrs.asdict(envelope) | {"digest": envelope.digest}
 
 
+def rounded(seconds: float) -> float | None:
+    """Return seconds as JSON carries them, ``None`` for no end of them."""
+    return None if math.isinf(seconds) else round(seconds, 2)
+
+
 def argument(http: web.Request, name: str) -> str:
     """Return a query argument; raises ``bad-request`` where it is missing."""
     value = http.query.get(name, "")
@@ -159,6 +170,7 @@
             web.get("/evacuations", api.evacuations),
             web.post("/evacuations/begin", api.evacuate),
             web.post("/evacuations/release", api.take_back),
+            web.get("/workspaces", api.workspaces),
             web.post("/drain", api.drain),
             web.post("/undrain", api.undrain),
         ]
--- a/src/marjoramtide/operators/_node_handle.py
+++ b/src/marjoramtide/operators/_node_handle.py
@@ -19,7 +19,8 @@
     ``release`` lets the request with a fingerprint run again; raises ``not-found``. ``drain`` stops
     (true) or resumes (false) taking new work. ``evacuated`` returns the evacuated data centres as
     plain values; ``evacuate`` adds one, with its author, and ``take_back`` removes one; both raise
-    ``not-found`` and what the store does.
+    ``not-found`` and what the store does. ``workspaces`` returns what is known of each workspace
+    here, its keys by fingerprint.
     """
 
     settings: SettingsService
@@ -33,3 +34,4 @@
     evacuated: Callable[[], Awaitable[list[dict[str, Any]]]]
     evacuate: Callable[[str, str], Awaitable[None]]
     take_back: Callable[[str], Awaitable[None]]
+    workspaces: Callable[[], list[dict[str, Any]]]
--- a/src/marjoramtide/policy/admission/_admission.py
+++ b/src/marjoramtide/policy/admission/_admission.py
@@ -109,6 +109,10 @@
     def come_back_ms(self, now: float) -> int:
         """Return when a request that is refused now would probably be taken, in milliseconds."""
 
+    def short_workspaces(self, now: float) -> frozenset[str]:
+        """Return the workspaces that have had their share of a server that is short."""
+        return frozenset()
+
     @abstractmethod
     def report(self, now: float) -> LoadReport:
         """Return the load at this moment."""
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -278,6 +278,9 @@
         slot_ms = ahead * self.times.expected_ms(now) / self.limit
         return max(1, round(max(slot_ms, self.gate.wait_s(waiting, now) * 1000)))
 
+    def short_workspaces(self, now: float) -> frozenset[str]:
+        return self.workspaces.over(now) if self.waiting else frozenset()
+
     def report(self, now: float) -> LoadReport:
         # Others share out work by it: a server has room for what it bears, in slots.
         borne = self.gate.concurrency(self.times.mean.value, now)
--- a/src/marjoramtide/policy/admission/_workspace_shares.py
+++ b/src/marjoramtide/policy/admission/_workspace_shares.py
@@ -53,12 +53,17 @@
         own = self.work.get(workspace)
         if own is None or len(self.work) < 2:
             return False
-        for each in self.work.values():
-            each.decay(now)
-        return own.begun > max(self._level(), 2 * work_ms)
+        return own.begun > max(self._level(now), 2 * work_ms)
+
+    def over(self, now: float) -> frozenset[str]:
+        """Return the workspaces that have had their share."""
+        level = self._level(now)
+        return frozenset(name for name, each in self.work.items() if each.begun > level)
 
-    def _level(self) -> float:
+    def _level(self, now: float) -> float:
         """Return up to what each workspace gets all that it asks for."""
+        for each in self.work.values():
+            each.decay(now)
         left = sum(each.begun for each in self.work.values())
         asked = sorted(each.asked for each in self.work.values())
         for place, amount in enumerate(asked):
--- a/src/marjoramtide/policy/quota/_quota_account.py
+++ b/src/marjoramtide/policy/quota/_quota_account.py
@@ -22,7 +22,7 @@
 
     ``refused_until`` is when the owner is asked again that had none, ``more_at`` when a caller
     should come back; ``returned`` counts tokens that were leased and not used, to be given back
-    with the next question.
+    with the next question. ``admitted`` and ``refusals`` count requests since the start.
     """
 
     tokens: TokenLots = attrs.Factory(TokenLots)
@@ -30,6 +30,8 @@
     refused_until: float = -math.inf
     more_at: float = -math.inf
     returned: int = 0
+    admitted: int = 0
+    refusals: int = 0
 
     def spend(self, now: float) -> bool:
         """Take a token for a request; tell whether there was one."""
--- a/src/marjoramtide/quota/_quota_service.py
+++ b/src/marjoramtide/quota/_quota_service.py
@@ -73,26 +73,30 @@
 
     async def admit(self, request: Request) -> QuotaLease | None:
         workspace = self.view.workspaces.by_name.get(request.workspace)
-        if workspace is None or not workspace.is_limited or request.is_call:
+        if workspace is None or request.is_call:
             return None
         account = self.accounts.setdefault(workspace.name, QuotaAccount())
-        leased_at = await self._take_token(workspace, account)
-        return TokenLease(self, workspace.name, account, leased_at)
+        account.demand.note(1, self.clock.monotonic())
+        lease = None
+        if workspace.is_limited:
+            leased_at = await self._take_token(workspace, account)
+            lease = TokenLease(self, workspace.name, account, leased_at)
+        account.admitted += 1
+        return lease
 
     async def _take_token(self, workspace: WorkspaceSettings, account: QuotaAccount) -> float:
         """Take a token; return when, in seconds of the monotonic clock."""
-        account.demand.note(1, self.clock.monotonic())
         for _ in range(MOST_ASKS):
             now = self.clock.monotonic()
             if account.spend(now):
                 return now
             if now < account.refused_until:
-                raise self._refusal(workspace, account.more_at - now)
+                raise self._refusal(workspace, account, now)
             await self._wait_for_lease(workspace, account)
         now = self.clock.monotonic()
         if account.spend(now):
             return now
-        raise self._refusal(workspace, max(0.0, account.more_at - now))
+        raise self._refusal(workspace, account, now)
 
     def give_back(self, name: str, account: QuotaAccount, leased_at: float) -> None:
         """Give back the token of a request that did not run."""
@@ -101,13 +105,17 @@
             loop = asyncio.get_running_loop()
             loop.call_later(RETURN_AFTER_S, self._return, name, account)
 
-    def _refusal(self, workspace: WorkspaceSettings, wait_s: float) -> NotRunError:
+    def _refusal(
+        self, workspace: WorkspaceSettings, account: QuotaAccount, now: float
+    ) -> NotRunError:
         self.metrics.count("quota.refused")
+        account.refusals += 1
+        wait_ms = max(LEAST_WAIT_MS, (account.more_at - now) * 1000)
         return NotRunError(
             ErrorCode.WORKSPACE_LIMITED,
             f"{workspace.name} has used up its {workspace.requests_per_s:g} requests a second",
             step=STEP,
-            retry_after_ms=round(max(LEAST_WAIT_MS, wait_s * 1000) * self.rng.uniform(1, SPREAD)),
+            retry_after_ms=round(wait_ms * self.rng.uniform(1, SPREAD)),
         )
 
     async def _wait_for_lease(self, workspace: WorkspaceSettings, account: QuotaAccount) -> None:
@@ -218,11 +226,19 @@
 
     def settings_changed(self, revision: int) -> None:
         """Forget what belongs to workspaces that are gone or no longer limited."""
-        limited = {each.name for each in self.view.workspaces if each.is_limited}
-        self.pools.keep(limited)
-        for name in self.accounts.keys() - limited:
+        self.pools.keep({each.name for each in self.view.workspaces if each.is_limited})
+        for name in self.accounts.keys() - self.view.workspaces.by_name.keys():
             del self.accounts[name]
 
+    def shown(self, name: str) -> dict[str, Any]:
+        """Return how much a workspace asks for at this node, and what became of it."""
+        account = self.accounts.get(name, QuotaAccount())
+        return {
+            "asked_per_s": round(account.demand.rate(self.clock.monotonic()), 1),
+            "admitted": account.admitted,
+            "refused": account.refusals,
+        }
+
 
 def make_quota_service(
     view: SettingsView,
