An idle node costs less: small questions by open connections, ten looks at the clock a second

A question for the settings opened a connection of its own each time (0.63 a second and node), whose handshake costs more than a hundred questions; one whose answer can't hold a tree goes by any connection that is open. The freeze detector looked at the clock 20 times a second; a stop counts from 0.5 s.

--- a/features/settings_fakes.py
+++ b/features/settings_fakes.py
@@ -211,7 +211,13 @@
     node: Node
 
     async def ask(
-        self, address: str, subject: str, body: dict[str, Any], *, timeout: float = 2.0
+        self,
+        address: str,
+        subject: str,
+        body: dict[str, Any],
+        *,
+        timeout: float = 2.0,
+        small: bool = False,
     ) -> dict[str, Any]:
         other = self.node.fleet.nodes[address]
         if not self.node.reaches(other):
--- a/src/marjoramtide/clock/_freeze.py
+++ b/src/marjoramtide/clock/_freeze.py
@@ -4,7 +4,7 @@
 
 from marjoramtide.clock._clock import Clock
 
-TICK_S = 0.05
+TICK_S = 0.1
 FREEZE_S = 0.5
 RECOVERY_S = 0.1
 
--- a/src/marjoramtide/peers/_client.py
+++ b/src/marjoramtide/peers/_client.py
@@ -59,12 +59,16 @@
         return await link.request(request, body, remaining_ms)
 
     async def ask(
-        self, address: str, subject: str, body: dict[str, Any], timeout: float
+        self, address: str, subject: str, body: dict[str, Any], timeout: float, small: bool = False
     ) -> dict[str, Any]:
-        """Ask the node at ``address`` a question."""
+        """Ask the node at ``address`` a question, a ``small`` one by any connection that is open.
+
+        A handshake costs both nodes more than a hundred small questions.
+        """
         try:
             async with asyncio.timeout(timeout):
-                link = await self.link(address, CONTROL)
+                link = self.any_open(address) if small else None
+                link = link or await self.link(address, CONTROL)
                 return await link.ask(subject, body)
         except TimeoutError as error:
             raise MarjoramtideError(
@@ -75,6 +79,11 @@
                 ErrorCode.PEER_LOST, error.message, step="peers.ask", peer=address
             ) from error
 
+    def any_open(self, address: str) -> Link | None:
+        """Return an open connection to a node, whatever it is for."""
+        found = (self.links.get((address, lane)) for lane in (CONTROL, ROUTINE, URGENT))
+        return next((link for link in found if link is not None and not link.closed), None)
+
     async def link(self, address: str, lane: str) -> Link:
         """Return the open connection, or open one; callers that come meanwhile share it."""
         name = (address, lane)
--- a/src/marjoramtide/peers/_limits.py
+++ b/src/marjoramtide/peers/_limits.py
@@ -12,5 +12,5 @@
 # For the answer to a close: from a peer that lives it comes within a round trip.
 CLOSE_TIMEOUT_S = 1.0
 # Shorter than the interval of pings, so that connections for single questions cost none.
-LINGER_S = 1.0
+LINGER_S = 2.5
 MAX_OPEN_PER_SESSION = 4096
--- a/src/marjoramtide/peers/_link.py
+++ b/src/marjoramtide/peers/_link.py
@@ -26,6 +26,7 @@
     unpack_headers,
     unpack_report,
 )
+from marjoramtide.peers._lanes import CONTROL
 from marjoramtide.peers._limits import LINGER_S
 from marjoramtide.peers._messages import (
     AnswerChunk,
@@ -122,7 +123,8 @@
             raise self.lost() from error
         finally:
             self.questions.pop(number, None)
-            self.rest()
+            if self.lane == CONTROL:
+                self.rest()
 
     def rest(self) -> None:
         """Close after ``LINGER_S`` without a question.
--- a/src/marjoramtide/peers/_peer_control.py
+++ b/src/marjoramtide/peers/_peer_control.py
@@ -16,9 +16,15 @@
         self.server = server
 
     async def ask(
-        self, address: str, subject: str, body: dict[str, Any], *, timeout: float = 2.0
+        self,
+        address: str,
+        subject: str,
+        body: dict[str, Any],
+        *,
+        timeout: float = 2.0,
+        small: bool = False,
     ) -> dict[str, Any]:
-        return await self.client.ask(address, subject, body, timeout)
+        return await self.client.ask(address, subject, body, timeout, small)
 
     def answer(self, subject: str, handler: QuestionHandler) -> None:
         self.server.questions[subject] = handler
--- a/src/marjoramtide/settings/sync/_peer_settings.py
+++ b/src/marjoramtide/settings/sync/_peer_settings.py
@@ -75,7 +75,11 @@
     async def pull(self, member: Member, have: int, news: list[Any]) -> PeerAnswer:
         """Ask one member for what it has beyond revision ``have``, and tell it ``news``."""
         body = {"have": have, "news": news}
-        raw = await self.channel.ask(member.peer_address, PULL, body, timeout=PULL_TIMEOUT_S)
+        # A member that has no more in force answers without its tree.
+        is_small = member.revision <= have
+        raw = await self.channel.ask(
+            member.peer_address, PULL, body, timeout=PULL_TIMEOUT_S, small=is_small
+        )
         return decode_answer(member, raw)
 
     async def pull_from(
