Runs that would lack their calls are not begun

The node beside the server lets in half as many runs of a kind again as got their calls lately, refuses the rest at once as calls-short, and nobody asks elsewhere.

--- a/bench/model/_model_node.py
+++ b/bench/model/_model_node.py
@@ -11,7 +11,14 @@
 from bench.model._model_transport import ModelProtocol, ModelTransport
 from bench.model._model_work import ModelWork
 from bench.model._virtual_loop import LoopClock
-from marjoramtide.exchange import Answer, LoadReport, Request, ServerStatement, inline_body
+from marjoramtide.exchange import (
+    Answer,
+    LoadReport,
+    Request,
+    RequestFailedError,
+    ServerStatement,
+    inline_body,
+)
 from marjoramtide.ingress import Calls, Dispatcher, StartUp
 from marjoramtide.membership import Member, MemberState
 from marjoramtide.policy import StartStatements
@@ -121,7 +128,11 @@
         task = asyncio.ensure_future(self.dispatcher.dispatch(request, inline_body(), settings))
         self.served.add(task)
         task.add_done_callback(self.served.discard)
-        return await task
+        try:
+            return await task
+        except RequestFailedError as error:
+            self.calls.note_failure(request, error)
+            raise
 
     def end(self) -> None:
         """End at once, with all that it serves."""
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -134,6 +134,8 @@
             self.run_teller,
         )
         self.peer_server.handler = self.serving
+        if interface.runs is not None:
+            interface.runs.listener = self.serving.running
         self.server = OwnServer(
             self.serving,
             self.transport,
--- a/src/marjoramtide/errors/_codes.py
+++ b/src/marjoramtide/errors/_codes.py
@@ -20,6 +20,7 @@
     OVERLOADED = "overloaded"
     SLOWED = "slowed"
     RATE_LIMITED = "rate-limited"
+    CALLS_SHORT = "calls-short"
     UNAUTHENTICATED = "unauthenticated"
     KEY_UNVERIFIED = "key-unverified"
     WORKSPACE_LIMITED = "workspace-limited"
--- a/src/marjoramtide/exchange/_runs.py
+++ b/src/marjoramtide/exchange/_runs.py
@@ -16,6 +16,10 @@
     def may_have_run(self, run: str) -> bool:
         """Tell whether a run may have been there that isn't known, or has just ended."""
 
+    @abstractmethod
+    def note_call_refused(self, run: str) -> None:
+        """Note that a call of a run was refused for want of room."""
+
 
 class NoRuns(Runs):
     """For a node whose backend server makes no calls."""
@@ -25,3 +29,6 @@
 
     def may_have_run(self, run: str) -> bool:
         return False
+
+    def note_call_refused(self, run: str) -> None:
+        return None
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -172,11 +172,12 @@
 def is_over(error: Exception) -> bool:
     """Tell whether a failure is the last word, whatever time and budgets are left.
 
-    What is held back is held back by all nodes of the service, or will be within moments. A try
+    What is held back is held back by all nodes of the service, or will be within moments; what is
+    not begun since its calls are refused would lack them beside each server. A try
     that has run until the deadline leaves some milliseconds, since the serving node gives up a
     little before: another server would begin in vain, and where the request has frozen the first
     one it freezes a second.
     """
     if isinstance(error, NotRunError):
-        return error.code is ErrorCode.QUARANTINED
+        return error.code in (ErrorCode.QUARANTINED, ErrorCode.CALLS_SHORT)
     return isinstance(error, UnknownOutcomeError) and error.code is ErrorCode.DEADLINE
--- a/src/marjoramtide/ingress/_calls.py
+++ b/src/marjoramtide/ingress/_calls.py
@@ -2,8 +2,20 @@
 
 import attrs
 
+from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import NoRuns, Request, Runs
 
+# Why a call fails that would have been served if fewer had come.
+WANT_OF_ROOM = frozenset(
+    (
+        ErrorCode.OVERLOADED,
+        ErrorCode.DEADLINE,
+        ErrorCode.SLOWED,
+        ErrorCode.RATE_LIMITED,
+        ErrorCode.CALLS_SHORT,
+    )
+)
+
 
 @attrs.define(slots=True, eq=False, repr=False)
 class Calls:
@@ -26,6 +38,11 @@
             request, urgent=parent.urgent, rank=parent.rank, workspace=parent.workspace
         )
 
+    def note_failure(self, request: Request, error: MarjoramtideError) -> None:
+        """Note that a call failed for want of room at the service that was called."""
+        if request.parent and error.code in WANT_OF_ROOM:
+            self.runs.note_call_refused(request.parent)
+
     def may_be_of_a_run(self, request: Request) -> bool:
         """Tell whether a request names a run that this node may have missed, or has just seen end.
 
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -167,6 +167,8 @@
             broken = body.error if body is not None else None
             if lease is not None and not isinstance(error, UnknownOutcomeError):
                 lease.give_back()
+            if request is not None:
+                self.authenticator.calls.note_failure(request, error)
             return self.refuse(http, broken or error, request)
 
     async def read_body(
--- a/src/marjoramtide/ingress/_refusal.py
+++ b/src/marjoramtide/ingress/_refusal.py
@@ -22,6 +22,7 @@
     ErrorCode.KEY_UNVERIFIED: (503, "proxy_internal_error"),
     ErrorCode.QUARANTINED: (503, "http_request_denied"),
     ErrorCode.OVERLOADED: (503, "connection_limit_reached"),
+    ErrorCode.CALLS_SHORT: (503, "connection_limit_reached"),
     ErrorCode.RATE_LIMITED: (503, "connection_limit_reached"),
     ErrorCode.DEADLINE: (503, "connection_limit_reached"),
     ErrorCode.DRAINING: (503, "destination_unavailable"),
--- a/src/marjoramtide/interface/_interface.py
+++ b/src/marjoramtide/interface/_interface.py
@@ -5,9 +5,8 @@
 import attrs
 from aiohttp import web
 
-from marjoramtide.exchange import Runs
 from marjoramtide.ingress import CallerProtocol
-from marjoramtide.serving import BackendProtocol, Registrar
+from marjoramtide.serving import BackendProtocol, Registrar, RunTokens
 from marjoramtide.settings.sync import TreeSource
 from marjoramtide.store import StoreProtocol
 
@@ -36,4 +35,4 @@
     stop_linger_s: float = 0.0
     takes_keys: bool = True
     evacuations: str = "evacuations/"
-    runs: Runs | None = None
+    runs: RunTokens | None = None
--- a/src/marjoramtide/policy/admission/_admission.py
+++ b/src/marjoramtide/policy/admission/_admission.py
@@ -90,7 +90,14 @@
         """Decide on a new request."""
 
     @abstractmethod
-    def finished(self, ticket: int, now: float, duration_ms: float, succeeded: bool) -> list[int]:
+    def finished(
+        self,
+        ticket: int,
+        now: float,
+        duration_ms: float,
+        succeeded: bool,
+        lacked_calls: bool = False,
+    ) -> list[int]:
         """Free the ticket's slot and return the queued tickets that start now."""
 
     @abstractmethod
--- a/src/marjoramtide/policy/admission/_edf_admission.py
+++ b/src/marjoramtide/policy/admission/_edf_admission.py
@@ -9,6 +9,7 @@
 from marjoramtide.exchange import LoadReport, first_sequence
 from marjoramtide.policy._call_profile import CallProfile
 from marjoramtide.policy.admission._admission import Admission, Decision, Verdict
+from marjoramtide.policy.admission._call_throttle import CallThrottle
 from marjoramtide.policy.admission._cold_gate import ColdRule
 from marjoramtide.policy.admission._execution_times import ExecutionTimes
 from marjoramtide.policy.admission._limiter import Limiter
@@ -56,6 +57,7 @@
     shares: StandingShares = attrs.Factory(StandingShares)
     workspaces: WorkspaceShares = attrs.Factory(WorkspaceShares)
     standings: dict[int, Standing] = attrs.Factory(dict)
+    throttles: dict[str, CallThrottle] = attrs.Factory(dict)
     routine_running: int = 0
     stall_seen: float | None = None
     limited_by: tuple[str, int, int] = ("", 0, 0)
@@ -112,6 +114,7 @@
         self.limiter = self.limiter.fresh()
         self.shares = StandingShares()
         self.workspaces = WorkspaceShares()
+        self.throttles = {}
         self.stall_seen = None
         self.gate.server_started(now)
         self.set_pace(Pace())
@@ -151,6 +154,9 @@
         remaining_ms = (profile.deadline - now) * 1000
         if remaining_ms <= 0:
             return _reject(ErrorCode.DEADLINE, 0.0)
+        throttle = self._throttle(profile.kind)
+        if not profile.is_call and not throttle.admits(now):
+            return _reject(ErrorCode.CALLS_SHORT, throttle.come_back_ms())
         if profile.attempt == 1 and (silence := self.times.silence_ms(now)):
             # Failure: a neighbour takes the processor for a moment, and what arrives in that moment
             # runs ten times slower although others have room. Turned away at once, it costs its
@@ -178,6 +184,9 @@
             del self.dues[ticket], self.standings[ticket]
         return decision
 
+    def _throttle(self, kind: str) -> CallThrottle:
+        return self.throttles.setdefault(kind, CallThrottle())
+
     def _start_or_reject(
         self, ticket: int, profile: CallProfile, remaining_ms: float, now: float
     ) -> Decision:
@@ -232,9 +241,17 @@
             self.recheck_at = now
         return Decision(Verdict.QUEUE)
 
-    def finished(self, ticket: int, now: float, duration_ms: float, succeeded: bool) -> list[int]:
+    def finished(
+        self,
+        ticket: int,
+        now: float,
+        duration_ms: float,
+        succeeded: bool,
+        lacked_calls: bool = False,
+    ) -> list[int]:
         pressed = self._is_pressed()
         kind = self.profiles[ticket].kind if ticket in self.profiles else ""
+        self._throttle(kind).ended(lacked_calls, now)
         running = self.began_with.get(ticket, 1)
         if self._end(ticket, now) is None:
             return []
--- a/src/marjoramtide/serving/_run_tokens.py
+++ b/src/marjoramtide/serving/_run_tokens.py
@@ -18,10 +18,12 @@
     """Gives each run a token of its own, good until the run's deadline.
 
     Callers choose the identities of their requests, so that one may know another's; a token is only
-    known to the backend server that was handed the request.
+    known to the backend server that was handed the request. ``listener`` knows the runs by the
+    identities of their requests.
     """
 
     clock: Clock
+    listener: Runs | None = None
     requests: dict[str, Request] = attrs.Factory(dict)
     began_at: float = attrs.field()
 
@@ -44,6 +46,11 @@
             return None
         return request
 
+    def note_call_refused(self, run: str) -> None:
+        request = self.find(run)
+        if request is not None and self.listener is not None:
+            self.listener.note_call_refused(request.request_id)
+
     def may_have_run(self, run: str) -> bool:
         return run in self.requests or self.clock.monotonic() - self.began_at < LONGEST_RUN_S
 
--- a/src/marjoramtide/serving/_running_requests.py
+++ b/src/marjoramtide/serving/_running_requests.py
@@ -23,12 +23,14 @@
     running: dict[str, Request] = attrs.Factory(dict)
     ended: dict[str, float] = attrs.Factory(dict)
     order: deque[str] = attrs.Factory(deque)
+    lacking: set[str] = attrs.Factory(set)
 
     def begin(self, request: Request) -> None:
         if request.request_id:
             self.running[request.request_id] = request
 
     def end(self, request: Request) -> None:
+        self.lacking.discard(request.request_id)
         if self.running.pop(request.request_id, None) is None:
             return
         self.ended[request.request_id] = self.clock.monotonic()
@@ -36,6 +38,14 @@
         if len(self.order) > MOST_ENDED:
             self.ended.pop(self.order.popleft(), None)
 
+    def note_call_refused(self, run: str) -> None:
+        if run in self.running:
+            self.lacking.add(run)
+
+    def lacks_calls(self, request: Request) -> bool:
+        """Tell whether a call of a run was refused."""
+        return request.request_id in self.lacking
+
     def find(self, run: str) -> Request | None:
         return self.running.get(run)
 
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -423,7 +423,10 @@
             if self.measurer is not None:
                 self.measurer.traffic(succeeded, duration_ms)
             work_ms = self.interference.work_ms(execution.started, now)
-            started = self.admission.finished(execution.ticket, now, work_ms, succeeded)
+            lacked_calls = not succeeded and self.running.lacks_calls(execution.request)
+            started = self.admission.finished(
+                execution.ticket, now, work_ms, succeeded, lacked_calls
+            )
             self.queue.start(started)
         self.done(execution)
         if self.queue.waiting:
