A text with half a surrogate pair spoils its own entry only, not the whole list

Cause: JSON may hold half of a surrogate pair, and the strict converter let the text through; it was encoded beyond the place where spoiled entries are passed over. Mended in the converter, so that names with such a half are refused as well (they would have stumbled when hashed). Ruled out: catching it in the store's reader alone, since the same names reach the hash of announcements. Two such entries stand in both scenarios of spoiled entries; both failed before.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -33,7 +33,7 @@
 from marjoramtide.evacuation._evacuation_store import record_of
 from marjoramtide.evacuation._store_news import unpack_store_news
 from marjoramtide.exchange import LoadReport, ServerStatement
-from marjoramtide.membership import decode_announcement
+from marjoramtide.membership import Member, decode_announcement
 from marjoramtide.membership._bulletin import MAGIC, BulletinCodec
 from marjoramtide.membership._member_state import MemberState
 from marjoramtide.membership._packet import AppliedSettings, Kind, Packet, Status
@@ -49,7 +49,7 @@
     unpack_statement,
 )
 from marjoramtide.peers._handshake import open_as_client, open_as_server
-from marjoramtide.peers._messages import CreditMessage, RequestMessage, RunsMessage
+from marjoramtide.peers._messages import CreditMessage, ReplyMessage, RequestMessage, RunsMessage
 from marjoramtide.peers._run_session import read_runs
 from marjoramtide.platform._backends import (
     STATEMENTS,
@@ -62,7 +62,11 @@
 from marjoramtide.platform._store_protocol import PlatformStore
 from marjoramtide.policy import Evacuated, ServerEnd, Suspicion
 from marjoramtide.quarantine import is_quarantine_news, pack_news, unpack_news
+from marjoramtide.quota import is_quota_message
+from marjoramtide.quota._messages import QuotaAsk, QuotaGrant
+from marjoramtide.quota._messages import unpack as unpack_quota
 from marjoramtide.settings import decode_envelope, parse_tree
+from marjoramtide.settings.sync._peer_settings import decode_answer
 from marjoramtide.store import Answer, Meaning, StoredObject
 from standins.mesh import Mesh, MeshNode, make_plan
 from standins.raw_caller import read_answer
@@ -111,6 +115,15 @@
 OBJECT = b'{"Metadata":{"Name":"n","Revision":4},"Specification":{"text":"{\\"node\\":\\"n\\"}"}}'
 PAGE = b'{"items":[%b,%b],"HasMore":false,"CurrentRev":5}' % (OBJECT, OBJECT)
 EVENTS = b'{"events":[{"Removed":false,"Object":%b}],"CurrentRev":5}' % OBJECT
+MEMBER = Member("n", "s", "r", "z", "10.0.0.1:1", "10.0.0.1:1", "10.0.0.1:2")
+PROOF = {
+    "node": "n",
+    "revision": 7,
+    "current": True,
+    "envelope": b"",
+    "news": [],
+    "proof_age_ms": 12.5,
+}
 ANNOUNCEMENT = (
     b'{"node":"n","service":"s","region":"r","data_centre":"z","peer_address":"10.0.0.1:1",'
     b'"gossip_address":"10.0.0.1:1","operators_address":"10.0.0.1:2","refreshed":1.5}'
@@ -119,7 +132,8 @@
     b'{"Version":"r7","Routes":[{"Name":"r","Host":"h.example","PathPrefix":"/a/","Kind":'
     b'"idempotent","TimeoutMs":2000,"TargetLatencyMs":900,"Priority":2,"WeightedSplit":[{"Service":'
     b'"s","Weight":90}],"MaxAttempts":2}],"Services":[{"Name":"s","HealthPath":"/health",'
-    b'"MaxConns":100}],"Limits":{"MaxHeaderBytes":16384}}'
+    b'"MaxConns":100}],"Limits":{"MaxHeaderBytes":16384},"Tenants":[{"Name":"acme","ApiKeys":["k1"'
+    b',"k2"],"Priority":1,"RatePerS":136,"Burst":136}]}'
 )
 HTTP = (
     b"GET /a?b=1 HTTP/1.1\r\nHost: mapdesk\r\nX-A: b\r\n\r\n",
@@ -264,10 +278,20 @@
         unpack_store_news(fields)
     elif is_claim_news(fields):
         unpack_claim(fields)
+    elif is_quota_message(fields):
+        unpack_quota(fields)
     else:
         unpack_report(fields)
 
 
+def read_proof(data: bytes) -> None:
+    """Read the answer of a node that is asked for its settings."""
+    message = decode(data)
+    if not isinstance(message, ReplyMessage):
+        raise MalformedError("no answer")
+    decode_answer(MEMBER, message.body)
+
+
 def read_headers(data: bytes) -> None:
     """Read a load, a cold and a retry header; what says nothing counts as taken."""
     text = data.decode("latin-1")
@@ -373,6 +397,9 @@
         "reports": (read_news, cbor2.dumps([5, *report_fields(STATING_REPORT)])),
         "news": (read_news, news),
         "store news": (read_news, cbor2.dumps([5, *evacuated.pack()])),
+        "quotas": (read_news, cbor2.dumps([5, *QuotaAsk(7, "acme", 3, 1).pack()])),
+        "tokens": (read_news, cbor2.dumps([5, *QuotaGrant(7, 3, 50).pack()])),
+        "proofs": (read_proof, encode(ReplyMessage(7, PROOF, "", ""))),
         "claim news": (read_news, cbor2.dumps([5, *pack_claim("claims/1/s/2", record)])),
         "evacuated": (lambda data: record_of("a", data), EvacuationRecord("me", 1.5).encode()),
         "epochs": (read_epoch, b"3"),
--- a/features/steps/foreign_writers_steps.py
+++ b/features/steps/foreign_writers_steps.py
@@ -17,7 +17,7 @@
 
 INSTANCE = "i-1"
 MISSING = "missing"
-ENTRIES = 6
+ENTRIES = 8
 SPOILED: list[Any] = [
     None,
     7,
@@ -25,6 +25,8 @@
     {"Metadata": {"Name": 5, "Revision": 2}},
     {"Metadata": {"Name": "x", "Revision": "2"}},
     {"Metadata": {"Name": "x", "Revision": 2}, "Specification": {"base64": "?"}},
+    {"Metadata": {"Name": "x", "Revision": 2}, "Specification": {"text": "half a pair: \ud800"}},
+    {"Metadata": {"Name": "half a pair: \udfff", "Revision": 2}, "Specification": {"text": "v"}},
 ]
 BYTES = {
     "not UTF-8": b"\xff\xfe{",
--- a/src/marjoramtide/checked/_reading.py
+++ b/src/marjoramtide/checked/_reading.py
@@ -16,7 +16,6 @@
 REASON_CHARACTERS = 200
 # Plain types, and what is said where a value is of another one.
 PLAIN = {
-    str: "a text is",
     bytes: "bytes are",
     bool: "true or false is",
     int: "a whole number is",
@@ -92,6 +91,7 @@
     """Have a converter refuse plain values of another type."""
     for cls, wanted in PLAIN.items():
         made.register_structure_hook(cls, only(cls, wanted))
+    made.register_structure_hook(str, _text)
     made.register_structure_hook(float, _number)
     # Otherwise the hook for texts would be theirs, and let through what is none of their words.
     made.register_structure_hook(StrEnum, lambda value, cls: cls(value))
@@ -109,6 +109,19 @@
     return hook
 
 
+def _text(value: Any, _: type) -> str:
+    """Let through a text that can be sent on.
+
+    JSON may hold half of a surrogate pair. Failure: one such name in a list made a reader stumble
+    beyond this converter, where only ``MalformedError`` is passed over, and the whole list was lost.
+    """
+    if type(value) is not str:
+        raise TypeError(f"a text is wanted, not a {type(value).__name__}")
+    if not value.isascii():
+        value.encode()
+    return value
+
+
 def _number(value: Any, _: type) -> float:
     if type(value) not in (int, float) or not math.isfinite(value):
         raise TypeError(f"a finite number is wanted, not {str(value)[:20]}")
