--- a/src/marjoramtide/checked/_reading.py
+++ b/src/marjoramtide/checked/_reading.py
@@ -112,8 +112,8 @@
 def _text(value: Any, _: type) -> str:
     """Let through a text that can be sent on.
 
-    JSON may hold half of a surrogate pair. Failure: one such name in a list made a reader stumble
-    beyond this converter, where only ``MalformedError`` is passed over, and the whole list was lost.
+    JSON may hold half of a surrogate pair. Failure: one such name in a list makes its reader
+    stumble later, where only ``MalformedError`` is passed over, and the whole list is lost.
     """
     if type(value) is not str:
         raise TypeError(f"a text is wanted, not a {type(value).__name__}")
