A limit of few requests a second is admitted whole: each pool holds two tokens at least

Cause: a pool with room for one token loses what flows in while that token waits for a question, in each data centre.

--- a/features/policy/quota.feature
+++ b/features/policy/quota.feature
@@ -36,6 +36,19 @@
       | half of the nodes end            | 50     |
       | its limit falls                  | 85     |
 
+  Scenario Outline: A limit of few requests a second is admitted whole
+    # Each data centre holds less than a token. What flows in while one waits to be asked for is
+    # lost, and callers are refused below their limit.
+    Given a workspace of 2 requests a second on <nodes> nodes
+    When it comes at four times its limit by all nodes
+    Then no workspace has more than its limit, 10 in 100 and 20 requests in any 5 s
+    And at least 95 in 100 of what is allowed is admitted, also of small workspaces
+
+    Examples:
+      | nodes |
+      | 4     |
+      | 70    |
+
   Scenario: A lease that was kept through a stop is worth nothing
     # A process stands still with tokens in its hands. What it holds belonged to the time before, and
     # others have had the rate since.
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -5,8 +5,9 @@
 import attrs
 from behave import given, step, then, use_step_matcher, when  # type: ignore[attr-defined]
 
-from bench.quota import QuotaFigures, play
+from bench.quota import QuotaFigures, QuotaPlan, play
 from bench.quota.__main__ import plan_of
+from bench.quota._play import QUOTA
 from marjoramtide.policy.quota import FleetShares, QuotaAccount, make_quota_pool
 from marjoramtide.policy.quota._fleet_shares import REMEMBERED_S
 
@@ -35,6 +36,16 @@
     context.plan = plan_of(nodes)
 
 
+@given("a workspace of {limit:d} requests a second on {nodes:d} nodes")
+def given_small(context: Any, limit: int, nodes: int) -> None:
+    context.plan = QuotaPlan(nodes, workspaces=1, per_s=limit / QUOTA, hot=4 * QUOTA, seconds=20)
+
+
+@when("it comes at four times its limit by all nodes")
+def when_beyond(context: Any) -> None:
+    context.figures = play(context.plan)
+
+
 @when("its largest workspace comes {how}")
 def when_comes(context: Any, how: str) -> None:
     how, _, fault = how.partition(" while ")
--- a/src/marjoramtide/policy/quota/_quota_pool.py
+++ b/src/marjoramtide/policy/quota/_quota_pool.py
@@ -18,15 +18,15 @@
 LONGEST_WAIT_S = 10.0
 # A pool that was begun anew holds one token: how much was used before isn't known.
 FIRST_TOKENS = 1.0
+# What each pool may hold at least. With room for one token, what flows in while that one waits to
+# be asked for would be lost, and a workspace of few requests a second would be refused below its
+# quota.
+LEAST_BURST = 2.0
 
 
 @attrs.define(slots=True, eq=False, repr=False)
 class QuotaPool:
-    """A token bucket with a share of the quota, and what other data centres have lent.
-
-    The bucket holds one token at least, or a workspace with a burst of one would never get a whole
-    one from any of three data centres.
-    """
+    """A token bucket with a share of the quota, and what other data centres have lent."""
 
     bucket: TokenBucket
     borrowed: TokenLots = attrs.Factory(TokenLots)
@@ -34,9 +34,12 @@
     borrows_again_at: float = -math.inf
 
     def configure(self, rate: float, burst: float, now: float) -> None:
-        """Go on by a changed share, in requests a second and at once."""
+        """Go on by a share that may have changed, in requests a second and at once."""
+        size = max(LEAST_BURST, burst)
+        if (self.bucket.rate, self.bucket.burst) == (rate, size):
+            return
         self.bucket.refill(now)
-        self.bucket.rate, self.bucket.burst = rate, max(1.0, burst)
+        self.bucket.rate, self.bucket.burst = rate, size
         self.bucket.refill(now)
 
     def lease(self, wanted: int, now: float) -> int:
@@ -94,6 +97,6 @@
 
 def make_quota_pool(rate: float, burst: float, known_s: float, now: float) -> QuotaPool:
     """Return the pool of a share that this node has owned for ``known_s`` seconds, unused."""
-    size = max(1.0, burst)
+    size = max(LEAST_BURST, burst)
     level = min(size, FIRST_TOKENS + rate * known_s)
     return QuotaPool(TokenBucket(rate, size, level, now))
--- a/src/marjoramtide/quota/_owned_pools.py
+++ b/src/marjoramtide/quota/_owned_pools.py
@@ -72,8 +72,7 @@
         if pool is None:
             known_s = now - self.owners.settled_at
             pool = self.pools[name] = make_quota_pool(rate, burst, known_s, now)
-        elif (pool.bucket.rate, pool.bucket.burst) != (rate, max(1.0, burst)):
-            pool.configure(rate, burst, now)
+        pool.configure(rate, burst, now)
         return pool
 
     async def _wait_for_loan(self, name: str, pool: QuotaPool) -> None:
