--- a/bench/limits/_fleet.py
+++ b/bench/limits/_fleet.py
@@ -67,12 +67,10 @@
 
     async def __aenter__(self) -> Self:
         await self.runner.setup()
-        await web.TCPSite(self.runner, self.host, 0).start()
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-        url = "http://{}:{}".format(*self.runner.addresses[0][:2])
         self.configure()
         for number in range(self.nodes):
-            self.seats.append(await self.make_seat(number, url))
+            self.seats.append(await self.make_seat(number, await self.open_store()))
         await asyncio.gather(*(self.start(each) for each in self.seats))
         self.beats = [asyncio.create_task(self.beat(each)) for each in self.seats]
         await asyncio.gather(*(self.wait_ready(each) for each in self.seats))
@@ -90,11 +88,28 @@
         self.store.state.forget_history()
         await self.runner.cleanup()
 
-    def configure(self) -> None:
+    bounds: tuple[str, ...] = ("GraceS=6", "RetryBudgetRatio=0.2", "RetryBudgetSlack=64")
+    version = 4
+
+    def specification(self) -> dict[str, Any]:
+        """Return the operator's configuration."""
         limits = {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20}
         service = {"Name": SERVICE, "HealthPath": "/health", "MaxConns": 220}
-        specification = {"Version": "r4", "Routes": [ROUTE], "Services": [service]}
-        self.store.state.put("config", "main", Specification=specification | {"Limits": limits})
+        return {
+            "Version": f"r{self.version}",
+            "Routes": [ROUTE],
+            "Services": [service],
+            "Limits": limits,
+        }
+
+    def configure(self) -> None:
+        """Write the configuration as the operator does."""
+        self.store.state.put("config", "main", Specification=self.specification())
+
+    async def open_store(self) -> str:
+        """Return a new address of the store, so that it can tell one node from the others."""
+        await web.TCPSite(self.runner, self.host, 0).start()
+        return "http://{}:{}".format(*self.runner.addresses[-1][:2])
 
     async def make_seat(self, number: int, store: str) -> LimitSeat:
         server = await start_platform_backend(self.host, service_ms=self.service_ms, slots=SLOTS)
@@ -110,7 +125,7 @@
             "key": "a key for plays on loopback only",
             "interface": "platform",
             "base_tree": "deploy/base-tree.toml",
-            "bounds": ["GraceS=6", "RetryBudgetRatio=0.2", "RetryBudgetSlack=64"],
+            "bounds": list(self.bounds),
         }
         registrant = Registrant(addresses["registration"], SERVICE, server.name, SLOTS)
         return LimitSeat(f"node-{number}", settings, server, registrant)
@@ -148,14 +163,14 @@
             await asyncio.sleep(0.05)
         raise TimeoutError(f"{seat.name} takes no callers after {READY_S} s")
 
-    async def send(self, turn: int, attempt: str) -> Reply:
-        """Send a lookup through a node."""
+    async def send(self, turn: int, attempt: str, key: str = "") -> Reply:
+        """Send a lookup through a node, with a caller's key where there is one."""
         assert self.session is not None
         headers = {
             "Host": HOST_NAME,
             "X-Attempt-Id": attempt,
             "X-Deadline-Ms": str(TIMEOUT_MS),
-        }
+        } | ({"Authorization": f"Token {key}"} if key else {})
         url = f"http://{self.seats[turn].settings['callers']}/tiles/{attempt}"
         async with (
             asyncio.timeout(2 * TIMEOUT_MS / 1000),
--- a/bench/quota/_tally.py
+++ b/bench/quota/_tally.py
@@ -57,15 +57,20 @@
             for name, found in times.items():
                 times[name] = [each for each in found if each >= at]
 
-    def owed(self, workspace: WorkspaceSettings, began: float) -> float:
+    def owed(self, workspace: WorkspaceSettings, began: float) -> int:
         """Return how many of the requests that came a single bucket would have admitted."""
-        level, last, owed = workspace.request_burst, began, 0
-        for at in sorted(self.came.get(workspace.name, [])):
-            level = min(
-                max(1.0, workspace.request_burst), level + (at - last) * workspace.requests_per_s
-            )
-            last = at
-            if level >= 1:
-                level -= 1
-                owed += 1
-        return owed
+        came = self.came.get(workspace.name, [])
+        return admitted_by_one(came, workspace.requests_per_s, workspace.request_burst, began)
+
+
+def admitted_by_one(came: list[float], per_s: float, burst: float, began: float) -> int:
+    """Return how many requests a single bucket admits that was full at a time."""
+    size = max(1.0, burst)
+    level, last, admitted = size, began, 0
+    for at in sorted(came):
+        level = min(size, level + (at - last) * per_s)
+        last = at
+        if level >= 1:
+            level -= 1
+            admitted += 1
+    return admitted
