News of pace crosses to another data centre once, and is passed on there

A datagram that is to be passed on counts only from the member that speaks: scenario seen failing without. Small fleets are told directly as before.

--- a/features/membership/service.feature
+++ b/features/membership/service.feature
@@ -25,6 +25,19 @@
     When the membership store comes back
     Then within 10 seconds each membership service offers 3 nodes
 
+  Scenario: News for another data centre is passed on there by one of its nodes
+    # Node 0 tells node 1 what node 2 is to hear of as well. From node 3, whose word it isn't, node 1
+    # passes nothing on: whoever has seen such a datagram could have it multiplied.
+    Given a store in memory for membership
+    And 4 membership services that use it
+    And within 5 seconds each membership service offers 4 nodes
+    And membership service 1 passes news on to membership service 2
+    When membership service 0 publishes news by way of membership service 1
+    Then within 5 seconds membership services 1 and 2 have heard it once, from membership service 0
+    When membership service 3 sends the datagram to membership service 1 again
+    And 1 second of real time passes
+    Then membership service 2 has heard it once
+
   Scenario: A node without the store takes part as soon as another finds it
     # The operator sees: node 2 has no store at all, but a node that knows its address pings it; it
     # accepts the gossip and is a full member.
--- a/features/policy/interference.feature
+++ b/features/policy/interference.feature
@@ -87,6 +87,17 @@
     # roundings at most.
     And each node follows 0 to 0 of "desk" and 11 to 19 of "ledger" elsewhere
 
+  Scenario: News that many nodes of another data centre follow crosses to it once
+    # Three data centres, each with fewer nodes of a service than are followed. Each change of pace
+    # is told to dozens of nodes elsewhere, and what the data centres send each other is mostly that.
+    Given a fleet of 3 data centres with 10 nodes of "desk" and 7 nodes of "ledger" in each
+    Then news of each node crosses to each other data centre once
+    And with what is passed on there it reaches those that follow the node, and nobody twice
+
+  Scenario: In a small fleet everybody is told directly
+    Given a fleet of 3 data centres with 3 nodes of "desk" and 1 nodes of "ledger" in each
+    Then no news is passed on
+
   Scenario: In a small fleet everybody follows everybody
     Given a fleet of 3 data centres with 3 nodes of "desk" and 1 nodes of "ledger" in each
     Then each node follows everybody
--- a/features/steps/bulletin_readers_steps.py
+++ b/features/steps/bulletin_readers_steps.py
@@ -1,12 +1,14 @@
 """Steps on who is told of a change of a server's pace."""
 
+import random
 from collections import Counter
 from typing import Any
 
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
 
 from marjoramtide.membership import Member, MemberState
-from marjoramtide.policy import bulletin_readers
+from marjoramtide.policy import BulletinRoutes, bulletin_readers
+from marjoramtide.policy.placing._bulletin_routes import BulletinRoute
 
 use_step_matcher("parse")
 
@@ -81,6 +83,36 @@
     assert kept * of >= share, kept
 
 
+def route(context: Any, own: Member) -> BulletinRoute:
+    return BulletinRoutes(random.Random(own.node)).route(own, context.members)
+
+
+@then("news of each node crosses to each other data centre once")
+def crosses_once(context: Any) -> None:
+    for own in context.members:
+        found = route(context, own)
+        crossed = Counter(each.data_centre for each in (*found.readers, *found.relays))
+        del crossed[own.data_centre]
+        assert set(crossed.values()) == {1} and len(crossed) == 2, crossed
+
+
+@then("with what is passed on there it reaches those that follow the node, and nobody twice")
+def reaches_all(context: Any) -> None:
+    for own in context.members:
+        found = route(context, own)
+        reached = Counter(each.node for each in (*found.readers, *found.relays))
+        for relay in found.relays:
+            routes = BulletinRoutes(random.Random(1))
+            reached.update(each.node for each in routes.passed_on(own, relay, context.members))
+        assert set(reached) == {each.node for each in bulletin_readers(own, context.members)}
+        assert set(reached.values()) == {1}, reached
+
+
+@then("no news is passed on")
+def nothing_passed_on(context: Any) -> None:
+    assert not any(route(context, own).relays for own in context.members)
+
+
 @then("each node follows everybody")
 def follows_everybody(context: Any) -> None:
     assert len(pairs(context.members)) == len(context.members) * (len(context.members) - 1)
--- a/src/marjoramtide/daemon/_node_news.py
+++ b/src/marjoramtide/daemon/_node_news.py
@@ -14,7 +14,7 @@
 from marjoramtide.ingress import Dispatcher
 from marjoramtide.membership import Member, MembershipService, MemberState
 from marjoramtide.peers import report_fields, unpack_report
-from marjoramtide.policy import bulletin_readers
+from marjoramtide.policy import BulletinRoutes
 from marjoramtide.quarantine import QuarantineService, is_quarantine_news
 from marjoramtide.quota import QuotaService, is_quota_message
 
@@ -35,13 +35,22 @@
     claims: Claims
     quotas: QuotaService
     rng: random.Random
+    routes: BulletinRoutes = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.routes = BulletinRoutes(self.rng)
 
     def tell_load(self, report: LoadReport) -> None:
         """Tell the nodes that follow this one that its backend server's speed has changed."""
         own = self.membership.self_member
         if own.state is MemberState.READY:
-            readers = bulletin_readers(own, self.membership.members())
-            self.membership.publish(report_fields(report), readers)
+            route = self.routes.route(own, self.membership.members())
+            self.membership.publish(report_fields(report), route.readers, route.relays)
+
+    def passed_on_to(self, teller: Member) -> list[Member]:
+        """Return the members of this data centre that follow a node elsewhere."""
+        membership = self.membership
+        return self.routes.passed_on(teller, membership.self_member, membership.members())
 
     def tell_claim(self, key: str, record: ClaimRecord) -> None:
         """Have some other nodes know of a claim, which would write it again if this one is lost."""
--- a/src/marjoramtide/membership/_bulletin.py
+++ b/src/marjoramtide/membership/_bulletin.py
@@ -10,6 +10,8 @@
 # Begins a bulletin. A gossip datagram begins with its authentication code, which is as good as
 # random: one in four thousand million looks like a bulletin, and is dropped as not authentic.
 MAGIC = b"mtB1"
+# Begins one that its reader is to pass on in its own data centre.
+RELAYED = b"mtR1"
 
 
 class BulletinCodec:
@@ -26,6 +28,14 @@
         """Return the datagram; ``sender`` is the key that stands for the sending member."""
         return MAGIC + self.seal.close(cbor2.dumps([sender, *fields]))
 
+    def to_pass_on(self, data: bytes) -> bytes:
+        """Return a datagram for a member that is to pass it on."""
+        return RELAYED + data[len(MAGIC) :]
+
+    def passed_on(self, data: bytes) -> bytes:
+        """Return such a datagram as that member sends it to others."""
+        return MAGIC + data[len(RELAYED) :]
+
     def decode(self, data: bytes) -> tuple[int, list[Any]]:
         """Return the sender's key and the fields; raises ``PacketError``."""
         if len(data) > MAX_DATAGRAM_BYTES:
--- a/src/marjoramtide/membership/_membership_service.py
+++ b/src/marjoramtide/membership/_membership_service.py
@@ -11,7 +11,7 @@
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.membership._announcement import Announcement
 from marjoramtide.membership._announcer import Announcer
-from marjoramtide.membership._bulletin import MAGIC, BulletinCodec
+from marjoramtide.membership._bulletin import MAGIC, RELAYED, BulletinCodec
 from marjoramtide.membership._directory import Directory
 from marjoramtide.membership._drop_log import DropLog
 from marjoramtide.membership._gossip_counters import GossipCounters
@@ -49,6 +49,8 @@
         self.core = core
         self.bulletins = bulletins
         self.bulletin_listener: Callable[[Member, list[Any]], None] | None = None
+        # To whom news of a member is passed on.
+        self.passed_on_to: Callable[[Member], Iterable[Member]] = lambda teller: ()
         self.clock = clock
         self.listeners: list[Callable[[Member], None]] = []
         self.drop_log = DropLog()
@@ -105,11 +107,16 @@
     def on_change(self, listener: Callable[[Member], None]) -> None:
         self.listeners.append(listener)
 
-    def publish(self, fields: list[Any], readers: Iterable[Member]) -> None:
-        """Send small news of this node to some members; it may be lost on the way."""
+    def publish(
+        self, fields: list[Any], readers: Iterable[Member], relays: Iterable[Member] = ()
+    ) -> None:
+        """Send small news of this node to some members; it may be lost on the way.
+
+        Each of ``relays`` passes it on to those of its data centre.
+        """
         data = self.bulletins.encode(member_key(self.self_member.node), fields)
-        for member in readers:
-            self._send(member.gossip_address, data)
+        self._send_all(data, readers)
+        self._send_all(self.bulletins.to_pass_on(data), relays)
 
     def on_bulletin(self, listener: Callable[[Member, list[Any]], None]) -> None:
         """Call ``listener`` with the news that other members publish."""
@@ -164,7 +171,7 @@
             await self.clock.sleep(self.core.options.tick_s)
 
     def _receive(self, data: bytes, address: str) -> None:
-        if data.startswith(MAGIC):
+        if data.startswith((MAGIC, RELAYED)):
             self._take_bulletin(data, address)
             return
         self.core.receive(data, address, self.clock.monotonic(), self.clock.wall())
@@ -177,7 +184,13 @@
             self.drop_log.add(error.code, address, str(error), self.clock.monotonic())
             return
         entry = self.core.view.entries.get(sender)
-        if entry is not None and self.bulletin_listener is not None:
+        if entry is None:
+            return
+        # Passed on only for the member that speaks: whoever has seen such a datagram could send it
+        # again, and have it multiplied.
+        if data.startswith(RELAYED) and entry.member.gossip_address == address:
+            self._send_all(self.bulletins.passed_on(data), self.passed_on_to(entry.member))
+        if self.bulletin_listener is not None:
             self.bulletin_listener(entry.member, fields)
 
     def _flush(self) -> None:
@@ -195,6 +208,10 @@
         for code, address, message in drops:
             self.drop_log.add(code, address, message, self.clock.monotonic())
 
+    def _send_all(self, data: bytes, readers: Iterable[Member]) -> None:
+        for member in readers:
+            self._send(member.gossip_address, data)
+
     def _send(self, address: str, data: bytes) -> None:
         destination = self.destinations.get(address)
         if destination is None:
--- a/src/marjoramtide/policy/__init__.py
+++ b/src/marjoramtide/policy/__init__.py
@@ -24,6 +24,7 @@
 from marjoramtide.policy.pace import Interference
 from marjoramtide.policy.placing import (
     SELECTORS,
+    BulletinRoutes,
     Selector,
     SmoothSplit,
     bulletin_readers,
@@ -49,6 +50,7 @@
     "SELECTORS",
     "WINDOW_S",
     "Admission",
+    "BulletinRoutes",
     "CallProfile",
     "ComeBackHint",
     "CompletedRequests",
--- a/src/marjoramtide/policy/placing/__init__.py
+++ b/src/marjoramtide/policy/placing/__init__.py
@@ -5,12 +5,14 @@
 """
 
 from marjoramtide.policy.placing._bulletin_readers import bulletin_readers
+from marjoramtide.policy.placing._bulletin_routes import BulletinRoutes
 from marjoramtide.policy.placing._factories import SELECTORS, make_selector
 from marjoramtide.policy.placing._selector import Selector
 from marjoramtide.policy.placing._smooth_split import SmoothSplit, make_smooth_split
 
 __all__ = [
     "SELECTORS",
+    "BulletinRoutes",
     "Selector",
     "SmoothSplit",
     "bulletin_readers",
