--- a/bench/quota/__main__.py
+++ b/bench/quota/__main__.py
@@ -17,6 +17,7 @@
     "owner ends",
     "owner starts again",
     "all start again in turn",
+    "all start again at once",
     "half end",
     "owner stands still",
     "a third is cut off",
--- a/bench/quota/_play.py
+++ b/bench/quota/_play.py
@@ -103,8 +103,9 @@
     def node(self, is_hot: bool) -> int:
         second = int(asyncio.get_running_loop().time())
         down = self.way.down if isinstance(self.way, QuotaNetwork) else ()
-        # Callers of a node that is gone come by another one.
-        up = [number for number in range(self.plan.size) if number not in down]
+        # Callers of a node that is gone come by another one, where there is one.
+        everywhere = range(self.plan.size)
+        up = [number for number in everywhere if number not in down] or list(everywhere)
         if is_hot and self.plan.how == "one":
             return up[0]
         if is_hot and self.plan.how == "moving":
@@ -126,6 +127,7 @@
             "owner ends": self.owner_ends,
             "owner starts again": self.owner_starts_again,
             "all start again in turn": self.all_start_again,
+            "all start again at once": self.all_start_at_once,
             "half end": self.half_end,
             "owner stands still": self.owner_stands_still,
             "a third is cut off": self.third_is_cut,
@@ -151,6 +153,12 @@
             await asyncio.sleep(0.7 * self.plan.seconds / self.plan.size)
             network.start_again(number)
 
+    async def all_start_at_once(self, network: QuotaNetwork) -> None:
+        for number in range(self.plan.size):
+            network.end(number)
+        await asyncio.sleep(1.0)
+        network.start_all_again()
+
     async def half_end(self, network: QuotaNetwork) -> None:
         for number in self.rng.sample(range(self.plan.size), self.plan.size // 2):
             network.end(number)
--- a/bench/quota/_quota_network.py
+++ b/bench/quota/_quota_network.py
@@ -20,6 +20,8 @@
 
 IN_ZONE_S = (0.0003, 0.001)
 ACROSS_S = (0.001, 0.006)
+# Until two nodes that start at the same time know each other.
+MET_S = (0.1, 2.0)
 # Until the others take a node for dead that fell silent.
 NOTICED_S = (2.0, 5.0)
 
@@ -149,6 +151,21 @@
                 delay_s = self.rng.uniform(0.05, 0.4)
                 self.loop.call_later(delay_s, self.meet, other, self.members[number], gone)
 
+    def start_all_again(self) -> None:
+        """Start all nodes anew at once; each meets each other one some time later."""
+        self.down.clear()
+        for number, old in enumerate(self.members):
+            self.members[number] = attrs.evolve(
+                old, node=f"{number}~{self.rng.getrandbits(32):08x}"
+            )
+            self.directories[number] = self.make_directory(number, ())
+            self.nodes[number] = self.make_node(number)
+        for here in range(len(self.members)):
+            for there in range(len(self.members)):
+                if here != there:
+                    met_s = self.rng.uniform(*MET_S)
+                    self.loop.call_later(met_s, self.directories[here].take, self.members[there])
+
     def meet(self, other: int, member: Member, gone: Member) -> None:
         self.directories[other].take(member)
         self.directories[other].take(gone)
--- a/features/policy/quota.feature
+++ b/features/policy/quota.feature
@@ -31,6 +31,7 @@
       | the owner of its quota ends      | 90     |
       | the owner starts again           | 90     |
       | all nodes start again in turn    | 90     |
+      | all nodes start again at once    | 70     |
       | the owner stands still           | 90     |
       | a third of the nodes is cut off  | 85     |
       | half of the nodes end            | 50     |
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -22,11 +22,14 @@
     "the owner of its quota ends": "owner ends",
     "the owner starts again": "owner starts again",
     "all nodes start again in turn": "all start again in turn",
+    "all nodes start again at once": "all start again at once",
     "the owner stands still": "owner stands still",
     "a third of the nodes is cut off": "a third is cut off",
     "half of the nodes end": "half end",
     "its limit falls": "limit falls",
 }
+# A seed by which nodes that don't know each other yet give out far too much.
+SEEDS = {"all start again at once": 3}
 EXCESS = 0.1
 SLACK = 20.0
 
@@ -49,7 +52,8 @@
 @when("its largest workspace comes {how}")
 def when_comes(context: Any, how: str) -> None:
     how, _, fault = how.partition(" while ")
-    plan = attrs.evolve(context.plan, how=HOWS[how], fault=FAULTS.get(fault, ""))
+    known = FAULTS.get(fault, "")
+    plan = attrs.evolve(context.plan, how=HOWS[how], fault=known, seed=SEEDS.get(known, 1))
     context.figures = play(plan)
 
 
--- a/src/marjoramtide/quota/_owners.py
+++ b/src/marjoramtide/quota/_owners.py
@@ -11,8 +11,12 @@
 
 # The share is worked out again after so many seconds, also where no member has changed.
 SHARE_AGAIN_S = 1.0
-# For how long a node that starts goes by the announcements, in seconds.
+# For how long at most a node that starts goes by the announcements, in seconds, and which share of
+# those announced it has met before that when it needs to no longer.
 MEETING_S = 5.0
+MET_SHARE = 0.8
+# As how many nodes it takes the fleet before it has read who is announced.
+UNREAD_NODES = 100
 
 
 @attrs.define(slots=True, eq=False, repr=False)
@@ -20,8 +24,13 @@
     """One member of each data centre, by rendezvous hash over the workspace's name.
 
     ``settled_at`` is when the members of this data centre changed last: what a new owner can't
-    know is what was used before. ``announced`` returns how many nodes have announced themselves, by
-    which a node that has just started, and has met few of them, takes no more than its part.
+    know is what was used before. ``announced`` returns how many nodes have announced themselves, 0
+    before that was read.
+
+    Failure: all nodes start at once, and for a second each knows some others only. Each of them
+    asks whom it takes for the owner, several nodes of a data centre give out its whole part, and a
+    workspace that comes at six times its usual gets 175 requests more than agreed in 5 s. Until a
+    node has met most of those announced it owns an even share of each quota, and asks nobody.
     """
 
     directory: Directory
@@ -64,6 +73,8 @@
 
     def of(self, workspace: str) -> list[Member]:
         """Return the owners, that of the own data centre first."""
+        if self._is_meeting(self.clock.monotonic()):
+            return [self.directory.self_member]
         found = self.chosen.get(workspace)
         if found is None:
             found = self.chosen[workspace] = self._choose(workspace)
@@ -74,11 +85,23 @@
         now = self.clock.monotonic()
         if now >= self.share_due_at:
             own = place_of(self.directory.self_member)
-            is_new = now - self.began_at < MEETING_S
-            self.own_share = self.shares.share(own, now, self.announced() if is_new else 1)
+            if self._is_meeting(now):
+                self.own_share = 1 / self._least_known(now)
+            else:
+                self.own_share = self.shares.share(own, now, self._least_known(now))
             self.share_due_at = now + SHARE_AGAIN_S
         return self.own_share
 
+    def _is_meeting(self, now: float) -> bool:
+        """Tell whether this node has started a moment ago and lacks many of the others."""
+        return len(self.shares.present) < MET_SHARE * self._least_known(now)
+
+    def _least_known(self, now: float) -> int:
+        """Return how many nodes there are at least, by the announcements."""
+        if now - self.began_at >= MEETING_S:
+            return 1
+        return self.announced() or UNREAD_NODES
+
     def _choose(self, workspace: str) -> list[Member]:
         own = self.directory.self_member
         places: dict[str, list[Member]] = {place_of(own): []}
