A change of the settings is pulled from another peer where the first one is slow to answer

A node asked one peer that told of a change and waited 1 s for it, the next one after a pause. It asks up to three now, each 0.2 s after the one before, and takes the first answer.

--- a/features/settings/following.feature
+++ b/features/settings/following.feature
@@ -15,6 +15,16 @@
     And every settings node has slots 11 for mapdesk
     And all of that took less than 1 s
 
+  Scenario: A change is pulled from another node where the one that was asked is slow to answer
+    # Callers meet routes of seconds before at some nodes. Two nodes have the change and say so, but
+    # answers of one wait behind large bodies on its link; whoever happens to ask that one waits a
+    # second until it asks another.
+    Given settings nodes d, e, f, g, h join
+    And no settings nodes but a, f reach the store
+    And answers of settings nodes a take too long
+    When the tree in the store is changed 6 times, once each 3 s
+    Then each of them was in force at a, b, c, d, e, f, g, h within 0.7 s
+
   Scenario: Only a few nodes of each data centre watch the store
     Given settings nodes d, e, f, g, h join
     Then 3 of the settings nodes are watchers
--- a/features/settings_fakes.py
+++ b/features/settings_fakes.py
@@ -106,6 +106,7 @@
     running: asyncio.Event = attrs.field(factory=asyncio.Event)
     store_cut: bool = False
     freezes_on_answer: bool = False
+    is_slow: bool = False
     group: int = 0
     service: SettingsService = attrs.field(init=False)
     task: "asyncio.Task[None] | None" = None
@@ -220,7 +221,7 @@
         small: bool = False,
     ) -> dict[str, Any]:
         other = self.node.fleet.nodes[address]
-        if not self.node.reaches(other):
+        if not self.node.reaches(other) or other.is_slow:
             await NodeClock(self.node).sleep(timeout)
             raise MarjoramtideError(ErrorCode.PEER_LOST, "no answer", step="ask", peer=address)
         answer: dict[str, Any] = await other.handlers[subject](body)
--- a/features/steps/settings_fleet_steps.py
+++ b/features/steps/settings_fleet_steps.py
@@ -6,6 +6,7 @@
 
 from features.settings_fakes import STEP_S, Fleet
 from features.settings_scenarios import join, nodes, slots, within
+from features.steps.settings_store_steps import when_tree_slots
 from marjoramtide.settings.sync import ChangeRequest
 
 
@@ -51,6 +52,36 @@
     join(context, name)
 
 
+@given("answers of settings nodes {names} take too long")
+def given_slow(context: Any, names: str) -> None:
+    for name in names.split(", "):
+        context.fleet.nodes[name].is_slow = True
+
+
+@when("the tree in the store is changed {count:d} times, once each {seconds:d} s")
+def when_changed_often(context: Any, count: int, seconds: int) -> None:
+    """Note at which nodes each change is in force, and how long after it was made."""
+    fleet = context.fleet
+    context.taken = []
+    for value in range(20, 20 + count):
+        when_tree_slots(context, value)
+        made_at = fleet.clock.monotonic()
+        taken: dict[str, float] = {}
+        context.taken.append(taken)
+        while fleet.clock.monotonic() < made_at + seconds:
+            fleet.pass_time(STEP_S)
+            for node in fleet.nodes.values():
+                if slots(node) == value:
+                    taken.setdefault(node.member.node, fleet.clock.monotonic() - made_at)
+
+
+@then("each of them was in force at {names} within {seconds:g} s")
+def then_taken(context: Any, names: str, seconds: float) -> None:
+    for taken in context.taken:
+        late = {name: taken.get(name) for name in names.split(", ")}
+        assert all(each is not None and each <= seconds for each in late.values()), late
+
+
 @given("no settings gossip")
 def given_no_gossip(context: Any) -> None:
     context.fleet.gossips = False
--- a/features/steps/settings_store_steps.py
+++ b/features/steps/settings_store_steps.py
@@ -23,10 +23,11 @@
 AFTERWARDS_S = 4.0
 
 
-@given("no settings node but {name} reaches the store")
-def given_store_cut(context: Any, name: str) -> None:
+@given("no settings node but {names} reaches the store")
+@given("no settings nodes but {names} reach the store")
+def given_store_cut(context: Any, names: str) -> None:
     for node in nodes(context):
-        node.store_cut = node.member.node != name
+        node.store_cut = node.member.node not in names.split(", ")
 
 
 @given("the settings store's watches are deaf")
--- a/src/marjoramtide/settings/sync/_follower.py
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -1,6 +1,7 @@
 """Keeps one node's settings level with what is in force."""
 
 import asyncio
+import contextlib
 import random
 
 import attrs
@@ -39,6 +40,10 @@
 PROOF_TIMEOUT_S = 0.6
 UNANSWERED_PAUSE_S = 2.0
 PULL_MOST_S = 5.0
+# Of the peers that have a change, so many are asked for it, one after the other, each so long after
+# the one before in seconds: an answer takes some milliseconds.
+PULLED_FROM = 3
+NEXT_PULL_S = 0.2
 # For how long a node that starts looks for others before it goes by a store that may have come back
 # from a copy, in seconds, and between two looks. They are found within 0.4 s where any are there.
 MEET_S = 1.0
@@ -386,8 +391,30 @@
                 ahead = self.peers.ahead(self.view.revision)
                 if not ahead:
                     break
-                for answer in await self.peers.pull_from(ahead[:1], self.view.revision):
-                    if answer.envelope:
-                        self.adopter.adopt(answer.envelope, answer.node)
+                await self._pull_change(ahead[:PULLED_FROM])
                 if self.peers.ahead(self.view.revision):
                     await self.clock.sleep(wait)
+
+    async def _pull_change(self, ahead: list[Member]) -> None:
+        """Take a change from whichever of these peers answers first.
+
+        Failure: the one that is asked has a link full of bodies, or its instance is slow. Whoever
+        waits for its answer alone runs requests by the version before for a second more.
+        """
+        have = self.view.revision
+
+        async def pull(place: int, member: Member) -> PeerAnswer:
+            await self.clock.sleep(place * NEXT_PULL_S)
+            return await self.peers.pull(member, have, [])
+
+        pulls = [asyncio.create_task(pull(*each)) for each in enumerate(ahead)]
+        try:
+            for answered in asyncio.as_completed(pulls):
+                with contextlib.suppress(MarjoramtideError):
+                    answer = await answered
+                    if answer.envelope and self.adopter.adopt(answer.envelope, answer.node):
+                        return
+        finally:
+            for each in pulls:
+                each.cancel()
+            await asyncio.gather(*pulls, return_exceptions=True)
