The body of an upload crosses to another node once its request is admitted

Cause: up to 64 kB travelled with the head of a request, to each node that was asked for it; at two and a half times the load most of these refuse. Up to 4 kB travel with the head now; a longer body follows once the request is admitted, and is handed to the server whole, so that a link that breaks amid it leaves the request as not run. Requests with an Idempotency-Key go as before, since the whole body tells repetitions apart. What tells a long body from another, for requests that end servers, is its length, wherever it runs. A scenario that fills connections with bodies of 60 kB uses the longest that travel at once.

--- a/features/steps/peer_links_steps.py
+++ b/features/steps/peer_links_steps.py
@@ -10,6 +10,7 @@
 from features.edge.peer_attacks import request
 from marjoramtide.clock import FreezeDetector, SystemClock
 from marjoramtide.exchange import (
+    AT_ONCE_BYTES,
     Answer,
     Request,
     RequestBody,
@@ -107,7 +108,7 @@
             await asyncio.sleep(0.01)
         link = list(context.client.links.values())[-1]
         while not link.socket.paused:
-            context.waiting.append(send_to_peer(context, 60000, urgent))
+            context.waiting.append(send_to_peer(context, AT_ONCE_BYTES, urgent))
             await asyncio.sleep(0)
 
 
--- a/src/marjoramtide/exchange/__init__.py
+++ b/src/marjoramtide/exchange/__init__.py
@@ -12,12 +12,19 @@
 from marjoramtide.exchange._load_report import LoadReport, first_sequence
 from marjoramtide.exchange._outcome import Outcome
 from marjoramtide.exchange._request import Request
-from marjoramtide.exchange._request_body import INLINE_BYTES, RequestBody, inline_body, stream_body
+from marjoramtide.exchange._request_body import (
+    AT_ONCE_BYTES,
+    INLINE_BYTES,
+    RequestBody,
+    inline_body,
+    stream_body,
+)
 from marjoramtide.exchange._runs import NoRuns, Runs
 from marjoramtide.exchange._server_statement import ServerStatement
 from marjoramtide.exchange._target import is_origin_form
 
 __all__ = [
+    "AT_ONCE_BYTES",
     "INLINE_BYTES",
     "OWN_ANSWER",
     "OWN_REQUEST",
--- a/src/marjoramtide/exchange/_fingerprint.py
+++ b/src/marjoramtide/exchange/_fingerprint.py
@@ -16,8 +16,8 @@
 class Fingerprinter:
     """Makes a number of 64 bits of what stays the same when a request is sent again.
 
-    That is its service, workspace, method, target, body and ``IDENTITY_HEADERS``. Of a body that is
-    read as a stream only the length is known before a backend server has been sent all of it.
+    That is its service, workspace, method, target, body and ``IDENTITY_HEADERS``. Of a long body it
+    is the length: no more is known of one before the request is admitted.
 
     By BLAKE2b (RFC 7693) with the fleet's key: all nodes of a fleet make the same number of a
     request, and no caller can make up another request with the number of somebody else's.
@@ -40,5 +40,5 @@
         digest = hashlib.blake2b(
             head.encode(errors="surrogateescape"), digest_size=FINGERPRINT_BYTES, key=self.key
         )
-        digest.update(f"{body.length}".encode() if body.inline is None else b"\n" + body.inline)
+        digest.update(body.content)
         return int.from_bytes(digest.digest())
--- a/src/marjoramtide/exchange/_request_body.py
+++ b/src/marjoramtide/exchange/_request_body.py
@@ -7,6 +7,8 @@
 from marjoramtide.errors import MarjoramtideError
 
 INLINE_BYTES = 64 * 1024
+# Of a body in memory that goes to another node, up to so much travels with the head.
+AT_ONCE_BYTES = 4 * 1024
 
 
 @attrs.define(slots=True, eq=False, repr=False)
@@ -30,6 +32,33 @@
         """Tell whether the body can still be sent from its beginning."""
         return self.inline is not None or not self.opened
 
+    @property
+    def content(self) -> bytes:
+        """Return what tells this body from others, at any node.
+
+        Of a long one that is its length: a node that has not been sent it yet knows no more.
+        """
+        if self.inline is not None and len(self.inline) <= AT_ONCE_BYTES:
+            return b"\n" + self.inline
+        return f"{self.length}".encode()
+
+    def held_back(self) -> "RequestBody":
+        """Return the body as another node is sent it: a long one once the request is admitted.
+
+        Failure: a scarce service is sent more uploads than it can do. The links beside its servers
+        are full of bodies of requests that are refused, and answers, calls and settings wait behind
+        them for up to a second.
+        """
+        if self.inline is None or len(self.inline) <= AT_ONCE_BYTES:
+            return self
+        return stream_body(pieces(self.inline), len(self.inline))
+
+    async def collected(self) -> "RequestBody":
+        """Return a body in memory of one that is short enough to be held there, else itself."""
+        if self.stream is None or self.length is None or self.length > INLINE_BYTES:
+            return self
+        return inline_body(b"".join([piece async for piece in self.open()]))
+
     def open(self) -> AsyncIterator[bytes]:
         """Return the chunks of a streamed body, once."""
         if self.stream is None or self.opened:
@@ -43,6 +72,11 @@
     return RequestBody(inline=data, length=len(data))
 
 
+async def pieces(data: bytes) -> AsyncIterator[bytes]:
+    """Yield a body that is in memory."""
+    yield data
+
+
 def stream_body(stream: AsyncIterator[bytes], length: int | None) -> RequestBody:
     """Return a body that is read as it is sent; ``length`` in bytes, ``None`` where not known."""
     return RequestBody(stream=stream, length=length)
--- a/src/marjoramtide/peers/_link.py
+++ b/src/marjoramtide/peers/_link.py
@@ -70,6 +70,10 @@
     async def request(self, request: Request, body: RequestBody, remaining_ms: float) -> Answer:
         """Send a request and wait for its answer."""
         number = next(self.numbers)
+        if not request.key:
+            # With a key the serving node must know the whole body to tell a repetition from another
+            # request under the same key.
+            body = body.held_back()
         message = RequestMessage(
             id=number,
             service=request.service,
--- a/src/marjoramtide/serving/_service.py
+++ b/src/marjoramtide/serving/_service.py
@@ -357,12 +357,23 @@
 
     async def dispatch(self, execution: Execution) -> Answer:
         """Hand the request to the backend server."""
+        body = await self.collect(execution)
         execution.dispatched = True
         remaining = execution.deadline - self.clock.monotonic()
         return await self.transport.send(
-            execution.request, execution.body, remaining * 1000, lambda: self.begin(execution)
+            execution.request, body, remaining * 1000, lambda: self.begin(execution)
         )
 
+    async def collect(self, execution: Execution) -> RequestBody:
+        """Return the body, wholly in memory where it isn't long.
+
+        A part of it at the backend server would leave open whether the request has run.
+        """
+        try:
+            return await execution.body.collected()
+        except UnknownOutcomeError as error:
+            raise NotRunError(error.code, error.message, step=STEP) from error
+
     def begin(self, execution: Execution) -> None:
         """Note that from here on the backend server may have begun a request."""
         execution.begin()
