--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -6,11 +6,15 @@
 `zone`, `instance`, `slots`, `log` and `routes`: for each path prefix the work in ms, and
 optionally `pieces`, `pause_ms`, `size` and `framed`. One line of JSON is written to `log` for
 each request that begins to run and each answer that was sent completely.
+
+Faults, as shares of the answers: `shed` (rejected as not run, as a full backend does), `extra` (a
+second copy of the answer arrives late, where the connection's next answer is expected).
 """
 
 import asyncio
 import hashlib
 import json
+import random
 import sys
 import time
 
@@ -30,6 +34,8 @@
         self.running = 0
         self.waiting = 0
         self.slots = asyncio.Semaphore(options["slots"])
+        self.rng = random.Random(options.get("seed", 1))
+        self.extras: dict = {}
         self.log_file = open(options["log"], "a", buffering=1)
 
     def log(self, **fields: object) -> None:
@@ -47,6 +53,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
             pass
         finally:
+            self.extras.pop(writer, None)
             writer.close()
 
     async def exchange(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
@@ -62,6 +69,10 @@
             lines = [f"X-Instance-Id: {self.instance}", f"X-Server-Load: {self.load()}"]
             return self.answer(writer, status, lines, b"")
         attempt = headers.get("x-attempt-id", "")
+        if writer in self.extras:
+            earlier, copy = self.extras.pop(writer)
+            self.log(event="second answer", attempt=earlier, before=attempt)
+            writer.write(copy)
         expected = headers.get("x-expected-instance", self.instance)
         if expected != self.instance:
             return self.answer(writer, 421, [f"X-Instance-Id: {self.instance}"], b"")
@@ -71,9 +82,11 @@
             (each for each in self.options["routes"] if target.startswith(each["prefix"])),
             {"work_ms": 5},
         )
-        if self.waiting > 2 * self.options["slots"]:
+        is_full = self.waiting > 2 * self.options["slots"]
+        if is_full or self.rng.random() < self.options.get("shed", 0):
+            self.log(event="shed", attempt=attempt)
             lines = ["X-Not-Executed: 1", f"X-Attempt-Id: {attempt}"]
-            return self.answer(writer, 503, lines, b"")
+            return self.answer(writer, 503, lines, b"", attempt)
         self.waiting += 1
         async with self.slots:
             self.waiting -= 1
@@ -103,12 +116,24 @@
         return await reader.readexactly(int(headers.get("content-length", 0)))
 
     def answer(
-        self, writer: asyncio.StreamWriter, status: int, lines: list, body: bytes
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        lines: list,
+        body: bytes,
+        attempt: str = "",
     ) -> bool:
         head = [f"HTTP/1.1 {status} S", *lines, f"Content-Length: {len(body)}", "", ""]
-        writer.write("\r\n".join(head).encode() + body)
+        data = "\r\n".join(head).encode() + body
+        writer.write(data)
+        self.draw_extra(writer, attempt, data)
         return True
 
+    def draw_extra(self, writer: asyncio.StreamWriter, attempt: str, data: bytes) -> None:
+        """Keep a copy of an answer for later, for a share of the answers to requests."""
+        if attempt and self.rng.random() < self.options.get("extra", 0):
+            self.extras[writer] = (attempt, data)
+
     async def respond(self, writer: asyncio.StreamWriter, attempt: str, route: dict) -> bool:
         body = body_of(attempt, route.get("size", 1500))
         framed = route.get("framed", True)
@@ -119,7 +144,8 @@
             f"X-Server-Load: {self.load()}",
             f"Content-Length: {len(body)}" if framed else "Connection: close",
         ]
-        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode()
+        writer.write(head)
         pieces = route.get("pieces", 1)
         step = -(-len(body) // pieces)
         for start in range(0, len(body), step):
@@ -129,6 +155,8 @@
             await writer.drain()
             self.log(event="sent", attempt=attempt, bytes=min(len(body), start + step))
         self.log(event="answered", attempt=attempt, bytes=len(body))
+        if framed:
+            self.draw_extra(writer, attempt, head + body)
         return framed
 
     async def beat(self) -> None:
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -118,7 +118,13 @@
         self.nodes[number] = self.start(f"node-{number}", words, env=environment)
 
     def start_backend(
-        self, number: int, instance: str, routes: list, port: int = APP_PORT, slots: int = 18
+        self,
+        number: int,
+        instance: str,
+        routes: list,
+        port: int = APP_PORT,
+        slots: int = 18,
+        **faults: object,
     ) -> subprocess.Popen:
         ip = self.ip(number)
         options = {
@@ -130,6 +136,7 @@
             "routes": routes,
             "log": str(self.folder / "backends.jsonl"),
             **self.machines[number],
+            **faults,
         }
         return self.start(
             f"backend-{instance}",
@@ -161,12 +168,23 @@
         return answer["status"] == 200
 
     async def send(
-        self, number: int, method: str, host: str, path: str, deadline_ms: int, body: bytes = b""
+        self,
+        number: int,
+        method: str,
+        host: str,
+        path: str,
+        deadline_ms: int,
+        body: bytes = b"",
+        brief: bool = False,
     ) -> dict:
-        """Send one request of a client on a machine, on a connection of its own."""
+        """Send one request of a client on a machine, on a connection of its own.
+
+        A ``brief`` record is one line for each request.
+        """
         self.sent += 1
         attempt = hashlib.sha256(f"{self.folder}{self.sent}".encode()).hexdigest()[:16]
-        self.record(f"client   sends {attempt} {method} {path} to node {number}")
+        if not brief:
+            self.record(f"client   sends {attempt} {method} {path} to node {number}")
         headers = {"X-Attempt-Id": attempt, "X-Deadline-Ms": str(deadline_ms)}
         try:
             answer = await asyncio.wait_for(
@@ -178,6 +196,9 @@
         except OSError as error:
             answer = {"status": 0, "ended": repr(error), "body": b"", "headers": {}}
         answer["attempt"] = attempt
+        if brief:
+            self.record(f"{attempt} {method} {path} to node {number}: {answer['status']}")
+            return answer
         self.record(
             f"client   got   {attempt} status {answer['status']}, {len(answer['body'])} bytes of "
             f"body, end of the answer: {answer['ended']}, headers {answer['headers']}"
--- a/review/standins/proxy.py
+++ b/review/standins/proxy.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import socket
+import struct
 import sys
 
 
@@ -45,6 +47,8 @@
             self.kept.append((reader, writer))  # silent: neither data nor its end passes
             await asyncio.Event().wait()
         if reset:
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
         else:
             writer.close()
