Review: both rules counted in case 2, processes ended on a signal too

Cause: a stand-in's processes stayed if the script was asked to end. Change: scripts end them; half of the requests of case 2 go to a route with MaxAttempts 3. The product is unchanged.

--- a/review/2/run.py
+++ b/review/2/run.py
@@ -28,6 +28,7 @@
 async def play(fleet: Fleet, trouble: bool) -> int:
     routes = [
         route("r-1", HOST, "/reg/", "non_idempotent", "asema", 3_000),
+        route("r-3", HOST, "/pay/", "non_idempotent", "asema", 3_000, attempts=3),
         route("r-2", HOST, "/map/", "idempotent", "kartta", 2_500),
     ]
     fleet.start_store(configuration(1, routes))
@@ -43,8 +44,9 @@
 
     async def client(number: int) -> dict:
         await asyncio.sleep(random.uniform(0, LOAD_S))
-        node = random.choice((1, 2, 3))
-        return await fleet.send(node, "POST", HOST, f"/reg/{number}", DEADLINE_MS, b"x" * 400, True)
+        node, prefix = random.choice((1, 2, 3)), random.choice(("reg", "pay"))
+        path = f"/{prefix}/{number}"
+        return await fleet.send(node, "POST", HOST, path, DEADLINE_MS, b"x" * 400, True)
 
     answers = await asyncio.gather(*(client(number) for number in range(LOAD_S * PER_S)))
     await asyncio.sleep(0.5)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -9,8 +9,8 @@
 import json
 import os
 import random
+import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -42,6 +42,8 @@
 
 class Fleet:
     def __init__(self, record: Path) -> None:
+        # The processes are ended too if this one is asked to end.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.started = time.monotonic()
         self.record_file = open(record, "w", buffering=1)
@@ -211,6 +213,7 @@
                 process.send_signal(signal.SIGKILL)
         for process in self.processes:
             process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def request(
@@ -270,9 +273,9 @@
 
 
 def route(
-    name: str, host: str, prefix: str, kind: str, to: str, timeout_ms: int, priority: int = 1
+    name: str, host: str, prefix: str, kind: str, to: str, timeout_ms: int, attempts: int = 2
 ) -> dict:
     return {
         "Name": name, "Host": host, "PathPrefix": prefix, "Kind": kind, "TimeoutMs": timeout_ms,
-        "TargetLatencyMs": timeout_ms // 4, "Priority": priority, "Service": to, "MaxAttempts": 2,
+        "TargetLatencyMs": timeout_ms // 4, "Priority": 1, "Service": to, "MaxAttempts": attempts,
     }  # fmt: skip
