--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -178,6 +178,7 @@
         deadline_ms: int,
         body: bytes = b"",
         brief: bool = False,
+        added: dict | None = None,
     ) -> dict:
         """Send one request of a client on a machine, on a connection of its own.
 
@@ -185,9 +186,10 @@
         """
         self.sent += 1
         attempt = hashlib.sha256(f"{self.folder}{self.sent}".encode()).hexdigest()[:16]
+        headers = {"X-Attempt-Id": attempt, "X-Deadline-Ms": str(deadline_ms)} | (added or {})
+        attempt = headers["X-Attempt-Id"]
         if not brief:
             self.record(f"client   sends {attempt} {method} {path} to node {number}")
-        headers = {"X-Attempt-Id": attempt, "X-Deadline-Ms": str(deadline_ms)}
         try:
             answer = await asyncio.wait_for(
                 request(f"{self.ip(number)}:{PORTS['Outbound']}", method, path, host, headers, body),
