--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,98 +1,92 @@
-"""A backend crashes while answers without a length are under way, and comes back on its address.
+"""A backend rejects some requests as not run, and some of its answers arrive a second time, late.
 
 Exit status: 1 the rule was broken, 0 it held, 2 the case couldn't run.
 """
 
 import asyncio
-import hashlib
 import os
+import random
 import sys
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
 
-from fleet import APP_PORT, DIRECT_PORT, CannotRun, Fleet, configuration, route  # noqa: E402
+from fleet import CannotRun, Fleet, configuration, route  # noqa: E402
 
-HISTORY, REGISTER = "jepu9.example", "hulo84.example"
-# Half of the body is sent when the work is done, the rest as it is read from the archive.
-ROUTES = [
-    {"prefix": "/hist/", "work_ms": 300, "size": 6000, "pieces": 2, "pause_ms": 1500, "framed": False},
-    {"prefix": "/reg/", "work_ms": 300, "size": 3000, "pieces": 2, "pause_ms": 1200, "framed": False},
-]  # fmt: skip
-CRASH_AFTER_S = 0.8
-DOWN_S = 1.0
+HOST = "hulo84.example"
+ROUTES = [{"prefix": "/", "work_ms": 60}]
+SHED = 0.06  # of the requests are rejected (srv_grey, shed; at most 0.4)
+EXTRA = 0.03  # of the answers arrive twice (garble, extra late; at most 0.03)
+LOAD_S = 80
+PER_S = 160
+DEADLINE_MS = 3_000
+# Statuses that promise that the request has not run and never will.
+PROMISES = (408, 421, 429, 503)
 
 
 async def play(fleet: Fleet, trouble: bool) -> int:
     routes = [
-        route("r-1", HISTORY, "/hist/", "idempotent", "arkisto", 5_000),
-        route("r-2", REGISTER, "/reg/", "non_idempotent", "arkisto", 3_000),
-        route("r-3", HISTORY, "/other/", "idempotent", "kartta", 2_500),
+        route("r-1", HOST, "/reg/", "non_idempotent", "asema", 3_000),
+        route("r-3", HOST, "/pay/", "non_idempotent", "asema", 3_000, attempts=3),
+        route("r-2", HOST, "/map/", "idempotent", "kartta", 2_500),
     ]
     fleet.start_store(configuration(1, routes))
-    for number, name in ((1, "arkisto"), (2, "kartta"), (3, "kartta")):
+    for number, name in ((1, "asema"), (2, "kartta"), (3, "kartta")):
         fleet.start_node(number, name, "fi-south-a")
-    direct = f"{fleet.ip(1)}:{DIRECT_PORT}"
-    proxy = fleet.python("proxy", "proxy.py", f"{fleet.ip(1)}:{APP_PORT}", direct)
-    first = fleet.start_backend(1, "i-first", ROUTES, port=DIRECT_PORT)
+    faults = {"shed": SHED, "extra": EXTRA, "seed": random.randrange(1 << 30)} if trouble else {}
+    fleet.record(f"platform the backend of asema has these faults: {faults}")
+    fleet.start_backend(1, "i-one", ROUTES, **faults)
     fleet.start_backend(2, "i-two", ROUTES)
     fleet.start_backend(3, "i-three", ROUTES)
     await fleet.wait_ready([1, 2, 3])
     await asyncio.sleep(2)
 
-    calls = [
-        asyncio.create_task(call)
-        for number in (1, 2)
-        for each in range(3)
-        for call in (
-            fleet.send(number, "GET", HISTORY, f"/hist/{number}{each}", 10_000),
-            fleet.send(number, "POST", REGISTER, f"/reg/{number}{each}", 3_000, b"x" * 400),
-        )
-    ]
-    if trouble:
-        await asyncio.sleep(CRASH_AFTER_S)
-        fleet.record("platform the backend i-first crashes; its open connections are silent")
-        fleet.command(proxy, "silence")
-        first.kill()
-        first.wait()
-        await asyncio.sleep(DOWN_S)
-        fleet.command(proxy, f"target {fleet.ip(1)}:{DIRECT_PORT + 1}")
-        fleet.record("platform a new incarnation, i-second, starts on the address")
-        fleet.start_backend(1, "i-second", ROUTES, port=DIRECT_PORT + 1)
-    answers = await asyncio.gather(*calls)
-    for line in fleet.backend_log():
-        if line["event"] != "beat":
-            line.pop("headers", None)
-            fleet.record(f"backend  {line}")
+    async def client(number: int) -> dict:
+        await asyncio.sleep(random.uniform(0, LOAD_S))
+        node, prefix = random.choice((1, 2, 3)), random.choice(("reg", "pay"))
+        path = f"/{prefix}/{number}"
+        return await fleet.send(node, "POST", HOST, path, DEADLINE_MS, b"x" * 400, True)
+
+    answers = await asyncio.gather(*(client(number) for number in range(LOAD_S * PER_S)))
+    await asyncio.sleep(0.5)
     return judge(fleet, answers)
 
 
 def judge(fleet: Fleet, answers: list[dict]) -> int:
-    """Check MIXED: a success with a body that isn't the backend's whole body."""
-    broken = successes = 0
+    """Check REFUSED: answered with a promise and run. Check TWICE as well."""
+    events: dict[str, list[dict]] = {}
+    for line in fleet.backend_log():
+        if "attempt" in line and line["event"] in ("run", "shed", "second answer", "answered"):
+            line.pop("headers", None)
+            events.setdefault(line["attempt"], []).append(line)
+    ran = refused = twice = served = 0
     for answer in answers:
-        if not 200 <= answer["status"] < 300 or answer["ended"] != "complete":
-            continue
-        successes += 1
-        seal = answer["headers"].get("x-response-seal", "")
-        body = answer["body"]
-        if seal != f"{len(body)}.{hashlib.sha256(body).hexdigest()[:16]}":
-            broken += 1
-            fleet.record(
-                f"MIXED    {answer['attempt']}: status {answer['status']} and an answer that looks "
-                f"complete with {len(body)} bytes; the backend's body has {seal.split('.')[0]}"
-            )
-    fleet.record(f"verdict  {len(answers)} requests, {successes} complete successes, {broken} cut")
-    if not successes and not broken:
+        seen = events.get(answer["attempt"], [])
+        runs = sum(each["event"] == "run" for each in seen)
+        ran += runs > 0
+        served += answer["status"] == 200
+        is_broken = answer["status"] in PROMISES and runs > 0
+        refused += is_broken
+        twice += runs > 1
+        if is_broken or runs > 1:
+            rule = "REFUSED " if is_broken else "TWICE   "
+            fleet.record(f"{rule} {answer['attempt']}: status {answer['status']}, ran {runs} times")
+            for each in seen:
+                fleet.record(f"         backend: {each}")
+    fleet.record(
+        f"verdict  {len(answers)} requests, {ran} ran, {served} got 200, "
+        f"{refused} were refused and ran, {twice} ran twice"
+    )
+    if not served:
         raise CannotRun("no request succeeded")
-    return 1 if broken else 0
+    return 1 if refused or twice else 0
 
 
 def main() -> int:
     fleet = Fleet(HERE / "record.txt")
     try:
-        return asyncio.run(asyncio.wait_for(play(fleet, os.environ.get("TROUBLE") != "0"), 100))
+        return asyncio.run(asyncio.wait_for(play(fleet, os.environ.get("TROUBLE") != "0"), 110))
     except Exception as error:
         fleet.record(f"couldn't run: {error!r}")
         return 2
