--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -202,8 +202,7 @@
         writer.write(
             f"{method} /instances/{self.instance} HTTP/1.1\r\nHost: {host}\r\n"
             "Content-Type: application/json\r\nConnection: close\r\n"
-            f"Content-Length: {len(data)}\r\n\r\n".encode()
-            + data
+            f"Content-Length: {len(data)}\r\n\r\n".encode() + data
         )
         try:
             return int((await reader.readline()).split()[1])
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -11,6 +11,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -34,22 +35,48 @@
 }  # fmt: skip
 PORTS = {"Inbound": 8300, "Outbound": 8304, "Ready": 8302, "Control": 8306}
 APP_PORT, STORE_PORT, DIRECT_PORT = 8301, 8309, 8401
+INNER_PORTS = [7620, 7635]
+METRICS_PORT = 9464  # in the template of the deploy file
+USED_PORTS = [
+    *PORTS.values(), *INNER_PORTS, METRICS_PORT, APP_PORT, STORE_PORT, DIRECT_PORT, DIRECT_PORT + 1,
+]  # fmt: skip
+MACHINES = (1, 2, 3, 250)  # the last part of each address; the store is the last
 
 
 class CannotRun(Exception):
     """The case couldn't run."""
 
 
+def free_network() -> str:
+    """Return the first three parts of loopback addresses on which all ports in use are free."""
+    for _ in range(50):
+        network = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
+        if all(is_free(f"{network}.{number}", port) for number in MACHINES for port in USED_PORTS):
+            return network
+    raise CannotRun("no free ports")
+
+
+def is_free(host: str, port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
 class Fleet:
-    def __init__(self, record: Path) -> None:
+    def __init__(self, record: Path, bounds: dict | None = None) -> None:
         # The processes are ended too if this one is asked to end.
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.started = time.monotonic()
+        self.bounds = BOUNDS | (bounds or {})
         self.record_file = open(record, "w", buffering=1)
         self.processes: list[subprocess.Popen] = []
-        self.network = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
-        self.store = f"{self.network}.250:{STORE_PORT}"
+        self.network = free_network()
+        self.store = f"{self.network}.{MACHINES[-1]}:{STORE_PORT}"
         self.nodes: dict[int, subprocess.Popen] = {}
         self.machines: dict[int, dict] = {}
         self.sent = 0
@@ -101,10 +128,10 @@
             "Zone": zone,
             "Ip": ip,
             "ListenAddrs": {name: f"{ip}:{port}" for name, port in PORTS.items()},
-            "InnerPortRange": [7620, 7635],
+            "InnerPortRange": INNER_PORTS,
             "AppAddr": f"{ip}:{APP_PORT}",
             "Platform": {"Address": self.store},
-            "Bounds": BOUNDS,
+            "Bounds": self.bounds,
         }
         path = self.folder / f"node-{number}.toml"
         path.write_text(render_template((ROOT / role["template"]).read_text(), fields))
@@ -192,7 +219,9 @@
             self.record(f"client   sends {attempt} {method} {path} to node {number}")
         try:
             answer = await asyncio.wait_for(
-                request(f"{self.ip(number)}:{PORTS['Outbound']}", method, path, host, headers, body),
+                request(
+                    f"{self.ip(number)}:{PORTS['Outbound']}", method, path, host, headers, body
+                ),
                 deadline_ms / 1000,
             )
         except (asyncio.TimeoutError, TimeoutError):
