Log who closes a connection amid a response of the backend server

Hypotheses, written down before the code was changed: 1. The node closes the connections of the crashed server itself when the next incarnation registers, and takes its own close for the server's. 2. The proxy of the case (or the kernel, for a killed process) closes the connection in order after all, and the node can't know better. 3. The silence ends the connection (keep-alive, user timeout), and the node takes that error for an orderly end. 4. The answer is whole beside the server, and is cut on the way between nodes or to the caller. The logs could not tell the first three apart: between the head and `ingress.late` no line says how a connection ended.

Added: each close by the node has a reason (`CloseReason`), and a response that has begun and not ended when its connection is lost writes `serving.response_cut` with who closed it and why. Nothing else changes.

--- a/src/marjoramtide/serving/_backend_connection.py
+++ b/src/marjoramtide/serving/_backend_connection.py
@@ -4,18 +4,24 @@
 from collections.abc import Callable
 from typing import cast
 
+import structlog
+
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import RequestBody
 from marjoramtide.serving._backend_response import BackendResponse
+from marjoramtide.serving._close_reason import CloseReason
 from marjoramtide.sockets import enable_keepalive
 
+log = structlog.get_logger()
+
 
 class BackendConnection(asyncio.Protocol):
     """Carries one request at a time; reused only after a complete response without extra bytes.
 
     ``on_lost`` is called once, when the connection is closed. ``server_idle_timeout_s`` is the
     server's idle timeout, ``None`` if the last response did not state it. An idle connection may be
-    reused until ``idle_until``, in seconds of the monotonic clock.
+    reused until ``idle_until``, in seconds of the monotonic clock. ``close_reason`` is set if this
+    node has closed the connection itself.
     """
 
     def __init__(self, peer: str, on_lost: "Callable[[BackendConnection], None]") -> None:
@@ -28,6 +34,7 @@
         self.writable.set()
         self.server_idle_timeout_s: float | None = None
         self.idle_until = 0.0
+        self.close_reason: CloseReason | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -36,9 +43,25 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.writable.set()
         if self.response is not None:
+            self.log_cut(self.response, exc)
             self.response.connection_lost(exc)
         self.on_lost(self)
 
+    def log_cut(self, response: BackendResponse, error: Exception | None) -> None:
+        """Log who closed the connection before the end of a response that has begun."""
+        if response.has_ended or not response.has_head:
+            return
+        log.info(
+            "serving.response_cut",
+            code=ErrorCode.TRUNCATED,
+            step="serving.read",
+            peer=self.peer,
+            closed_by="server" if self.close_reason is None else "node",
+            reason=str(self.close_reason or error or "closed"),
+            has_length=not response.ends_at_close,
+            received=response.received_bytes,
+        )
+
     def pause_writing(self) -> None:
         self.writable.clear()
 
@@ -49,7 +72,7 @@
         if self.response is None:
             # Unsolicited bytes would be parsed as the response to the next request and delivered
             # to the wrong caller.
-            self.abort()
+            self.abort(CloseReason.UNSOLICITED_DATA)
         else:
             self.response.feed(data)
 
@@ -95,7 +118,7 @@
                 raise ValueError(f"the request body ended after {sent} of {body.length} bytes")
         except Exception as error:
             response.fail(ErrorCode.BACKEND_FAILED, f"{type(error).__name__}: {error}")
-            self.abort()
+            self.abort(CloseReason.UPLOAD_FAILED)
 
     async def write_chunk(self, data: bytes, *, chunked: bool) -> None:
         await self.writable.wait()
@@ -110,14 +133,16 @@
         if response is None or not (
             response.is_complete and response.is_reusable and is_body_sent and self.is_usable
         ):
-            self.abort()
+            self.abort(CloseReason.NOT_REUSABLE)
             return False
         self.body_task = None
         self.server_idle_timeout_s = response.server_idle_timeout_s()
         return True
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Close the connection immediately."""
+        if self.is_usable:
+            self.close_reason = reason
         if self.body_task is not None:
             self.body_task.cancel()
         if self.transport is not None:
--- a/src/marjoramtide/serving/_backend_response.py
+++ b/src/marjoramtide/serving/_backend_response.py
@@ -51,6 +51,7 @@
         self.ends_at_close = False
         self.chunks: list[bytes] = []
         self.buffered_bytes = 0
+        self.received_bytes = 0
         self.is_paused = False
         self.is_complete = False
         self.is_reusable = False
@@ -58,6 +59,11 @@
         self.wanted_bytes = 0
         self.waiter: asyncio.Future[None] | None = None
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the response is complete or has failed."""
+        return self.is_complete or self.error is not None
+
     def header(self, name: str) -> str:
         """Return the first header with this lower-case name, or an empty string."""
         return next((value for each, value in self.headers if each.lower() == name), "")
@@ -76,7 +82,7 @@
 
         Raises ``UnknownOutcomeError`` if the response is truncated or invalid.
         """
-        if not self.is_complete and self.error is None and self.buffered_bytes < size:
+        if not self.has_ended and self.buffered_bytes < size:
             self.wanted_bytes = size
             self.waiter = asyncio.get_running_loop().create_future()
             await self.waiter
@@ -110,7 +116,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Handle the end of the connection, which also ends a body without a stated length."""
         self.is_reusable = False
-        if self.is_complete or self.error is not None:
+        if self.has_ended:
             return
         if self.ends_at_close and error is None:
             self.is_complete = True
@@ -123,14 +129,13 @@
     def fail(self, code: ErrorCode, message: str) -> None:
         """End the response with an error, unless it has already ended."""
         self.is_reusable = False
-        if not self.is_complete and self.error is None:
+        if not self.has_ended:
             self.error = UnknownOutcomeError(code, message, step="serving.read", peer=self.peer)
             self.wake()
 
     def wake(self) -> None:
-        has_ended = self.is_complete or self.error is not None
         if (
-            (has_ended or self.buffered_bytes >= self.wanted_bytes)
+            (self.has_ended or self.buffered_bytes >= self.wanted_bytes)
             and self.waiter
             and not self.waiter.done()
         ):
@@ -176,6 +181,7 @@
             return
         self.chunks.append(data)
         self.buffered_bytes += len(data)
+        self.received_bytes += len(data)
         if self.buffered_bytes >= MAX_INLINE_BYTES and not self.is_paused:
             self.is_paused = True
             self.transport.pause_reading()
@@ -185,7 +191,7 @@
             self.is_stray = False
             self.stray_count += 1
             return
-        if self.has_head and not self.is_complete and self.error is None:
+        if self.has_head and not self.has_ended:
             self.is_complete = True
             self.is_reusable = self.parser.should_keep_alive() and not self.stray_count
 
--- a/src/marjoramtide/serving/_http_transport.py
+++ b/src/marjoramtide/serving/_http_transport.py
@@ -21,6 +21,7 @@
 from marjoramtide.serving._backend_protocol import BackendProtocol
 from marjoramtide.serving._backend_response import BackendResponse
 from marjoramtide.serving._backend_transport import BackendTransport
+from marjoramtide.serving._close_reason import CloseReason
 from marjoramtide.serving._default_backend_protocol import DefaultBackendProtocol
 from marjoramtide.serving._endpoint_response import EndpointResponse
 from marjoramtide.serving._idle_connection_pool import IdleConnectionPool
@@ -89,11 +90,11 @@
             )
             first = await response.read(MAX_INLINE_BYTES)
         except UnknownOutcomeError as error:
-            connection.abort()
+            connection.abort(CloseReason.EXCHANGE_FAILED)
             # Report a broken upload as the caller's failure, not as the backend server's.
             raise body.error or error from error
         except BaseException:
-            connection.abort()
+            connection.abort(CloseReason.EXCHANGE_FAILED)
             raise
         metadata = self.protocol.read_response(response)
         if self.on_response is not None:
@@ -102,7 +103,7 @@
             self.release(connection)
             raise self.rejection_error(metadata)
         if metadata.verdict is ResponseVerdict.INVALID:
-            connection.abort()
+            connection.abort(CloseReason.INVALID_RESPONSE)
             raise UnknownOutcomeError(
                 ErrorCode.BACKEND_FAILED,
                 f"invalid response with status {response.status}",
@@ -118,7 +119,7 @@
             return answer
 
         async def cancel() -> None:
-            connection.abort()
+            connection.abort(CloseReason.RESPONSE_CANCELLED)
 
         answer.stream = self.body_chunks(first, response, connection)
         answer.cancel = cancel
@@ -242,11 +243,15 @@
         self.idle.discard(connection)
 
     def server_replaced(self) -> None:
+        self.abort_all(CloseReason.SERVER_REPLACED)
+
+    def abort_all(self, reason: CloseReason) -> None:
+        """Close all connections immediately."""
         for connection in list(self.connections):
-            connection.abort()
+            connection.abort(reason)
 
     async def close(self) -> None:
         self.idle.close()
         if self.probe_task is not None:
             self.probe_task.cancel()
-        self.server_replaced()
+        self.abort_all(CloseReason.SHUTDOWN)
--- a/src/marjoramtide/serving/_idle_connection_pool.py
+++ b/src/marjoramtide/serving/_idle_connection_pool.py
@@ -4,6 +4,7 @@
 
 from marjoramtide.clock import Clock
 from marjoramtide.serving._backend_connection import BackendConnection
+from marjoramtide.serving._close_reason import CloseReason
 
 # Shorter than the idle timeout of most servers, so that requests rarely race with a close.
 KEEP_ALIVE_S = 4.0
@@ -30,7 +31,7 @@
         server_s = connection.server_idle_timeout_s
         idle_s = KEEP_ALIVE_S if server_s is None else min(KEEP_ALIVE_S, server_s - CLOSE_MARGIN_S)
         if idle_s <= 0:
-            connection.abort()
+            connection.abort(CloseReason.IDLE_EXPIRED)
             return
         connection.idle_until = self.clock.monotonic() + idle_s
         self.connections.append(connection)
@@ -43,7 +44,7 @@
         while self.connections:
             connection = self.connections.pop()
             if connection.idle_until <= now:
-                connection.abort()
+                connection.abort(CloseReason.IDLE_EXPIRED)
             elif connection.is_usable:
                 return connection
         return None
@@ -60,7 +61,7 @@
         expired = [each for each in self.connections if each.idle_until <= now]
         self.connections = [each for each in self.connections if each.idle_until > now]
         for connection in expired:
-            connection.abort()
+            connection.abort(CloseReason.IDLE_EXPIRED)
         if self.connections:
             delay_s = min(each.idle_until for each in self.connections) - now
             self.timer = asyncio.get_running_loop().call_later(delay_s, self.close_expired)
