Budgets: a node of a small fleet can save up a whole retry

Hypotheses: (1) no node could be chosen again; (2) the route allows no further attempt; (3) the budget has no token. With (1) taken away on a scratch copy the decisions still show one attempt each and 3,050 ms left; the route allows two. That leaves (3).

Cause: where the operator bounds what all nodes send together, a node's part of the fixed rate is accumulated for 3 s. For three nodes and the figures of a small site (58 in 10 s) that comes to 0.72 of a token, and a retry takes one: a service with little traffic never retries. A new budget also began empty, since the rate is set only after it was made.

Change: a node accumulates for as long as two tokens take, if that is 10 s at most, counted from the node's start. All nodes together then hold at most a quarter of the allowance of 10 s. A change of other settings keeps the budgets; otherwise each change of a storm would grant a new start.

Scenarios, each seen failing on this code with its part taken out: a node of a small fleet may retry (0 of 3 nodes could, 3 of 3 can), a change of other settings grants no new retries. What the nodes of a small fleet have saved up stays within its bound either way.

--- a/features/policy/budgets.feature
+++ b/features/policy/budgets.feature
@@ -16,6 +16,24 @@
     When 590 requests a second come to them for 15 s, and all fail from then on for 10 s
     Then in no 10 s more than 55 in 100 of what all may send is sent
 
+  Scenario: A node of a small fleet may retry though its service has little traffic
+    # Guards against shared budgets that never reach a whole retry where requests are few.
+    Given 3 nodes that share 0.2 second tries for each request and 6 a second besides
+    When one request comes to each of them 6 s after its start, and fails 2 s later
+    Then each of them may retry it once
+
+  Scenario: What the nodes of a small fleet have saved up stays within what all may send
+    # Guards against nodes that save up more retries than the whole fleet is allowed.
+    Given 3 nodes that share 0.2 second tries for each request and 6 a second besides
+    When 30 requests a second come to them for 60 s, and all fail from then on for 10 s
+    Then in no 10 s more than 77 in 100 of what all may send is sent
+
+  Scenario: A change of other settings grants no new retries
+    # Guards against budgets that start anew with each of many changes of the settings.
+    Given 3 nodes that share 0.2 second tries for each request and 6 a second besides
+    When each of them uses up its retries after 9 s, and another setting changes
+    Then none of them may retry
+
   Scenario: Refused callers don't return at the same moment
     # Callers that are rejected together retry together and are rejected again: the service alternates
     # between idle and overloaded.
--- a/features/steps/ingress_budget_steps.py
+++ b/features/steps/ingress_budget_steps.py
@@ -1,8 +1,10 @@
 """Steps on retry and hedge budgets, without processes."""
 
+import itertools
 import random
 from typing import Any
 
+import attrs
 from behave import given, then, when  # type: ignore[attr-defined]
 
 from marjoramtide.errors import ErrorCode
@@ -75,11 +77,53 @@
         service="s", second_try_ratio=ratio, second_tries_per_s=per_s, hedge_budget=0.05
     )
     context.ratio, context.per_s = ratio, per_s
-    context.nodes = [make_class_budgets(settings) for _ in range(nodes)]
+    context.settings = settings
+    context.nodes = [make_class_budgets(settings, NOW) for _ in range(nodes)]
     for budgets in context.nodes:
         budgets.share_among(nodes, settings)
 
 
+@when("one request comes to each of them {start:d} s after its start, and fails {later:d} s later")
+def when_one_fails(context: Any, start: int, later: int) -> None:
+    for budgets in context.nodes:
+        budgets.retries.deposit(NOW + start)
+    context.now = NOW + start + later
+
+
+@then("each of them may retry it once")
+def then_may_retry_once(context: Any) -> None:
+    granted = [
+        sum(budgets.retries.withdraw(context.now) for _ in range(MAX_WITHDRAWALS))
+        for budgets in context.nodes
+    ]
+    assert granted == [1] * len(context.nodes), granted
+
+
+@when("each of them uses up its retries after {seconds:d} s, and another setting changes")
+def when_setting_changes(context: Any, seconds: int) -> None:
+    context.now = NOW + seconds
+    own = Member("n", "s", "r", "d", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+    changed = attrs.evolve(context.settings, timeout_ms=context.settings.timeout_ms + 1)
+    rng = random.Random(1)
+    before = [make_service_state(context.settings, own, rng, since=NOW) for _ in context.nodes]
+    context.states = [
+        make_service_state(changed, own, rng, previous=state, since=NOW) for state in before
+    ]
+    for state in itertools.chain(before, context.states):
+        for budgets in state.budgets.values():
+            budgets.share_among(len(context.nodes), state.settings)
+    for state in before:
+        for budgets in state.budgets.values():
+            while budgets.retries.withdraw(context.now):
+                pass
+
+
+@then("none of them may retry")
+def then_none_may_retry(context: Any) -> None:
+    budgets = [each for state in context.states for each in state.budgets.values()]
+    assert not any(each.retries.withdraw(context.now) for each in budgets)
+
+
 @when(
     "{rate:d} requests a second come to them for {calm:d} s, "
     "and all fail from then on for {bad:d} s"
--- a/src/marjoramtide/ingress/_class_budgets.py
+++ b/src/marjoramtide/ingress/_class_budgets.py
@@ -17,6 +17,10 @@
 RETRY_SHARE = 0.25
 HEDGE_SHARE = 0.15
 ACCUMULATION_S = 3.0
+# A node of a small fleet accumulates for as long as this many retries take, at most for
+# ``RETRY_WINDOW_S``. A service with little traffic would never have a whole one otherwise. All
+# nodes together then have at most ``RETRY_SHARE`` of the allowance of that time.
+MIN_ACCUMULATED_RETRIES = 2.0
 PRIORITY_CLASSES = 2
 
 
@@ -42,17 +46,28 @@
         if settings.second_try_ratio:
             per_class = settings.second_tries_per_s / max(1, nodes) / PRIORITY_CLASSES
             self.retries.min_per_s = RETRY_SHARE * per_class
+            self.retries.window_s = accumulation_s(self.retries.min_per_s)
             self.hedges.min_per_s = HEDGE_SHARE * per_class
 
 
-def make_class_budgets(settings: RouteSettings) -> ClassBudgets:
-    """Return full budgets as the settings define them."""
+def accumulation_s(min_per_s: float) -> float:
+    """Return for how many seconds retries accumulate, by their minimum rate."""
+    if min_per_s * RETRY_WINDOW_S < MIN_ACCUMULATED_RETRIES:
+        return ACCUMULATION_S
+    return max(ACCUMULATION_S, MIN_ACCUMULATED_RETRIES / min_per_s)
+
+
+def make_class_budgets(settings: RouteSettings, since: float = 0.0) -> ClassBudgets:
+    """Return budgets as the settings define them.
+
+    What is shared by all nodes accumulates from ``since``, in seconds of the monotonic clock.
+    """
     ratio = settings.second_try_ratio
     retry_share = min(settings.retry_budget, RETRY_SHARE * ratio or 1)
     hedge_share = min(settings.hedge_budget, HEDGE_SHARE * ratio or 1)
-    accumulation_s = ACCUMULATION_S if ratio else RETRY_WINDOW_S
+    window_s = ACCUMULATION_S if ratio else RETRY_WINDOW_S
     return ClassBudgets(
-        RetryBudget(retry_share, 0.0 if ratio else RETRIES_PER_S, accumulation_s),
+        RetryBudget(retry_share, 0.0 if ratio else RETRIES_PER_S, window_s, updated_at=since),
         RetryBudget(settings.rejection_budget, REJECTIONS_PER_S),
-        RetryBudget(hedge_share, 0.0 if ratio else HEDGES_PER_S, accumulation_s),
+        RetryBudget(hedge_share, 0.0 if ratio else HEDGES_PER_S, window_s),
     )
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -76,6 +76,9 @@
         self.metrics = metrics
         self.tracer = tracer
         self.service_states: dict[str, ServiceState] = {}
+        # States made from earlier settings, whose budgets may still be valid.
+        self.previous_states: dict[str, ServiceState] = {}
+        self.started_at = clock.monotonic()
         self.statements = KnownStatements()
         self.splits: dict[tuple[str, str, Shares], SmoothSplit] = {}
         self.timeouts: set[asyncio.Timeout] = set()
@@ -84,16 +87,23 @@
         view.on_change(self.settings_changed)
 
     def settings_changed(self, revision: int) -> None:
-        """Discard the state of services whose settings have changed, and keep all other state.
+        """Discard the state of services whose settings have changed, but for their budgets.
 
         If all of it were discarded, each of hundreds of changes a day would make every node start
         over with its estimates.
         """
         self.splits.clear()
+        known = self.previous_states | self.service_states
+        settings = {service: self.service_settings(service) for service in known}
         self.service_states = {
             service: state
             for service, state in self.service_states.items()
-            if self.service_settings(service) == state.settings
+            if settings[service] == state.settings
+        }
+        self.previous_states = {
+            service: state
+            for service, state in known.items()
+            if settings[service] is not None and service not in self.service_states
         }
 
     def service_settings(self, service: str) -> RouteSettings | None:
@@ -108,7 +118,13 @@
         service_state = self.service_states.get(service)
         if service_state is None:
             settings = self.view.route(service, "/")
-            service_state = make_service_state(settings, self.directory.self_member, self.rng)
+            service_state = make_service_state(
+                settings,
+                self.directory.self_member,
+                self.rng,
+                self.previous_states.pop(service, None),
+                self.started_at,
+            )
             self.service_states[service] = service_state
         service_state.refresh(self.directory, self.clock.monotonic())
         return service_state
--- a/src/marjoramtide/ingress/_service_state.py
+++ b/src/marjoramtide/ingress/_service_state.py
@@ -53,12 +53,31 @@
 
 
 def make_service_state(
-    settings: RouteSettings, self_member: Member, rng: random.Random
+    settings: RouteSettings,
+    self_member: Member,
+    rng: random.Random,
+    previous: ServiceState | None = None,
+    since: float = 0.0,
 ) -> ServiceState:
-    """Return the initial state of a service."""
-    return ServiceState(
-        settings,
-        rng,
-        make_selector(settings, self_member, rng),
-        {urgent: make_class_budgets(settings) for urgent in (False, True)},
+    """Return the initial state of a service.
+
+    The budgets of a ``previous`` state are kept if their settings have not changed. Failure without
+    that: during frequent changes of other settings, each change would grant what a new budget may
+    start with. New budgets accumulate from ``since``, in seconds of the monotonic clock.
+    """
+    if previous is not None and budget_settings(previous.settings) == budget_settings(settings):
+        budgets = previous.budgets
+    else:
+        budgets = {urgent: make_class_budgets(settings, since) for urgent in (False, True)}
+    return ServiceState(settings, rng, make_selector(settings, self_member, rng), budgets)
+
+
+def budget_settings(settings: RouteSettings) -> tuple[float, ...]:
+    """Return the settings that define the budgets."""
+    return (
+        settings.retry_budget,
+        settings.rejection_budget,
+        settings.hedge_budget,
+        settings.second_try_ratio,
+        settings.second_tries_per_s,
     )
--- a/src/marjoramtide/policy/budgets/_retry_budget.py
+++ b/src/marjoramtide/policy/budgets/_retry_budget.py
@@ -18,6 +18,8 @@
     the requests of the last ``window_s`` seconds: a storm can't sustain itself, since a retry
     deposits nothing. In addition ``min_per_s`` tokens are added a second, so that a service with
     little traffic may retry too; a new budget starts with ``window_s`` seconds of them.
+    ``updated_at`` is when the balance was last computed, in seconds of the monotonic clock, 0 for
+    never.
     """
 
     share: float
