A lookup lost with its server may go to the server's next incarnation

What callers saw: a lookup whose only server crashed amid the answer got 502 in the moment in which the next incarnation registered, with 3 s left.

Cause, two parts. (1) `Dispatcher.choose_node` lets a node be asked again if it has rejected the request, but not if its server was lost with it. (2) For up to a tenth of a second a new incarnation is judged by the failed health checks of the process that it replaces, though the health endpoint has just been read to find out who answers there.

Change: if no other node can take an idempotent request, one whose server ended the attempt without a complete response may be asked again; a node without a server rejects at once. At most two runs of an attempt may be lost, as before, and the second draws on the retry budget. What the health endpoint states when it is asked for the server's identity counts as a health check of the incarnation that registers. The heartbeat itself does not: its server may still be starting.

Non-idempotent requests are not sent again after an unknown outcome, as before; the scenario checks that they ran once.

Scenarios, each seen failing with its part taken out (502; 503 no-candidate): platform/registration, "A lookup that is lost with its server ..." and "A server that is up again is used from its first heartbeat on".

--- a/features/platform/registration.feature
+++ b/features/platform/registration.feature
@@ -54,6 +54,21 @@
     And a client asks node 1 for "/tiles/7"
     Then the client gets 200 with the seal and the whole body of its own request
 
+  Scenario: A lookup that is lost with its server is run by the next incarnation
+    # Guards against failing a lookup though the only server is up again and there is time left.
+    Given a fleet on the platform: mapdesk
+    And the server of node 1 falls silent amid its answers, which have a length
+    When lookups and bookings of 1000 and 1000 bytes are under way there through all nodes
+    And the server of node 1 registers as "i-2"
+    Then one of the lookups is answered whole, and the bookings got 502 and ran once each
+
+  Scenario: A server that is up again is used from its first heartbeat on
+    # Guards against judging a new incarnation by the failed health checks of the one before.
+    Given a fleet on the platform: mapdesk
+    And the server of node 1 is down, and its health is not read again
+    When it starts again as "i-2" and registers, and a client asks node 1 for "/tiles/7"
+    Then the client gets 200 with the seal and the whole body of its own request
+
   Scenario: A heartbeat of another service, or of nonsense, is refused
     Given a fleet on the platform: mapdesk
     Then node 1 refuses the heartbeat of another service with 400
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Coroutine
 from typing import Any
 
 import aiohttp
+import attrs
 from behave import given, step, then, use_step_matcher, when  # type: ignore[attr-defined]
 
 from features.platform_harness import HOST_NAME, CallResult, FleetNode, PlatformFleet, route
 from marjoramtide.errors import MarjoramtideError
+from marjoramtide.serving import BackendState
 from marjoramtide.settings.sync import ChangeRequest
 from standins.expected_body import expected_body
 from standins.platform._backend import SEAL_PREFIX
@@ -18,9 +21,26 @@
 
 BODY_BYTES = 256
 RETRY_INTERVAL_S = 0.05
+HALF_ARRIVES_S = 0.2
+# Longer than a health check that has begun.
+CHECK_ENDS_S = 1.2
+LOOKUPS = "/charts/7"
+BOOKINGS = "/book/7"
 LONG_TIMEOUTS = {"TimeoutMs": 9000, "TargetLatencyMs": 8500}
 
 
+@attrs.frozen(slots=True)
+class CutCall:
+    """A request whose answer is cut off by its server, and the size of the whole body."""
+
+    path: str
+    size: int
+    task: "asyncio.Task[CallResult]"
+
+    def is_whole(self, result: CallResult) -> bool:
+        return result.body == expected_body(result.attempt, self.size)
+
+
 def run(context: Any, work: Any) -> Any:
     return context.runner.run(asyncio.wait_for(work, 30))
 
@@ -110,6 +130,94 @@
     fleet_node(context, number).server.duplicate_responses = 1
 
 
+@given("the server of node {number:d} falls silent amid its answers, which have {what} length")
+def given_halves(context: Any, number: int, what: str) -> None:
+    server = fleet_node(context, number).server
+    server.sends_halves = True
+    server.is_framed = what == "a"
+    lookups = route("/charts/", {"mapdesk": 1}, **LONG_TIMEOUTS)
+    context.fleet.configure(5, [*context.fleet.routes, lookups])
+    run(context, context.fleet.wait_for(lambda: all_at(context, 5)))
+
+
+@when("lookups and bookings of {small:d} and {large:d} bytes are under way there through all nodes")
+def start_cut_calls(context: Any, small: int, large: int) -> None:
+    fleet, server = context.fleet, fleet_node(context, 1).server
+    headers = {"X-Deadline-Ms": "9000"}
+
+    async def start() -> None:
+        context.calls = [
+            CutCall(
+                path,
+                size,
+                asyncio.create_task(fleet.call(each, f"{path}?bytes={size}", headers=headers)),
+            )
+            for each in fleet.fleet_nodes
+            for path in (LOOKUPS, BOOKINGS)
+            for size in (small, large)
+        ]
+        await fleet.wait_for(lambda: len(server.executed_headers) == len(context.calls))
+        await asyncio.sleep(HALF_ARRIVES_S)
+        server.sends_halves = False
+        server.instance = "i-2"
+
+    run(context, start())
+
+
+def cut_results(context: Any) -> list[tuple[CutCall, Any]]:
+    """Return each call with its result or error."""
+    run(context, asyncio.wait([call.task for call in context.calls]))
+    return [(call, call.task.exception() or call.task.result()) for call in context.calls]
+
+
+@then("no client gets a part of a body that looks whole")
+def no_part_looks_whole(context: Any) -> None:
+    for call, result in cut_results(context):
+        if isinstance(result, aiohttp.ClientPayloadError):
+            continue
+        assert result.status == 502 or call.is_whole(result), (result.status, len(result.body))
+
+
+@then("one of the lookups is answered whole, and the bookings got 502 and ran once each")
+def lookup_is_whole(context: Any) -> None:
+    results = cut_results(context)
+    lookups = [(call, result) for call, result in results if call.path == LOOKUPS]
+    assert any(result.status == 200 and call.is_whole(result) for call, result in lookups), results
+    bookings = [result for call, result in results if call.path == BOOKINGS]
+    assert [result.status for result in bookings] == [502] * len(bookings), bookings
+    ran = Counter(
+        headers["x-attempt-id"]
+        for each in context.fleet.fleet_nodes
+        for headers in each.server.executed_headers
+    )
+    assert [ran[result.attempt] for result in bookings] == [1] * len(bookings), ran
+
+
+@given("the server of node {number:d} is down, and its health is not read again")
+def given_down(context: Any, number: int) -> None:
+    node = fleet_node(context, number)
+    node.server.simulate_crash()
+    run(context, context.fleet.wait_for(lambda: node.node.server.state is BackendState.DOWN))
+
+    async def never_check() -> None:
+        await asyncio.Event().wait()
+
+    node.node.server.health_checker.check = never_check
+    run(context, asyncio.sleep(CHECK_ENDS_S))
+
+
+@when('it starts again as "{instance}" and registers, and a client asks node 1 for "{path}"')
+def starts_again(context: Any, instance: str, path: str) -> None:
+    first = fleet_node(context, 1)
+
+    async def start() -> CallResult:
+        await first.server.restart(instance)
+        assert await first.registrant.heartbeat(instance, sequence=1) == 200
+        return await context.fleet.call(first, path)
+
+    context.result = run(context, start())
+
+
 @given("every server answers the next request without a seal")
 def given_unsealed(context: Any) -> None:
     for each in context.fleet.fleet_nodes:
--- a/src/marjoramtide/daemon/_backend_server_monitor.py
+++ b/src/marjoramtide/daemon/_backend_server_monitor.py
@@ -73,6 +73,8 @@
         self.state: BackendState | None = None
         # The incarnation that registered last, kept after it has left.
         self.last_registration: Registration | None = None
+        # What the server at the address stated of itself when it was last asked for its identity.
+        self.identified: HealthCheckResult | None = None
         self.slots: int | None = None
         self.statements = ServerStatements(clock, metrics, self.statements_changed)
         serving.statement_listener = self.statements.record_peer_report
@@ -113,7 +115,8 @@
         except (MarjoramtideError, TimeoutError) as error:
             log.info("daemon.identity_unknown", reason=str(error), step="daemon.identity")
             return ""
-        return self.protocol.read_health(response).instance
+        self.identified = self.protocol.read_health(response)
+        return self.identified.instance
 
     def record_health_check(self, result: HealthCheckResult, asked_at: float) -> None:
         """Process the result of a health check, also of a failed one."""
@@ -187,6 +190,10 @@
         if not is_same:
             self.statements.reset(registration.instance)
             self.serving.note_statement(None, 0.0)
+        identified, self.identified = self.identified, None
+        if not is_same and identified and identified.instance == registration.instance:
+            # Until the next check, its state would be that of the process that it has replaced.
+            self.health_checker.note_state(identified.state)
         self.last_registration = registration
         # The health endpoint is more recent than a heartbeat, except for a new incarnation.
         if not (self.has_reported_cold_start and is_same):
--- a/src/marjoramtide/ingress/_attempts.py
+++ b/src/marjoramtide/ingress/_attempts.py
@@ -21,7 +21,8 @@
 # A request is not sent to another node after this many of its runs were lost with their server or
 # node.
 MAX_LOST_RUNS = 2
-LOST_RUN_CODES = frozenset((ErrorCode.PEER_LOST, ErrorCode.BACKEND_FAILED, ErrorCode.TRUNCATED))
+LOST_SERVER_CODES = frozenset((ErrorCode.BACKEND_FAILED, ErrorCode.TRUNCATED))
+LOST_RUN_CODES = LOST_SERVER_CODES | {ErrorCode.PEER_LOST}
 
 
 @attrs.define(slots=True, eq=False, repr=False)
@@ -30,7 +31,8 @@
 
     ``count`` is the number of nodes the request was sent to, ``not_reached_backend`` how many of
     them rejected it before their backend server saw it. ``rejected_by`` are the nodes that rejected
-    it, ``slowed_nodes`` those that did so only because their backend server is slow at the moment.
+    it, ``slowed_nodes`` those that did so only because their backend server is slow at the moment,
+    ``lost_server_at`` those whose backend server ended the attempt without a complete response.
 
     ``running_since`` holds the start of each attempt in progress by node, ``lost_since`` the starts
     of those that were lost with the server or node that ran them.
@@ -49,6 +51,7 @@
     excluded: set[str] = attrs.Factory(set)
     rejected_by: set[str] = attrs.Factory(set)
     slowed_nodes: set[str] = attrs.Factory(set)
+    lost_server_at: set[str] = attrs.Factory(set)
     count: int = 0
     not_reached_backend: int = 0
     running_since: dict[str, float] = attrs.Factory(dict)
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -316,6 +316,11 @@
             # A second attempt is admitted or rejected by the node's own capacity alone.
             attempts.excluded -= attempts.rejected_by
             node = attempts.state.selector.choose(profile, now, attempts.excluded)
+        if node is None and attempts.lost_server_at:
+            # The next incarnation of the server may be up by now, and may be the only one left. A
+            # node without a server rejects the request at once.
+            attempts.excluded -= attempts.lost_server_at
+            node = attempts.state.selector.choose(profile, now, attempts.excluded)
         if node is None and attempts.slowed_nodes:
             node = self.choose_slowed_node(attempts, profile, now)
         if node is not None:
--- a/src/marjoramtide/ingress/_failure_feedback.py
+++ b/src/marjoramtide/ingress/_failure_feedback.py
@@ -2,7 +2,7 @@
 
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import NotRunError, UnknownOutcomeError
-from marjoramtide.ingress._attempts import Attempts
+from marjoramtide.ingress._attempts import LOST_SERVER_CODES, Attempts
 from marjoramtide.membership import Directory
 
 
@@ -54,6 +54,8 @@
             selector.cancelled(node, now, elapsed_ms=elapsed_ms)
         case UnknownOutcomeError():
             selector.lost(node, now, elapsed_ms=elapsed_ms)
+            if error.code in LOST_SERVER_CODES:
+                attempts.lost_server_at.add(node)
             if error.code is ErrorCode.PEER_LOST:
                 directory.report_failure(node)
         case _:
--- a/src/marjoramtide/serving/_health_checker.py
+++ b/src/marjoramtide/serving/_health_checker.py
@@ -99,10 +99,15 @@
                 await self.clock.sleep(min(check_at - now, MAX_SLEEP_S))
                 continue
             state = await self.check()
-            if state is not None and state is not self.state:
-                log.info("serving.backend_state", state=state, before=self.state)
-                self.state = state
-                self.state_listener(state)
+            if state is not None:
+                self.note_state(state)
+
+    def note_state(self, state: BackendState) -> None:
+        """Record the server's state, by a check or another reading of its health endpoint."""
+        if state is not self.state:
+            log.info("serving.backend_state", state=state, before=self.state)
+            self.state = state
+            self.state_listener(state)
 
     def next_check_at(self, now: float) -> float:
         """Return the time of the next check.
--- a/standins/backend/_connection.py
+++ b/standins/backend/_connection.py
@@ -104,6 +104,9 @@
         if answer is None:
             self.transport.abort()
             return
+        if answer.hangs:
+            self.transport.write(answer.encode(close=True))
+            return
         is_truncated = answer.sent_bytes is not None
         close = is_truncated or not request.keep_alive or self.server.faults.drain
         self.transport.write(answer.encode(close=close, head_only=request.method == "HEAD"))
--- a/standins/backend/_response.py
+++ b/standins/backend/_response.py
@@ -10,7 +10,9 @@
 class Response:
     """Status, headers and body; only ``sent_bytes`` of the body are sent, if set.
 
-    A ``chunked`` response does not state its length (RFC 9112, section 7.1).
+    A ``chunked`` response does not state its length (RFC 9112, section 7.1); one that is not
+    ``framed`` ends with its connection (section 6.3). After one that ``hangs``, the connection
+    stays open and nothing more is sent.
     """
 
     status: int
@@ -18,11 +20,13 @@
     body: bytes = b""
     sent_bytes: int | None = None
     chunked: bool = False
+    framed: bool = True
+    hangs: bool = False
 
     def encode(self, *, close: bool, head_only: bool = False) -> bytes:
         """Return the bytes to send; ``Content-Length`` is always that of the whole body."""
         connection = "close" if close else "keep-alive"
-        framing = {"Content-Length": str(len(self.body))}
+        framing = {"Content-Length": str(len(self.body))} if self.framed else {}
         if self.chunked:
             framing = {"Transfer-Encoding": "chunked"}
         fields = {**self.headers, **framing, "Connection": connection}
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -29,10 +29,14 @@
 
     ``instance`` is the id of this incarnation; ``slowdown`` is the factor that it reports for the
     load of its neighbours. The next ``duplicate_responses`` responses are each sent twice, and the
-    next ``unsealed_responses`` successful ones have no seal. ``executed_headers`` holds the headers
-    of each request that ran, ``received`` each request that arrived. Until ``cold_until``, in
-    seconds of the loop's clock, the server is cold, which its health reports if
-    ``reports_cold_start``; ``cold_arrivals`` holds the arrival times of that period.
+    next ``unsealed_responses`` successful ones have no seal. While ``sends_halves``, of each
+    successful response only the head and half of the body are sent; ``is_framed`` is whether
+    responses state their length.
+
+    ``executed_headers`` holds the headers of each request that ran, ``received`` each request that
+    arrived. Until ``cold_until``, in seconds of the loop's clock, the server is cold, which its
+    health reports if ``reports_cold_start``; ``cold_arrivals`` holds the arrival times of that
+    period.
 
     Each response states ``rate`` as the rate limit, as any text, and that the server is leaving if
     ``is_leaving``; health responses do so only if ``health_has_statements``. The next request on a
@@ -43,6 +47,8 @@
     slowdown = 1.0
     duplicate_responses = 0
     unsealed_responses = 0
+    sends_halves = False
+    is_framed = True
     cold_until: float | None = None
     reports_cold_start = True
     rate: str | None = None
@@ -106,6 +112,9 @@
             self.unsealed_responses -= 1
         else:
             response.headers["X-Response-Seal"] = SEAL_PREFIX + attempt
+        if self.sends_halves:
+            response.framed, response.hangs = self.is_framed, True
+            response.sent_bytes = len(response.body) // 2
         if self.duplicate_responses:
             self.duplicate_responses -= 1
             self.duplicates_due[connection] = response
