Only the server's own end completes a response without a length

Cause: `BackendResponse.connection_lost` took "lost without an error" for the server's orderly end, and asyncio reports a connection that this node has aborted in just that way.

Change: the body ends with `eof_received`, which asyncio calls for the server's end of stream only; a lost connection never completes a response.

The paths on which the cause could act: - whole answers beside the server: mended (scenario rows 1 to 3). - streamed answers beside the server: mended (rows 5 to 7). - between nodes, whole: mended with the first, the serving node sends on what it took for whole. - between nodes, streamed: mended with the second. Already safe by itself: only a chunk marked as last ends a stream, and a broken link fails what waits on it. - to the caller: already safe, always a length or chunks; an answer that fails after its head has its connection aborted. - uploads: already safe, their framing is a length or chunks, and the HTTP library fails a body whose connection is lost, by whomever. - health and identity reads: mended (scenario), they use the same parser. - the record of a booking with an idempotency key: mended, half a body would have been recorded as the outcome when the node stopped, and replayed. - the store's client and the command line use the HTTP library, which has the same habit; already safe, since what they read is JSON, and half of it is an error. Our own reasons to close a connection (`CloseReason`): - server-replaced, shutdown, response-cancelled: mended, rows of the scenario. - upload-failed: already safe, the response is failed before the close. - exchange-failed, invalid-response: already safe, nobody reads the response. - not-reusable: already safe, the response is taken off the connection first. - idle-expired, unsolicited-data: already safe, no exchange is in progress. - keep-alive and user timeout, a reset: already safe, reported as errors (rows 4 and 8 guard that). Open: a process that is killed while its kernel closes its connections in order can't be told from one that has finished (docs/proofs.md).

--- a/features/path/backend_answers.feature
+++ b/features/path/backend_answers.feature
@@ -36,6 +36,35 @@
       | HTTP/1.1 200 OK\r\nX: a\r\n b\r\nContent-Length: 5\r\n\r\nhello                           | backend-failed |
       | HTTP/1.1 200 OK\nContent-Length: 5\n\nhello                                               | backend-failed |
 
+  Scenario Outline: A response without a length that the server did not end is not whole
+    # Guards against taking the node's own close, or a reset, for the server's end of a response.
+    Given a scripted backend server that answers HTTP/1.1 200 OK\r\n\r\n<sent> then <then>
+    When a GET goes to the scripted backend server, and amid its answer <event>
+    Then its outcome is unknown with the code truncated
+
+    Examples:
+      | sent         | then  | event                           |
+      | half         | hang  | a new process replaces it       |
+      | half         | hang  | the node stops                  |
+      | half         | hang  | the node gives the answer up    |
+      | half         | reset | nothing else happens            |
+      | 70000 bytes  | hang  | a new process replaces it       |
+      | 70000 bytes  | hang  | the node stops                  |
+      | 70000 bytes  | hang  | the node gives the answer up    |
+      | 70000 bytes  | reset | nothing else happens            |
+
+  Scenario: A health response without a length that the node ends itself is not whole
+    # Guards against judging a backend server by a part of its health response.
+    Given a scripted backend server that answers HTTP/1.1 200 OK\r\n\r\n{"state": then hang
+    When its health is read, and amid the answer a new process replaces it
+    Then its outcome is unknown with the code truncated
+
+  Scenario: A response without a length that ends before the node closes its connection is whole
+    # Guards against losing a response that the server has ended to a close that comes right after.
+    Given a scripted backend server that answers HTTP/1.1 200 OK\r\n\r\nwhole then close
+    When a GET goes to the scripted backend server, and a new process replaces it once it has ended
+    Then its answer has status 200 and the body "whole"
+
   Scenario Outline: A connection that says more than it was asked is not used again
     # An unsolicited second response follows the first. The next request on that connection would
     # receive it, and its caller would get the wrong response.
--- a/features/platform/users_platform.feature
+++ b/features/platform/users_platform.feature
@@ -59,6 +59,14 @@
     When a client asks node 1 for "/tiles/1" 20 times
     Then the client got 200 with the seal and the whole body of its own request each time
 
+  Scenario: Answers without a length are under way when their server's next incarnation registers
+    # Guards against delivering the half that arrived before a crash as the whole answer.
+    Given a fleet on the platform: mapdesk, licencehub
+    And the server of node 1 falls silent amid its answers, which have no length
+    When lookups and bookings of 1000 and 200000 bytes are under way there through all nodes
+    And the server of node 1 registers as "i-2"
+    Then no client gets a part of a body that looks whole
+
   Scenario: A success without a seal is no answer
     # A server returns a success without the seal header, which is not its real response. A lookup is
     # retried, and the client gets the sealed response.
--- a/features/steps/backend_answers_steps.py
+++ b/features/steps/backend_answers_steps.py
@@ -3,9 +3,12 @@
 import asyncio
 import contextlib
 import re
+import socket
+import struct
 from collections.abc import AsyncIterator
 from functools import partial
 from typing import Any
+from unittest.mock import patch
 
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
 
@@ -19,16 +22,34 @@
     stream_body,
 )
 from marjoramtide.serving import HttpTransport
+from marjoramtide.serving._backend_connection import BackendConnection
+from marjoramtide.serving._close_reason import CloseReason
 
 use_step_matcher("parse")
 
 MAX_CONNECTIONS = 10
 PAUSE_S = 0.05
 EXCHANGE_TIMEOUT_S = 5.0
+COUNTED_BYTES = re.compile(rb"\b(\d+) bytes$")
+
+
+def repeated_bytes(match: re.Match[bytes]) -> bytes:
+    return b"x" * int(match[1])
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset."""
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
 
 
 class ScriptedServer:
-    """Plays the same script for each request: texts to send, ``pause`` and ``close``."""
+    """Plays the same script for each request.
+
+    A script has texts to send, ``N bytes``, ``pause``, ``close``, ``reset``, and ``hang``, which
+    sends nothing more and keeps the connection open.
+    """
 
     def __init__(self, script: str) -> None:
         parts = re.split(r"\s?\bthen\b\s?", script)
@@ -46,10 +67,17 @@
                 for step in self.script:
                     if step == b"close":
                         return
+                    if step == b"reset":
+                        await asyncio.sleep(PAUSE_S)
+                        reset(writer)
+                        return
+                    if step == b"hang":
+                        await reader.read()
+                        return
                     if step == b"pause":
                         await asyncio.sleep(PAUSE_S)
                     else:
-                        writer.write(step)
+                        writer.write(COUNTED_BYTES.sub(repeated_bytes, step))
                         await writer.drain()
 
 
@@ -131,6 +159,77 @@
     context.runner.run(cancel())
 
 
+async def read_answer(context: Any, answers: list[Response]) -> Response | Exception:
+    """Send a GET and read its answer; ``answers`` gets it once its head has arrived."""
+    try:
+        async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
+            answer = await context.transport.send(make_request(), inline_body(), 1000.0, ignore)
+            answers.append(answer)
+            if answer.stream is not None:
+                answer.body = b"".join([data async for data in answer.stream])
+    except (NotRunError, UnknownOutcomeError) as error:
+        return error
+    return answer
+
+
+def ignore() -> None:
+    """Take no note of the dispatch."""
+
+
+async def end_amid_answer(context: Any, event: str, answers: list[Response]) -> None:
+    """Let an event happen while an answer is being received."""
+    connection = next(iter(context.transport.connections), None)
+    match event:
+        case "a new process replaces it":
+            context.transport.server_replaced()
+        case "the node stops":
+            await context.transport.close()
+        case "the node gives the answer up":
+            for answer in answers:
+                await answer.close()
+            if not answers and connection is not None:
+                connection.abort(CloseReason.RESPONSE_CANCELLED)
+
+
+@when("a GET goes to the scripted backend server, and amid its answer {event}")
+def get_cut(context: Any, event: str) -> None:
+    async def work() -> Response | Exception:
+        answers: list[Response] = []
+        reading = asyncio.create_task(read_answer(context, answers))
+        await asyncio.sleep(PAUSE_S)
+        await end_amid_answer(context, event, answers)
+        return await reading
+
+    context.result = context.runner.run(work())
+
+
+@when("its health is read, and amid the answer a new process replaces it")
+def read_health_cut(context: Any) -> None:
+    async def work() -> object:
+        reading = asyncio.create_task(context.transport.read("/health", EXCHANGE_TIMEOUT_S))
+        await asyncio.sleep(PAUSE_S)
+        context.transport.server_replaced()
+        results = await asyncio.gather(reading, return_exceptions=True)
+        return results[0]
+
+    context.result = context.runner.run(work())
+
+
+@when("a GET goes to the scripted backend server, and a new process replaces it once it has ended")
+def get_ended(context: Any) -> None:
+    async def work() -> Response | Exception:
+        eof = BackendConnection.eof_received
+
+        def eof_received(connection: BackendConnection) -> None:
+            eof(connection)
+            context.transport.server_replaced()
+
+        with patch.object(BackendConnection, "eof_received", eof_received):
+            return await read_answer(context, [])
+
+    context.result = context.runner.run(work())
+
+
 @when("{count:d} GETs hang at the scripted backend server")
 def hang_gets(context: Any, count: int) -> None:
     async def begin() -> None:
--- a/src/marjoramtide/serving/_backend_connection.py
+++ b/src/marjoramtide/serving/_backend_connection.py
@@ -40,14 +40,21 @@
         self.transport = cast(asyncio.Transport, transport)
         enable_keepalive(transport.get_extra_info("socket"))
 
+    def eof_received(self) -> None:
+        if self.response is not None:
+            self.response.server_closed()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.writable.set()
         if self.response is not None:
-            self.log_cut(self.response, exc)
-            self.response.connection_lost(exc)
+            reason = str(exc or "closed by the server")
+            if self.close_reason is not None:
+                reason = f"closed by this node: {self.close_reason}"
+            self.log_cut(self.response, reason)
+            self.response.connection_lost(reason)
         self.on_lost(self)
 
-    def log_cut(self, response: BackendResponse, error: Exception | None) -> None:
+    def log_cut(self, response: BackendResponse, reason: str) -> None:
         """Log who closed the connection before the end of a response that has begun."""
         if response.has_ended or not response.has_head:
             return
@@ -56,8 +63,7 @@
             code=ErrorCode.TRUNCATED,
             step="serving.read",
             peer=self.peer,
-            closed_by="server" if self.close_reason is None else "node",
-            reason=str(self.close_reason or error or "closed"),
+            reason=reason,
             has_length=not response.ends_at_close,
             received=response.received_bytes,
         )
--- a/src/marjoramtide/serving/_backend_response.py
+++ b/src/marjoramtide/serving/_backend_response.py
@@ -113,18 +113,25 @@
             )
         self.wake()
 
-    def connection_lost(self, error: Exception | None) -> None:
-        """Handle the end of the connection, which also ends a body without a stated length."""
+    def server_closed(self) -> None:
+        """Handle the server's orderly close, which ends a body without a stated length."""
         self.is_reusable = False
-        if self.has_ended:
-            return
-        if self.ends_at_close and error is None:
+        if self.ends_at_close and not self.has_ended:
             self.is_complete = True
-        elif self.has_head:
-            self.fail(ErrorCode.TRUNCATED, "the connection was closed during the response")
+            self.wake()
+
+    def connection_lost(self, reason: str) -> None:
+        """Handle the end of the connection, which truncates a response that has not ended.
+
+        That also holds for a body without a stated length. asyncio reports a close by this node
+        like one by the server; if either ended the body, callers would get the half that arrived
+        before a crash as the complete response. Only ``server_closed`` ends it.
+        """
+        self.is_reusable = False
+        if self.has_head:
+            self.fail(ErrorCode.TRUNCATED, f"the response was cut off: {reason}")
         else:
-            self.fail(ErrorCode.BACKEND_FAILED, "the connection was closed before a response")
-        self.wake()
+            self.fail(ErrorCode.BACKEND_FAILED, f"there was no response: {reason}")
 
     def fail(self, code: ErrorCode, message: str) -> None:
         """End the response with an error, unless it has already ended."""
