A connection to a backend server carries no request id twice

Cause: an answer was matched by its id alone, and one id could go twice on one connection. A rejected booking is sent to the same server again if there is no other; the connection of the rejection is the most recently used one and was taken for it. The late copy of the rejection names the same id.

Hypotheses: (1) this; (2) the node refuses by itself what it has sent; (3) the server runs what it has rejected without being sent it again; (4) answers are confused between nodes.

Change: a connection remembers the ids that it has carried (256, then it is closed) and is passed over for them; where no more connections may be open, an idle one is closed. Two gaps of the same kind: an answer that names no request is taken on a connection's first exchange only, else the outcome is unknown; health checks have a pool of their own, since their answers name none. The adapter now only reads the id, the decision is in `Exchange`.

Why it holds: within one connection the id is unique, so it tells any two exchanges apart, whenever the copy comes and why ever the attempt is sent again; on another connection a copy can't arrive.

Open: our own interface, where answers name no request (docs/proofs.md).

--- a/bench/model/_model_transport.py
+++ b/bench/model/_model_transport.py
@@ -96,12 +96,13 @@
     """Decodes the health response of a simulated server."""
 
     internal_response_headers = frozenset()
+    names_requests = False
 
     def request_headers(self, request: Request, remaining_ms: float, instance: str):  # type: ignore[no-untyped-def]
         return ()
 
-    def belongs(self, request_id: str, response: BackendResponse) -> bool:
-        return True
+    def named_request(self, response: BackendResponse) -> str:
+        return ""
 
     def read_response(self, response: BackendResponse) -> ResponseMetadata:
         return ResponseMetadata(ResponseVerdict.ANSWERED)
--- a/src/marjoramtide/platform/_backends.py
+++ b/src/marjoramtide/platform/_backends.py
@@ -49,6 +49,7 @@
     internal_response_headers = frozenset(
         name.lower() for name in ("Content-Length", "Date", "Server", LOAD, INSTANCE)
     )
+    names_requests = True
 
     def request_headers(
         self, request: Request, remaining_ms: float, instance: str
@@ -59,9 +60,8 @@
         if request.workspace and not request.is_call:
             yield WORKSPACE, request.workspace
 
-    def belongs(self, request_id: str, reply: BackendResponse) -> bool:
-        echoed = reply.header(REQUEST_ID.lower())
-        return not echoed or not request_id or echoed == request_id
+    def named_request(self, reply: BackendResponse) -> str:
+        return reply.header(REQUEST_ID.lower())
 
     def read_response(self, reply: BackendResponse) -> ResponseMetadata:
         leaving = "close" in reply.header("connection").lower()
--- a/src/marjoramtide/serving/_backend_connection.py
+++ b/src/marjoramtide/serving/_backend_connection.py
@@ -2,22 +2,32 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import cast
 
 import structlog
 
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import RequestBody
-from marjoramtide.serving._backend_response import BackendResponse
+from marjoramtide.serving._backend_response import BackendResponse, accept_any, match_by_id
 from marjoramtide.serving._close_reason import CloseReason
+from marjoramtide.serving._exchange import Exchange
 from marjoramtide.sockets import enable_keepalive
 
 log = structlog.get_logger()
 
+# The ids that a connection has carried take some 25 kB by then.
+MAX_REQUESTS = 256
+
 
 class BackendConnection(asyncio.Protocol):
     """Carries one request at a time; reused only after a complete response without extra bytes.
 
+    No request id is sent twice on a connection. Failure otherwise: a server rejects a booking, runs
+    it when it is sent once more, and a late second copy of the rejection is taken for the response,
+    since it names the same id: the caller is told "not run", or the booking is sent a third time.
+    ``sent_ids`` are the ids that it has carried; it is closed after ``MAX_REQUESTS`` of them.
+
     ``on_lost`` is called once, when the connection is closed. ``server_idle_timeout_s`` is the
     server's idle timeout, ``None`` if the last response did not state it. An idle connection may be
     reused until ``idle_until``, in seconds of the monotonic clock. ``close_reason`` is set if this
@@ -35,6 +45,8 @@
         self.server_idle_timeout_s: float | None = None
         self.idle_until = 0.0
         self.close_reason: CloseReason | None = None
+        self.sent_ids: set[str] = set()
+        self.has_carried_request = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -86,18 +98,34 @@
     def is_usable(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether a request with this id may be sent; an empty id is none."""
+        return self.is_usable and request_id not in self.sent_ids
+
     def send(
         self,
         head: bytes,
         body: RequestBody,
         *,
+        request_id: str = "",
         is_head_request: bool = False,
-        belongs: Callable[[BackendResponse], bool] | None = None,
+        named_request: Callable[[BackendResponse], str] | None = None,
     ) -> BackendResponse:
-        """Send a request and return its response, which is still to be received."""
+        """Send a request and return its response, which is still to be received.
+
+        ``named_request`` returns the id of the request that a response names. Without it, any
+        response is taken for the expected one.
+        """
         assert self.transport is not None
+        match = accept_any
+        if named_request is not None:
+            exchange = Exchange(request_id, is_first=not self.has_carried_request)
+            match = partial(match_by_id, exchange, named_request)
+        self.has_carried_request = True
+        if request_id:
+            self.sent_ids.add(request_id)
         self.response = response = BackendResponse(
-            self.transport, self.peer, is_head_request=is_head_request, belongs=belongs
+            self.transport, self.peer, is_head_request=is_head_request, match=match
         )
         if body.inline is not None:
             self.transport.write(head + body.inline)
@@ -141,6 +169,9 @@
         ):
             self.abort(CloseReason.NOT_REUSABLE)
             return False
+        if len(self.sent_ids) >= MAX_REQUESTS:
+            self.abort(CloseReason.REQUEST_LIMIT)
+            return False
         self.body_task = None
         self.server_idle_timeout_s = response.server_idle_timeout_s()
         return True
--- a/src/marjoramtide/serving/_backend_protocol.py
+++ b/src/marjoramtide/serving/_backend_protocol.py
@@ -22,9 +22,12 @@
     ) -> Iterable[tuple[str, str]]:
         """Return the headers to add; ``instance`` is the backend server's identity or empty."""
 
+    names_requests: bool
+    """Whether each response names the id of the request that it belongs to."""
+
     @abstractmethod
-    def belongs(self, request_id: str, response: BackendResponse) -> bool:
-        """Return whether a response, of which the head is known, belongs to this request."""
+    def named_request(self, response: BackendResponse) -> str:
+        """Return the id of the request that a response names, empty if it names none."""
 
     @abstractmethod
     def read_response(self, response: BackendResponse) -> ResponseMetadata:
--- a/src/marjoramtide/serving/_backend_response.py
+++ b/src/marjoramtide/serving/_backend_response.py
@@ -6,15 +6,33 @@
 from typing import Any
 
 import httptools
+import structlog
 
 from marjoramtide.errors import ErrorCode
 from marjoramtide.exchange import MAX_INLINE_BYTES, UnknownOutcomeError
+from marjoramtide.serving._exchange import Exchange, ResponseMatch
+
+log = structlog.get_logger()
 
 MAX_HEAD_BYTES = 64 * 1024
 STATUSES_WITHOUT_BODY = (204, 304)
 IDLE_TIMEOUT = re.compile(r"\btimeout=([0-9]{1,6})\b", re.IGNORECASE)
 
 
+def accept_any(response: "BackendResponse") -> ResponseMatch:
+    """Take each response for the expected one, as servers that name no request require."""
+    return ResponseMatch.OWN
+
+
+def match_by_id(
+    exchange: Exchange,
+    named_request: "Callable[[BackendResponse], str]",
+    response: "BackendResponse",
+) -> ResponseMatch:
+    """Return whether a response belongs to an exchange, by the id that it names."""
+    return exchange.match(named_request(response))
+
+
 class BackendResponse:
     """Parses the response to one request strictly and buffers a bounded part of its body.
 
@@ -23,9 +41,9 @@
     one response can be mistaken for a part of the next.
 
     If a backend server responds twice to one request, the second response may arrive after the next
-    request was sent on the same connection, and would go to the wrong caller. ``belongs`` decides
-    by the head whether a response is the expected one. Others are dropped, and the connection is
-    not reused.
+    request was sent on the same connection, and would go to the wrong caller. ``match`` decides by
+    the head whether a response is the expected one. Others are dropped, and the connection is not
+    reused. A response that may be another's fails the exchange.
     """
 
     def __init__(
@@ -34,9 +52,9 @@
         peer: str,
         *,
         is_head_request: bool,
-        belongs: "Callable[[BackendResponse], bool] | None" = None,
+        match: "Callable[[BackendResponse], ResponseMatch]" = accept_any,
     ) -> None:
-        self.belongs = belongs
+        self.match = match
         self.is_stray = False
         self.stray_count = 0
         self.transport = transport
@@ -165,11 +183,16 @@
             self.headers.clear()
             return
         self.status = status
-        if self.belongs is not None and not self.belongs(self):
+        match = self.match(self)
+        if match is ResponseMatch.STRAY:
+            log.info("serving.stray_response", peer=self.peer, status=status)
             self.is_stray = True
             self.headers.clear()
             return
         self.has_head = True
+        if match is ResponseMatch.UNNAMED:
+            self.fail(ErrorCode.BACKEND_FAILED, f"response {status} names no request")
+            return
         length = self.header("content-length")
         self.length = int(length) if length else None
         coding = self.header("transfer-encoding").lower()
--- a/src/marjoramtide/serving/_close_reason.py
+++ b/src/marjoramtide/serving/_close_reason.py
@@ -18,6 +18,12 @@
     NOT_REUSABLE = "not-reusable"
     """The exchange has ended, and another one on the same connection would not be safe."""
 
+    MAKING_ROOM = "making-room"
+    """It was idle, another connection was needed, and no more may be open."""
+
+    REQUEST_LIMIT = "request-limit"
+    """It has carried as many requests as it may."""
+
     RESPONSE_CANCELLED = "response-cancelled"
     """The rest of the response is no longer wanted."""
 
--- a/src/marjoramtide/serving/_default_backend_protocol.py
+++ b/src/marjoramtide/serving/_default_backend_protocol.py
@@ -32,6 +32,7 @@
     """
 
     internal_response_headers = REWRITTEN_RESPONSE_HEADERS | {RATE_LIMIT, LEAVING}
+    names_requests = False
 
     def __init__(self, tokens: RequestTokens | None = None) -> None:
         """Without ``tokens``, requests are sent without ``Marjoramtide-Run``."""
@@ -48,8 +49,8 @@
             if self.tokens is not None:
                 yield "Marjoramtide-Run", self.tokens.issue(request)
 
-    def belongs(self, request_id: str, response: BackendResponse) -> bool:
-        return True
+    def named_request(self, response: BackendResponse) -> str:
+        return ""
 
     def read_response(self, response: BackendResponse) -> ResponseMetadata:
         statement, malformed = read_statement(response)
--- a/src/marjoramtide/serving/_http_transport.py
+++ b/src/marjoramtide/serving/_http_transport.py
@@ -67,6 +67,9 @@
         self.connections: set[BackendConnection] = set()
         self.connecting = 0
         self.idle = IdleConnectionPool(self.clock)
+        # For the server's own endpoints, whose responses name no request: a late second one would
+        # be taken for the response to a request.
+        self.idle_for_endpoints = IdleConnectionPool(self.clock)
         self.probe_task: asyncio.Task[None] | None = None
 
     async def send(
@@ -78,15 +81,16 @@
     ) -> Response:
         added_headers = self.protocol.request_headers(request, remaining_ms, self.instance)
         head = encode_head(request, body, added_headers, self.address)
-        connection = await self.acquire()
+        connection = await self.acquire(self.idle, request.request_id)
         on_dispatch()
         sent_at = self.clock.monotonic()
         try:
             response = connection.send(
                 head,
                 body,
+                request_id=request.request_id,
                 is_head_request=request.method == "HEAD",
-                belongs=lambda response: self.protocol.belongs(request.request_id, response),
+                named_request=self.protocol.named_request if self.protocol.names_requests else None,
             )
             first = await response.read(MAX_INLINE_BYTES)
         except UnknownOutcomeError as error:
@@ -100,7 +104,7 @@
         if self.on_response is not None:
             self.on_response(metadata, sent_at)
         if metadata.verdict in (ResponseVerdict.REFUSED, ResponseVerdict.MISDIRECTED):
-            self.release(connection)
+            self.release(connection, self.idle)
             raise self.rejection_error(metadata)
         if metadata.verdict is ResponseVerdict.INVALID:
             connection.abort(CloseReason.INVALID_RESPONSE)
@@ -113,7 +117,7 @@
         headers = end_to_end(response.headers, self.protocol.internal_response_headers)
         answer = Response(response.status, headers, length=response.length)
         if response.is_complete:
-            self.release(connection)
+            self.release(connection, self.idle)
             if not response.is_head_request:
                 answer.body, answer.length = first, len(first)
             return answer
@@ -137,7 +141,7 @@
         finally:
             # A connection with unread data is closed here; the next request on it would read the
             # rest of this response as its own.
-            self.release(connection)
+            self.release(connection, self.idle)
 
     def rejection_error(self, metadata: ResponseMetadata) -> NotRunError:
         return NotRunError(
@@ -152,17 +156,38 @@
     async def read(self, path: str, timeout_s: float) -> EndpointResponse:
         head = f"GET {path} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode()
         async with asyncio.timeout(timeout_s):
-            connection = await self.acquire()
+            connection = await self.acquire(self.idle_for_endpoints)
             try:
                 response = connection.send(head, inline_body())
                 body = await response.read(MAX_INLINE_BYTES)
                 return EndpointResponse(response.status, tuple(response.headers), body)
             finally:
-                self.release(connection)
+                self.release(connection, self.idle_for_endpoints)
 
-    async def acquire(self) -> BackendConnection:
-        """Return an idle or new connection; raises ``NotRunError`` if there is none."""
-        return self.idle.acquire() or await self.connect(CONNECT_TIMEOUT_S)
+    async def acquire(self, idle: IdleConnectionPool, request_id: str = "") -> BackendConnection:
+        """Return an idle connection or a new one, which has not carried this request id.
+
+        Raises ``NotRunError`` if there is none.
+        """
+        connection = idle.acquire(request_id)
+        if connection is None:
+            self.make_room()
+            connection = await self.connect(CONNECT_TIMEOUT_S)
+        return connection
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether as many connections are open as are allowed."""
+        return len(self.connections) + self.connecting >= self.max_connections
+
+    def make_room(self) -> None:
+        """Close an idle connection if it prevents a new one."""
+        if not self.is_full:
+            return
+        connection = self.idle.pop_oldest() or self.idle_for_endpoints.pop_oldest()
+        if connection is not None:
+            connection.abort(CloseReason.MAKING_ROOM)
+            self.connections.discard(connection)
 
     async def probe(self) -> None:
         """Open one connection and keep it idle; concurrent calls share one probe."""
@@ -204,7 +229,7 @@
 
     async def connect(self, timeout_s: float) -> BackendConnection:
         """Return a new connection; raises ``NotRunError`` if it can't be established."""
-        if len(self.connections) + self.connecting >= self.max_connections:
+        if self.is_full:
             raise self.connect_error(
                 ErrorCode.OVERLOADED, f"all {self.max_connections} connections are in use"
             )
@@ -233,14 +258,15 @@
     def connect_error(self, code: ErrorCode, message: str) -> NotRunError:
         return NotRunError(code, message, step="serving.connect", peer=self.address)
 
-    def release(self, connection: BackendConnection) -> None:
+    def release(self, connection: BackendConnection, idle: IdleConnectionPool) -> None:
         """Keep a connection for the next request if its exchange was completed cleanly."""
         if connection.finish_exchange():
-            self.idle.add(connection)
+            idle.add(connection)
 
     def connection_lost(self, connection: BackendConnection) -> None:
         self.connections.discard(connection)
         self.idle.discard(connection)
+        self.idle_for_endpoints.discard(connection)
 
     def server_replaced(self) -> None:
         self.abort_all(CloseReason.SERVER_REPLACED)
@@ -252,6 +278,7 @@
 
     async def close(self) -> None:
         self.idle.close()
+        self.idle_for_endpoints.close()
         if self.probe_task is not None:
             self.probe_task.cancel()
         self.abort_all(CloseReason.SHUTDOWN)
--- a/src/marjoramtide/serving/_idle_connection_pool.py
+++ b/src/marjoramtide/serving/_idle_connection_pool.py
@@ -38,17 +38,22 @@
         if self.timer is None:
             self.timer = asyncio.get_running_loop().call_later(idle_s, self.close_expired)
 
-    def acquire(self) -> BackendConnection | None:
-        """Return the most recently used connection, ``None`` if there is none."""
+    def acquire(self, request_id: str = "") -> BackendConnection | None:
+        """Return the most recently used connection that may carry a request with this id.
+
+        Returns ``None`` if there is none. Expired connections are left to the timer.
+        """
         now = self.clock.monotonic()
-        while self.connections:
-            connection = self.connections.pop()
-            if connection.idle_until <= now:
-                connection.abort(CloseReason.IDLE_EXPIRED)
-            elif connection.is_usable:
+        for connection in reversed(self.connections):
+            if connection.idle_until > now and connection.may_carry(request_id):
+                self.connections.remove(connection)
                 return connection
         return None
 
+    def pop_oldest(self) -> BackendConnection | None:
+        """Return the connection that was not used for longest, ``None`` if there is none."""
+        return self.connections.pop(0) if self.connections else None
+
     def discard(self, connection: BackendConnection) -> None:
         """Remove a connection that has been closed."""
         if connection in self.connections:
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -28,7 +28,8 @@
     """A stand-in with instance ids, response seals, load headers and the platform's faults.
 
     ``instance`` is the id of this incarnation; ``slowdown`` is the factor that it reports for the
-    load of its neighbours. The next ``duplicate_responses`` responses are each sent twice, and the
+    load of its neighbours. The next ``rejections`` requests are rejected. The next
+    ``duplicate_responses`` responses, to rejected requests too, are each sent twice, and the
     next ``unsealed_responses`` successful ones have no seal. While ``sends_halves``, of each
     successful response only the head and half of the body are sent; ``is_framed`` is whether
     responses state their length.
@@ -45,6 +46,7 @@
 
     instance = "i-1"
     slowdown = 1.0
+    rejections = 0
     duplicate_responses = 0
     unsealed_responses = 0
     sends_halves = False
@@ -97,14 +99,18 @@
         request.headers["x-request-id"] = attempt = request.headers.get("x-attempt-id", "")
         self.received.append(Arrival(time.monotonic(), attempt))
         request.headers["request-timeout-ms"] = request.headers.get("x-deadline-ms", "")
+        if self.rejections:
+            self.rejections -= 1
+            rejection = self.rejection(attempt)
+            self.draw_duplicate(connection, rejection)
+            return rejection
         response = await self.serve(request, connection)
         if connection in self.silent_connections:
             await asyncio.Event().wait()
         if response is None:
             return None
         if response.headers.pop("Request-Outcome", ""):
-            refused = {"X-Not-Executed": "1", "X-Attempt-Id": attempt}
-            return Response(SERVICE_UNAVAILABLE, refused | self.statement_headers())
+            return self.rejection(attempt)
         self.record_executed(request)
         response.headers |= {"X-Attempt-Id": attempt, **self.load_header()}
         response.headers |= self.statement_headers()
@@ -115,10 +121,19 @@
         if self.sends_halves:
             response.framed, response.hangs = self.is_framed, True
             response.sent_bytes = len(response.body) // 2
+        self.draw_duplicate(connection, response)
+        return response
+
+    def rejection(self, attempt: str) -> Response:
+        """Return the response to a request that does not run."""
+        headers = {"X-Not-Executed": "1", "X-Attempt-Id": attempt}
+        return Response(SERVICE_UNAVAILABLE, headers | self.statement_headers())
+
+    def draw_duplicate(self, connection: Connection, response: Response) -> None:
+        """Send this response a second time later, if any are to be."""
         if self.duplicate_responses:
             self.duplicate_responses -= 1
             self.duplicates_due[connection] = response
-        return response
 
     def simulate_crash(self) -> None:
         """Abort all connections and stop listening, as a crash does, without exiting."""
