--- a/src/marjoramtide/platform/_backends.py
+++ b/src/marjoramtide/platform/_backends.py
@@ -30,6 +30,8 @@
 )
 
 MISDIRECTED = 421
+# By these, callers are told that a request has not run and never will.
+GUARANTEES = frozenset((408, MISDIRECTED, 429, 503))
 HEALTHY_STATUS = 200
 NORMAL_PERCENT = 100.0
 LOAD_COUNTS = 3
@@ -77,7 +79,16 @@
             verdict = ResponseVerdict.INVALID
         statement, malformed = read_statement(reply)
         return ResponseMetadata(
-            verdict, leaving, retry_after_ms, load, instance, statement, malformed
+            verdict,
+            leaving,
+            retry_after_ms,
+            load,
+            instance,
+            statement,
+            malformed,
+            is_unproven_rejection=(
+                verdict is ResponseVerdict.ANSWERED and reply.status in GUARANTEES
+            ),
         )
 
     def read_health(self, answer: EndpointResponse) -> HealthCheckResult:
--- a/src/marjoramtide/serving/_http_transport.py
+++ b/src/marjoramtide/serving/_http_transport.py
@@ -104,8 +104,9 @@
         if self.on_response is not None:
             self.on_response(metadata, sent_at)
         if metadata.verdict in (ResponseVerdict.REFUSED, ResponseVerdict.MISDIRECTED):
+            exchange_number = len(connection.sent_ids)
             self.release(connection, self.idle)
-            raise self.rejection_error(metadata)
+            raise self.rejection_error(metadata, response.status, exchange_number)
         if metadata.verdict is ResponseVerdict.INVALID:
             connection.abort(CloseReason.INVALID_RESPONSE)
             raise UnknownOutcomeError(
@@ -114,6 +115,15 @@
                 step="serving.read",
                 peer=self.address,
             )
+        if metadata.is_unproven_rejection:
+            log.warning(
+                "serving.unproven_rejection",
+                request=request.request_id,
+                idempotent=request.idempotent,
+                status=response.status,
+                step="serving.read",
+                peer=self.address,
+            )
         headers = end_to_end(response.headers, self.protocol.internal_response_headers)
         answer = Response(response.status, headers, length=response.length)
         if response.is_complete:
@@ -143,10 +153,13 @@
             # rest of this response as its own.
             self.release(connection, self.idle)
 
-    def rejection_error(self, metadata: ResponseMetadata) -> NotRunError:
+    def rejection_error(
+        self, metadata: ResponseMetadata, status: int, exchange_number: int
+    ) -> NotRunError:
         return NotRunError(
             ErrorCode.DRAINING if metadata.is_leaving else ErrorCode.OVERLOADED,
-            "the backend server rejected the request",
+            f"the backend server rejected the request: status {status} in exchange "
+            f"{exchange_number} of its connection",
             step="serving.read",
             peer=self.address,
             retry_after_ms=metadata.retry_after_ms,
--- a/src/marjoramtide/serving/_response_metadata.py
+++ b/src/marjoramtide/serving/_response_metadata.py
@@ -26,7 +26,9 @@
     ``is_leaving`` is true if the backend server accepts no new requests. ``retry_after_ms`` is when
     a rejected request may be retried, and ``load`` the reported load; both are ``None`` if not
     stated. ``instance`` is the stated identity, or empty. ``statement`` holds the stated limits,
-    and ``malformed`` the header lines of statements that are invalid.
+    and ``malformed`` the header lines of statements that are invalid. ``is_unproven_rejection`` is
+    true if callers would take the status for a guarantee that the request did not run, although the
+    server does not state that.
     """
 
     verdict: ResponseVerdict
@@ -36,3 +38,4 @@
     instance: str = ""
     statement: ServerStatement = NOTHING_STATED
     malformed: tuple[str, ...] = ()
+    is_unproven_rejection: bool = False
