Soak: overlapping faults by seed against real processes, answers held against the servers' record

Five to seven real nodes beside backend servers that are processes of their own, callers that keep connections, upload slowly, in chunks, or leave; 15 faults of servers and 9 from outside overlap as the seed draws them.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 	$(PY) -m standins.demo
 
 lint: $(STAMP)
-	$(VENV)/bin/black --check -q src standins bench features
-	$(VENV)/bin/ruff check -q src standins bench features
+	$(VENV)/bin/black --check -q src standins bench soak features
+	$(VENV)/bin/ruff check -q src standins bench soak features
 	$(VENV)/bin/mypy --no-error-summary
 
 behave: $(STAMP)
--- /dev/null
+++ b/soak/_fleet.py
@@ -0,0 +1,259 @@
+"""The processes of a soak: nodes and backend servers, and a store in this process."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any, Self
+
+import aiohttp
+import attrs
+import tomlkit
+from aiohttp import web
+
+from soak._callers import HOST_NAME
+from soak._fault import Fault
+from soak._plan import SoakPlan
+from soak._records import ServerRecord
+from soak._server import ServerOptions
+from standins.free_port import free_port, loopback_host
+from standins.platform import PlatformStoreServer
+
+PROJECT_ROOT = Path(__file__).resolve().parents[1]
+PORTS = ("callers", "peers", "gossip", "operators", "readiness", "registration")
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 8.0
+SERVER_START_S = 0.4
+WORK_MS = {"pay": 60.0, "up": 90.0, "board": 40.0}
+# Path prefix, service, kind and the number of backend servers that one attempt may reach.
+ROUTES = (
+    ("/pay/", "pay", "non_idempotent", 2),
+    ("/pay3/", "pay", "non_idempotent", 3),
+    ("/up/", "up", "upload", 2),
+    ("/board/", "board", "idempotent", 2),
+)
+
+
+@attrs.define(slots=True, eq=False)
+class Host:
+    """A node and the backend server beside it; ``starts`` counts the starts of the server."""
+
+    number: int
+    service: str
+    settings: dict[str, Any]
+    starts: int = 0
+    node: asyncio.subprocess.Process | None = None
+    server: asyncio.subprocess.Process | None = None
+
+
+class SoakFleet:
+    """Nodes of one source tree beside servers, which are all ended at the end of the block.
+
+    ``source`` is the checkout whose ``src`` the nodes run; the stand-ins are always this one's.
+    """
+
+    def __init__(self, plan: SoakPlan, folder: Path, source: Path = PROJECT_ROOT) -> None:
+        self.plan = plan
+        self.folder = folder
+        self.source = source
+        self.host = loopback_host()
+        self.epoch = time.time() + 1e6
+        self.store = PlatformStoreServer()
+        self.runner = web.AppRunner(self.store.app(), access_log=None, shutdown_timeout=0.2)
+        self.hosts: list[Host] = []
+        self.processes: list[asyncio.subprocess.Process] = []
+        self.version = 4
+
+    async def __aenter__(self) -> Self:
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, self.host, 0)
+        await site.start()
+        self.store_url = "http://{}:{}".format(*self.runner.addresses[0][:2])
+        self.configure(1500)
+        self.hosts = [self.make_host(each, name) for each, name in enumerate(self.plan.services)]
+        for host in self.hosts:
+            await self.start_node(host)
+            await self.start_server(host)
+        await self.wait_ready()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for process in self.processes:
+            send_signal(process, signal.SIGKILL)
+        await asyncio.gather(*(process.wait() for process in self.processes))
+        self.store.state.compact_history()
+        await self.runner.cleanup()
+
+    def make_host(self, number: int, service: str) -> Host:
+        addresses = {port: f"{self.host}:{free_port(self.host)}" for port in PORTS}
+        settings = addresses | {
+            "name": f"node-{number}",
+            "service": service,
+            "region": "r",
+            "data_centre": f"z{number % 3}",
+            "backend": f"{self.host}:{free_port(self.host)}",
+            "store": self.store_url,
+            "key": "a key for soaks on loopback only",
+            "interface": "platform",
+            "base_tree": "deploy/base-tree.toml",
+            "bounds": ["GraceS=6", "RetryBudgetRatio=0.2", "RetryBudgetSlack=64"],
+        }
+        (self.folder / f"node-{number}.toml").write_text(tomlkit.dumps(settings))
+        return Host(number, service, settings)
+
+    def configure(self, timeout_ms: int) -> None:
+        """Write the next version of the configuration, as operators do."""
+        self.version += 1
+        routes = [
+            {
+                "Name": prefix.strip("/"),
+                "Host": HOST_NAME,
+                "PathPrefix": prefix,
+                "Kind": kind,
+                "TimeoutMs": timeout_ms * (2 if service == "up" else 1),
+                "TargetLatencyMs": 400,
+                "Priority": 1,
+                "MaxAttempts": attempts,
+                "Service": service,
+            }
+            for prefix, service, kind, attempts in ROUTES
+        ]
+        services = [
+            {"Name": name, "HealthPath": "/health", "MaxConns": 220} for name in sorted(WORK_MS)
+        ]
+        specification = {
+            "Version": f"r{self.version}",
+            "Routes": routes,
+            "Services": services,
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 22},
+        }
+        self.store.state.put("config", "main", Specification=specification)
+
+    async def spawn(
+        self, name: str, arguments: list[str], root: Path
+    ) -> asyncio.subprocess.Process:
+        with (self.folder / f"{name}.log").open("ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *arguments,
+                cwd=root,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONPATH": f"{root / 'src'}:{root}"},
+            )
+        self.processes.append(process)
+        return process
+
+    async def start_node(self, host: Host) -> None:
+        settings = str(self.folder / f"node-{host.number}.toml")
+        arguments = ["marjoramtide.daemon.main", "--settings", settings]
+        host.node = await self.spawn(f"node-{host.number}", arguments, self.source)
+
+    async def start_server(self, host: Host) -> None:
+        """Start the next incarnation of a host's server, at the same address."""
+        host.starts += 1
+        options = ServerOptions(
+            listen=host.settings["backend"],
+            control=host.settings["registration"],
+            service=host.service,
+            instance=f"i-{host.number}-{host.starts}",
+            slots=self.plan.slots,
+            work_ms=WORK_MS[host.service],
+            epoch=self.epoch,
+            seed=self.plan.seed,
+            resets_when_full=self.plan.resets_when_full,
+            record=str(self.folder / "servers.jsonl"),
+            faults=tuple(each for each in self.plan.faults if each.target == host.number),
+        )
+        text = json.dumps(attrs.asdict(options))
+        host.server = await self.spawn(
+            f"server-{host.number}", ["soak._server", text], PROJECT_ROOT
+        )
+
+    async def restart_servers(self) -> None:
+        """Start all servers anew, so that they know when the load begins."""
+        for host in self.hosts:
+            await self.end(host.server, signal.SIGKILL)
+            await self.start_server(host)
+        await asyncio.sleep(SERVER_START_S)
+
+    async def end(self, process: asyncio.subprocess.Process | None, number: signal.Signals) -> None:
+        """End a process by a signal, or kill it if it does not end in time."""
+        assert process is not None
+        send_signal(process, number)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await process.wait()
+        except TimeoutError:
+            send_signal(process, signal.SIGKILL)
+            await process.wait()
+
+    async def pause(self, process: asyncio.subprocess.Process | None, for_s: float) -> None:
+        assert process is not None
+        send_signal(process, signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        send_signal(process, signal.SIGCONT)
+
+    async def inject(self, fault: Fault) -> None:
+        """Bring a fault from outside about, and undo it."""
+        host = self.hosts[fault.target]
+        match fault.kind:
+            case "server-kill" | "server-drain":
+                number = signal.SIGKILL if fault.kind == "server-kill" else signal.SIGTERM
+                await self.end(host.server, number)
+                await asyncio.sleep(fault.for_s)
+                await self.start_server(host)
+            case "server-pause":
+                await self.pause(host.server, fault.for_s)
+            case "node-kill" | "node-stop":
+                number = signal.SIGKILL if fault.kind == "node-kill" else signal.SIGTERM
+                await self.end(host.node, number)
+                await asyncio.sleep(fault.for_s / 3)
+                await self.start_node(host)
+            case "node-pause":
+                await self.pause(host.node, fault.for_s)
+            case "store":
+                self.store.mode = "reset"
+                await asyncio.sleep(fault.for_s)
+                self.store.mode = "up"
+            case "settings":
+                self.configure(1200 + self.version * 50)
+                for each in self.hosts:
+                    assert each.node is not None
+                    send_signal(each.node, signal.SIGHUP)
+
+    async def wait_ready(self) -> None:
+        """Wait until all nodes are ready for callers."""
+        ends_at = time.monotonic() + READY_TIMEOUT_S
+        async with aiohttp.ClientSession() as session:
+            for host in self.hosts:
+                while not await is_ready(session, host.settings["readiness"]):
+                    if time.monotonic() > ends_at:
+                        raise TimeoutError(f"node {host.number} is not ready")
+                    await asyncio.sleep(0.05)
+
+    def server_records(self) -> list[ServerRecord]:
+        """Return what all servers have recorded, without lines that were cut off by a kill."""
+        path = self.folder / "servers.jsonl"
+        lines = path.read_text().splitlines() if path.exists() else []
+        return [ServerRecord(*json.loads(line)) for line in lines if line.endswith("]")]
+
+
+def send_signal(process: asyncio.subprocess.Process, number: signal.Signals) -> None:
+    """Send a signal to a process that this soak has started, unless it has ended."""
+    if process.returncode is None:
+        process.send_signal(number)
+
+
+async def is_ready(session: aiohttp.ClientSession, address: str) -> bool:
+    """Return whether a node reports readiness."""
+    try:
+        async with session.get(f"http://{address}/readiness") as response:
+            return response.status == 200
+    except aiohttp.ClientError:
+        return False
--- /dev/null
+++ b/soak/_play.py
@@ -0,0 +1,87 @@
+"""Plays one plan."""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from pathlib import Path
+
+import attrs
+
+from soak._callers import Callers
+from soak._fault import PROCESS_FAULTS
+from soak._fleet import PROJECT_ROOT, SoakFleet
+from soak._judge import Violation, judge
+from soak._plan import SoakPlan
+
+START_S = 1.0
+# Servers record what runs for this long after the last answer.
+AFTER_S = 4.0
+BURST_FACTOR = 3
+CALLERS_TIMEOUT_S = 6.0
+
+
+@attrs.frozen(slots=True)
+class SoakResult:
+    """What came of a plan; ``started_at`` is the start of the load in Unix seconds."""
+
+    plan: SoakPlan
+    violations: tuple[Violation, ...]
+    statuses: Counter[int]
+    events: Counter[str]
+    started_at: float
+
+    def line(self) -> str:
+        """Return the result as one line."""
+        counts = " ".join(f"{status}:{count}" for status, count in sorted(self.statuses.items()))
+        kinds = Counter(each.promise for each in self.violations)
+        broken = " ".join(f"{kind} {count}" for kind, count in kinds.items()) or "held"
+        late = self.events["late second answer"]
+        return f"{broken:24} {counts}  runs {self.events['run']} late {late}"
+
+
+async def run_soak(plan: SoakPlan, folder: Path, source: Path = PROJECT_ROOT) -> SoakResult:
+    """Play a plan; ``folder`` keeps the processes' logs."""
+    async with SoakFleet(plan, folder, source) as fleet:
+        fleet.epoch = time.time() + START_S + 0.2 * len(plan.services)
+        await fleet.restart_servers()
+        await asyncio.sleep(max(0.0, fleet.epoch - time.time()))
+        callers = Callers(
+            [host.settings["callers"] for host in fleet.hosts], random.Random(plan.seed), plan.seed
+        )
+        started_at = time.monotonic()
+        faults = [each for each in plan.faults if each.kind in PROCESS_FAULTS]
+        injected = [
+            asyncio.create_task(inject_at(fleet, each, started_at + each.at_s)) for each in faults
+        ]
+        await send_load(plan, callers, started_at)
+        await asyncio.wait(
+            callers.tasks or {asyncio.create_task(asyncio.sleep(0))}, timeout=CALLERS_TIMEOUT_S
+        )
+        await asyncio.gather(*injected)
+        await asyncio.sleep(AFTER_S)
+        events = fleet.server_records()
+        return SoakResult(
+            plan,
+            tuple(judge(callers.records, events)),
+            Counter(each.status for each in callers.records),
+            Counter(each.event for each in events),
+            fleet.epoch,
+        )
+
+
+async def inject_at(fleet: SoakFleet, fault, at: float) -> None:  # type: ignore[no-untyped-def]
+    """Bring a fault about at a time of the monotonic clock."""
+    await asyncio.sleep(max(0.0, at - time.monotonic()))
+    await fleet.inject(fault)
+
+
+async def send_load(plan: SoakPlan, callers: Callers, started_at: float) -> None:
+    """Send requests at an even rate, more during bursts."""
+    bursts = [each for each in plan.faults if each.kind == "burst"]
+    due = started_at
+    while due < started_at + plan.seconds:
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
+        callers.start_one()
+        is_burst = any(each.is_in_force(due - started_at) for each in bursts)
+        due += 1 / (plan.per_s * (BURST_FACTOR if is_burst else 1))
