A status that guarantees "not run" needs the backend server's statement

What callers saw: 408, 429 or 503 for bookings and uploads that had run. On the platform these guarantee that a request has not run and never will; callers send it again, and it runs twice.

Cause (hypothesis H3): a server that rejects a request says so in a header (or by 421), and "no other response states this". The node looked for that statement to tell a rejection, and passed every other answer on as it was: a status of the server's own thus became our guarantee. Class: a guarantee that is made from a word which does not prove it.

Why it holds: the transport is the only place that reads an answer of a server to a request, and whatever has one of the four statuses leaves it as a rejection that the server has stated, or as an unknown outcome. The answer's seal goes with the answer: a 502 of ours bears none.

--- a/features/steps/late_answers_steps.py
+++ b/features/steps/late_answers_steps.py
@@ -77,9 +77,13 @@
     context.cleanup.callback(lambda: run(context, context.transport.close()))
 
 
-async def exchange(context: Any, request_id: str) -> Response | Exception:
+async def exchange(
+    context: Any, request_id: str, *, is_idempotent: bool = False
+) -> Response | Exception:
     headers = (("X-Attempt-Id", request_id),)
-    request = Request("s", "POST", "/", headers, False, False, deadline=0.0, request_id=request_id)
+    request = Request(
+        "s", "POST", "/", headers, False, is_idempotent, deadline=0.0, request_id=request_id
+    )
     try:
         async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
             return await context.transport.send(request, inline_body(b"x"), 1000.0, int)
--- a/src/marjoramtide/serving/_http_transport.py
+++ b/src/marjoramtide/serving/_http_transport.py
@@ -116,14 +116,9 @@
                 peer=self.address,
             )
         if metadata.is_unproven_rejection:
-            log.warning(
-                "serving.unproven_rejection",
-                request=request.request_id,
-                idempotent=request.idempotent,
-                status=response.status,
-                step="serving.read",
-                peer=self.address,
-            )
+            self.log_unproven_rejection(request, response.status)
+            self.release(connection, self.idle)
+            raise self.unproven_error(response.status)
         headers = end_to_end(response.headers, self.protocol.internal_response_headers)
         answer = Response(response.status, headers, length=response.length)
         if response.is_complete:
@@ -166,6 +161,29 @@
             reached_backend=True,
         )
 
+    def log_unproven_rejection(self, request: Request, status: int) -> None:
+        log.warning(
+            "serving.unproven_rejection",
+            request=request.request_id,
+            idempotent=request.idempotent,
+            status=status,
+            step="serving.read",
+            peer=self.address,
+        )
+
+    def unproven_error(self, status: int) -> UnknownOutcomeError:
+        """Return the error for a status that guarantees more than the backend server stated.
+
+        Failure: a server runs a booking and responds with 503. Passed on, that status tells the
+        caller that the booking has not run, and the caller books again.
+        """
+        return UnknownOutcomeError(
+            ErrorCode.BACKEND_FAILED,
+            f"status {status} without a statement that the request did not run",
+            step="serving.read",
+            peer=self.address,
+        )
+
     async def read(self, path: str, timeout_s: float) -> EndpointResponse:
         head = f"GET {path} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode()
         async with asyncio.timeout(timeout_s):
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -30,7 +30,8 @@
     ``instance`` is the id of this incarnation; ``slowdown`` is the factor that it reports for the
     load of its neighbours. The next ``rejections`` requests are rejected. The next
     ``duplicate_responses`` responses, to rejected requests too, are each sent twice, and the
-    next ``unsealed_responses`` successful ones have no seal. While ``sends_halves``, of each
+    next ``unsealed_responses`` successful ones have no seal. The next requests that run get the
+    ``own_statuses``, with seal and body as always. While ``sends_halves``, of each
     successful response only the head and half of the body are sent; ``is_framed`` is whether
     responses state their length.
 
@@ -62,6 +63,7 @@
         super().__init__(name="", slots=slots, connections=250, service_ms=service_ms, seed=seed)
         self.executed_headers: list[dict[str, str]] = []
         self.targets: list[str] = []
+        self.own_statuses: list[int] = []
         self.bodies: list[bytes] = []
         self.cold_arrivals: list[float] = []
         self.received: list[Arrival] = []
@@ -114,6 +116,8 @@
         self.record_executed(request)
         response.headers |= {"X-Attempt-Id": attempt, **self.load_header()}
         response.headers |= self.statement_headers()
+        if self.own_statuses:
+            response.status = self.own_statuses.pop(0)
         if self.unsealed_responses:
             self.unsealed_responses -= 1
         else:
