An error that states no outcome is unknown once an attempt was made

What a caller would see: 503, "not run", for a request of which an attempt had been made.

Why it holds: all attempts of a request are made inside Dispatcher.dispatch; what leaves it is a response, an error with an outcome, or an error from before the first attempt.

--- a/features/path/not_run.feature
+++ b/features/path/not_run.feature
@@ -91,3 +91,14 @@
     Given the serving side of a node whose backend server never answers
     And its service is no longer in the settings
     Then a booking that reaches it is refused as not run
+
+  Scenario Outline: An attempt fails with an error that states no outcome
+    # Guards against refusing what may have run with the status for "not run".
+    Given a dispatcher with nodes that do fail
+    When <kind> request is dispatched
+    Then the caller gets an unknown outcome with the code internal
+
+    Examples:
+      | kind             |
+      | a non-idempotent |
+      | an idempotent    |
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -10,7 +10,7 @@
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
 
 from marjoramtide.clock import SystemClock
-from marjoramtide.errors import ErrorCode
+from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import (
     NotRunError,
     Request,
@@ -59,6 +59,8 @@
             raise NotRunError(
                 ErrorCode.STORE_UNAVAILABLE, "no claim", step="test", retry_after_ms=1000
             )
+        if what == "fail":
+            raise MarjoramtideError(ErrorCode.BAD_FRAME, "no outcome", step="test", peer=node)
         if what == "crash":
             raise UnknownOutcomeError(ErrorCode.BACKEND_FAILED, "crashed", step="test", peer=node)
         if what == "lose":
@@ -125,14 +127,16 @@
     state.selector = InOrderSelector(names, make_selector(SETTINGS, own, rng))
 
 
-def start(context: Any, remaining_s: float = 60.0) -> "asyncio.Task[Response]":
+def start(
+    context: Any, remaining_s: float = 60.0, *, is_idempotent: bool = True
+) -> "asyncio.Task[Response]":
     request = Request(
         "mapdesk",
         "GET",
         "/",
         (),
         urgent=False,
-        idempotent=True,
+        idempotent=is_idempotent,
         deadline=context.dispatcher.clock.monotonic() + remaining_s,
     )
     return asyncio.create_task(context.dispatcher.dispatch(request, inline_body(), SETTINGS))
@@ -152,6 +156,14 @@
     context.result = asyncio.run(work())
 
 
+@when("a non-idempotent request is dispatched")
+def dispatch_non_idempotent(context: Any) -> None:
+    async def work() -> Any:
+        return await wait_for(start(context, is_idempotent=False))
+
+    context.result = asyncio.run(work())
+
+
 @when("an idempotent request with {remaining:d} ms left is dispatched")
 def dispatch_with_deadline(context: Any, remaining: int) -> None:
     async def work() -> Any:
--- a/src/marjoramtide/ingress/_dispatcher.py
+++ b/src/marjoramtide/ingress/_dispatcher.py
@@ -177,6 +177,17 @@
             )
             late.decisions = attempts.decisions
             raise late from error
+        except MarjoramtideError as error:
+            if not attempts.count:
+                raise
+            # Not every error states an outcome. Without this, one that arises after an attempt was
+            # sent would be refused with the status for "not run".
+            raise UnknownOutcomeError(
+                ErrorCode.INTERNAL,
+                f"an attempt failed without an outcome: {error}",
+                step="ingress.dispatch",
+                peer=error.peer,
+            ) from error
 
     @asynccontextmanager
     async def time_limit(self, seconds: float) -> AsyncIterator[None]:
