Bytes without end from a backend server are read within bounds

Cause: the only bounds were on the head and on the buffered body; what is parsed and is neither had none. Class: a bound on what is kept in place of what is read.

Why it holds: each byte that is read is of the head, the body, or between them, and each of the three has a bound; a connection whose response has ended reads nothing more. A body that goes on can't be told from a long answer: it is read as fast as its caller takes it, until the deadline.

--- a/src/marjoramtide/serving/_backend_connection.py
+++ b/src/marjoramtide/serving/_backend_connection.py
@@ -87,9 +87,10 @@
         self.writable.set()
 
     def data_received(self, data: bytes) -> None:
-        if self.response is None:
+        if self.response is None or self.response.has_ended:
             # Unsolicited bytes would be parsed as the response to the next request and delivered
-            # to the wrong caller.
+            # to the wrong caller. Those after a response whose caller still reads would be parsed,
+            # if they don't end, for as long as that takes.
             self.abort(CloseReason.UNSOLICITED_DATA)
         else:
             self.response.feed(data)
--- a/src/marjoramtide/serving/_backend_response.py
+++ b/src/marjoramtide/serving/_backend_response.py
@@ -15,6 +15,12 @@
 log = structlog.get_logger()
 
 MAX_HEAD_BYTES = 64 * 1024
+# Bytes that frame a body: chunk sizes and extensions, trailers, and responses to other requests.
+MAX_FRAMING_BYTES = 64 * 1024
+# Chunks of one byte with a short extension each are still read.
+MAX_FRAMING_PER_BODY_BYTE = 16
+# More pieces of a body in the buffer are joined, since a short piece takes ten times its size.
+MAX_BUFFERED_PIECES = 64
 STATUSES_WITHOUT_BODY = (204, 304)
 IDLE_TIMEOUT = re.compile(r"\btimeout=([0-9]{1,6})\b", re.IGNORECASE)
 
@@ -65,6 +71,7 @@
         self.headers: list[tuple[str, str]] = []
         self.length: int | None = None
         self.head_bytes = 0
+        self.fed_bytes = 0
         self.has_head = False
         self.ends_at_close = False
         self.chunks: list[bytes] = []
@@ -115,21 +122,45 @@
         return data
 
     def feed(self, data: bytes) -> None:
-        """Parse bytes received on the connection."""
+        """Parse bytes received on the connection, up to the end of the response."""
+        rest = memoryview(data)
+        while rest and not self.has_ended:
+            size = len(rest) if self.has_head else MAX_HEAD_BYTES + 1 - self.head_bytes
+            piece, rest = rest[:size], rest[size:]
+            self.parse(piece)
+            self.check_bounds()
+        if rest:
+            self.is_reusable = False
+        self.wake()
+
+    def parse(self, piece: memoryview) -> None:
+        self.fed_bytes += len(piece)
         if not self.has_head:
-            self.head_bytes += len(data)
+            self.head_bytes += len(piece)
         try:
-            self.parser.feed_data(data)
+            self.parser.feed_data(piece)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # Extra bytes after a complete response prevent reuse of the connection only.
             self.is_reusable = False
             if not self.is_complete:
                 self.fail(ErrorCode.BACKEND_FAILED, f"{type(error).__name__}: {error}")
+
+    def check_bounds(self) -> None:
+        """Fail a response that goes on without a complete head, or without a body.
+
+        Failure: a server in trouble sends a chunk extension or trailers without end. Nothing of it
+        is body that a full buffer would stop, so all of it was parsed and kept until the deadline.
+        """
         if not self.has_head and self.head_bytes > MAX_HEAD_BYTES:
             self.fail(
                 ErrorCode.HEAD_TOO_LARGE, f"the response head is longer than {MAX_HEAD_BYTES} bytes"
             )
-        self.wake()
+        framing_bytes = self.fed_bytes - self.head_bytes - self.received_bytes
+        if framing_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self.received_bytes:
+            self.fail(
+                ErrorCode.BACKEND_FAILED,
+                f"{framing_bytes} bytes frame a body of {self.received_bytes} bytes",
+            )
 
     def server_closed(self) -> None:
         """Handle the server's orderly close, which ends a body without a stated length."""
@@ -209,6 +240,8 @@
     def on_body(self, data: bytes) -> None:
         if self.is_complete or self.is_stray:
             return
+        if len(self.chunks) >= MAX_BUFFERED_PIECES:
+            self.chunks = [b"".join(self.chunks)]
         self.chunks.append(data)
         self.buffered_bytes += len(data)
         self.received_bytes += len(data)
