--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint behave bench bench-hop bench-control bench-settings bench-fleet bench-quarantine experiment fuzz clean
+.PHONY: setup demo test lint behave bench bench-hop bench-control bench-settings bench-fleet bench-quarantine experiment fuzz soak clean
 
 setup: $(STAMP)
 
@@ -33,6 +33,10 @@
 fuzz: $(STAMP)
 	$(PY) -m bench.fuzz
 
+# SEED and SEEDS choose the plans: make soak SEED=7 SEEDS=3
+soak: $(STAMP)
+	$(PY) -m soak --first $(or $(SEED),1) --seeds $(or $(SEEDS),1)
+
 bench-control: $(STAMP)
 	$(PY) -m bench.control
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -10,6 +11,8 @@
 from soak import draw_plan, run_soak
 from soak._fleet import PROJECT_ROOT
 
+INTERRUPTED = 2
+
 
 def main() -> int:
     parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
@@ -20,6 +23,8 @@
     parser.add_argument("--source", type=Path, default=PROJECT_ROOT, help="checkout of the nodes")
     parser.add_argument("--logs", type=Path, help="a folder that keeps the processes' logs")
     options = parser.parse_args()
+    # The processes of a soak are also ended if it is asked to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(INTERRUPTED))
     broken = 0
     with tempfile.TemporaryDirectory() as temporary:
         for seed in range(options.first, options.first + options.seeds):
--- a/standins/backend/_connection.py
+++ b/standins/backend/_connection.py
@@ -7,10 +7,12 @@
 import httptools
 
 from standins.backend._request import Request
+from standins.backend._response import Response
 
 if TYPE_CHECKING:
     from standins.backend._server import BackendServer
 
+REPEAT_INTERVAL_S = 0.002
 CONNECTION_SETUP_S = 0.001  # connection setup time of the platform's servers
 
 
@@ -107,6 +109,9 @@
         if answer.hangs:
             self.transport.write(answer.encode(close=True))
             return
+        if answer.repeats:
+            await self.send_endlessly(answer)
+            return
         is_truncated = answer.sent_bytes is not None
         close = is_truncated or not request.keep_alive or self.server.faults.drain
         self.transport.write(answer.encode(close=close, head_only=request.method == "HEAD"))
@@ -114,3 +119,12 @@
             self.transport.close()
         else:
             self.start_next()
+
+    async def send_endlessly(self, answer: Response) -> None:
+        """Send a response and go on with its ``repeats`` until the connection is closed."""
+        assert self.transport is not None
+        self.transport.write(answer.encode(close=True))
+        while not self.transport.is_closing():
+            if not self.transport.get_write_buffer_size():
+                self.transport.write(answer.repeats)
+            await asyncio.sleep(REPEAT_INTERVAL_S)
--- a/standins/backend/_response.py
+++ b/standins/backend/_response.py
@@ -12,7 +12,8 @@
 
     A ``chunked`` response does not state its length (RFC 9112, section 7.1); one that is not
     ``framed`` ends with its connection (section 6.3). After one that ``hangs``, the connection
-    stays open and nothing more is sent.
+    stays open and nothing more is sent. After one with ``repeats``, these bytes are sent again and
+    again until the connection is closed.
     """
 
     status: int
@@ -22,6 +23,7 @@
     chunked: bool = False
     framed: bool = True
     hangs: bool = False
+    repeats: bytes = b""
 
     def encode(self, *, close: bool, head_only: bool = False) -> bytes:
         """Return the bytes to send; ``Content-Length`` is always that of the whole body."""
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -14,6 +14,7 @@
 SEAL_PREFIX = "seal-"
 SERVICE_UNAVAILABLE = 503
 HEALTH_PATH = "/health"
+ENDLESS_PIECE = b"x" * 65536
 
 
 @attrs.frozen(slots=True)
@@ -31,8 +32,9 @@
     load of its neighbours. The next ``rejections`` requests are rejected. The next
     ``duplicate_responses`` responses, to rejected requests too, are each sent twice, and the
     next ``unsealed_responses`` successful ones have no seal. The next requests that run get the
-    ``own_statuses``, with seal and body as always. While ``sends_halves``, of each
-    successful response only the head and half of the body are sent; ``is_framed`` is whether
+    ``own_statuses``, with seal and body as always. The next ``endless_responses`` to POST
+    requests have no length and go on until their connection is closed. While ``sends_halves``, of
+    each successful response only the head and half of the body are sent; ``is_framed`` is whether
     responses state their length.
 
     ``executed_headers`` holds the headers of each request that ran, ``received`` each request that
@@ -50,6 +52,7 @@
     rejections = 0
     duplicate_responses = 0
     unsealed_responses = 0
+    endless_responses = 0
     sends_halves = False
     is_framed = True
     cold_until: float | None = None
@@ -122,6 +125,9 @@
             self.unsealed_responses -= 1
         else:
             response.headers["X-Response-Seal"] = SEAL_PREFIX + attempt
+        if self.endless_responses and request.method == "POST":
+            self.endless_responses -= 1
+            response.framed, response.repeats = False, ENDLESS_PIECE
         if self.sends_halves:
             response.framed, response.hangs = self.is_framed, True
             response.sent_bytes = len(response.body) // 2
