--- a/features/bench/soak.feature
+++ b/features/bench/soak.feature
@@ -17,7 +17,7 @@
       | non-idempotent | 1    | 200    | its own         | nothing |
       | non-idempotent | 2    | 200    | its own         | TWICE   |
       | non-idempotent | 1    | 200    | no answer of it | MIXED   |
-      | idempotent     | 1    | 503    | no answer of it | nothing |
+      | idempotent     | 1    | 503    | no answer of it | UNTRUE  |
       | idempotent     | 2    | 200    | its own         | nothing |
 
   Scenario: A seed gives one plan
--- a/soak/_judge.py
+++ b/soak/_judge.py
@@ -34,7 +34,10 @@
 
 
 def judge(callers: Iterable[CallerRecord], servers: Iterable[ServerRecord]) -> list[Violation]:
-    """Return the violations: refused and ran, ran twice, and answers that are not one's own."""
+    """Return the violations: refused and ran, ran twice, and answers that are not one's own.
+
+    A lookup that was refused and had run is harmless, but its caller was not told the truth.
+    """
     by_attempt: dict[str, tuple[ServerRecord, ...]] = {
         attempt: tuple(events)
         for attempt, events in itertools.groupby(
@@ -53,8 +56,8 @@
     """Return the names of the promises that were broken for one request."""
     runs = sum(event.event == "run" for event in events)
     broken = []
-    if not caller.idempotent and runs and caller.status in PROMISES:
-        broken.append("REFUSED")
+    if runs and caller.status in PROMISES:
+        broken.append("UNTRUE" if caller.idempotent else "REFUSED")
     if not caller.idempotent and runs > 1:
         broken.append("TWICE")
     if 200 <= caller.status < 300 and caller.is_whole and not caller.is_own:
