Soak: disturbed links between nodes, through proxies, where they are added

Nodes are started by a module that sends their connections to other nodes through proxies in the soak's process; the links to a node are reset, fall silent, are cut, or deliver late.

--- a/soak/_fault.py
+++ b/soak/_fault.py
@@ -32,6 +32,15 @@
     "settings": "another configuration is written",
     "burst": "callers send three times as much",
 }
+# Disturbed connections from other nodes to one node. They are drawn only where they are added, so
+# that a plan without them stays as it is.
+LINK_FAULTS = {
+    "link-reset": "reset",
+    "link-silence": "open connections fall silent, new ones work",
+    "link-cut": "nothing passes, on new connections either",
+    "link-hold": "what is sent arrives later",
+}
+LINKS = "links"
 
 
 @attrs.frozen(slots=True)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -15,7 +15,8 @@
 from aiohttp import web
 
 from soak._callers import HOST_NAME
-from soak._fault import Fault
+from soak._fault import LINK_FAULTS, Fault
+from soak._link_proxy import LinkProxy
 from soak._plan import SoakPlan
 from soak._records import ServerRecord
 from soak._server import ServerOptions
@@ -64,6 +65,7 @@
         self.store = PlatformStoreServer()
         self.runner = web.AppRunner(self.store.app(), access_log=None, shutdown_timeout=0.2)
         self.hosts: list[Host] = []
+        self.proxies: list[LinkProxy] = []
         self.processes: list[asyncio.subprocess.Process] = []
         self.version = 4
 
@@ -74,6 +76,9 @@
         self.store_url = "http://{}:{}".format(*self.runner.addresses[0][:2])
         self.configure(1500)
         self.hosts = [self.make_host(each, name) for each, name in enumerate(self.plan.services)]
+        if any(fault.kind in LINK_FAULTS for fault in self.plan.faults):
+            self.proxies = [LinkProxy(host.settings["peers"]) for host in self.hosts]
+            await asyncio.gather(*(proxy.start(self.host) for proxy in self.proxies))
         for host in self.hosts:
             await self.start_node(host)
             await self.start_server(host)
@@ -84,6 +89,7 @@
         for process in self.processes:
             send_signal(process, signal.SIGKILL)
         await asyncio.gather(*(process.wait() for process in self.processes))
+        await asyncio.gather(*(proxy.close() for proxy in self.proxies))
         self.store.state.compact_history()
         await self.runner.cleanup()
 
@@ -144,7 +150,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "PYTHONPATH": f"{root / 'src'}:{root}"},
+                env={**os.environ, "PYTHONPATH": f"{root / 'src'}:{PROJECT_ROOT}"},
             )
         self.processes.append(process)
         return process
@@ -152,6 +158,9 @@
     async def start_node(self, host: Host) -> None:
         settings = str(self.folder / f"node-{host.number}.toml")
         arguments = ["marjoramtide.daemon.main", "--settings", settings]
+        if self.proxies:
+            proxies = json.dumps({proxy.target: proxy.listen for proxy in self.proxies})
+            arguments[:1] = ["soak._node", proxies]
         host.node = await self.spawn(f"node-{host.number}", arguments, self.source)
 
     async def start_server(self, host: Host) -> None:
@@ -203,6 +212,9 @@
         """Bring a fault from outside about, and undo it."""
         host = self.hosts[fault.target]
         match fault.kind:
+            case kind if kind in LINK_FAULTS:
+                how = kind.removeprefix("link-")
+                await self.proxies[fault.target].disturb(how, fault.for_s)
             case "server-kill" | "server-drain":
                 number = signal.SIGKILL if fault.kind == "server-kill" else signal.SIGTERM
                 await self.end(host.server, number)
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -4,12 +4,13 @@
 
 import attrs
 
-from soak._fault import PROCESS_FAULTS, SERVER_FAULTS, Fault
+from soak._fault import LINK_FAULTS, LINKS, PROCESS_FAULTS, SERVER_FAULTS, Fault
 
 SECONDS = 16.0
 MIN_SERVER_FAULTS, MAX_SERVER_FAULTS = 6, 14
 MIN_PROCESS_FAULTS, MAX_PROCESS_FAULTS = 2, 8
 MAX_SPREAD_FAULTS = 3
+MIN_LINK_FAULTS, MAX_LINK_FAULTS = 4, 12
 ADDED_SHARE = 0.06
 
 
@@ -37,7 +38,8 @@
     """Return the plan of a seed.
 
     Faults of the kinds in ``without`` are drawn and then left out. All servers have those in
-    ``added`` in a small share of their requests for the whole load, besides what is drawn.
+    ``added`` in a small share of their requests for the whole load, besides what is drawn;
+    ``links`` among them adds disturbed links between nodes.
     """
     rng = random.Random(f"soak {seed}")
     services = ("pay",) * rng.choice((1, 2, 3)) + ("up",) * rng.choice((1, 2)) + ("board",) * 2
@@ -55,10 +57,12 @@
     ]
     faults += [
         Fault(kind, 0.0, SECONDS, host, ADDED_SHARE)
-        for kind in sorted(added)
+        for kind in sorted(added - {LINKS})
         for host in range(len(services))
     ]
     faults += [draw_process_fault(rng, kind, len(services)) for kind in process_kinds]
+    if LINKS in added:
+        faults += draw_link_faults(random.Random(f"links {seed}"), len(services))
     return SoakPlan(
         seed=seed,
         services=services,
@@ -90,6 +94,14 @@
     return [Fault(kind, at_s, for_s, host, share) for host in range(hosts)]
 
 
+def draw_link_faults(rng: random.Random, hosts: int) -> list[Fault]:
+    """Return disturbances of the links to single nodes."""
+    return [
+        draw_process_fault(rng, rng.choice(sorted(LINK_FAULTS)), hosts)
+        for _ in range(rng.randint(MIN_LINK_FAULTS, MAX_LINK_FAULTS))
+    ]
+
+
 def draw_process_fault(rng: random.Random, kind: str, hosts: int) -> Fault:
     """Return a fault from outside, in the middle of the load."""
     return Fault(kind, rng.uniform(1, SECONDS * 0.75), rng.uniform(0.3, 3), rng.randrange(hosts))
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -9,7 +9,7 @@
 import attrs
 
 from soak._callers import Callers
-from soak._fault import PROCESS_FAULTS
+from soak._fault import LINK_FAULTS, PROCESS_FAULTS, Fault
 from soak._fleet import PROJECT_ROOT, SoakFleet
 from soak._judge import Violation, judge
 from soak._plan import SoakPlan
@@ -50,7 +50,7 @@
             [host.settings["callers"] for host in fleet.hosts], random.Random(plan.seed), plan.seed
         )
         started_at = time.monotonic()
-        faults = [each for each in plan.faults if each.kind in PROCESS_FAULTS]
+        faults = [each for each in plan.faults if each.kind in PROCESS_FAULTS | LINK_FAULTS]
         injected = [
             asyncio.create_task(inject_at(fleet, each, started_at + each.at_s)) for each in faults
         ]
@@ -70,7 +70,7 @@
         )
 
 
-async def inject_at(fleet: SoakFleet, fault, at: float) -> None:  # type: ignore[no-untyped-def]
+async def inject_at(fleet: SoakFleet, fault: Fault, at: float) -> None:
     """Bring a fault about at a time of the monotonic clock."""
     await asyncio.sleep(max(0.0, at - time.monotonic()))
     await fleet.inject(fault)
