--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -28,6 +28,8 @@
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 8.0
 SERVER_START_S = 0.4
+# Until the load has a start, servers are told one so late that none of their faults is in force.
+NO_LOAD_S = 1e6
 WORK_MS = {"pay": 60.0, "up": 90.0, "board": 40.0}
 # Path prefix, service, kind and the number of backend servers that one attempt may reach.
 ROUTES = (
@@ -54,6 +56,7 @@
     """Nodes of one source tree beside servers, which are all ended at the end of the block.
 
     ``source`` is the checkout whose ``src`` the nodes run; the stand-ins are always this one's.
+    ``epoch`` is the start of the load in Unix seconds.
     """
 
     def __init__(self, plan: SoakPlan, folder: Path, source: Path = PROJECT_ROOT) -> None:
@@ -61,7 +64,7 @@
         self.folder = folder
         self.source = source
         self.host = loopback_host()
-        self.epoch = time.time() + 1e6
+        self.epoch = time.time() + NO_LOAD_S
         self.store = PlatformStoreServer()
         self.runner = web.AppRunner(self.store.app(), access_log=None, shutdown_timeout=0.2)
         self.hosts: list[Host] = []
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -15,6 +15,7 @@
 from soak._plan import SoakPlan
 
 START_S = 1.0
+SERVER_RESTART_S = 0.2
 # Servers record what runs for this long after the last answer.
 AFTER_S = 4.0
 BURST_FACTOR = 3
@@ -43,22 +44,11 @@
 async def run_soak(plan: SoakPlan, folder: Path, source: Path = PROJECT_ROOT) -> SoakResult:
     """Play a plan; ``folder`` keeps the processes' logs."""
     async with SoakFleet(plan, folder, source) as fleet:
-        fleet.epoch = time.time() + START_S + 0.2 * len(plan.services)
-        await fleet.restart_servers()
-        await asyncio.sleep(max(0.0, fleet.epoch - time.time()))
+        await start_load_clock(fleet)
         callers = Callers(
             [host.settings["callers"] for host in fleet.hosts], random.Random(plan.seed), plan.seed
         )
-        started_at = time.monotonic()
-        faults = [each for each in plan.faults if each.kind in PROCESS_FAULTS | LINK_FAULTS]
-        injected = [
-            asyncio.create_task(inject_at(fleet, each, started_at + each.at_s)) for each in faults
-        ]
-        await send_load(plan, callers, started_at)
-        await asyncio.wait(
-            callers.tasks or {asyncio.create_task(asyncio.sleep(0))}, timeout=CALLERS_TIMEOUT_S
-        )
-        await asyncio.gather(*injected)
+        await play_load(plan, fleet, callers)
         await asyncio.sleep(AFTER_S)
         events = fleet.server_records()
         return SoakResult(
@@ -70,6 +60,27 @@
         )
 
 
+async def start_load_clock(fleet: SoakFleet) -> None:
+    """Tell all servers when the load starts, by which their faults begin, and wait for it."""
+    fleet.epoch = time.time() + START_S + SERVER_RESTART_S * len(fleet.hosts)
+    await fleet.restart_servers()
+    await asyncio.sleep(max(0.0, fleet.epoch - time.time()))
+
+
+async def play_load(plan: SoakPlan, fleet: SoakFleet, callers: Callers) -> None:
+    """Send the load while faults are injected, and wait for the answers and the last fault."""
+    started_at = time.monotonic()
+    injected = [
+        asyncio.create_task(inject_at(fleet, each, started_at + each.at_s))
+        for each in plan.faults
+        if each.kind in PROCESS_FAULTS | LINK_FAULTS
+    ]
+    await send_load(plan, callers, started_at)
+    if callers.tasks:
+        await asyncio.wait(callers.tasks, timeout=CALLERS_TIMEOUT_S)
+    await asyncio.gather(*injected)
+
+
 async def inject_at(fleet: SoakFleet, fault: Fault, at: float) -> None:
     """Bring a fault about at a time of the monotonic clock."""
     await asyncio.sleep(max(0.0, at - time.monotonic()))
