Soak: answers are read while their request is still sent, and have a type

An answer that came before a long body was sent whole was lost where the caller's time was over meanwhile.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
 
-from soak import CallerRecord, ServerRecord, draw_plan, judge, run_soak
+from soak import CallerRecord, ReceivedAnswer, ServerRecord, draw_plan, judge, run_soak
 
 use_step_matcher("parse")
 
@@ -18,9 +18,8 @@
 @given("a {kind} request that ran {runs:d} times and got {status:d}, {own}")
 def given_request(context: Any, kind: str, runs: int, status: int, own: str) -> None:
     is_idempotent, is_own = kind == "idempotent", own == "its own"
-    context.callers = [
-        CallerRecord(ATTEMPT, 0, "booking", is_idempotent, 0.0, 1.0, status, True, is_own)
-    ]
+    answer = ReceivedAnswer(status, is_whole=True, is_own=is_own)
+    context.callers = [CallerRecord(ATTEMPT, 0, "booking", is_idempotent, 0.0, 1.0, answer)]
     context.servers = [ServerRecord(0.5, "i-1", "run", ATTEMPT) for _ in range(runs)]
     context.servers.append(ServerRecord(0.6, "i-1", "run", "another"))
 
--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -4,11 +4,12 @@
 from soak._judge import Violation, judge
 from soak._plan import SoakPlan, draw_plan
 from soak._play import SoakResult, run_soak
-from soak._records import CallerRecord, ServerRecord
+from soak._records import CallerRecord, ReceivedAnswer, ServerRecord
 
 __all__ = [
     "CallerRecord",
     "Fault",
+    "ReceivedAnswer",
     "ServerRecord",
     "SoakPlan",
     "SoakResult",
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -9,13 +9,16 @@
 import attrs
 
 from soak._answers import SEAL_HEADER, expected_body, expected_seal
-from soak._records import CallerRecord
+from soak._records import CallerRecord, ReceivedAnswer
 
 HOST_NAME = "soak.example"
 LOOKUP_SHARE = 0.3
 LEAVING_SHARE = 0.04
 OWN_CONNECTION_SHARE = 0.3
 PIECES = 8
+SEND_ON_S = 0.5
+OK_STATUS = 200
+TEXT_BYTES = 80
 
 
 @attrs.frozen(slots=True)
@@ -76,28 +79,28 @@
         """Send one request and record what came of it."""
         sent_at = time.time()
         timeout_s = kind.deadline_ms / 1000 + 0.5 if leaves_after_s is None else leaves_after_s
-        answer = {}
         try:
             async with asyncio.timeout(timeout_s):
                 answer = await self.exchange(kind, attempt, node)
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
-            answer = {"text": type(error).__name__}
+            answer = ReceivedAnswer(text=type(error).__name__)
         self.records.append(
-            CallerRecord(attempt, node, kind.name, kind.idempotent, sent_at, time.time(), **answer)
+            CallerRecord(attempt, node, kind.name, kind.idempotent, sent_at, time.time(), answer)
         )
 
-    async def exchange(self, kind: CallKind, attempt: str, node: int) -> dict:
-        """Return the fields of the record that tell of the answer."""
+    async def exchange(self, kind: CallKind, attempt: str, node: int) -> ReceivedAnswer:
+        """Send a request on a connection to a node and return the answer."""
         reader, writer = await self.connect(node)
+        sending = asyncio.create_task(send_request(writer, kind, attempt))
         is_reusable = False
         try:
-            await asyncio.gather(
-                send_request(writer, kind, attempt),
-                answer := asyncio.ensure_future(read_answer(reader, attempt)),
-            )
-            fields, is_reusable = answer.result()
-            return fields
+            answer, is_reusable = await read_answer(reader, attempt)
+            # Callers go on sending a body that was answered early, but not for ever.
+            await asyncio.wait([sending], timeout=SEND_ON_S)
+            is_reusable = is_reusable and sending.done()
+            return answer
         finally:
+            sending.cancel()
             if is_reusable:
                 self.idle.setdefault(node, []).append((reader, writer))
             else:
@@ -137,30 +140,30 @@
             writer.write(b"0\r\n\r\n")
 
 
-async def read_answer(reader: asyncio.StreamReader, attempt: str) -> tuple[dict, bool]:
-    """Read an answer; return the record's fields and whether the connection may be kept."""
+async def read_answer(reader: asyncio.StreamReader, attempt: str) -> tuple[ReceivedAnswer, bool]:
+    """Read an answer; return it, and whether its connection may be kept."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     status = int(head[0].split(" ")[1])
     fields = (line.partition(":") for line in head[1:] if line)
     headers = {name.lower(): value.strip() for name, _, value in fields}
-    record = {"status": status, "is_whole": False, "is_own": False, "text": ""}
-    body = b""
     try:
-        if headers.get("transfer-encoding", "").lower() == "chunked":
-            while size := int(await reader.readuntil(b"\r\n"), 16):
-                body += await reader.readexactly(size)
-                await reader.readuntil(b"\r\n")
-            await reader.readuntil(b"\r\n")
-        else:
-            body = await reader.readexactly(int(headers["content-length"]))
+        body = await read_body(reader, headers)
     except (OSError, asyncio.IncompleteReadError, KeyError):
-        return record, False
-    is_own = body == expected_body(attempt) and headers.get(SEAL_HEADER.lower()) == expected_seal(
-        attempt
-    )
-    record |= {
-        "is_whole": True,
-        "is_own": is_own,
-        "text": "" if is_own else body[:80].decode("latin-1"),
-    }
-    return record, headers.get("connection", "").lower() != "close" and status == 200
+        return ReceivedAnswer(status, text="cut off"), False
+    has_own_seal = headers.get(SEAL_HEADER.lower()) == expected_seal(attempt)
+    is_own = has_own_seal and body == expected_body(attempt)
+    text = "" if is_own else body[:TEXT_BYTES].decode("latin-1")
+    may_keep = status == OK_STATUS and headers.get("connection", "").lower() != "close"
+    return ReceivedAnswer(status, is_whole=True, is_own=is_own, text=text), may_keep
+
+
+async def read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
+    """Read the body of an answer to its end by its own framing."""
+    if headers.get("transfer-encoding", "").lower() != "chunked":
+        return await reader.readexactly(int(headers["content-length"]))
+    body = b""
+    while size := int(await reader.readuntil(b"\r\n"), 16):
+        body += await reader.readexactly(size)
+        await reader.readuntil(b"\r\n")
+    await reader.readuntil(b"\r\n")
+    return body
--- a/soak/_judge.py
+++ b/soak/_judge.py
@@ -24,8 +24,8 @@
         each = self.caller
         first = (
             f"{self.promise}: {each.attempt} {each.kind} by node {each.node}, sent "
-            f"{each.sent_at - started_at:.3f} s, status {each.status} "
-            f"{each.ended_at - started_at:.3f} s {each.text!r}"
+            f"{each.sent_at - started_at:.3f} s, status {each.answer.status} "
+            f"{each.ended_at - started_at:.3f} s {each.answer.text!r}"
         )
         return [first] + [
             f"    {event.at - started_at:.3f} s  {event.instance} {event.event} {event.detail}"
@@ -54,12 +54,13 @@
 
 def broken_promises(caller: CallerRecord, events: tuple[ServerRecord, ...]) -> list[str]:
     """Return the names of the promises that were broken for one request."""
+    answer = caller.answer
     runs = sum(event.event == "run" for event in events)
     broken = []
-    if runs and caller.status in PROMISES:
+    if runs and answer.status in PROMISES:
         broken.append("UNTRUE" if caller.idempotent else "REFUSED")
     if not caller.idempotent and runs > 1:
         broken.append("TWICE")
-    if 200 <= caller.status < 300 and caller.is_whole and not caller.is_own:
+    if 200 <= answer.status < 300 and answer.is_whole and not answer.is_own:
         broken.append("MIXED")
     return broken
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -54,7 +54,7 @@
         return SoakResult(
             plan,
             tuple(judge(callers.records, events)),
-            Counter(each.status for each in callers.records),
+            Counter(each.answer.status for each in callers.records),
             Counter(each.event for each in events),
             fleet.epoch,
         )
