--- a/features/path/endless_answers.feature
+++ b/features/path/endless_answers.feature
@@ -11,9 +11,9 @@
 
     Examples:
       | begin                          | rest                               |
-      | "{0}"                        | \x00\x01\xff                       |
-      | "{0}"                        | \r\n                               |
-      | "{0}"                        | HTTP/1.1 100 Continue\r\n\r\n      |
+      | "{0}"                          | \x00\x01\xff                       |
+      | "{0}"                          | \r\n                               |
+      | "{0}"                          | HTTP/1.1 100 Continue\r\n\r\n      |
       | "HTTP/1.1 200 "                | O                                  |
       | "HTTP/1.1 200 OK\r\n"          | A: b\r\n                           |
       | "HTTP/1.1 200 OK\r\n"          | A                                  |
@@ -72,7 +72,7 @@
 
     Examples:
       | begin                                                           | rest                          |
-      | "{0}"                                                            | HTTP/1.1 100 Continue\r\n\r\n |
+      | "{0}"                                                           | HTTP/1.1 100 Continue\r\n\r\n |
       | "HTTP/1.1 200 OK\r\nA: "                                        | a                             |
       | "HTTP/1.1 200 OK\r\n\r\n"                                       | hello                         |
       | "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: " | a                             |
--- a/soak/_fault.py
+++ b/soak/_fault.py
@@ -6,7 +6,7 @@
 SERVER_FAULTS = {
     "late": "an answer is sent a second time, where the connection's next answer is expected",
     "shed": "rejected as not run",
-    "unstated": "run, and answered 503 or 429 without a statement that it has not run",
+    "unstated": "run, and answered 408, 429 or 503 without a statement that it has not run",
     "errors": "run, and answered 500",
     "lost": "run, and the connection is reset, closed or left silent in place of an answer",
     "cut": "run, and the answer breaks off",
