--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -50,6 +50,11 @@
         self.record(kind, item, False)
         return self.revision
 
+    def remove(self, kind, name):
+        """Remove an object as the operator."""
+        self.revision += 1
+        self.record(kind, self.objects[kind].pop(name), True)
+
     def record(self, kind, item, removed):
         self.history.append((self.revision, kind, item, removed))
         self.changed.set()
@@ -108,8 +113,7 @@
         if wanted is not None and int(wanted) != existing["Metadata"]["Revision"]:
             return self.reply(409, existing)
         if method == "DELETE":
-            self.revision += 1
-            self.record(kind, self.objects[kind].pop(name), True)
+            self.remove(kind, name)
             return self.reply(200, {})
         self.put(kind, name, body["Specification"])
         return self.reply(200, self.objects[kind][name])
