review: a script that can't run exits with 2; ports are looked at on all addresses

An exception ended a script with 1, which says that the rule was broken; ports were tried on one address of forty.

--- a/review/6/run.py
+++ b/review/6/run.py
@@ -7,7 +7,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "..", "target", "review-2"))
 
-from cluster import Client, Cluster, configuration, route  # noqa: E402
+from cluster import Client, Cluster, configuration, route, run_case  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "jepu9.example"
@@ -85,6 +85,6 @@
 
 
 if __name__ == "__main__":
-    code = asyncio.run(main())
+    code = run_case(main)
     sys.stdout.flush()
-    os._exit(code)  # connections that the silent store keeps open are not waited for
+    os._exit(code)  # connections that the store keeps open are not waited for
--- a/review/standins2/cluster.py
+++ b/review/standins2/cluster.py
@@ -36,6 +36,9 @@
     "RecoveryS": 15,
     "ProbesPerS": 60,
 }
+# The template of the deploy file names this port itself.
+METRICS_PORT = 9464
+MAX_RUN_S = 112
 PORTS = ("inbound", "outbound", "ready", "control", "app", "inner", "store")
 
 
@@ -204,6 +207,11 @@
     return (unit * (size // len(unit) + 1))[:size]
 
 
+def addresses_of(number):
+    """Return the loopback addresses of a machine and of its way to the store."""
+    return f"127.77.0.{number + 1}", f"127.78.0.{number + 1}"
+
+
 class Machine:
     """A machine: its addresses, its node process and its backend server."""
 
@@ -213,8 +221,7 @@
         self.zone = zone
         self.service = service
         self.ports = ports
-        self.ip = f"127.77.{number // 200}.{number % 200 + 1}"
-        self.store_ip = f"127.78.{number // 200}.{number % 200 + 1}"
+        self.ip, self.store_ip = addresses_of(number)
         self.settings = os.path.join(folder, f"{self.name}.toml")
         self.output = os.path.join(folder, f"{self.name}.log")
         self.process = None
@@ -283,7 +290,8 @@
         self.log = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.bounds = BOUNDS | (bounds or {})
-        base = free_ports()
+        numbers = range(1, len(layout) + 1)
+        base = free_ports([each for number in numbers for each in addresses_of(number)])
         ports = {name: base + offset for offset, name in enumerate(PORTS)}
         ports["inner"] = base + 20
         self.machines = [
@@ -327,17 +335,42 @@
         self.log.file.close()
 
 
-def free_ports():
-    """Return the first of 40 ports that are free on the addresses used here."""
+def run_case(main):
+    """Return a case's exit status; 2 if it couldn't run, or not within its time."""
+    try:
+        return asyncio.run(asyncio.wait_for(run_quietly(main), MAX_RUN_S))
+    except Exception as error:
+        print(f"couldn't run: {error!r}")
+        return 2
+
+
+async def run_quietly(main):
+    """Run a case; connections of stand-ins that end with it are not reported."""
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    return await main()
+
+
+def free_ports(addresses):
+    """Return the first of 40 ports that are free, by TCP and UDP, on all of these addresses."""
+    for address in addresses:
+        check_free(address, METRICS_PORT)
     for base in random.sample(range(20000, 31000, 50), 40):
         try:
-            for port in range(base, base + 40):
-                with socket.socket() as probe:
-                    probe.bind(("127.77.0.2", port))
+            for address in addresses:
+                for port in range(base, base + 40):
+                    check_free(address, port)
             return base
         except OSError:
             continue
-    raise SystemExit(2)
+    raise OSError("no free ports")
+
+
+def check_free(address, port):
+    """Raise ``OSError`` if a port of an address is in use."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, kind == socket.SOCK_STREAM)
+            probe.bind((address, port))
 
 
 class Client:
