A fleet whose watchers hear nothing from the store learns of a change by checks of any node

Cause: what a node holds of the store was taken for current because nobody contradicted it. Six nodes watch; a watch whose answer is lost waits for 32 s, and looks like one without news. All others ask a peer that is current itself, and never the store.

Mend: one node asks for the store's version each 1.05 s, reads the settings anew if it has moved, and tells all. A check passes an open circuit breaker and does not count there. store.check_age_s shows that the store is read.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -77,6 +77,8 @@
 from marjoramtide.settings import decode_envelope, parse_tree
 from marjoramtide.settings.sync._peer_settings import decode_pull_response
 from marjoramtide.store import CallOutcome, StoredObject, StoreResponse
+from marjoramtide.storecheck import CheckBulletin, is_check_bulletin
+from marjoramtide.storecheck._check_bulletin import unpack_check_bulletin
 from standins.mesh import Mesh, MeshNode, make_plan
 from standins.raw_caller import read_response
 
@@ -285,6 +287,8 @@
         unpack_suspect_reports(fields)
     elif is_store_bulletin(fields):
         unpack_store_bulletin(fields)
+    elif is_check_bulletin(fields):
+        unpack_check_bulletin(fields)
     elif is_claim_bulletin(fields):
         unpack_claim(fields)
     elif is_quota_bulletin(fields):
@@ -410,6 +414,7 @@
         "reports": (read_news, cbor2.dumps([5, *report_fields(STATING_REPORT)])),
         "news": (read_news, news),
         "store news": (read_news, cbor2.dumps([5, *evacuated.pack()])),
+        "checks": (read_news, cbor2.dumps([5, *CheckBulletin(7, 0.2).pack()])),
         "quotas": (read_news, cbor2.dumps([5, *TokenRequest(7, "acme", 3, 1).pack()])),
         "tokens": (read_news, cbor2.dumps([5, *TokenGrant(7, 3, 50).pack()])),
         "proofs": (read_proof, encode(ReplyMessage(7, PROOF, "", ""))),
--- a/features/platform/object_store.feature
+++ b/features/platform/object_store.feature
@@ -137,6 +137,25 @@
     Then the store has seen 7 reads
     And the node can read again
 
+  Scenario: A check of the store is sent though the circuit breaker is open
+    # The store is back after an outage, and each node pauses for up to 5 s before it calls again.
+    # Nobody hears of a change until the first pause ends.
+    Given an object store
+    When the store is in mode "drop"
+    And the node reads 5 times with a timeout of 0.3 s
+    And the node checks the store 2 times
+    Then the store has seen 7 reads
+    When the store is in mode "up"
+    And the node checks the store 1 time
+    Then the node can read again
+
+  Scenario: Checks of the store that fail do not open the circuit breaker
+    Given an object store
+    When the store is in mode "drop"
+    And the node checks the store 8 times
+    And the store is in mode "up"
+    Then the node can read again
+
   Scenario: Calls with short deadlines do not open the circuit breaker
     The store is healthy and responds after 100 ms. Calls with shorter deadlines fail, which says
     nothing about the store; a circuit breaker opened by them would fail the calls of everyone.
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,6 +1,7 @@
 """Steps for the client of the object store."""
 
 import asyncio
+from contextlib import suppress
 from typing import Any
 
 from behave import given, then, when
@@ -170,6 +171,17 @@
     context.codes = [context.store.run(read_code(context.node, seconds)) for _ in range(count)]
 
 
+@when("the node checks the store {count:d} time")
+@when("the node checks the store {count:d} times")
+def when_checks(context: Any, count: int) -> None:
+    async def check() -> None:
+        for _ in range(count):
+            with suppress(MarjoramtideError):
+                await context.node.current_version(timeout=0.3)
+
+    context.store.run(check())
+
+
 @when("the node reads {count:d} times at once")
 def when_reads_at_once(context: Any, count: int) -> None:
     async def read_all() -> list[str]:
--- a/src/marjoramtide/daemon/_gauges.py
+++ b/src/marjoramtide/daemon/_gauges.py
@@ -37,6 +37,8 @@
         "evacuations": len(node.evacuations.in_force),
         "store.epoch": node.store.epoch,
         "store.calls": node.store.calls_made,
+        "store.check_age_s": node.store_checker.age_s,
+        "store.checks": node.store_checker.own_checks,
         "store.unreadable": node.store.unreadable,
         "log.lines_lost": log_output.lost_lines,
         "freezes": node.freeze_detector.count,
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -49,6 +49,7 @@
 from marjoramtide.settings.sync import make_settings_service
 from marjoramtide.sockets import AppServer
 from marjoramtide.store import open_object_store
+from marjoramtide.storecheck import make_store_checker
 from marjoramtide.telemetry import (
     Metrics,
     Tracer,
@@ -116,6 +117,14 @@
             interface.tree.is_writable,
             self.evacuations_changed,
         )
+        self.store_checker = make_store_checker(
+            self.store,
+            self.membership,
+            self.membership.publish,
+            self.clock,
+            rng,
+            (follower.read_changes,),
+        )
         self.idempotency_dispatcher = IdempotencyKeyDispatcher(self.claims, self.view, self.clock)
         self.quarantine = make_quarantine_service(
             settings.key, self.membership, self.membership.publish, self.clock, rng, self.metrics
@@ -210,6 +219,7 @@
             self.dispatcher,
             self.quarantine,
             self.evacuations,
+            self.store_checker,
             self.claims,
             self.quotas,
             rng,
@@ -253,6 +263,7 @@
             "quarantine": self.quarantine.run,
             "witness reporter": self.witness_reporter.run,
             "evacuations": self.evacuations.run,
+            "store checks": self.store_checker.run,
         }
         if self.interface.uses_idempotency_keys:
             loops |= self.claim_tasks()
--- a/src/marjoramtide/daemon/_node_bulletins.py
+++ b/src/marjoramtide/daemon/_node_bulletins.py
@@ -17,6 +17,7 @@
 from marjoramtide.policy import BulletinRoutes
 from marjoramtide.quarantine import QuarantineService, is_quarantine_bulletin
 from marjoramtide.quota import QuotaService, is_quota_bulletin
+from marjoramtide.storecheck import StoreChecker, is_check_bulletin
 
 log = structlog.get_logger()
 
@@ -32,6 +33,7 @@
     dispatcher: Dispatcher
     quarantine: QuarantineService
     evacuations: EvacuationService
+    store_checker: StoreChecker
     claims: Claims
     quotas: QuotaService
     rng: random.Random
@@ -65,6 +67,8 @@
             self.quarantine.handle_bulletin(member, fields)
         elif is_store_bulletin(fields):
             self.evacuations.merge_state(fields, member.node)
+        elif is_check_bulletin(fields):
+            self.store_checker.handle_bulletin(member, fields)
         elif is_quota_bulletin(fields):
             self.quotas.handle_bulletin(member, fields)
         elif is_claim_bulletin(fields):
--- a/src/marjoramtide/settings/sync/_follower.py
+++ b/src/marjoramtide/settings/sync/_follower.py
@@ -262,11 +262,15 @@
         if response.proof_age_s is not None and response.revision == self.view.revision:
             self.freshness.record_proof(asked_at - response.proof_age_s)
 
-    async def renew_proof_from_store(self) -> None:
-        """Read the store to renew the proof; raises the store's errors."""
+    async def read_changes(self, source: str = "check") -> None:
+        """Read the store and apply a newer tree; raises the store's errors.
+
+        Where the tree there is the newest one, this renews the proof.
+        """
         asked_at = self.clock.monotonic()
         stored = await self.trees.read(PROOF_TIMEOUT_S)
-        if stored is None or not self.applier.apply(stored.envelope, "store"):
+        await self._wait_for_peers()
+        if stored is None or not self.applier.apply(stored.envelope, source):
             return
         if stored.envelope.revision >= self.view.revision:
             self.freshness.record_caught_up(asked_at)
--- a/src/marjoramtide/settings/sync/_proof_renewer.py
+++ b/src/marjoramtide/settings/sync/_proof_renewer.py
@@ -130,6 +130,6 @@
 
     async def _renew_from_store(self) -> None:
         try:
-            await self.follower.renew_proof_from_store()
+            await self.follower.read_changes("proof")
         except MarjoramtideError as error:
             log.info("settings.proof", code=error.code, reason=error.message)
--- a/src/marjoramtide/store/_call.py
+++ b/src/marjoramtide/store/_call.py
@@ -30,7 +30,9 @@
 class Call:
     """A call to the store, which may be sent several times.
 
-    ``outcomes`` maps the expected statuses; any other status is an error.
+    ``outcomes`` maps the expected statuses; any other status is an error. ``is_probe`` is true for
+    a call by which its sender finds out whether the store responds: an open circuit breaker lets it
+    pass, and its failure doesn't count there.
     """
 
     step: str
@@ -40,6 +42,7 @@
     params: Mapping[str, str] = attrs.field(factory=dict)
     headers: Mapping[str, str] = attrs.field(factory=dict)
     body: bytes | None = None
+    is_probe: bool = False
 
     @property
     def is_write(self) -> bool:
--- a/src/marjoramtide/store/_circuit_breaker.py
+++ b/src/marjoramtide/store/_circuit_breaker.py
@@ -6,6 +6,7 @@
 
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
+from marjoramtide.store._call import Call
 
 log = structlog.get_logger()
 
@@ -21,6 +22,9 @@
     the recovering store gets every waiting call of the fleet at the same moment. The pauses between
     probes double up to ``max_pause_s`` and are jittered between half and the full pause, so that
     nodes do not probe together.
+
+    Calls that are probes themselves (``Call.is_probe``) pass at any time, and only their success
+    counts.
     """
 
     def __init__(self, clock: Clock, rng: random.Random) -> None:
@@ -36,16 +40,16 @@
     def is_open(self) -> bool:
         return self.failures >= FAILURES_TO_OPEN
 
-    def check(self, step: str, peer: str) -> None:
+    def check(self, call: Call, peer: str) -> None:
         """Raise ``store-unavailable`` if the call must not be sent now."""
-        if not self.is_open:
+        if not self.is_open or call.is_probe:
             return
         remaining_s = self.open_until - self.clock.monotonic()
         if remaining_s > 0 or self.is_probing:
             raise MarjoramtideError(
                 ErrorCode.STORE_UNAVAILABLE,
                 f"circuit breaker is open: no response to the last {self.failures} calls",
-                step=step,
+                step=call.step,
                 peer=peer,
                 retry_after_ms=max(int(remaining_s * 1000), int(MIN_PAUSE_S * 1000)),
             )
@@ -59,8 +63,10 @@
         self.pause_s = MIN_PAUSE_S
         self.is_probing = False
 
-    def on_failure(self) -> None:
+    def on_failure(self, call: Call) -> None:
         """Record a call that got no response."""
+        if call.is_probe:
+            return
         self.failures += 1
         self.is_probing = False
         if self.failures == FAILURES_TO_OPEN:
@@ -69,6 +75,7 @@
             self.open_until = self.clock.monotonic() + self.pause_s * self.rng.uniform(0.5, 1)
             self.pause_s = min(self.pause_s * 2, self.max_pause_s)
 
-    def on_abandoned(self) -> None:
+    def on_abandoned(self, call: Call) -> None:
         """Ignore a call that was cancelled, which says nothing about the store."""
-        self.is_probing = False
+        if not call.is_probe:
+            self.is_probing = False
--- a/src/marjoramtide/store/_http_object_store.py
+++ b/src/marjoramtide/store/_http_object_store.py
@@ -22,7 +22,7 @@
 from marjoramtide.store._epoch_tracker import EpochTracker
 from marjoramtide.store._http_session import open_session
 from marjoramtide.store._listing import Listing
-from marjoramtide.store._object_store import ObjectStore
+from marjoramtide.store._object_store import NO_OBJECTS, ObjectStore
 from marjoramtide.store._store_limits import StoreLimits
 from marjoramtide.store._store_protocol import StoreProtocol, WatchResponse
 from marjoramtide.store._stored_object import StoredObject
@@ -100,6 +100,13 @@
     async def list_allow_stale(self, prefix: str, *, timeout: float = 2.0) -> Listing:
         return await self.list_pages(prefix, timeout, allow_stale=True)
 
+    async def current_version(self, *, timeout: float = 2.0) -> int:
+        call = attrs.evolve(self.protocol.list_page(NO_OBJECTS, ""), is_probe=True)
+        response = await self.call_once(call, self.clock.monotonic() + timeout)
+        with self.malformed_as(ErrorCode.STORE_UNAVAILABLE, call.step):
+            page = self.protocol.read_page(NO_OBJECTS, response)
+        return make_version(response.epoch, page.version)
+
     async def list_pages(self, prefix: str, timeout: float, *, allow_stale: bool) -> Listing:
         objects: deque[StoredObject] = deque()
         epochs = set()
@@ -214,7 +221,7 @@
         """
         self.check_watch_epoch(call, since)
         await self.read_budget.take(self.clock.monotonic() + wait, call.step)
-        self.circuit_breaker.check(call.step, self.url)
+        self.circuit_breaker.check(call, self.url)
         timeout = aiohttp.ClientTimeout(total=wait + WATCH_GRACE_S, connect=WATCH_GRACE_S)
         has_responded = False
         try:
@@ -229,11 +236,11 @@
                 self.check_watch_epoch(call, since)
                 yield response
         except (ResponseLostError, CallNotSentError, aiohttp.ClientError, TimeoutError) as error:
-            self.circuit_breaker.on_failure()
+            self.circuit_breaker.on_failure(call)
             raise self.error(ErrorCode.STORE_UNAVAILABLE, describe(error), call.step) from error
         finally:
             if not has_responded:
-                self.circuit_breaker.on_abandoned()
+                self.circuit_breaker.on_abandoned(call)
 
     def check_watch_epoch(self, call: Call, since: int) -> None:
         """Raise ``not-found`` if a watch resumes from a version of an earlier epoch."""
@@ -299,27 +306,27 @@
         """Send the call once; an error code tells whether a failed write may have taken effect."""
         budget = self.write_budget if call.is_write else self.read_budget
         await budget.take(deadline, call.step)
-        self.circuit_breaker.check(call.step, self.url)
+        self.circuit_breaker.check(call, self.url)
         started_at, wall = self.clock.monotonic(), self.clock.wall()
         remaining_s = max(0.001, deadline - started_at)
         failure_code = ErrorCode.STORE_AMBIGUOUS if call.is_write else ErrorCode.STORE_UNAVAILABLE
         try:
             response = await self.exchange(call, remaining_s)
         except CallNotSentError as error:
-            self.circuit_breaker.on_failure()
+            self.circuit_breaker.on_failure(call)
             raise self.error(ErrorCode.STORE_UNAVAILABLE, describe(error), call.step) from error
         except TimeoutError as error:
             if remaining_s < MIN_COUNTED_TIMEOUT_S:
                 # Otherwise a few calls with short deadlines would open the circuit for all callers.
-                self.circuit_breaker.on_abandoned()
+                self.circuit_breaker.on_abandoned(call)
             else:
-                self.circuit_breaker.on_failure()
+                self.circuit_breaker.on_failure(call)
             raise self.error(failure_code, describe(error), call.step) from error
         except (ResponseLostError, aiohttp.ClientError) as error:
-            self.circuit_breaker.on_failure()
+            self.circuit_breaker.on_failure(call)
             raise self.error(failure_code, describe(error), call.step) from error
         except BaseException:
-            self.circuit_breaker.on_abandoned()
+            self.circuit_breaker.on_abandoned(call)
             raise
         self.update_clock_offset(
             response.headers.get("Date", ""), wall, self.clock.monotonic() - started_at
@@ -354,7 +361,7 @@
         """Return the outcome that a status stands for; raises for an unexpected status."""
         self.observe_epoch(self.read_epoch(call, headers))
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            self.circuit_breaker.on_failure()
+            self.circuit_breaker.on_failure(call)
             is_ambiguous = call.is_write and not self.protocol.is_definite_refusal(status, headers)
             code = ErrorCode.STORE_AMBIGUOUS if is_ambiguous else ErrorCode.STORE_UNAVAILABLE
             raise self.error(code, f"unexpected status {status}", call.step)
--- a/src/marjoramtide/store/_object_store.py
+++ b/src/marjoramtide/store/_object_store.py
@@ -7,6 +7,9 @@
 from marjoramtide.store._stored_object import StoredObject
 from marjoramtide.store._watch_event import WatchEvent
 
+# The prefix of a kind without objects, whose list only states the store's version.
+NO_OBJECTS = "versions/"
+
 
 class ObjectStore(ABC):
     """Objects with versions, conditional updates and watches.
@@ -54,6 +57,13 @@
         """
         return await self.list(prefix, timeout=timeout)
 
+    async def current_version(self, *, timeout: float = 2.0) -> int:
+        """Return the store's present version, which increases with each change of any object.
+
+        The call is sent even if the store has not responded to earlier ones.
+        """
+        return (await self.list(NO_OBJECTS, timeout=timeout)).version
+
     @abstractmethod
     async def create(self, key: str, value: bytes, *, timeout: float = 2.0) -> StoredObject:
         """Create an object; raises ``version-conflict`` if the key exists."""
