The fleet's check of the store covers the evacuations

Evacuations have watches of their own at the same six nodes, and spread from these only; a current node that reads the settings anew does not read them.

Mend: what a check reads if the store's version has moved is a list, and the evacuations are its second entry; who finds a new one tells all others, as a watcher does. Ruled out: reading them at each check, which costs a second call at rest.

--- a/bench/outages/_fleet.py
+++ b/bench/outages/_fleet.py
@@ -158,9 +158,8 @@
             False,
             lambda names: None,
         )
-        checker = make_store_checker(
-            store, directory, publish, self.clock, rng, (follower.read_changes,)
-        )
+        read_changes = (follower.read_changes, evacuations.read_changes)
+        checker = make_store_checker(store, directory, publish, self.clock, rng, read_changes)
         return OutageNode(directory, channel, store, settings, evacuations, checker)
 
     # Between nodes
--- a/features/settings/store_checks.feature
+++ b/features/settings/store_checks.feature
@@ -49,6 +49,21 @@
       | 9     | refusals | 8.45  | 0    |
       | 18    | resets   | 8.45  | 0    |
 
+  Scenario Outline: The nodes that read the store get no answer while a data centre is evacuated
+    # Backend servers of the evacuated data centre go on running requests for half a minute.
+    Given a fleet of <nodes> nodes whose store gives <what> to <who> for <seconds> s
+    When a data centre is evacuated <after> s later
+    Then all nodes know of it within 5 s in <seeds> plays from seed 0
+
+    Examples:
+      | nodes | who                            | what                | seconds | after | seeds |
+      | 9     | those that read it             | silence             | 4       | 0.3   | 4     |
+      | 18    | those that read it             | silence             | 4       | 0.5   | 4     |
+      | 18    | those that read it             | resets              | 4       | 0.5   | 4     |
+      | 18    | those that read it             | silence of watches  | 0.5     | 0.3   | 4     |
+      | 18    | those that read it, then again | silence             | 4       | 4.5   | 4     |
+      | 195   | a third                        | silence             | 4       | 0.5   | 1     |
+
   Scenario Outline: A fleet at rest calls the store once a second more at most
     Given a fleet of <nodes> nodes at rest
     Then it makes at most 1 call a second more with checks of the store than without
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -123,7 +123,7 @@
             self.membership.publish,
             self.clock,
             rng,
-            (follower.read_changes,),
+            (follower.read_changes, self.evacuations.read_changes),
         )
         self.idempotency_dispatcher = IdempotencyKeyDispatcher(self.claims, self.view, self.clock)
         self.quarantine = make_quarantine_service(
--- a/src/marjoramtide/evacuation/_evacuation_service.py
+++ b/src/marjoramtide/evacuation/_evacuation_service.py
@@ -78,6 +78,11 @@
         if self.watch is not None:
             self._merge(await self.watch.read(), "store")
 
+    async def read_changes(self) -> None:
+        """Read the store, and tell the other nodes what is new; raises the store's errors."""
+        if self.watch is not None:
+            self.handle_snapshot(await self.watch.read())
+
     # Bulletins between nodes
 
     def broadcast(self) -> None:
@@ -178,9 +183,8 @@
 
     async def _read_and_broadcast(self) -> None:
         """Apply what was just written; the nodes that watch the store send it to others as well."""
-        assert self.watch is not None
         try:
-            self.handle_snapshot(await self.watch.read())
+            await self.read_changes()
         except MarjoramtideError as error:
             log.info("evacuation.read", code=error.code, reason=error.message)
 
