Soak: those that read the store get no answer, then their successors; verdicts CONFIG and EVAC

Each of three rounds begins with the nodes that watch or read the store at that moment, and goes on with those that do by then; a route moves and a data centre is evacuated meanwhile. The stand-in's refused_addresses became faults of an address.

--- a/bench/outages/__init__.py
+++ b/bench/outages/__init__.py
@@ -6,7 +6,7 @@
 
 from bench.outages._measure import OutageResult, measure_calls, measure_outage
 from bench.outages._plan import Fact, OutagePlan, Scope
-from bench.outages._store_fault import FaultKind, StoreFault
+from standins.platform import FaultKind, StoreFault
 
 __all__ = [
     "Fact",
--- a/bench/outages/_fleet.py
+++ b/bench/outages/_fleet.py
@@ -10,7 +10,6 @@
 
 from bench.model._model_directory import ModelDirectory
 from bench.model._virtual_loop import LoopClock
-from bench.outages._store_fault import StoreFault
 from bench.outages._virtual_store import VirtualObjectStore
 from marjoramtide.clock import Clock
 from marjoramtide.errors import ErrorCode, MarjoramtideError
@@ -22,7 +21,7 @@
 from marjoramtide.settings import NodeSettings
 from marjoramtide.settings.sync import SettingsService, make_settings_service
 from marjoramtide.storecheck import StoreChecker, is_check_bulletin, make_store_checker
-from standins.platform import PlatformStoreServer
+from standins.platform import PlatformStoreServer, StoreFault
 
 DATA_CENTRES = ("nadi-hall", "lautoka-hall", "sigatoka-hall")
 SERVICE = "mapdesk"
--- a/bench/outages/_plan.py
+++ b/bench/outages/_plan.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bench.outages._store_fault import StoreFault
+from standins.platform import StoreFault
 
 
 class Fact(Enum):
--- a/bench/outages/_virtual_store.py
+++ b/bench/outages/_virtual_store.py
@@ -13,12 +13,11 @@
 from aiohttp import web
 from aiohttp.test_utils import make_mocked_request
 
-from bench.outages._store_fault import FaultKind, StoreFault
 from marjoramtide.clock import Clock
 from marjoramtide.platform._store_protocol import PlatformStoreProtocol
 from marjoramtide.store import Call, HttpObjectStore, StoreLimits
 from marjoramtide.store._call_errors import ResponseLostError
-from standins.platform import PlatformStoreServer
+from standins.platform import FaultKind, PlatformStoreServer, StoreFault
 
 # From the request to the response, in seconds.
 STORE_DELAY_S = 0.004
--- a/bench/workspaces/_play.py
+++ b/bench/workspaces/_play.py
@@ -26,6 +26,7 @@
 )
 from bench.workspaces._plan import Quota, WorkspacePlan
 from bench.workspaces._tally import KeyedCall, WorkspaceTally, worst_excess
+from standins.platform import FaultKind, StoreFault
 
 SMALL_SHARE = 0.6
 GONE_PER_S = 10.0
@@ -117,9 +118,9 @@
                 await asyncio.sleep(event.for_s)
                 store.mode = "up"
             case "turned away":
-                store.refused_addresses.add(address)
+                store.set_fault(address, StoreFault(FaultKind.REFUSAL))
                 await asyncio.sleep(2 * event.for_s)
-                store.refused_addresses.discard(address)
+                store.set_fault(address, None)
             case _ if event.node in self.down:
                 return
             case "freeze":
--- a/features/steps/platform_workspaces_steps.py
+++ b/features/steps/platform_workspaces_steps.py
@@ -15,12 +15,14 @@
 from marjoramtide.exchange import Request
 from marjoramtide.settings import key_digest, key_fingerprint
 from standins.backend._service_time import ServiceTime
+from standins.platform import FaultKind, StoreFault
 
 use_step_matcher("parse")
 
 KEYS = {"a1": "secret-of-acme-1", "a2": "secret-of-acme-2", "b1": "secret-of-beta-1"}
 UNKNOWN_KEY = "secret-of-nobody"
 REVOCATION_S = 2.0
+REFUSAL = StoreFault(FaultKind.REFUSAL)
 REQUEST_INTERVAL_S = 0.05
 MAX_REFUSAL_S = 0.5
 LARGE_BODY_BYTES = 10_000_000
@@ -301,9 +303,8 @@
 
 @when("a version removes the key a1 while the store rejects node {number:d}")
 def when_removed_while_rejected(context: Any, number: int) -> None:
-    context.fleet.store.refused_addresses = {
-        store_address_of(context.fleet.fleet_nodes[number - 1])
-    }
+    address = store_address_of(context.fleet.fleet_nodes[number - 1])
+    context.fleet.store.set_fault(address, REFUSAL)
     set_keys_of_acme(context, [])
     run(context, asyncio.sleep(REVOCATION_S))
 
@@ -387,9 +388,9 @@
     fleet_node = context.fleet.fleet_nodes[number - 1]
 
     async def play() -> None:
-        context.fleet.store.refused_addresses = {store_address_of(fleet_node)}
+        context.fleet.store.set_fault(store_address_of(fleet_node), REFUSAL)
         context.calls = await send_requests(context, [fleet_node], "/tiles/7", 3.0)
-        context.fleet.store.refused_addresses = set()
+        context.fleet.store.set_fault(store_address_of(fleet_node), None)
 
     run(context, play())
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -7,12 +7,28 @@
 
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
 
-from soak import CallerRecord, ReceivedAnswer, ServerRecord, draw_plan, judge, run_soak
+from soak import (
+    CallerRecord,
+    ChangeJudge,
+    Evacuation,
+    HostPlace,
+    ReceivedAnswer,
+    RouteMove,
+    ServerRecord,
+    Timeline,
+    draw_plan,
+    judge,
+    run_soak,
+)
 
 use_step_matcher("parse")
 
 ATTEMPT = "0123456789abcdef"
 OK = 200
+CHANGED_AT = 100.0
+TAKEN_BACK_AT = CHANGED_AT + 20.0
+# The hosts of judged changes: the old and the new service, the second in the evacuated data centre.
+PLACES = (HostPlace("old", "z0"), HostPlace("new", "z1"))
 
 
 @given("a {kind} request that ran {runs:d} times and got {status:d}, {own}")
@@ -48,6 +64,59 @@
     context.soak = asyncio.run(run_soak(draw_plan(seed), Path(folder)))
 
 
+@when("the soak of seed {seed:d} with {added} is run")
+def run_seed_with(context: Any, seed: int, added: str) -> None:
+    folder = context.cleanup.enter_context(TemporaryDirectory())
+    plan = draw_plan(seed, added=frozenset((added,)))
+    context.soak = asyncio.run(run_soak(plan, Path(folder)))
+
+
+@then("the store has acknowledged {count:d} changes")
+def acknowledged(context: Any, count: int) -> None:
+    assert context.soak.changes == count, context.soak.line()
+
+
+@given(
+    "a soak in which a {change} and {who} is disturbed from 1 s before until {seconds:g} s after"
+)
+def given_timeline(context: Any, change: str, who: str, seconds: float) -> None:
+    context.timeline = timeline = Timeline([RouteMove(0.0, "old")])
+    if change.startswith("route"):
+        timeline.moves.append(RouteMove(CHANGED_AT, "new"))
+    else:
+        timeline.evacuations.append(Evacuation("z1", CHANGED_AT, TAKEN_BACK_AT))
+    if who != "nobody":
+        host = int(who.removeprefix("node ")) if who.startswith("node") else None
+        disturbance = timeline.begin(CHANGED_AT - 1, host, is_partial=who.startswith("a part"))
+        disturbance.ended_at = CHANGED_AT + seconds
+
+
+@when("node 0 sends a request {seconds:g} s after, which the {service} service runs")
+def when_service_runs(context: Any, seconds: float, service: str) -> None:
+    record_run(context, seconds, [place.service for place in PLACES].index(service))
+
+
+@when("node 0 sends a request {seconds:g} s after, which a server {where} runs")
+def when_server_runs(context: Any, seconds: float, where: str) -> None:
+    record_run(context, seconds, int(where == "there"))
+
+
+def record_run(context: Any, seconds: float, host: int) -> None:
+    sent_at = CHANGED_AT + seconds
+    context.callers = [CallerRecord(ATTEMPT, 0, "moved", True, sent_at, sent_at + 1)]
+    context.servers = [ServerRecord(sent_at + 0.01, f"i-{host}-1", "run", ATTEMPT)]
+
+
+@then("the changes of the soak show {verdict}")
+def finds_in_changes(context: Any, verdict: str) -> None:
+    # The old service is right where no move is judged, and the place where no evacuation is.
+    found = ChangeJudge(context.timeline, PLACES).judge(context.callers, context.servers)
+    promises = [each.promise for each in found]
+    expected = [] if verdict == "nothing" else [verdict]
+    ignored = "EVAC" if not context.timeline.evacuations else "CONFIG"
+    assert [each for each in promises if each != ignored] == expected, promises
+
+
 @then("it has kept every promise, and served {count:d} requests")
 def kept_promises(context: Any, count: int) -> None:
     result = context.soak
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -44,18 +44,22 @@
     CallKind("small-upload", "/up/", False, 30_000, 1500, piece_pause_s=0.03),
 )
 LOOKUP = CallKind("lookup", "/board/", True, 0, 1500)
+MOVED = CallKind("moved", "/moved/", True, 0, 1500)
+MOVED_SHARE = 0.5
 
 
 @attrs.define(slots=True, eq=False)
 class Callers:
     """Sends requests through nodes that are drawn, and records the answers.
 
-    ``addresses`` are the nodes' addresses for callers.
+    ``addresses`` are the nodes' addresses for callers. With ``uses_moved_route`` some lookups go to
+    the route that configurations move.
     """
 
     addresses: list[str]
     rng: random.Random
     seed: int
+    uses_moved_route: bool = False
     records: list[CallerRecord] = attrs.Factory(list)
     tasks: set["asyncio.Task[None]"] = attrs.Factory(set)
     idle: dict[int, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = attrs.Factory(dict)
@@ -64,6 +68,8 @@
     def start_one(self) -> None:
         """Start to send one request."""
         kind = LOOKUP if self.rng.random() < LOOKUP_SHARE else self.rng.choice(KINDS)
+        if self.uses_moved_route and self.rng.random() < MOVED_SHARE:
+            kind = MOVED
         self.sent += 1
         name = f"{self.seed} {self.sent}"
         attempt = hashlib.sha256(name.encode()).hexdigest()[:16]
--- a/soak/_fault.py
+++ b/soak/_fault.py
@@ -41,6 +41,22 @@
     "link-hold": "what is sent arrives later",
 }
 LINKS = "links"
+# What the store gives the nodes that watch or read it when the fault begins. Then the nodes that do
+# so by then have the same for as long again. Drawn only where they are added.
+STORE_FAULTS = {
+    "store-silence": "no answer; answers that are due are lost",
+    "store-reset": "resets",
+    "store-refusal": "503",
+    "watch-silence": "no answer to watches",
+    "watch-reset": "resets of watches",
+    "watch-refusal": "503 to watches",
+}
+# What operators do to the store's content beside those; judged in each plan that has it.
+STORE_CHANGES = {
+    "move": "a configuration moves a route to another service",
+    "evacuate": "a data centre is evacuated, and taken back after the time of the fault",
+}
+STORE = "store-access"
 
 
 @attrs.frozen(slots=True)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -15,13 +15,15 @@
 from aiohttp import web
 
 from soak._callers import HOST_NAME
-from soak._fault import LINK_FAULTS, Fault
+from soak._fault import LINK_FAULTS, STORE_FAULTS, Fault
+from soak._judge_changes import HostPlace
 from soak._link_proxy import LinkProxy
 from soak._plan import SoakPlan
 from soak._records import ServerRecord
 from soak._server import ServerOptions
+from soak._timeline import Evacuation, RouteMove, Timeline
 from standins.free_port import free_port, loopback_host
-from standins.platform import PlatformStoreServer
+from standins.platform import FaultKind, PlatformStoreServer, StoreFault
 
 PROJECT_ROOT = Path(__file__).resolve().parents[1]
 PORTS = ("callers", "peers", "gossip", "operators", "readiness", "registration")
@@ -38,6 +40,8 @@
     ("/up/", "up", "upload", 2),
     ("/board/", "board", "idempotent", 2),
 )
+MOVED_PREFIX = "/moved/"
+MOVED_TO = ("board", "up")
 
 
 @attrs.define(slots=True, eq=False)
@@ -71,14 +75,14 @@
         self.proxies: list[LinkProxy] = []
         self.processes: list[asyncio.subprocess.Process] = []
         self.version = 4
+        self.moved_to = 0
+        self.timeline = Timeline()
 
     async def __aenter__(self) -> Self:
         await self.runner.setup()
-        site = web.TCPSite(self.runner, self.host, 0)
-        await site.start()
-        self.store_url = "http://{}:{}".format(*self.runner.addresses[0][:2])
         self.configure(1500)
-        self.hosts = [self.make_host(each, name) for each, name in enumerate(self.plan.services)]
+        for number, service in enumerate(self.plan.services):
+            self.hosts.append(self.make_host(number, service, await self.open_store()))
         if any(fault.kind in LINK_FAULTS for fault in self.plan.faults):
             self.proxies = [LinkProxy(host.settings["peers"]) for host in self.hosts]
             await asyncio.gather(*(proxy.start(self.host) for proxy in self.proxies))
@@ -96,26 +100,45 @@
         self.store.state.compact_history()
         await self.runner.cleanup()
 
-    def make_host(self, number: int, service: str) -> Host:
+    async def open_store(self) -> str:
+        """Open another address of the store, by which it can tell one node from the others."""
+        await web.TCPSite(self.runner, self.host, 0).start()
+        return "{}:{}".format(*self.runner.addresses[-1][:2])
+
+    def make_host(self, number: int, service: str, store: str) -> Host:
         addresses = {port: f"{self.host}:{free_port(self.host)}" for port in PORTS}
         settings = addresses | {
             "name": f"node-{number}",
             "service": service,
             "region": "r",
-            "data_centre": f"z{number % 3}",
+            "data_centre": self.data_centre(number),
             "backend": f"{self.host}:{free_port(self.host)}",
-            "store": self.store_url,
+            "store": f"http://{store}",
             "key": "a key for soaks on loopback only",
             "interface": "platform",
             "base_tree": "deploy/base-tree.toml",
             "bounds": ["GraceS=6", "RetryBudgetRatio=0.2", "RetryBudgetSlack=64"],
         }
+        if self.plan.judges_changes:
+            settings["bounds"] += ["EvacuationMs=5000"]
         (self.folder / f"node-{number}.toml").write_text(tomlkit.dumps(settings))
         return Host(number, service, settings)
 
+    def data_centre(self, number: int) -> str:
+        """Return the data centre of a host."""
+        return f"z{number % self.plan.data_centres}"
+
+    def places(self) -> list[HostPlace]:
+        """Return what runs where, by the number of the host."""
+        services = self.plan.services
+        return [
+            HostPlace(service, self.data_centre(number)) for number, service in enumerate(services)
+        ]
+
     def configure(self, timeout_ms: int) -> None:
         """Write the next version of the configuration, as operators do."""
         self.version += 1
+        moved = (MOVED_PREFIX, MOVED_TO[self.moved_to], "idempotent", 2)
         routes = [
             {
                 "Name": prefix.strip("/"),
@@ -128,7 +151,7 @@
                 "MaxAttempts": attempts,
                 "Service": service,
             }
-            for prefix, service, kind, attempts in ROUTES
+            for prefix, service, kind, attempts in (*ROUTES, moved)
         ]
         services = [
             {"Name": name, "HealthPath": "/health", "MaxConns": 220} for name in sorted(WORK_MS)
@@ -140,6 +163,7 @@
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 22},
         }
         self.store.state.put("config", "main", Specification=specification)
+        self.timeline.moves.append(RouteMove(time.time(), MOVED_TO[self.moved_to]))
 
     async def spawn(
         self, name: str, arguments: list[str], root: Path
@@ -212,7 +236,51 @@
         send_signal(process, signal.SIGCONT)
 
     async def inject(self, fault: Fault) -> None:
-        """Bring a fault from outside about, and undo it."""
+        """Bring a fault from outside about, and undo it, and record when it was in force."""
+        match fault.kind:
+            case "move":
+                self.moved_to = 1 - self.moved_to
+                self.configure(1500)
+            case "evacuate":
+                await self.evacuate(fault)
+            case kind if kind in STORE_FAULTS:
+                await self.leave_readers_without_answers(fault)
+            case _:
+                host = None if fault.kind == "store" else fault.target
+                disturbance = self.timeline.begin(time.time(), host)
+                await self.disturb(fault)
+                disturbance.ended_at = time.time()
+
+    async def evacuate(self, fault: Fault) -> None:
+        """Evacuate one data centre after the other, and take it back after the fault's time."""
+        name = self.data_centre(len(self.timeline.evacuations))
+        evacuation = Evacuation(name, time.time())
+        self.store.state.put("evacuations", name, Specification={})
+        self.timeline.evacuations.append(evacuation)
+        await asyncio.sleep(fault.for_s)
+        evacuation.ended_at = time.time()
+        self.store.state.remove("evacuations", name)
+
+    async def leave_readers_without_answers(self, fault: Fault) -> None:
+        """Disturb the store's answers to the nodes that read it, then to those that do by then."""
+        calls, _, how = fault.kind.partition("-")
+        kind = StoreFault(FaultKind(how), watches_only=calls == "watch")
+        disturbance = self.timeline.begin(time.time(), is_partial=True)
+        readers: set[str] = set()
+        for _ in range(2):
+            successors = self.store.watching_addresses() | {self.store.last_read}
+            for address in readers:
+                self.store.set_fault(address, None)
+            readers = successors
+            for address in readers:
+                self.store.set_fault(address, kind)
+            await asyncio.sleep(fault.for_s)
+        for address in readers:
+            self.store.set_fault(address, None)
+        disturbance.ended_at = time.time()
+
+    async def disturb(self, fault: Fault) -> None:
+        """Bring a fault of one process, link or the whole store about, and undo it."""
         host = self.hosts[fault.target]
         match fault.kind:
             case kind if kind in LINK_FAULTS:
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -4,7 +4,15 @@
 
 import attrs
 
-from soak._fault import LINK_FAULTS, LINKS, PROCESS_FAULTS, SERVER_FAULTS, Fault
+from soak._fault import (
+    LINK_FAULTS,
+    LINKS,
+    PROCESS_FAULTS,
+    SERVER_FAULTS,
+    STORE,
+    STORE_FAULTS,
+    Fault,
+)
 
 SECONDS = 16.0
 MIN_SERVER_FAULTS, MAX_SERVER_FAULTS = 6, 14
@@ -12,15 +20,21 @@
 MAX_SPREAD_FAULTS = 3
 MIN_LINK_FAULTS, MAX_LINK_FAULTS = 4, 12
 ADDED_SHARE = 0.06
+# With faults of the store there are enough nodes in two data centres that four of them watch, and
+# the load lasts until the last change binds.
+STORE_SERVICES = ("pay",) * 4 + ("up",) * 2 + ("board",) * 6
+STORE_DATA_CENTRES, DATA_CENTRES = 2, 3
+STORE_SECONDS = 40.0
+STORE_ROUNDS_AT_S = (3.0, 15.0, 27.0)
 
 
 @attrs.frozen(slots=True)
 class SoakPlan:
     """A fleet with a number of hosts for each service, a load and overlapping faults.
 
-    ``services`` holds the service of each host. ``per_s`` requests per second are sent for
-    ``seconds``, each by a node that is drawn. A server that is full resets connections if
-    ``resets_when_full``, and rejects requests otherwise.
+    ``services`` holds the service of each host, which are spread over ``data_centres``. ``per_s``
+    requests per second are sent for ``seconds``, each by a node that is drawn. A server that is
+    full resets connections if ``resets_when_full``, and rejects requests otherwise.
     """
 
     seed: int
@@ -30,6 +44,12 @@
     seconds: float
     resets_when_full: bool
     faults: tuple[Fault, ...]
+    data_centres: int = DATA_CENTRES
+
+    @property
+    def judges_changes(self) -> bool:
+        """Return whether the store is disturbed, and what changes there is judged."""
+        return any(fault.kind in STORE_FAULTS for fault in self.faults)
 
 
 def draw_plan(
@@ -39,8 +59,11 @@
 
     Faults of the kinds in ``without`` are drawn and then left out. All servers have those in
     ``added`` in a small share of their requests for the whole load, besides what is drawn;
-    ``links`` among them adds disturbed links between nodes.
+    ``links`` among them adds disturbed links between nodes. ``store-access`` gives the plan of
+    ``draw_store_plan``.
     """
+    if STORE in added:
+        return draw_store_plan(seed)
     rng = random.Random(f"soak {seed}")
     services = ("pay",) * rng.choice((1, 2, 3)) + ("up",) * rng.choice((1, 2)) + ("board",) * 2
     server_kinds = rng.choices(
@@ -79,6 +102,38 @@
     )
 
 
+def draw_store_plan(seed: int) -> SoakPlan:
+    """Return a plan in which those that read the store get no answer while its content changes.
+
+    A move and an evacuation come in each round: while the store leaves the nodes without answers,
+    between that and its successor, or after both.
+    """
+    rng = random.Random(f"store {seed}")
+    hosts = len(STORE_SERVICES)
+    faults: list[Fault] = []
+    for at_s in STORE_ROUNDS_AT_S:
+        for_s = rng.choice((0.4, 0.9, 2.0, 4.0))
+        faults.append(Fault(rng.choice(sorted(STORE_FAULTS)), at_s, for_s))
+        change_at_s = at_s + for_s * rng.choice((0.3, 0.95, 1.3)) + rng.uniform(0, 0.2)
+        faults.append(Fault("move", change_at_s, 0.0))
+        faults.append(Fault("evacuate", change_at_s + rng.uniform(0, 0.5), 8.5))
+    kinds = rng.choices(("node-kill", "node-pause", "node-stop"), k=rng.randint(0, 3))
+    faults += [
+        Fault(kind, rng.uniform(1, STORE_SECONDS * 0.75), rng.uniform(0.3, 3), rng.randrange(hosts))
+        for kind in kinds
+    ]
+    return SoakPlan(
+        seed=seed,
+        services=STORE_SERVICES,
+        slots=6,
+        per_s=rng.uniform(60, 100),
+        seconds=STORE_SECONDS,
+        resets_when_full=False,
+        faults=tuple(sorted(faults, key=lambda fault: fault.at_s)),
+        data_centres=STORE_DATA_CENTRES,
+    )
+
+
 def draw_server_fault(rng: random.Random, kind: str, hosts: int) -> Fault:
     """Return a fault of one server in the first three quarters of the load."""
     share = rng.choice((0.03, 0.1, 0.3, 0.6))
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -9,9 +9,10 @@
 import attrs
 
 from soak._callers import Callers
-from soak._fault import LINK_FAULTS, PROCESS_FAULTS, Fault
+from soak._fault import LINK_FAULTS, PROCESS_FAULTS, STORE_CHANGES, STORE_FAULTS, Fault
 from soak._fleet import PROJECT_ROOT, SoakFleet
 from soak._judge import Violation, judge
+from soak._judge_changes import ChangeJudge
 from soak._plan import SoakPlan
 
 START_S = 1.0
@@ -20,17 +21,24 @@
 AFTER_S = 4.0
 BURST_FACTOR = 3
 CALLERS_TIMEOUT_S = 6.0
+INJECTED = PROCESS_FAULTS | LINK_FAULTS | STORE_FAULTS | STORE_CHANGES
+# Nodes open their watches two seconds after their start.
+WATCH_START_S = 4.0
 
 
 @attrs.frozen(slots=True)
 class SoakResult:
-    """What came of a plan; ``started_at`` is the start of the load in Unix seconds."""
+    """What came of a plan; ``started_at`` is the start of the load in Unix seconds.
+
+    ``changes`` counts the moves and evacuations that the store acknowledged.
+    """
 
     plan: SoakPlan
     violations: tuple[Violation, ...]
     statuses: Counter[int]
     events: Counter[str]
     started_at: float
+    changes: int
 
     def line(self) -> str:
         """Return the result as one line."""
@@ -38,7 +46,8 @@
         kinds = Counter(each.promise for each in self.violations)
         broken = " ".join(f"{kind} {count}" for kind, count in kinds.items()) or "held"
         late = self.events["late second answer"]
-        return f"{broken:24} {counts}  runs {self.events['run']} late {late}"
+        runs = self.events["run"]
+        return f"{broken:24} {counts}  runs {runs} late {late} changes {self.changes}"
 
 
 async def run_soak(plan: SoakPlan, folder: Path, source: Path = PROJECT_ROOT) -> SoakResult:
@@ -46,23 +55,32 @@
     async with SoakFleet(plan, folder, source) as fleet:
         await start_load_clock(fleet)
         callers = Callers(
-            [host.settings["callers"] for host in fleet.hosts], random.Random(plan.seed), plan.seed
+            [host.settings["callers"] for host in fleet.hosts],
+            random.Random(plan.seed),
+            plan.seed,
+            plan.judges_changes,
         )
         await play_load(plan, fleet, callers)
         await asyncio.sleep(AFTER_S)
         events = fleet.server_records()
+        violations = judge(callers.records, events)
+        if plan.judges_changes:
+            change_judge = ChangeJudge(fleet.timeline, fleet.places())
+            violations += change_judge.judge(callers.records, events)
         return SoakResult(
             plan,
-            tuple(judge(callers.records, events)),
+            tuple(violations),
             Counter(each.answer.status for each in callers.records),
             Counter(each.event for each in events),
             fleet.epoch,
+            len(fleet.timeline.moves) - 1 + len(fleet.timeline.evacuations),
         )
 
 
 async def start_load_clock(fleet: SoakFleet) -> None:
     """Tell all servers when the load starts, by which their faults begin, and wait for it."""
-    fleet.epoch = time.time() + START_S + SERVER_RESTART_S * len(fleet.hosts)
+    watch_start_s = WATCH_START_S if fleet.plan.judges_changes else 0.0
+    fleet.epoch = time.time() + START_S + SERVER_RESTART_S * len(fleet.hosts) + watch_start_s
     await fleet.restart_servers()
     await asyncio.sleep(max(0.0, fleet.epoch - time.time()))
 
@@ -73,7 +91,7 @@
     injected = [
         asyncio.create_task(inject_at(fleet, each, started_at + each.at_s))
         for each in plan.faults
-        if each.kind in PROCESS_FAULTS | LINK_FAULTS
+        if each.kind in INJECTED
     ]
     await send_load(plan, callers, started_at)
     if callers.tasks:
--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -5,26 +5,40 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import attrs
 from aiohttp import web
 
+from standins.platform._store_fault import FaultKind, StoreFault
 from standins.platform._store_state import Item, PlatformStoreState
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
+@attrs.frozen(slots=True, eq=False)
+class OpenCall:
+    """A call that has no response yet, by the listening address on which it arrived."""
+
+    address: str
+    is_watch: bool
+    request: web.Request
+
+
 class PlatformStoreServer:
     """Serves a ``PlatformStoreState`` over HTTP and injects the current faults.
 
     ``mode`` is ``up``, ``refuse`` (503 without effect) or ``reset`` (the connection is aborted
-    without a response and without effect). Requests to a listening address in
-    ``refused_addresses`` get 503 in every mode. The next ``lose_answers`` writes take effect and
-    get no response. ``page_size`` is the highest number of items in one page of a list.
+    without a response and without effect). ``set_fault`` sets a fault for the requests to one
+    listening address. The next ``lose_answers`` writes take effect and get no response.
+    ``page_size`` is the highest number of items in one page of a list. ``last_read`` is the address
+    of the last list.
     """
 
     def __init__(self) -> None:
         self.state = PlatformStoreState()
         self.mode = "up"
-        self.refused_addresses: set[str] = set()
+        self.faults: dict[str, StoreFault] = {}
+        self.open_calls: list[OpenCall] = []
+        self.last_read = ""
         self.lose_answers = 0
         self.page_size = 500
         self.calls: Counter[str] = Counter()
@@ -38,23 +52,68 @@
         app.router.add_delete("/objects/{kind}/{name}", self.delete)
         return app
 
+    def set_fault(self, address: str, fault: StoreFault | None) -> None:
+        """Begin or end the fault of an address; a reset also ends the calls that wait."""
+        self.faults.pop(address, None)
+        if fault is None:
+            return
+        self.faults[address] = fault
+        if fault.kind is FaultKind.RESET:
+            for call in self.open_calls:
+                if call.address == address and fault.affects(call.is_watch):
+                    self.abort_connection(call.request)
+
+    def watching_addresses(self) -> set[str]:
+        """Return the addresses at which a watch waits now."""
+        return {call.address for call in self.open_calls if call.is_watch}
+
     @web.middleware
     async def inject_faults(self, request: web.Request, handler: Handler) -> web.StreamResponse:
-        kind = "watches" if "Watch" in request.query else request.method
+        is_watch = "Watch" in request.query
+        kind = "watches" if is_watch else request.method
         if "StaleOk" in request.query:
             kind = "stale"
         self.calls[kind] += 1
-        if self.mode == "refuse" or self.listening_address(request) in self.refused_addresses:
+        call = OpenCall(self.listening_address(request), is_watch, request)
+        if kind == "GET":
+            self.last_read = call.address
+        self.open_calls.append(call)
+        try:
+            return await self.respond(call, handler)
+        finally:
+            self.open_calls.remove(call)
+
+    async def respond(self, call: OpenCall, handler: Handler) -> web.StreamResponse:
+        """Return the response, or what the faults in force make of it."""
+        if (faulty := await self.faulty_response(call)) is not None:
+            return faulty
+        if self.mode == "refuse":
             return web.Response(status=503)
         if self.mode == "reset":
-            return self.abort_connection(request)
-        response = await handler(request)
+            return self.abort_connection(call.request)
+        response = await handler(call.request)
         response.headers["Store-Era"] = str(self.state.era)
-        if request.method != "GET" and self.lose_answers:
+        if (faulty := await self.faulty_response(call)) is not None:
+            return faulty
+        if call.request.method != "GET" and self.lose_answers:
             self.lose_answers -= 1
-            return self.abort_connection(request)
+            return self.abort_connection(call.request)
         return response
 
+    async def faulty_response(self, call: OpenCall) -> web.Response | None:
+        """Return what the fault of an address puts in place of a response, if it has one now.
+
+        A connection on which a response was due during a silence returns nothing further.
+        """
+        fault = self.faults.get(call.address)
+        if fault is None or not fault.affects(call.is_watch):
+            return None
+        if fault.kind is FaultKind.SILENCE:
+            await asyncio.Event().wait()
+        if fault.kind is FaultKind.RESET:
+            return self.abort_connection(call.request)
+        return web.Response(status=503)
+
     def listening_address(self, request: web.Request) -> str:
         """Return the address of the store on which the request arrived."""
         if request.transport is None:
