A node that started in an outage of the store announces itself as soon as the store answers it

Callers would see: a node that was started while the store was down serves by itself alone for up to 30 s after the outage, and refuses what other nodes' servers would run.

The announcer's pauses between attempts grow to 30 s and know nothing of what other calls of the same node have seen.

Mend: an answer to the node's own check of the store ends the announcer's pause. A node that knows no other checks about once a second, and is not held back by the open circuit breaker, which its check closes. Ruled out: shorter pauses, which cost calls of all nodes in each outage.

The scenario failed before.

--- a/features/membership/announcements.feature
+++ b/features/membership/announcements.feature
@@ -35,3 +35,10 @@
       | 0   | hears nobody   | 1     | 0    |
       | 3   | hears nobody   | 1     | 1    |
       | 3   | hears somebody | 1     | 0    |
+
+  Scenario: A node that starts during an outage is announced soon after its end
+    # Guards against a node that knows nobody, and that nobody knows, for half a minute after an
+    # outage, since the pauses between its attempts have grown longer than the outage.
+    Given 20 nodes that start while the store fails all calls
+    When the store is back after 9 seconds
+    Then each of them has announced itself and read the announcements within 3 seconds
--- a/features/steps/announcements_steps.py
+++ b/features/steps/announcements_steps.py
@@ -7,18 +7,23 @@
 from behave import given, then, use_step_matcher, when  # type: ignore[attr-defined]
 
 from bench.memory_store import MemoryStore
+from bench.model._model_directory import ModelDirectory
+from bench.model._virtual_loop import LoopClock, VirtualLoop
 from marjoramtide.clock import ManualClock
+from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.membership import Member, MembershipService, MemberState, PacketCodec, SwimCore
 from marjoramtide.membership._announcement import announcement_of
 from marjoramtide.membership._announcer import Announcer
 from marjoramtide.membership._bulletin import BulletinCodec
 from marjoramtide.store import StoredObject
+from marjoramtide.storecheck import make_store_checker
 
 use_step_matcher("parse")
 
 KEY = "a key for announcements only"
 LOOP_TURNS_PER_S = 20
 WRITTEN_BEFORE_S = 4.0
+NODES_START_WITHIN_S = 3.0
 
 
 class CountedStore(MemoryStore):
@@ -59,6 +64,75 @@
         return [each for each in found if self.written_at[each.key] <= visible_until]
 
 
+class FailingStore(MemoryStore):
+    """A store that fails all calls while ``is_down``."""
+
+    is_down = True
+
+    async def list(self, prefix: str, *, timeout: float = 2.0) -> Any:
+        self.fail_if_down()
+        return await super().list(prefix, timeout=timeout)
+
+    async def create(self, key: str, value: bytes, *, timeout: float = 2.0) -> StoredObject:
+        self.fail_if_down()
+        return await super().create(key, value, timeout=timeout)
+
+    def fail_if_down(self) -> None:
+        if self.is_down:
+            raise MarjoramtideError(ErrorCode.STORE_UNAVAILABLE, "down", step="store")
+
+
+async def run_announcer(store: FailingStore, seed: int, found: dict[int, float]) -> None:
+    """Run the announcer and the checks of a node that knows no other."""
+    loop, rng = asyncio.get_running_loop(), random.Random(seed)
+    await asyncio.sleep(rng.uniform(0, NODES_START_WITHIN_S))
+    address = f"10.0.0.{seed + 1}:7102"
+    own = Member(f"n{seed}", "s", "r", "d", address, address, address, MemberState.READY)
+    clock = LoopClock(loop)
+
+    def read(_: object) -> None:
+        found.setdefault(seed, loop.time())
+
+    announcer = Announcer(store, clock, rng, lambda: own, lambda: 1, read)
+    directory = ModelDirectory(own, lambda node: None)
+    checker = make_store_checker(
+        store, directory, lambda fields, readers: None, clock, rng, (), announcer.store_answered
+    )
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(announcer.run())
+        tasks.create_task(checker.run())
+
+
+@given("{count:d} nodes that start while the store fails all calls")
+def given_outage(context: Any, count: int) -> None:
+    context.node_count = count
+
+
+@when("the store is back after {seconds:d} seconds")
+def when_back(context: Any, seconds: int) -> None:
+    async def play() -> None:
+        store, found = FailingStore(), dict[int, float]()
+        tasks = [
+            asyncio.create_task(run_announcer(store, seed, found))
+            for seed in range(context.node_count)
+        ]
+        await asyncio.sleep(seconds)
+        store.is_down, back_at = False, asyncio.get_running_loop().time()
+        while len(found) < context.node_count:
+            await asyncio.sleep(0.05)
+        context.found_after_s = [at - back_at for at in found.values()]
+        for task in tasks:
+            task.cancel()
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(play())
+
+
+@then("each of them has announced itself and read the announcements within {seconds:d} seconds")
+def then_announced(context: Any, seconds: int) -> None:
+    assert max(context.found_after_s) <= seconds, sorted(context.found_after_s)
+
+
 @given(
     "an announcer whose store returns stale lists that are {age_s:d} s old, "
     "and whose node hears {whom}"
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -124,6 +124,7 @@
             self.clock,
             rng,
             (follower.read_changes, self.evacuations.read_changes),
+            self.membership.announcer.store_answered,
         )
         self.idempotency_dispatcher = IdempotencyKeyDispatcher(self.claims, self.view, self.clock)
         self.quarantine = make_quarantine_service(
--- a/src/marjoramtide/membership/_announcer.py
+++ b/src/marjoramtide/membership/_announcer.py
@@ -64,6 +64,7 @@
         self.refreshed_at = 0.0
         self.failures = 0
         self.rewrite_needed = asyncio.Event()
+        self.store_answers = asyncio.Event()
 
     async def run(self) -> None:
         """Announce this node and read the announcements until cancelled, retrying store errors."""
@@ -82,7 +83,7 @@
                     log.warning(
                         "announcement-delayed", code=error.code, step=error.step, error=str(error)
                     )
-                await self.clock.sleep(self._retry_delay_s())
+                await self._sleep_until_retry()
             except Exception:
                 # An unexpected object in the store must not end this task: nodes that start later
                 # could then not discover this node, nor this node them.
@@ -90,13 +91,22 @@
                 log.exception(
                     "announcement-failed", code=ErrorCode.INTERNAL, step="membership.announce"
                 )
-                await self.clock.sleep(self._retry_delay_s())
+                await self._sleep_until_retry()
 
     def on_store_epoch(self, epoch: int) -> None:
         """Schedule a rewrite: the store was restored from a copy that may lack the announcement."""
         self.version = None
         self.rewrite_needed.set()
 
+    def store_answered(self) -> None:
+        """Retry now after a failure: the store has answered another call of this node.
+
+        Failure: a node starts during an outage, and its pauses between attempts last longer than
+        the outage. It knows no other node for half a minute, and no other node knows it.
+        """
+        if self.failures:
+            self.store_answers.set()
+
     async def withdraw(self) -> None:
         """Delete the announcement at a planned stop; if the store is down it is left behind."""
         if self.version is None:
@@ -111,19 +121,20 @@
 
     async def _wait_for_next_round(self) -> None:
         was_alone = self._is_alone()
-        await self._sleep_unless_rewrite_needed(self._reread_delay_s())
+        await self._sleep_unless(self.rewrite_needed, self._reread_delay_s())
         # At its first read every node knows only itself. Without a second wait, all nodes of a
         # fleet that starts at once would reread the list within 15 s, though they know each other
         # by gossip meanwhile.
         if was_alone and not self._is_alone():
-            await self._sleep_unless_rewrite_needed(self._reread_delay_s())
+            await self._sleep_unless(self.rewrite_needed, self._reread_delay_s())
 
-    async def _sleep_unless_rewrite_needed(self, seconds: float) -> None:
-        """Sleep, but return early once a rewrite of the announcement is needed."""
-        waits = [
-            asyncio.ensure_future(wait)
-            for wait in (self.clock.sleep(seconds), self.rewrite_needed.wait())
-        ]
+    async def _sleep_until_retry(self) -> None:
+        self.store_answers.clear()
+        await self._sleep_unless(self.store_answers, self._retry_delay_s())
+
+    async def _sleep_unless(self, event: asyncio.Event, seconds: float) -> None:
+        """Sleep, but return early once the event is set."""
+        waits = [asyncio.ensure_future(wait) for wait in (self.clock.sleep(seconds), event.wait())]
         try:
             await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
         finally:
--- a/src/marjoramtide/storecheck/_store_checker.py
+++ b/src/marjoramtide/storecheck/_store_checker.py
@@ -44,7 +44,8 @@
     ``read_changes`` read again what this fleet keeps of the store; each raises the store's errors.
     Every node hears of each check, and checks itself when it hears of none.
 
-    ``read_version`` is the store's version up to which this node has read everything.
+    ``read_version`` is the store's version up to which this node has read everything. ``on_answer``
+    is called whenever the store has answered this node.
     """
 
     store: ObjectStore
@@ -53,6 +54,7 @@
     schedule: CheckSchedule
     read_changes: Sequence[ReadChanges]
     clock: Clock
+    on_answer: Callable[[], None] = lambda: None
     read_version: int | None = None
     timeout_s: float = MIN_TIMEOUT_S
     own_checks: int = 0
@@ -81,6 +83,7 @@
         try:
             version = await self.store.current_version(timeout=self.timeout_s)
             self._adapt_timeout(self.clock.monotonic() - asked_at)
+            self.on_answer()
             await self._read_up_to(version)
         except MarjoramtideError as error:
             self._record_failure(error, asked_at)
@@ -152,6 +155,7 @@
     clock: Clock,
     rng: random.Random,
     read_changes: Sequence[ReadChanges],
+    on_answer: Callable[[], None] = lambda: None,
 ) -> StoreChecker:
     """Return the checker of a node, which has heard of no check yet."""
     schedule = CheckSchedule(
@@ -160,4 +164,4 @@
         lambda: len(directory.members()),
         clock.monotonic(),
     )
-    return StoreChecker(store, directory, publish, schedule, read_changes, clock)
+    return StoreChecker(store, directory, publish, schedule, read_changes, clock, on_answer)
