--- a/bench/outages/_fleet.py
+++ b/bench/outages/_fleet.py
@@ -27,6 +27,8 @@
 SERVICE = "mapdesk"
 HOST_NAME = "shop.example"
 WATCHERS = 2
+# For how long a node may accept keys without a proof that its settings are the newest, in seconds.
+REVOCATION_S = 5.0
 # Delays in seconds: of a message between nodes, and until gossip has brought a member's new state.
 MESSAGE_S = (0.0005, 0.003)
 GOSSIP_S = (0.01, 0.25)
@@ -103,12 +105,18 @@
 class OutageFleet:
     """Nodes that share a store; ``loss`` is the share of datagrams that are lost."""
 
-    def __init__(self, size: int, seed: int, loss: float, has_checks: bool = True) -> None:
+    def __init__(
+        self, size: int, seed: int, loss: float, has_checks: bool = True, has_keys: bool = False
+    ) -> None:
         self.loop = asyncio.get_running_loop()
         self.clock: Clock = LoopClock(self.loop)
         self.rng = random.Random(seed)
         self.loss = loss
+        self.base_tree = {"watchers": WATCHERS} | (
+            {"revocation_s": REVOCATION_S} if has_keys else {}
+        )
         self.counts: Counter[str] = Counter()
+        self.refusing_s = 0.0
         self.server = PlatformStoreServer()
         self.revision = 0
         self.configure()
@@ -138,7 +146,7 @@
             channel,
             self.clock,
             rng,
-            source=OperatorConfiguration({"watchers": WATCHERS}),
+            source=OperatorConfiguration(self.base_tree),
         )
         follower = settings.follower
 
@@ -204,6 +212,10 @@
         """Evacuate a data centre, as the operator does."""
         self.server.state.put(EVACUATION_PREFIX.rstrip("/"), name, Specification={})
 
+    def restore(self) -> None:
+        """Restore the store from a copy of what it holds now."""
+        self.server.state.restore(self.server.state.copy())
+
     def readers(self) -> list[OutageNode]:
         """Return the nodes that check or watch the store, who checks first."""
         readers = [node for node in self.nodes.values() if node.reads_store]
--- a/bench/outages/_measure.py
+++ b/bench/outages/_measure.py
@@ -13,6 +13,8 @@
 SETTLING_S = 12.0
 TIMEOUT_S = 45.0
 POLL_S = 0.01
+# How long after a fault all nodes must be able to accept keys again, in seconds.
+STABLE_S = 3.0
 # Share of the machines that a store may leave without an answer while it serves the others.
 THIRD = 0.35
 
@@ -22,11 +24,13 @@
     """Seconds from the change until the last node knew, and from the end of the fault until then.
 
     ``calls`` are those to the store, by kind, from the start of the fault until then.
+    ``refusing_s`` is for how long some node couldn't accept keys.
     """
 
     late_s: float
     after_end_s: float
     calls: dict[str, int]
+    refusing_s: float = 0.0
 
 
 def measure_outage(plan: OutagePlan) -> OutageResult:
@@ -36,9 +40,11 @@
 
 
 async def play(plan: OutagePlan) -> OutageResult:
-    fleet = OutageFleet(plan.size, plan.seed, plan.loss, plan.has_checks)
+    has_keys = plan.fact is Fact.KEY
+    fleet = OutageFleet(plan.size, plan.seed, plan.loss, plan.has_checks, has_keys)
     await asyncio.sleep(SETTLING_S + fleet.rng.random())
     before = fleet.counts.copy()
+    refusing = asyncio.ensure_future(measure_refusing(fleet))
     outage = asyncio.ensure_future(run_fault(fleet, plan))
     await asyncio.sleep(plan.change_at_s)
     knows = change(fleet, plan.fact)
@@ -49,9 +55,20 @@
         await asyncio.sleep(POLL_S)
     known_at = fleet.loop.time()
     ended_at = await outage
-    fleet.close()
     calls = {kind: count - before[kind] for kind, count in fleet.counts.items()}
-    return OutageResult(known_at - changed_at, known_at - ended_at, calls)
+    await asyncio.sleep(max(0.0, ended_at + STABLE_S - fleet.loop.time()) if has_keys else 0.0)
+    refusing.cancel()
+    fleet.close()
+    return OutageResult(known_at - changed_at, known_at - ended_at, calls, fleet.refusing_s)
+
+
+async def measure_refusing(fleet: OutageFleet) -> None:
+    """Add up the time during which some node can't accept keys."""
+    while True:
+        await asyncio.sleep(POLL_S)
+        views = (node.settings.view for node in fleet.nodes.values())
+        if not all(view.can_accept_keys for view in views):
+            fleet.refusing_s += POLL_S
 
 
 def change(fleet: OutageFleet, fact: Fact) -> Callable[[OutageNode], bool]:
@@ -59,8 +76,15 @@
     if fact is Fact.EVACUATION:
         fleet.evacuate(DATA_CENTRES[0])
         return lambda node: DATA_CENTRES[0] in node.evacuations.in_force
+    if fact is Fact.EPOCH:
+        fleet.restore()
+        return lambda node: node.store.epoch > 0
     fleet.configure()
     revision = fleet.revision
+    if fact is Fact.KEY:
+        return lambda node: (
+            node.settings.view.revision >= revision or not node.settings.view.can_accept_keys
+        )
     return lambda node: node.settings.view.revision >= revision
 
 
--- a/bench/outages/_plan.py
+++ b/bench/outages/_plan.py
@@ -12,6 +12,8 @@
 
     CONFIGURATION = "configuration"
     EVACUATION = "evacuation"
+    KEY = "revoked key"  # a node that can't know which keys are revoked accepts none
+    EPOCH = "epoch"  # the store is restored from a copy
 
 
 class Scope(Enum):
--- a/bench/outages/_virtual_store.py
+++ b/bench/outages/_virtual_store.py
@@ -14,6 +14,7 @@
 from aiohttp.test_utils import make_mocked_request
 
 from marjoramtide.clock import Clock
+from marjoramtide.platform._headers import STORE_EPOCH
 from marjoramtide.platform._store_protocol import PlatformStoreProtocol
 from marjoramtide.store import Call, HttpObjectStore, StoreLimits
 from marjoramtide.store._call_errors import ResponseLostError
@@ -138,6 +139,9 @@
         try:
             response = await self.server.list_or_watch(request)
         except web.HTTPException as error:
-            return VirtualResponse(error.status, {}, b"{}")
+            return VirtualResponse(error.status, self.epoch_header(), b"{}")
         assert isinstance(response, web.Response) and isinstance(response.body, bytes)
-        return VirtualResponse(response.status, {}, response.body)
+        return VirtualResponse(response.status, self.epoch_header(), response.body)
+
+    def epoch_header(self) -> dict[str, str]:
+        return {STORE_EPOCH: str(self.server.state.era)}
--- a/features/settings/store_checks.feature
+++ b/features/settings/store_checks.feature
@@ -64,6 +64,35 @@
       | 18    | those that read it, then again | silence             | 4       | 4.5   | 4     |
       | 195   | a third                        | silence             | 4       | 0.5   | 1     |
 
+  Scenario Outline: The nodes that read the store get no answer while it is restored from a copy
+    # Nodes hold versions, evacuations and announcements that the copy may lack, and write none of
+    # them again for half a minute.
+    Given a fleet of <nodes> nodes whose store gives <what> to those that read it for 4 s
+    When the store is restored from a copy 0.5 s later
+    Then all nodes know of it within 2 s in 4 plays from seed 0
+
+    Examples:
+      | nodes | what     |
+      | 9     | silence  |
+      | 18    | silence  |
+      | 18    | resets   |
+      | 18    | refusals |
+
+  Scenario Outline: A key is revoked while the nodes that read the store get no answer
+    # Guards against a revoked key that still opens, and against nodes that refuse valid keys since
+    # nobody proves to them that their settings are the newest.
+    Given a fleet of <nodes> nodes whose store gives <what> to those that read it for 4 s
+    When a key is revoked 0.5 s later
+    Then all nodes know of it within 5 s in 4 plays from seed 0
+    And no node has refused valid keys
+
+    Examples:
+      | nodes | what     |
+      | 9     | silence  |
+      | 18    | silence  |
+      | 18    | resets   |
+      | 18    | refusals |
+
   Scenario Outline: A fleet at rest calls the store once a second more at most
     Given a fleet of <nodes> nodes at rest
     Then it makes at most 1 call a second more with checks of the store than without
--- a/features/steps/store_check_steps.py
+++ b/features/steps/store_check_steps.py
@@ -62,6 +62,16 @@
     context.plan = attrs.evolve(context.plan, change_at_s=seconds, fact=Fact.CONFIGURATION)
 
 
+@when("the store is restored from a copy {seconds:g} s later")
+def when_restored(context: Any, seconds: float) -> None:
+    context.plan = attrs.evolve(context.plan, change_at_s=seconds, fact=Fact.EPOCH)
+
+
+@when("a key is revoked {seconds:g} s later")
+def when_revoked(context: Any, seconds: float) -> None:
+    context.plan = attrs.evolve(context.plan, change_at_s=seconds, fact=Fact.KEY)
+
+
 @when("a data centre is evacuated {seconds:g} s later")
 def when_evacuation(context: Any, seconds: float) -> None:
     context.plan = attrs.evolve(context.plan, change_at_s=seconds, fact=Fact.EVACUATION)
@@ -69,11 +79,18 @@
 
 @then("all nodes know of it within {seconds:g} s in {seeds:d} plays from seed {first:d}")
 def then_known(context: Any, seconds: float, seeds: int, first: int) -> None:
+    context.results = []
     for seed in range(first, first + seeds):
         result = measure_outage(attrs.evolve(context.plan, seed=seed))
+        context.results.append(result)
         assert result.late_s <= seconds, (seed, result)
 
 
+@then("no node has refused valid keys")
+def then_no_refusal(context: Any) -> None:
+    assert not any(result.refusing_s for result in context.results), context.results
+
+
 @then(
     "all nodes know of it within {seconds:g} s, or {after_end:g} s after the end, "
     "in {seeds:d} plays from seed {first:d}"
