--- a/src/marjoramtide/platform/_store_protocol.py
+++ b/src/marjoramtide/platform/_store_protocol.py
@@ -11,6 +11,7 @@
 import attrs
 
 from marjoramtide.checked import MalformedError, parse_json, rename_keys, structure_as
+from marjoramtide.platform._configuration import OperatorConfiguration
 from marjoramtide.platform._headers import STORE_EPOCH
 from marjoramtide.platform._stored import (
     LISTED_FIELDS,
@@ -74,6 +75,10 @@
         params = ({"after": after} if after else {}) | ({"StaleOk": "1"} if allow_stale else {})
         return Call("store.list", "GET", kind_path(prefix), LIST_OUTCOMES, params=params)
 
+    def current_version(self) -> Call:
+        # Of a kind that the store surely has, from its only object on.
+        return self.list_page(OperatorConfiguration.key, name_of(OperatorConfiguration.key))
+
     def create(self, key: str, value: bytes) -> Call:
         return write_call("store.create", "POST", kind_path(key), {"Name": name_of(key)}, value)
 
--- a/src/marjoramtide/store/_http_object_store.py
+++ b/src/marjoramtide/store/_http_object_store.py
@@ -22,7 +22,7 @@
 from marjoramtide.store._epoch_tracker import EpochTracker
 from marjoramtide.store._http_session import open_session
 from marjoramtide.store._listing import Listing
-from marjoramtide.store._object_store import NO_OBJECTS, ObjectStore
+from marjoramtide.store._object_store import ObjectStore
 from marjoramtide.store._store_limits import StoreLimits
 from marjoramtide.store._store_protocol import StoreProtocol, WatchResponse
 from marjoramtide.store._stored_object import StoredObject
@@ -101,10 +101,10 @@
         return await self.list_pages(prefix, timeout, allow_stale=True)
 
     async def current_version(self, *, timeout: float = 2.0) -> int:
-        call = attrs.evolve(self.protocol.list_page(NO_OBJECTS, ""), is_probe=True)
+        call = attrs.evolve(self.protocol.current_version(), is_probe=True)
         response = await self.call_once(call, self.clock.monotonic() + timeout)
         with self.malformed_as(ErrorCode.STORE_UNAVAILABLE, call.step):
-            page = self.protocol.read_page(NO_OBJECTS, response)
+            page = self.protocol.read_page("", response)
         return make_version(response.epoch, page.version)
 
     async def list_pages(self, prefix: str, timeout: float, *, allow_stale: bool) -> Listing:
--- a/src/marjoramtide/store/_object_store.py
+++ b/src/marjoramtide/store/_object_store.py
@@ -4,12 +4,10 @@
 from collections.abc import AsyncIterator, Callable
 
 from marjoramtide.store._listing import Listing
+from marjoramtide.store._store_protocol import NO_OBJECTS
 from marjoramtide.store._stored_object import StoredObject
 from marjoramtide.store._watch_event import WatchEvent
 
-# The prefix of a kind without objects, whose list only states the store's version.
-NO_OBJECTS = "versions/"
-
 
 class ObjectStore(ABC):
     """Objects with versions, conditional updates and watches.
--- a/src/marjoramtide/store/_store_protocol.py
+++ b/src/marjoramtide/store/_store_protocol.py
@@ -9,6 +9,9 @@
 from marjoramtide.store._stored_object import StoredObject
 from marjoramtide.store._watch_event import WatchEvent
 
+# The prefix of a kind that has no objects.
+NO_OBJECTS = "versions/"
+
 
 @attrs.frozen(slots=True)
 class ListPage:
@@ -55,6 +58,10 @@
         With ``allow_stale`` the response may be some seconds old, if the store supports that.
         """
 
+    def current_version(self) -> Call:
+        """Return the call that lists nothing, for the store's version that each list states."""
+        return self.list_page(NO_OBJECTS, "")
+
     @abstractmethod
     def create(self, key: str, value: bytes) -> Call:
         """Return the call that creates an object."""
