--- a/bench/outages/_virtual_store.py
+++ b/bench/outages/_virtual_store.py
@@ -6,12 +6,10 @@
 from contextlib import AbstractAsyncContextManager
 from types import TracebackType
 from typing import Any
-from urllib.parse import urlencode
 
 import aiohttp
 import attrs
 from aiohttp import web
-from aiohttp.test_utils import make_mocked_request
 
 from marjoramtide.clock import Clock
 from marjoramtide.platform._headers import STORE_EPOCH
@@ -33,6 +31,14 @@
     is_lost: bool = False
 
 
+@attrs.frozen
+class ListRequest:
+    """The part of an HTTP request that the stand-in reads of a list or a watch."""
+
+    match_info: dict[str, str]
+    query: dict[str, str]
+
+
 @attrs.frozen
 class VirtualResponse:
     """The part of an HTTP response that the store's client uses."""
@@ -133,9 +139,7 @@
         return VirtualResponse(503, {}, b"{}")
 
     async def ask_stand_in(self, call: Call) -> VirtualResponse:
-        kind = call.path.rpartition("/")[2]
-        path = f"{call.path}?{urlencode(call.params)}"
-        request = make_mocked_request(call.method, path, match_info={"kind": kind})
+        request: Any = ListRequest({"kind": call.path.rpartition("/")[2]}, dict(call.params))
         try:
             response = await self.server.list_or_watch(request)
         except web.HTTPException as error:
