Crowds of clients outside the limits, against real nodes, before any change of the product

These scenarios start real nodes of two services, with both protocols, at a tenth of a machine's limits, and let a crowd send what ordinary clients don't: heads over the limit and without end, empty lines, chunked bodies that stop short of their end in large and very small chunks, bodies with a length, chunk extensions, trailers, requests ahead with answers unread, to the callers' port for the service beside the node and over a hop; and connections, heads and bodies to each other port that others reach. Checked: the process lives, its memory with the bytes that it has received and not read, its descriptors, an ordinary request of each service through each node afterwards, and that SIGTERM beside such a crowd ends each node within GraceS.

Bounds, from DEPLOY.md, not from a measured figure: 300 MB and 4,100 descriptors a machine. Of these 60 MB are for a node without clients; of the rest a tenth, so 84 MB, and 410 descriptors. Crowds: 300 clients, 40 where a few send ahead, 450 at the other ports.

The runner plays features/clients one file at a time after all others, so that no other load is beside them.

--- a/features/run.py
+++ b/features/run.py
@@ -1,8 +1,9 @@
 """Runs every behave feature, several in parallel, and prints a summary line.
 
 Each feature file runs in a behave process of its own with its own loopback addresses, so that its
-result does not depend on which files run in parallel. Scenarios named in ``KNOWN-RED.txt`` may
-fail and are printed. Any other scenario that does not pass fails the run.
+result does not depend on which files run in parallel. Files in ``features/clients`` measure memory
+beside crowds of clients: they run one at a time, after all others. Scenarios named in
+``KNOWN-RED.txt`` may fail and are printed. Any other scenario that does not pass fails the run.
 """
 
 import argparse
@@ -18,6 +19,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+ALONE = ROOT / "features" / "clients"
 FEATURE_TIMEOUT_S = 300
 
 
@@ -96,7 +98,14 @@
 
 
 async def run_all(paths: list[Path], jobs: int) -> list[ScenarioResult]:
-    """Run all feature files, ``jobs`` at a time."""
+    """Run all feature files, ``jobs`` at a time, then those that run alone."""
+    alone = [path for path in paths if ALONE in path.parents]
+    together = [path for path in paths if path not in alone]
+    return await run_files(together, jobs) + await run_files(alone, 1)
+
+
+async def run_files(paths: list[Path], jobs: int) -> list[ScenarioResult]:
+    """Run feature files, ``jobs`` at a time."""
     free_slots: asyncio.Queue[int] = asyncio.Queue()
     for number in range(jobs):
         free_slots.put_nowait(number)
