Connections to the peer port without proof of the key are bounded, in number and in bytes

Cause: a stranger's frames were bounded (512 bytes), the HTTP request before them was not: the websocket library takes 128 header lines of 8 kB, for each of any number of connections, for two seconds.

A node's own handshake takes milliseconds. Ruled out: a limit for all peers' connections, which would shut out nodes of a fleet that starts.

--- a/src/marjoramtide/errors/_codes.py
+++ b/src/marjoramtide/errors/_codes.py
@@ -16,6 +16,7 @@
     BODY_TOO_LARGE = "body-too-large"
     HEAD_TOO_LARGE = "head-too-large"
     SLOW_CALLER = "slow-caller"
+    MEMORY_LIMIT = "memory-limit"
     DEADLINE = "deadline"
     OVERLOADED = "overloaded"
     SLOWED = "slowed"
--- a/src/marjoramtide/peers/_server.py
+++ b/src/marjoramtide/peers/_server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+from functools import partial
+from typing import cast
 
 import structlog
 from websockets.asyncio.server import Server, ServerConnection, serve
@@ -22,6 +24,7 @@
 )
 from marjoramtide.peers._server_connection import PeerServerConnection
 from marjoramtide.peers._session import QuestionHandler, Session
+from marjoramtide.peers._strangers import Strangers
 from marjoramtide.sockets import enable_keepalive
 
 log = structlog.get_logger()
@@ -30,12 +33,22 @@
 library_log = logging.getLogger("marjoramtide.peers.websockets")
 library_log.setLevel(logging.ERROR)
 
+MAX_STRANGERS = 512
+
 
 class PeerServer:
     """Accepts connections from nodes that prove knowledge of the fleet's key."""
 
-    def __init__(self, key: str, clock: Clock, freeze_detector: FreezeDetector) -> None:
+    def __init__(
+        self,
+        key: str,
+        clock: Clock,
+        freeze_detector: FreezeDetector,
+        max_strangers: int = MAX_STRANGERS,
+    ) -> None:
+        """``max_strangers`` is how many connections may be without proof of the key."""
         self.key = key
+        self.strangers = Strangers(max_strangers)
         self.handler: RequestHandler | None = None
         self.in_flight_listener: InFlightListener | None = None
         self.clock = clock
@@ -57,7 +70,9 @@
             close_timeout=CLOSE_TIMEOUT_S,
             server_header=None,
             logger=library_log,
-            create_connection=PeerServerConnection,
+            create_connection=partial(  # type: ignore[arg-type]
+                PeerServerConnection, strangers=self.strangers
+            ),
             open_timeout=HANDSHAKE_TIMEOUT_S,
         )
 
@@ -78,6 +93,7 @@
                 MarjoramtideError(ErrorCode.BAD_KEY, reason, step="peers.handshake", peer=peer),
             )
             return
+        cast(PeerServerConnection, socket).admit()
         if lane == IN_FLIGHT:
             assert self.in_flight_listener is not None
             await InFlightSession(socket, peer, self.in_flight_listener, self.clock).run()
