What all connections of a port make a node keep is bounded by one account

At a tenth of a machine's limits (84 MB, 410 descriptors) crowds of 300 took a node to 391.8 MB with heads over the limit, 214.5 MB with empty lines (161.1 MB of it not read), 258.5 MB with large chunks, 143.5 MB with chunks of one byte, 367.6 MB with trailers; 40 clients to 98.0 MB with large requests ahead; 450 at the operators' port to 643.6 MB, and 450 silent ones there or at the readiness or registration port took every descriptor, so that no caller was answered in 30 s.

Cause: each connection had bounds of its own, and their product with the number of connections never fitted: 100 header lines of 8 kB, kept as bytes and text; 512 kB of body and 16,384 pieces of it; 32 requests ahead; 256 kB read at once and kept while the parser is paused; and what the system receives and nobody reads, up to megabytes a connection while the node is busy. Empty lines, chunk extensions and trailers belonged to no bound at all. The other ports had none for connections.

Weighed: a share for each connection that fits times 2,050 is 39 kB of 80 MB, too small for a body of 64 kB that is read whole. One account alone, without small shares, would close ordinary callers among the crowd. Now both: a connection reads 16 kB at once, buffers 16 to 32 kB of body in at most 1,024 pieces, four requests ahead, and one bound for a whole head with whatever comes before it, or for trailers and extensions; and one account for all. Over its limit those are closed first that have waited longest for their client. What the system keeps unread is bounded by small receive buffers. A new connection over the number takes the place of one that has waited longest, so silent ones don't shut out others.

Nothing is counted for each request: bytes are added up, and the connections looked at after a sixteenth of the limit has moved.

The crowd fleet's nodes now get memory_mb = 84; its idle timeout is set for both protocols, for the new feature. Crowds and bounds are as they were.

--- a/features/client_fleet.py
+++ b/features/client_fleet.py
@@ -40,6 +40,7 @@
 BODY_BYTES = 1 << 20
 HEAD_BYTES = 16384
 TIMEOUT_MS = 10_000
+IDLE_TIMEOUT_S = 15
 SERVICES = ("mapdesk", "licencehub")
 PLATFORM_PORTS = (
     "callers",
@@ -161,14 +162,14 @@
         super().__init__(folder)
         tree = (
             f"max_body_bytes = {BODY_BYTES}\nmax_head_bytes = {HEAD_BYTES}\n"
-            f"timeout_ms = {TIMEOUT_MS}\n"
+            f"timeout_ms = {TIMEOUT_MS}\nidle_timeout_ms = {IDLE_TIMEOUT_S * 1000}\n"
         )
         tree += "".join(f"[services.{service}]\n" for service in SERVICES)
         self.mesh = Mesh(folder, make_plan(dict.fromkeys(SERVICES, 1), service_ms=5.0), tree)
 
     async def start(self) -> None:
         for each in self.mesh.nodes:
-            each.extra_settings = {"stop_grace_s": float(GRACE_S)}
+            each.extra_settings = {"stop_grace_s": float(GRACE_S), "memory_mb": MEMORY_BYTES // MB}
         await self.mesh.start()
         for each in self.mesh.nodes:
             assert each.process is not None
@@ -218,7 +219,7 @@
                 "MaxHeaderBytes": HEAD_BYTES,
                 "MaxBodyBytes": BODY_BYTES,
                 "HeaderTimeoutMs": 3000,
-                "IdleTimeoutMs": 15000,
+                "IdleTimeoutMs": IDLE_TIMEOUT_S * 1000,
             },
         }
         self.store.state.put("config", "main", Specification=specification)
@@ -239,6 +240,7 @@
             "key": "a key for crowds on loopback only",
             "interface": "platform",
             "base_tree": "deploy/base-tree.toml",
+            "memory_mb": MEMORY_BYTES // MB,
             "bounds": [each for each in BOUNDS if "GraceS" not in each] + [f"GraceS={GRACE_S}"],
         }
         path = self.folder / f"{service}.toml"
--- a/src/marjoramtide/daemon/_gauges.py
+++ b/src/marjoramtide/daemon/_gauges.py
@@ -20,6 +20,8 @@
         "settings.revision": node.view.revision,
         "settings.current": node.view.is_current,
         "ingress.in_progress": node.ingress.in_progress,
+        "ingress.connections": node.ingress.connection_count,
+        "ingress.held_bytes": node.ingress.held_bytes,
         "serving.in_use": report.in_use,
         "serving.queued": report.queued_urgent + report.queued_routine,
         "serving.limit": report.limit,
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -47,7 +47,7 @@
 )
 from marjoramtide.settings import NodeSettings, parse_address
 from marjoramtide.settings.sync import make_settings_service
-from marjoramtide.sockets import AppServer
+from marjoramtide.sockets import AppServer, memory_shares
 from marjoramtide.store import open_object_store
 from marjoramtide.storecheck import make_store_checker
 from marjoramtide.telemetry import (
@@ -79,6 +79,7 @@
         self.settings = settings
         self.interface = interface = interface or default_interface()
         self.stop_grace_s = interface.stop_grace_s or settings.stop_grace_s
+        self.shares = memory_shares(settings.memory_mb)
         self.clock = SystemClock()
         rng = self.rng = random.Random()
         self.store = open_object_store(
@@ -92,7 +93,9 @@
         self.transport = HttpTransport(settings.backend, INITIAL_CONNECTIONS, interface.backend)
         self.claims = make_claims(self.store, self.clock, self.name)
         self.peer_client = PeerClient(settings.key, self.clock)
-        self.peer_server = PeerServer(settings.key, self.clock, self.freeze_detector)
+        self.peer_server = PeerServer(
+            settings.key, self.clock, self.freeze_detector, self.shares.strangers()
+        )
         control = PeerControlChannel(self.peer_client, self.peer_server)
         self.settings_service = make_settings_service(
             settings,
@@ -214,6 +217,7 @@
                 NestedCalls(interface.runs or self.serving.running),
             ),
             self.quotas,
+            self.shares.callers(),
         )
         self.bulletins = NodeBulletins(
             self.membership,
@@ -288,16 +292,17 @@
         """Return the HTTP servers for operators, metrics, readiness and registration by address."""
         settings = self.settings
         operators = make_operators_app(make_node_handle(self))
-        servers = {settings.operators: AppServer("operators", operators)}
+        limits = self.shares.other_port()
+        servers = {settings.operators: AppServer("operators", operators, limits)}
         if settings.metrics:
             app = make_metrics_app(self.metrics, self.refresh_gauges)
-            servers[settings.metrics] = AppServer("metrics", app)
+            servers[settings.metrics] = AppServer("metrics", app, limits)
         if self.interface.readiness_app is not None and settings.readiness:
             app = self.interface.readiness_app(self.accepts_callers)
-            servers[settings.readiness] = AppServer("readiness", app)
+            servers[settings.readiness] = AppServer("readiness", app, limits)
         if self.interface.registration_app is not None and self.server.registrar is not None:
             app = self.interface.registration_app(self.server.registrar)
-            servers[settings.registration] = AppServer("registration", app)
+            servers[settings.registration] = AppServer("registration", app, limits)
         return servers
 
     def refresh_gauges(self) -> None:
--- a/src/marjoramtide/ingress/_caller_connection.py
+++ b/src/marjoramtide/ingress/_caller_connection.py
@@ -6,11 +6,12 @@
 import structlog
 from aiohttp import web
 from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError, LineTooLong
-from aiohttp.web_protocol import RequestHandler, _ErrInfo
+from aiohttp.web_protocol import _ErrInfo
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
-from marjoramtide.exchange import UnknownOutcomeError
+from marjoramtide.exchange import MAX_INLINE_BYTES, UnknownOutcomeError
 from marjoramtide.ingress._caller_protocol import CallerProtocol
+from marjoramtide.sockets import BoundedConnection
 from marjoramtide.telemetry import Metrics
 
 log = structlog.get_logger()
@@ -18,16 +19,17 @@
 STEP = "ingress.parse"
 TOO_MANY_HEADERS = "Too many headers received"
 MAX_REASON_CHARACTERS = 100
+# The flow-control window of a response from another node.
+STREAMED_RESPONSE_BYTES = 320 * 1024
 
 
-class CallerConnection(RequestHandler):
+class CallerConnection(BoundedConnection):
     """aiohttp's connection with timeouts for slow callers and our own error responses."""
 
     __slots__ = (
         "added_idle_s",
         "head_timeout_s",
         "head_timer",
-        "max_connections",
         "metrics",
         "node",
         "protocol",
@@ -35,6 +37,9 @@
         "stall_timer",
     )
 
+    kept_body_bytes = MAX_INLINE_BYTES
+    streamed_response_bytes = STREAMED_RESPONSE_BYTES
+
     def __init__(
         self,
         node: str,
@@ -42,7 +47,6 @@
         metrics: Metrics,
         head_timeout_s: float,
         stall_timeout_s: float,
-        max_connections: int,
         *args: Any,
         **kwargs: Any,
     ) -> None:
@@ -54,16 +58,13 @@
         self.head_timer: asyncio.TimerHandle | None = None
         self.added_idle_s = 0.0
         self.stall_timeout_s = stall_timeout_s
-        self.max_connections = max_connections
         self.stall_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        if self._manager and len(self._manager._connections) > self.max_connections:
-            self.refuse_connection()
-            return
-        # aiohttp's own timer only closes connections that have completed a request before.
-        self.start_head_timer(self.keepalive_timeout)
+        if not self._force_close:
+            # aiohttp's own timer only closes connections that have completed a request before.
+            self.start_head_timer(self.keepalive_timeout)
 
     def configure(self, head_timeout_s: float, idle_timeout_s: float) -> None:
         """Apply changed timeouts.
@@ -92,10 +93,28 @@
         peers, the store or its backend server any more. The limit reserves descriptors for those.
         """
         self.log_refused(ErrorCode.OVERLOADED, "too many open connections of callers", "not-run")
+        self.send_refusal()
+
+    def send_refusal(self) -> None:
+        """Send that nothing was run and when to come back, and close the connection."""
         assert self.transport is not None
+        self.has_ended = True
         self.transport.write(self.protocol.connection_limit_response)
         self.force_close()
 
+    def shed(self, reason: str) -> None:
+        """Close the connection, since others need what it holds.
+
+        A caller whose request has not begun, and who reads, is told so.
+        """
+        self.metrics.count("ingress.shed")
+        has_begun = not self.is_between_requests
+        self.log_refused(ErrorCode.MEMORY_LIMIT, reason, "unknown" if has_begun else "not-run")
+        if has_begun or self.unread_since is not None or self.transport is None:
+            self.abort()
+        else:
+            self.send_refusal()
+
     def data_received(self, data: bytes) -> None:
         # A caller that sends a byte now and then would hold a connection and its file descriptor
         # forever, and enough of such callers would prevent all others from connecting. The timer
--- a/src/marjoramtide/ingress/_ingress.py
+++ b/src/marjoramtide/ingress/_ingress.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, cast
 
 import attrs
 import structlog
@@ -21,7 +21,7 @@
     inline_body,
 )
 from marjoramtide.ingress._authenticator import Authenticator
-from marjoramtide.ingress._caller_connection import error_fields
+from marjoramtide.ingress._caller_connection import CallerConnection, error_fields
 from marjoramtide.ingress._caller_protocol import CallerProtocol
 from marjoramtide.ingress._caller_server import CallerServer
 from marjoramtide.ingress._decision import Decision
@@ -30,7 +30,8 @@
 from marjoramtide.ingress._read_body import read_body
 from marjoramtide.ingress._request_quota import NoQuota, QuotaLease, RequestQuota
 from marjoramtide.ingress._startup_grace import StartupGrace
-from marjoramtide.settings import RouteSettings, SettingsView
+from marjoramtide.settings import DEFAULT_MEMORY_MB, RouteSettings, SettingsView
+from marjoramtide.sockets import ConnectionLimits, memory_shares, open_listening_socket
 from marjoramtide.telemetry import Metrics, Tracer, parse_traceparent
 
 log = structlog.get_logger()
@@ -48,6 +49,11 @@
 MAX_IN_PROGRESS = 2048
 URGENT_RESERVE = 256
 UNSENT_POLL_S = 0.02
+BACKLOG = 1024
+# Connections taken at once, before any of them can be refused.
+ACCEPTS_AT_ONCE = 64
+# Closing waits this long, twice, for handlers that the drain has already waited for.
+SHUTDOWN_TIMEOUT_S = 0.1
 
 
 class Ingress:
@@ -65,6 +71,7 @@
         startup_grace: StartupGrace | None = None,
         authenticator: Authenticator | None = None,
         quotas: RequestQuota | None = None,
+        limits: ConnectionLimits | None = None,
     ) -> None:
         """Initialize the server.
 
@@ -77,6 +84,7 @@
         self.protocol = protocol or DefaultCallerProtocol()
         self.authenticator = authenticator or Authenticator(view, self.protocol.scheme)
         self.quotas = quotas or NoQuota()
+        self.limits = limits or memory_shares(DEFAULT_MEMORY_MB).callers()
         self.view = view
         self.dispatcher = dispatcher
         self.clock = clock
@@ -91,7 +99,7 @@
         self.idle.set()
         self.server: CallerServer | None = None
         self.runner: web.ServerRunner | None = None
-        self.site: web.TCPSite | None = None
+        self.site: web.SockSite | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Listen on the callers' address."""
@@ -99,6 +107,7 @@
             self.node,
             self.protocol,
             self.metrics,
+            self.limits,
             self.handle,
             handler_cancellation=True,
             access_log=None,
@@ -109,10 +118,12 @@
         )
         self.configure(self.view.revision)
         self.view.on_change(self.configure)
-        self.runner = web.ServerRunner(self.server, shutdown_timeout=0.5)
+        self.runner = web.ServerRunner(self.server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self.runner.setup()
-        self.site = web.TCPSite(self.runner, host, port, backlog=1024)
+        listener = open_listening_socket(host, port, self.limits.receive_bytes)
+        self.site = web.SockSite(self.runner, listener, backlog=ACCEPTS_AT_ONCE)
         await self.site.start()
+        listener.listen(BACKLOG)
 
     def configure(self, revision: int) -> None:
         """Apply the limits for callers from the settings, at start-up and after each change."""
@@ -172,6 +183,10 @@
             if request is not None:
                 self.authenticator.nested_calls.record_failure(request, error)
             return self.refuse(http_request, body_error or error, request)
+        finally:
+            if self.is_draining and http_request.content.is_eof():
+                # The connection is closed after this response.
+                await cast(CallerConnection, http_request.protocol).drain_input()
 
     async def read_body(
         self, http_request: web.BaseRequest, request: Request, settings: RouteSettings
@@ -217,10 +232,11 @@
         for that, the outcome of all requests in progress is unknown.
         """
         limit = self.max_in_progress - (0 if request.urgent else self.urgent_reserve)
-        if self.in_progress > limit:
+        assert self.server is not None
+        if self.in_progress > limit or self.server.is_out_of_memory():
             raise NotRunError(
                 ErrorCode.OVERLOADED,
-                "too many requests are in progress at this node",
+                "too many requests, or too much of them, are in progress at this node",
                 step="ingress",
                 retry_after_ms=RETRY_AFTER_MS,
             )
@@ -279,6 +295,10 @@
         """Send the response to the caller, complete or visibly truncated."""
         self.metrics.count("ingress.completed")
         http_response: web.StreamResponse
+        assert self.server is not None
+        self.server.account.moved(len(response.body))
+        connection = cast(CallerConnection, http_request.protocol)
+        connection.streams_response = response.stream is not None
         if response.stream is None:
             http_response = web.Response(status=response.status, body=response.body or None)
             self.add_headers(http_response, response)
@@ -330,6 +350,16 @@
             # caller's next request, whose outcome would then be unknown.
             http_response.force_close()
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of callers' connections."""
+        return 0 if self.server is None else len(self.server.connections)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return what this process keeps for callers' connections, as of the last check."""
+        return 0 if self.server is None else self.server.account.held_bytes
+
     async def start_draining(self) -> None:
         """Accept no new connections, and close each open one after its next response.
 
@@ -340,6 +370,12 @@
         if self.site is not None:
             await self.site.stop()
 
+    def discard_input(self) -> None:
+        """Read no more of what callers send, so that what is left of a stop is done in time."""
+        assert self.server is not None
+        for connection in self.server.bounded_connections():
+            connection.discard_input()
+
     async def wait_drained(self) -> None:
         """Wait until no request is in progress and all responses have been written to the sockets.
 
--- a/src/marjoramtide/settings/__init__.py
+++ b/src/marjoramtide/settings/__init__.py
@@ -11,6 +11,7 @@
 from marjoramtide.settings._level import Level
 from marjoramtide.settings._locality import Locality
 from marjoramtide.settings._node_settings import (
+    DEFAULT_MEMORY_MB,
     NodeSettings,
     check_address,
     load_node_settings,
@@ -32,6 +33,7 @@
 
 __all__ = [
     "DEFAULTS",
+    "DEFAULT_MEMORY_MB",
     "SCHEMA",
     "Branch",
     "Edit",
--- a/src/marjoramtide/settings/_node_settings.py
+++ b/src/marjoramtide/settings/_node_settings.py
@@ -19,6 +19,9 @@
 INTERFACES = ("own", "platform")
 MIN_KEY_CHARACTERS = 16
 MAX_STOP_GRACE_S = 3600
+DEFAULT_MEMORY_MB = 300
+MIN_MEMORY_MB = 64
+MAX_MEMORY_MB = 1 << 20
 
 
 def parse_address(text: str) -> tuple[str, int]:
@@ -49,7 +52,8 @@
     ``base_tree`` is a TOML file that another system's configuration overlays. ``readiness`` and
     ``registration`` are the listeners for the platform that runs the machines and for the backend
     server, and ``bounds`` are limits that the platform sets, as ``name=value``, if the interface
-    has them.
+    has them. ``memory_mb`` is the memory that the process may take, in megabytes: what callers and
+    others make it keep is bounded by shares of it.
     """
 
     service: str
@@ -75,6 +79,7 @@
     readiness: str = ""
     registration: str = ""
     bounds: list[str] = attrs.Factory(list)
+    memory_mb: int = DEFAULT_MEMORY_MB
 
     @key.validator
     def _check_key(self, attribute: "attrs.Attribute[Any]", value: str) -> None:
@@ -120,6 +125,11 @@
         return (
             "" if in_range else f"{name} = {value!r}; allowed: seconds from 0 to {MAX_STOP_GRACE_S}"
         )
+    if name == "memory_mb":
+        is_whole = isinstance(value, int) and not isinstance(value, bool)
+        if is_whole and MIN_MEMORY_MB <= value <= MAX_MEMORY_MB:
+            return ""
+        return f"{name} = {value!r}; allowed: megabytes from {MIN_MEMORY_MB} to {MAX_MEMORY_MB}"
     if name == "bounds":
         is_string_list = isinstance(value, list) and all(isinstance(text, str) for text in value)
         return "" if is_string_list else f"bounds = {value!r}; allowed: a list of strings"
