A planned stop beside a crowd of clients ends within its grace

Cause, from the log of such a stop: the loop handled SIGTERM 0.39 s late, busy with chunks of one byte, and the grace was counted from there; after the drain's 5.4 s closing waited up to a second for callers' handlers and up to two for those of the other ports, one after the other, while it read on from the crowd.

Mend: the grace counts from the signal, which a handler beside the loop's own records; once the drain is cut, input is read and dropped instead of parsed; leaving and closing run together, and closing as a whole ends with the grace.

--- a/src/marjoramtide/daemon/_graceful_shutdown.py
+++ b/src/marjoramtide/daemon/_graceful_shutdown.py
@@ -34,12 +34,15 @@
 async def shut_down_gracefully(node: Node) -> None:
     """Reject new requests, finish those in flight, then leave the membership."""
     log.info("daemon.stopping", in_progress=len(node.serving.in_progress))
-    deadline_at = node.clock.monotonic() + node.stop_grace_s * SHUTDOWN_SHARE
+    now = node.clock.monotonic()
+    begun_at = now if node.stop_signal_at is None else node.stop_signal_at
+    deadline_at = begun_at + node.stop_grace_s * SHUTDOWN_SHARE
+    drain_s = max(0.0, begun_at + node.stop_grace_s * DRAIN_SHARE - now)
     node.is_stopping = True
     node.ingress.is_draining = True
     linger_s = min(node.interface.stop_linger_s, node.stop_grace_s / 2)
     try:
-        async with asyncio.timeout(node.stop_grace_s * DRAIN_SHARE):
+        async with asyncio.timeout(drain_s):
             if linger_s:
                 await asyncio.sleep(linger_s * KEEP_SERVING_SHARE)
             node.stop_serving()
@@ -57,18 +60,31 @@
     except TimeoutError:
         log.warning("daemon.stop_cut", code=ErrorCode.DEADLINE, after_s=node.stop_grace_s)
         await fail_remaining_requests(node)
-    await leave_fleet(node, deadline_at)
-    await node.ingress.close()
-    await node.close()
+    await asyncio.gather(leave_fleet(node, deadline_at), node.ingress.close())
+    await close_in_time(node, deadline_at)
     log.info("daemon.stopped")
 
 
+async def close_in_time(node: Node, deadline_at: float) -> None:
+    """Close what is left, but no later than the grace allows.
+
+    Failure: clients keep requests and connections of other ports open. Each server waits for its
+    own, and the process is killed amid that.
+    """
+    try:
+        async with asyncio.timeout(max(0.0, deadline_at - node.clock.monotonic())):
+            await node.close()
+    except TimeoutError:
+        log.warning("daemon.close_cut", code=ErrorCode.DEADLINE)
+
+
 async def fail_remaining_requests(node: Node) -> None:
     """Send callers a final response for requests that did not finish within the grace.
 
     Failure: a request with a long deadline waits in the queue of another node until this process is
     killed, and its caller sees a broken connection and never learns the outcome.
     """
+    node.ingress.discard_input()
     node.dispatcher.expire_all()
     try:
         async with asyncio.timeout(FINAL_RESPONSES_S):
--- a/src/marjoramtide/daemon/_node.py
+++ b/src/marjoramtide/daemon/_node.py
@@ -238,6 +238,7 @@
         self.is_stopping = False
         self.has_stopped_serving = False
         self.stop_requested = asyncio.Event()
+        self.stop_signal_at: float | None = None
         self.tasks: set[asyncio.Task[Any]] = set()
         self.view.on_change(self.settings_changed)
         self.membership.on_change(self.member_changed)
@@ -428,6 +429,11 @@
             waiting_for_restart=waiting,
         )
 
+    def record_stop_signal(self) -> None:
+        """Record when the signal to stop came; the first one counts."""
+        if self.stop_signal_at is None:
+            self.stop_signal_at = self.clock.monotonic()
+
     def has_other_members(self) -> bool:
         """Tell whether other nodes accept requests of the service that this one serves."""
         own = self.membership.self_member
--- a/src/marjoramtide/daemon/_process.py
+++ b/src/marjoramtide/daemon/_process.py
@@ -36,6 +36,8 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, node.stop_requested.set)
+        # Beside the loop's own handler, which a busy loop calls late: the grace counts from here.
+        signal.signal(signal_number, lambda *_: node.record_stop_signal())
     watcher = SettingsFileWatcher(
         path, lambda changed: node.reload(changed, make_interface(changed))
     )
