--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -2,7 +2,8 @@
 
 ``python -m bench.fuzz --count 2000 --seed 1``: the frame decoder, the peer handshake, the gossip
 codec, the settings tree, platform input (heartbeats, departures, store objects, load headers) and
-the HTTP port of a real node each get ``count`` inputs (the port a tenth of them). Half of the
+the HTTP port of a real node each get ``count`` inputs (the port a tenth of them, and a hundredth as
+many connections with valid requests in unusual framing, which must be answered). Half of the
 inputs are mutations of valid ones, the others are random bytes. An input must be accepted, or
 refused with one of ``EXPECTED_ERRORS``, within ``MAX_INPUT_S``; anything else is a fault. The same
 seed gives the same inputs. The exit status is 0 only without faults.
@@ -24,6 +25,7 @@
 import attrs
 import cbor2
 
+from bench.fuzz_framing import run_framing
 from marjoramtide.checked import MalformedError, parse_json
 from marjoramtide.claims import is_claim_bulletin, pack_claim, unpack_claim
 from marjoramtide.claims._claim_record import ClaimRecord, decode_record
@@ -86,6 +88,7 @@
 MAX_INPUT_S = 0.5
 TIMEOUT_S = 50.0
 HTTP_SHARE = 10
+FRAMING_SHARE = 100
 PARALLEL = 5
 READ_SILENCE_S = 0.15
 EXPECTED_ERRORS = (MarjoramtideError, PacketError, MalformedError)
@@ -372,7 +375,20 @@
     """Fuzz each target; the inputs depend on ``seed`` alone."""
     end = time.monotonic() + TIMEOUT_S
     http = make_inputs(make_rng(seed, "http"), max(1, count // HTTP_SHARE), *HTTP)
-    return [*run_readers(count, seed, end), asyncio.run(run_http_target(http, end))]
+    return [
+        *run_readers(count, seed, end),
+        asyncio.run(run_http_target(http, end)),
+        run_framing_target(max(1, count // FRAMING_SHARE), seed, end),
+    ]
+
+
+def run_framing_target(count: int, seed: int, end: float) -> Tally:
+    """Send valid requests in chunks of any size, ahead and in any pieces, to a real node."""
+    tally = Tally("framing")
+    for line in run_framing(count, seed, end):
+        tally.fault(line.encode(), "not answered in full")
+    tally.outcomes["taken"] = count - len(tally.faults)
+    return tally
 
 
 def run_readers(count: int, seed: int, end: float) -> list[Tally]:
--- a/features/bench/fuzz.feature
+++ b/features/bench/fuzz.feature
@@ -11,3 +11,13 @@
       | 1    |
       | 2    |
       | 3    |
+
+  Scenario Outline: Valid requests in unusual framing are answered
+    # Guards against a bound on chunks or on requests ahead that a client inside the limits meets.
+    When a node gets 8 connections of framed requests of seed <seed>
+    Then each was answered in full
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
--- a/features/bench/soak.feature
+++ b/features/bench/soak.feature
@@ -29,3 +29,8 @@
     # Guards against a promise that does not hold while faults overlap.
     When the soak of seed 15 is run
     Then it has kept every promise, and served 500 requests
+
+  Scenario: A short soak beside clients outside the limits
+    # Guards against a promise that does not hold, or a node that ends, beside such clients.
+    When the soak of seed 4 with crowds is run
+    Then it has kept every promise, and served 200 requests
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -6,6 +6,7 @@
 from behave import then, when  # type: ignore[attr-defined]
 
 from bench.fuzz import run_readers
+from bench.fuzz_framing import run_framing
 
 TIMEOUT_S = 60.0
 
@@ -23,3 +24,13 @@
 def then_no_fault(context: Any) -> None:
     faults = [fault for tally in context.tallies for fault in tally.faults]
     assert not faults, faults
+
+
+@when("a node gets {count:d} connections of framed requests of seed {seed:d}")
+def when_framed(context: Any, count: int, seed: int) -> None:
+    context.unanswered = run_framing(count, seed, time.monotonic() + TIMEOUT_S)
+
+
+@then("each was answered in full")
+def then_all_answered(context: Any) -> None:
+    assert not context.unanswered, context.unanswered
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -120,4 +120,5 @@
     result = context.soak
     lines = [line for each in result.violations for line in each.lines(result.started_at)]
     assert not lines, "\n".join(lines)
+    assert not result.ended, f"ended by themselves: {result.ended}"
     assert result.statuses[OK] >= count, result.line()
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,11 +34,11 @@
                 seed, without=frozenset(options.without), added=frozenset(options.added)
             )
             result = asyncio.run(run_soak(plan, folder, options.source))
-            broken += bool(result.violations)
+            broken += result.is_broken
             print(f"{seed:4} load {os.getloadavg()[0]:4.1f}  {result.line()}", flush=True)
             for violation in result.violations:
                 print("\n".join(violation.lines(result.started_at)), flush=True)
-            if result.violations:
+            if result.is_broken:
                 print("\n".join(f"    {fault.line()}" for fault in plan.faults), flush=True)
     print(f"{broken} of {options.seeds} broken")
     return bool(broken)
--- a/soak/_fault.py
+++ b/soak/_fault.py
@@ -57,6 +57,15 @@
     "evacuate": "a data centre is evacuated, and taken back after the time of the fault",
 }
 STORE = "store-access"
+# Clients outside the limits at one node's callers port. Drawn only where they are added.
+CROWD_FAULTS = {
+    "crowd-heads": "heads over the limit",
+    "crowd-lines": "empty lines before a request",
+    "crowd-chunks": "bodies in large chunks, short of their end",
+    "crowd-pieces": "bodies in very small chunks, short of their end",
+    "crowd-ahead": "large requests ahead, answers unread",
+}
+CROWDS = "crowds"
 
 
 @attrs.frozen(slots=True)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -15,13 +15,14 @@
 from aiohttp import web
 
 from soak._callers import HOST_NAME, MOVED
-from soak._fault import LINK_FAULTS, STORE_FAULTS, Fault
+from soak._fault import CROWD_FAULTS, LINK_FAULTS, STORE_FAULTS, Fault
 from soak._judge_changes import HostPlace
 from soak._link_proxy import LinkProxy
 from soak._plan import SoakPlan
 from soak._records import ServerRecord
 from soak._server import ServerOptions
 from soak._timeline import Evacuation, RouteMove, Timeline
+from standins.crowd import Crowd, Target, make_attack
 from standins.free_port import free_port, loopback_host
 from standins.platform import FaultKind, PlatformStoreServer, StoreFault
 
@@ -30,6 +31,7 @@
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 8.0
 SERVER_START_S = 0.4
+CROWD_CLIENTS = 200
 # Until the load has a start, servers are told one so late that none of their faults is in force.
 NO_LOAD_S = 1e6
 WORK_MS = {"pay": 60.0, "up": 90.0, "board": 40.0}
@@ -282,6 +284,8 @@
         """Bring a fault of one process, link or the whole store about, and undo it."""
         host = self.hosts[fault.target]
         match fault.kind:
+            case kind if kind in CROWD_FAULTS:
+                await self.send_crowd(host, fault)
             case kind if kind in LINK_FAULTS:
                 how = kind.removeprefix("link-")
                 await self.proxies[fault.target].disturb(how, fault.for_s)
@@ -309,6 +313,22 @@
                     assert each.node is not None
                     send_signal(each.node, signal.SIGHUP)
 
+    async def send_crowd(self, host: Host, fault: Fault) -> None:
+        """Let clients outside the limits send to a node for the time of the fault."""
+        target = Target(HOST_NAME, "/board/1", "X-Attempt-Id: crowd\r\nX-Deadline-Ms: 1000\r\n")
+        attack = make_attack(CROWD_FAULTS[fault.kind], target)
+        crowd = Crowd(host.settings["callers"], attack, CROWD_CLIENTS)
+        await crowd.send(fault.for_s)
+        crowd.close()
+
+    def ended_nodes(self) -> list[str]:
+        """Return the nodes that have ended by themselves."""
+        return [
+            host.settings["name"]
+            for host in self.hosts
+            if host.node is not None and host.node.returncode is not None
+        ]
+
     async def wait_ready(self) -> None:
         """Wait until all nodes are ready for callers."""
         ends_at = time.monotonic() + READY_TIMEOUT_S
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -5,6 +5,8 @@
 import attrs
 
 from soak._fault import (
+    CROWD_FAULTS,
+    CROWDS,
     LINK_FAULTS,
     LINKS,
     PROCESS_FAULTS,
@@ -19,6 +21,7 @@
 MIN_PROCESS_FAULTS, MAX_PROCESS_FAULTS = 2, 8
 MAX_SPREAD_FAULTS = 3
 MIN_LINK_FAULTS, MAX_LINK_FAULTS = 4, 12
+MIN_CROWDS, MAX_CROWDS = 1, 4
 ADDED_SHARE = 0.06
 # With faults of the store there are enough nodes in two data centres that four of them watch, and
 # the load lasts until the last change binds.
@@ -59,7 +62,8 @@
 
     Faults of the kinds in ``without`` are drawn and then left out. All servers have those in
     ``added`` in a small share of their requests for the whole load, besides what is drawn;
-    ``links`` among them adds disturbed links between nodes. ``store-access`` gives the plan of
+    ``links`` among them adds disturbed links between nodes, ``crowds`` clients outside the limits.
+    ``store-access`` gives the plan of
     ``draw_store_plan``.
     """
     if STORE in added:
@@ -80,12 +84,14 @@
     ]
     faults += [
         Fault(kind, 0.0, SECONDS, host, ADDED_SHARE)
-        for kind in sorted(added - {LINKS})
+        for kind in sorted(added - {LINKS, CROWDS})
         for host in range(len(services))
     ]
     faults += [draw_process_fault(rng, kind, len(services)) for kind in process_kinds]
     if LINKS in added:
         faults += draw_link_faults(random.Random(f"links {seed}"), len(services))
+    if CROWDS in added:
+        faults += draw_crowds(random.Random(f"crowds {seed}"), len(services))
     return SoakPlan(
         seed=seed,
         services=services,
@@ -165,3 +171,12 @@
 def draw_process_fault(rng: random.Random, kind: str, hosts: int) -> Fault:
     """Return a fault from outside, in the middle of the load."""
     return Fault(kind, rng.uniform(1, SECONDS * 0.75), rng.uniform(0.3, 3), rng.randrange(hosts))
+
+
+def draw_crowds(rng: random.Random, hosts: int) -> list[Fault]:
+    """Draw crowds of clients outside the limits, each at one node."""
+    kinds = rng.choices(sorted(CROWD_FAULTS), k=rng.randint(MIN_CROWDS, MAX_CROWDS))
+    return [
+        Fault(kind, rng.uniform(0, SECONDS * 0.7), rng.uniform(1, 4), rng.randrange(hosts))
+        for kind in kinds
+    ]
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -9,7 +9,14 @@
 import attrs
 
 from soak._callers import Callers
-from soak._fault import LINK_FAULTS, PROCESS_FAULTS, STORE_CHANGES, STORE_FAULTS, Fault
+from soak._fault import (
+    CROWD_FAULTS,
+    LINK_FAULTS,
+    PROCESS_FAULTS,
+    STORE_CHANGES,
+    STORE_FAULTS,
+    Fault,
+)
 from soak._fleet import PROJECT_ROOT, SoakFleet
 from soak._judge import Violation, judge
 from soak._judge_changes import ChangeJudge
@@ -21,7 +28,7 @@
 AFTER_S = 4.0
 BURST_FACTOR = 3
 CALLERS_TIMEOUT_S = 6.0
-INJECTED = PROCESS_FAULTS | LINK_FAULTS | STORE_FAULTS | STORE_CHANGES
+INJECTED = PROCESS_FAULTS | LINK_FAULTS | STORE_FAULTS | STORE_CHANGES | CROWD_FAULTS
 # By then the nodes have opened their watches.
 WATCH_START_S = 4.0
 
@@ -30,7 +37,8 @@
 class SoakResult:
     """What came of a plan; ``started_at`` is the start of the load in Unix seconds.
 
-    ``changes`` counts the moves and evacuations that the store acknowledged.
+    ``changes`` counts the moves and evacuations that the store acknowledged, and ``ended`` names
+    the nodes that ended by themselves.
     """
 
     plan: SoakPlan
@@ -39,12 +47,21 @@
     events: Counter[str]
     started_at: float
     changes: int
+    ended: tuple[str, ...] = ()
+
+    @property
+    def is_broken(self) -> bool:
+        """Return whether a promise was broken, or a node ended by itself."""
+        return bool(self.violations or self.ended)
 
     def line(self) -> str:
         """Return the result as one line."""
         counts = " ".join(f"{status}:{count}" for status, count in sorted(self.statuses.items()))
         kinds = Counter(each.promise for each in self.violations)
-        broken = " ".join(f"{kind} {count}" for kind, count in kinds.items()) or "held"
+        broken = " ".join(f"{kind} {count}" for kind, count in kinds.items())
+        broken = (
+            " ".join(filter(None, (broken, *(f"ended {name}" for name in self.ended)))) or "held"
+        )
         late = self.events["late second answer"]
         runs = self.events["run"]
         return f"{broken:24} {counts}  runs {runs} late {late} changes {self.changes}"
@@ -74,6 +91,7 @@
             Counter(each.event for each in events),
             fleet.epoch,
             len(fleet.timeline.moves) - 1 + len(fleet.timeline.evacuations),
+            tuple(fleet.ended_nodes()),
         )
 
 
