A body that breaks the framing at any port fails for whoever reads it

By reading, no caller reported it: at the ports of operators, registration and the like the HTTP library queues a parse error as the next request, and the reader of the body goes on waiting, with its connection, until others need its place. The callers' port had the remedy for itself; it is the bounded connection's now, so all ports have it, and it is looked for only after a failure instead of at each read.

--- a/src/marjoramtide/ingress/_caller_connection.py
+++ b/src/marjoramtide/ingress/_caller_connection.py
@@ -6,7 +6,6 @@
 import structlog
 from aiohttp import web
 from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError, LineTooLong
-from aiohttp.web_protocol import _ErrInfo
 
 from marjoramtide.errors import ErrorCode, MarjoramtideError
 from marjoramtide.exchange import MAX_INLINE_BYTES, UnknownOutcomeError
@@ -126,7 +125,6 @@
             self.stop_head_timer()
         else:
             self.start_head_timer(self.head_timeout_s)
-        self.fail_broken_body()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self.stop_head_timer()
@@ -157,23 +155,6 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def fail_broken_body(self) -> None:
-        """Fail the reading of a body that is not valid HTTP.
-
-        aiohttp only queues the parse error as the next request. The reader of the body would wait
-        for the rest until its deadline while holding a slot of the backend server.
-        """
-        errors = [message.exc for message, _ in self._messages if isinstance(message, _ErrInfo)]
-        if not errors:
-            return
-        bodies = [body for _, body in self._messages]
-        if self._current_request is not None:
-            bodies.append(self._current_request.content)
-        for body in bodies:
-            if not body.is_eof():
-                body.set_exception(errors[0])
-                self._lingering_time = 0.0  # the rest can't be parsed
-
     def start_head_timer(self, seconds: float) -> None:
         """Close the connection after ``seconds`` unless a request head is complete by then.
 
--- a/src/marjoramtide/sockets/_bounded_connection.py
+++ b/src/marjoramtide/sockets/_bounded_connection.py
@@ -126,6 +126,8 @@
         requests_before = self._request_count
         super().data_received(data)
         self.count_input(len(data), requests_before)
+        if self.discards_input:
+            self.fail_broken_body()
         self.server.account.moved(len(data))
 
     def count_input(self, size: int, requests_before: int) -> None:
@@ -181,6 +183,23 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def fail_broken_body(self) -> None:
+        """Fail the reading of a body that is not valid HTTP.
+
+        aiohttp only queues the parse error as the next request. The reader of the body would wait
+        for the rest until its deadline while holding a slot of the backend server.
+        """
+        errors = [message.exc for message, _ in self._messages if isinstance(message, _ErrInfo)]
+        if not errors:
+            return
+        bodies = [body for _, body in self._messages]
+        if self._current_request is not None:
+            bodies.append(self._current_request.content)
+        for body in bodies:
+            if not body.is_eof():
+                body.set_exception(errors[0])
+                self._lingering_time = 0.0  # the rest can't be parsed
+
     def discard_input(self) -> None:
         """Read and drop what still comes, since no request is taken from it."""
         self.discards_input = True
