A flood of connections costs no look at all connections for each

By reading, before the landing: with the number of connections at its limit each new one had all others looked through, and while memory was short each request did; a client decides how often. Now a part of those that wait is closed at once, and where none has waited long enough, or memory stays short, the next look comes 50 ms later. The number of open connections is kept, not counted.

--- a/src/marjoramtide/ingress/_caller_connection.py
+++ b/src/marjoramtide/ingress/_caller_connection.py
@@ -97,7 +97,7 @@
     def send_refusal(self) -> None:
         """Send that nothing was run and when to come back, and close the connection."""
         assert self.transport is not None
-        self.has_ended = True
+        self.mark_ended()
         self.transport.write(self.protocol.connection_limit_response)
         self.force_close()
 
--- a/src/marjoramtide/ingress/_caller_server.py
+++ b/src/marjoramtide/ingress/_caller_server.py
@@ -51,9 +51,7 @@
 
     def is_out_of_memory(self) -> bool:
         """Return whether callers' connections hold too much, after those that wait were closed."""
-        if self.account.is_full:
-            self.account.check()
-        return self.account.is_full
+        return self.account.is_full and self.account.recheck(self._loop.time())
 
     @property
     def has_unsent(self) -> bool:
--- a/src/marjoramtide/sockets/_bounded_connection.py
+++ b/src/marjoramtide/sockets/_bounded_connection.py
@@ -114,6 +114,7 @@
         super().connection_made(transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
+        self.mark_ended()
         if self.closing_timer is not None:
             self.closing_timer.cancel()
         super().connection_lost(exc)
@@ -288,6 +289,12 @@
         transport = self.server.transport_of(self)
         return held + (transport.get_write_buffer_size() if transport is not None else 0)
 
+    def mark_ended(self) -> None:
+        """Count the connection no more, although its transport may still be closing."""
+        if not self.has_ended:
+            self.has_ended = True
+            self.server.open_count -= 1
+
     @property
     def is_between_requests(self) -> bool:
         """Return whether no request is handled or waits for its turn."""
@@ -313,7 +320,7 @@
 
     def abort(self) -> None:
         """Close the connection at once; what was not sent is dropped."""
-        self.has_ended = True
+        self.mark_ended()
         transport = self.server.transport_of(self)
         if transport is not None:
             transport.abort()
--- a/src/marjoramtide/sockets/_bounded_server.py
+++ b/src/marjoramtide/sockets/_bounded_server.py
@@ -15,8 +15,9 @@
 class BoundedServer(web.Server):
     """Creates ``BoundedConnection`` objects, which share one account.
 
-    If there are ``max_connections``, a new one takes the place of the one that has waited longest
-    for its client, for at least ``min_wait_s`` seconds; if there is none, the new one is refused.
+    If there are ``max_connections``, a new one takes the place of one that has waited longest for
+    its client, for at least ``min_wait_s`` seconds; if there is none, the new one is refused.
+    ``open_count`` is their number without those that were just closed.
     """
 
     connection_class = BoundedConnection
@@ -33,6 +34,7 @@
         super().__init__(*args, **kwargs)
         self.name = name
         self.max_connections = limits.connections
+        self.open_count = 0
         self.min_wait_s = min_wait_s
         self.max_head_bytes = max_head_bytes
         self.account = ConnectionAccount(limits.held_bytes, self.bounded_connections)
@@ -47,19 +49,13 @@
 
     def connection_made(self, handler: Any, transport: asyncio.Transport) -> None:
         super().connection_made(handler, transport)
-        if not self.has_too_many:
+        self.open_count += 1
+        if self.open_count <= self.max_connections:
             return
-        if not self.account.make_room(self.min_wait_s, asyncio.get_running_loop().time()):
+        now = asyncio.get_running_loop().time()
+        if not self.account.make_room(self.max_connections, self.min_wait_s, now):
             self.refuse_connection(handler)
 
-    @property
-    def has_too_many(self) -> bool:
-        """Return whether there are more connections than allowed, without those just ended."""
-        if len(self._connections) <= self.max_connections:
-            return False
-        open_count = sum(not each.has_ended for each in self.bounded_connections())
-        return open_count > self.max_connections
-
     def refuse_connection(self, connection: BoundedConnection) -> None:
         """Refuse a new connection, since there are too many."""
         connection.shed("there are too many connections")
--- a/src/marjoramtide/sockets/_connection_account.py
+++ b/src/marjoramtide/sockets/_connection_account.py
@@ -1,5 +1,6 @@
 """One account of what all connections of a port make this process keep."""
 
+import heapq
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,10 @@
 CHECKS_PER_LIMIT = 16
 # Connections are closed until this share is held, so that not each further byte closes one.
 RELIEF = 0.8
+# Looking for those that wait goes through all connections. So a part of them is closed at once, and
+# where none has waited long enough, or memory stays short, the next look comes after a while.
+BATCHES_PER_LIMIT = 64
+LOOK_AGAIN_S = 0.05
 
 
 class ConnectionAccount:
@@ -34,6 +39,8 @@
         self.check_bytes = max(1, limit_bytes // CHECKS_PER_LIMIT)
         self.moved_bytes = 0
         self.held_bytes = 0
+        self.next_look_at = 0.0
+        self.next_check_at = 0.0
 
     @property
     def is_full(self) -> bool:
@@ -60,16 +67,28 @@
             connection.shed("all connections together hold too much memory")
             self.held_bytes -= held[connection]
 
-    def make_room(self, min_wait_s: float, now: float) -> bool:
-        """Close the connection that has waited longest for its client, for a new one.
+    def recheck(self, now: float) -> bool:
+        """Return whether it is still full, looked at anew at most each ``LOOK_AGAIN_S``."""
+        if self.is_full and now >= self.next_check_at:
+            self.next_check_at = now + LOOK_AGAIN_S
+            self.check()
+        return self.is_full
+
+    def make_room(self, limit: int, min_wait_s: float, now: float) -> bool:
+        """Close those of ``limit`` connections that have waited longest, for new ones.
 
-        Returns false if none has waited for ``min_wait_s`` seconds.
+        Returns false if none has waited for ``min_wait_s`` seconds for its client.
         """
-        waiting = [each for each in self.connections() if each.waiting_since is not None]
-        oldest = min(waiting, key=lambda each: each.waiting_since or 0.0, default=None)
-        if oldest is None or oldest.waiting_since is None:
-            return False
-        if now - oldest.waiting_since < min_wait_s:
+        if now < self.next_look_at:
             return False
-        oldest.shed("there are too many connections")
-        return True
+        waits = {
+            each: each.waiting_since
+            for each in self.connections()
+            if each.waiting_since is not None and now - each.waiting_since >= min_wait_s
+        }
+        batch = max(1, limit // BATCHES_PER_LIMIT)
+        for connection in heapq.nsmallest(batch, waits, key=waits.__getitem__):
+            connection.shed("there are too many connections")
+        if not waits:
+            self.next_look_at = now + LOOK_AGAIN_S
+        return bool(waits)
