A machine that names no memory has settings all the same

Now it is written only where there is a value, and the default is in force otherwise. The stand-in of the templates renders a section of a single value, as the page says (once, if it is present).

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -47,3 +47,14 @@
       | Server-Limit: 5, Server-Limit: 9          | nothing | not leaving | 1         |
       | Server-Limit: ٣                           | nothing | not leaving | 1         |
       | Server-Leaving: yes, Server-Limit: x      | nothing | not leaving | 2         |
+
+  Scenario Outline: A machine that has <memory> MB
+    # Guards against bounds on clients that go by another machine's memory, and against a template
+    # that can't be filled in where the platform names none.
+    Given the settings of a machine with <memory> MB, filled into the deployed template
+    Then the node may take <taken> MB
+
+    Examples:
+      | memory | taken |
+      | 512    | 512   |
+      | no     | 300   |
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -107,6 +107,18 @@
     context.settings = NodeSettings(**tomllib.loads(filled))
 
 
+@given("the settings of a machine with {memory} MB, filled into the deployed template")
+def given_memory(context: Any, memory: str) -> None:
+    limits = {} if memory == "no" else {"Limits": {"MemoryMb": int(memory)}}
+    filled = render_template(TEMPLATE.read_text(encoding="utf-8"), MACHINE | limits)
+    context.settings = NodeSettings(**tomllib.loads(filled))
+
+
+@then("the node may take {memory:d} MB")
+def may_take(context: Any, memory: int) -> None:
+    assert context.settings.memory_mb == memory, context.settings.memory_mb
+
+
 @then(
     "the node stops within {grace_s:g} s and shares {ratio:g} second tries for each request "
     "and {per_s:g} a second"
--- a/standins/platform/_template.py
+++ b/standins/platform/_template.py
@@ -46,7 +46,10 @@
 
 
 def section_entries(value: Any) -> Iterator[tuple[Any, str, bool]]:
-    """Yield each entry of a list or table, its key and whether it is the last."""
+    """Yield each entry of a list or table, its key and whether it is the last; or one value."""
+    if value and not isinstance(value, dict | list):
+        yield value, "", True
+        return
     pairs = list(value.items() if isinstance(value, dict) else enumerate(value or ()))
     for number, (key, entry) in enumerate(pairs, start=1):
         yield entry, str(key), number == len(pairs)
